Add the membership, admission and retries plug-ins

Cause: the daemon needs their typed messages and effects to be built on. Ruled out: stubs without decisions, since the interface of each shows only with its working version. Change: three plug-ins that register themselves, with their errors; tests of the retry budget and of admission's basic cases. Membership has no test yet.

--- /dev/null
+++ b/packages/kernel/src/admission/admit.ts
@@ -0,0 +1,124 @@
+import type { Instant } from "../kernel/index.js";
+import { getLocalLimit } from "./fleetLimit.js";
+import type { AdmissionEffect } from "./messages.js";
+import { expireRequest, removeWaiting } from "./queue.js";
+import { getCapacityPerShare, isWithinShare, reservedRatio } from "./shares.js";
+import {
+  updateActiveTeams,
+  type AdmissionState,
+  type TeamAccount,
+  type WaitingRequest,
+} from "./state.js";
+
+const serviceTimeSmoothing = 0.1;
+
+interface Candidate {
+  readonly team: TeamAccount;
+  readonly request: WaitingRequest;
+  readonly isWithinShare: boolean;
+}
+
+/**
+ * Admits waiting requests while the capacity lasts: teams below their share first, by virtual
+ * time; then the others, by priority and virtual time.
+ * @param state - State to update.
+ * @param now - Current time.
+ */
+export function admitWaiting(state: AdmissionState, now: Instant): AdmissionEffect[] {
+  const effects: AdmissionEffect[] = [];
+  let next = findNext(state, now);
+  while (next !== undefined && hasRoom(state, next)) {
+    const { request } = next;
+    const isLate = request.deadline <= now;
+    effects.push(isLate ? expireRequest(state, request, now) : admit(state, next, now));
+    next = findNext(state, now);
+  }
+  return effects;
+}
+
+/**
+ * Ends an admitted request.
+ * @param state - State to update.
+ * @param requestId - Request that ended.
+ * @param now - Time of its end.
+ * @param isMeasured - True when the request ran to its end.
+ */
+export function endRunning(
+  state: AdmissionState,
+  requestId: string,
+  now: Instant,
+  isMeasured: boolean,
+): void {
+  const request = state.running.get(requestId);
+  if (request === undefined) {
+    return;
+  }
+  state.running.delete(requestId);
+  state.usedCost -= request.cost;
+  endRunningOfTeam(request.team, request.cost, isMeasured ? now - request.startedAt : undefined);
+  updateActiveTeams(state, request.team);
+}
+
+function endRunningOfTeam(team: TeamAccount, cost: number, milliseconds: number | undefined): void {
+  team.running -= 1;
+  team.runningCost -= cost;
+  if (milliseconds !== undefined) {
+    team.serviceMilliseconds += serviceTimeSmoothing * (milliseconds - team.serviceMilliseconds);
+  }
+}
+
+function findNext(state: AdmissionState, now: Instant): Candidate | undefined {
+  const capacityPerShare = getCapacityPerShare(state);
+  let best: Candidate | undefined;
+  for (const team of state.activeTeams) {
+    const candidate = findCandidate(state, team, capacityPerShare, now);
+    if (candidate !== undefined && (best === undefined || isBefore(candidate, best))) {
+      best = candidate;
+    }
+  }
+  return best;
+}
+
+function findCandidate(
+  state: AdmissionState,
+  team: TeamAccount,
+  capacityPerShare: number,
+  now: Instant,
+): Candidate | undefined {
+  const request = team.waiting[0];
+  if (request === undefined || team.running >= getLocalLimit(state, team, now)) {
+    return undefined;
+  }
+  return { team, request, isWithinShare: isWithinShare(team, request.cost, capacityPerShare) };
+}
+
+function isBefore(a: Candidate, b: Candidate): boolean {
+  if (a.isWithinShare !== b.isWithinShare) {
+    return a.isWithinShare;
+  }
+  if (!a.isWithinShare && a.team.priority !== b.team.priority) {
+    return a.team.priority > b.team.priority;
+  }
+  if (a.team.virtualTime !== b.team.virtualTime) {
+    return a.team.virtualTime < b.team.virtualTime;
+  }
+  return a.team.priority > b.team.priority;
+}
+
+function hasRoom(state: AdmissionState, candidate: Candidate): boolean {
+  const reserved = candidate.isWithinShare ? 0 : Math.ceil(state.capacity * reservedRatio);
+  const isIdle = state.usedCost === 0 && state.capacity > 0;
+  return isIdle || state.usedCost + candidate.request.cost <= state.capacity - reserved;
+}
+
+function admit(state: AdmissionState, candidate: Candidate, now: Instant): AdmissionEffect {
+  const { team, request } = candidate;
+  state.virtualTime = Math.max(state.virtualTime, team.virtualTime);
+  team.virtualTime += request.cost / team.share;
+  team.running += 1;
+  team.runningCost += request.cost;
+  state.usedCost += request.cost;
+  state.running.set(request.requestId, { team, cost: request.cost, startedAt: now });
+  removeWaiting(state, team, request);
+  return { kind: "admit", requestId: request.requestId, arrivedAt: request.arrivedAt };
+}
--- /dev/null
+++ b/packages/kernel/src/admission/index.ts
@@ -0,0 +1,16 @@
+export { AdmissionError } from "./AdmissionError.js";
+export { admissionPlugin } from "./admissionPlugin.js";
+export { DeadlinePassedError } from "./DeadlinePassedError.js";
+export { DeadlineUnreachableError } from "./DeadlineUnreachableError.js";
+export { teamTotalSchema } from "./messages.js";
+export type {
+  AdmissionEffect,
+  AdmissionMessage,
+  AdmitEffect,
+  ExpireEffect,
+  RefuseEffect,
+  TeamTotal,
+} from "./messages.js";
+export { QueueFullError } from "./QueueFullError.js";
+export type { AdmissionState } from "./state.js";
+export { UnknownTeamError } from "./UnknownTeamError.js";
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,4 +1,7 @@
+export * from "./admission/index.js";
 export * from "./configuration/index.js";
 export * from "./errors/index.js";
 export * from "./hosts/index.js";
 export * from "./kernel/index.js";
+export * from "./membership/index.js";
+export * from "./retries/index.js";
--- /dev/null
+++ b/packages/kernel/src/membership/candidates.ts
@@ -0,0 +1,69 @@
+import type { Instant } from "../kernel/index.js";
+import { pauseMilliseconds } from "./constants.js";
+import type { HostView, MembershipView } from "./view.js";
+
+/** Hosts that may get a new request. */
+export interface UsableHosts {
+  readonly kind: "hosts";
+  readonly hosts: readonly HostView[];
+}
+
+/** New work has to wait until a host was checked: this process just started or was paused. */
+export interface UncheckedHosts {
+  readonly kind: "wait";
+}
+
+/** No host may get new work. */
+export interface NoUsableHosts {
+  readonly kind: "none";
+}
+
+export type Candidates = UsableHosts | UncheckedHosts | NoUsableHosts;
+
+/**
+ * Gets the hosts that may get a new request: the eligible ones, or else the best that are left.
+ * A leaving host never gets new work, and an unchecked one not before it was checked.
+ * @param view - View of the membership plug-in.
+ * @param names - Names of the hosts that could serve the request.
+ * @param now - Current time.
+ */
+export function getCandidates(
+  view: MembershipView,
+  names: Iterable<string>,
+  now: Instant,
+): Candidates {
+  if (now - view.activeAt > pauseMilliseconds) {
+    return { kind: "wait" };
+  }
+  const hosts = getHosts(view, names);
+  const usable =
+    pick(hosts, (host) => host.state === "eligible") ??
+    pick(hosts, (host) => host.state === "suspect" && host.reason !== "unchecked") ??
+    pick(hosts, (host) => host.state === "damped");
+  if (usable !== undefined) {
+    return usable;
+  }
+  if (hosts.some((host) => host.reason === "unchecked")) {
+    return { kind: "wait" };
+  }
+  return pick(hosts, (host) => host.state === "down") ?? { kind: "none" };
+}
+
+function getHosts(view: MembershipView, names: Iterable<string>): HostView[] {
+  const hosts: HostView[] = [];
+  for (const name of names) {
+    const host = view.hosts.get(name);
+    if (host?.address !== undefined) {
+      hosts.push(host);
+    }
+  }
+  return hosts;
+}
+
+function pick(
+  hosts: readonly HostView[],
+  condition: (host: HostView) => boolean,
+): UsableHosts | undefined {
+  const picked = hosts.filter(condition);
+  return picked.length === 0 ? undefined : { kind: "hosts", hosts: picked };
+}
--- /dev/null
+++ b/packages/kernel/src/membership/daemons.ts
@@ -0,0 +1,108 @@
+import type { Instant } from "../kernel/index.js";
+import {
+  daemonForgetMilliseconds,
+  daemonLostMilliseconds,
+  daemonSuspectMilliseconds,
+} from "./constants.js";
+import type { HeardMessage } from "./messages.js";
+import type { DaemonRecord, MembershipState } from "./state.js";
+import type { DaemonState, DaemonView } from "./view.js";
+
+/**
+ * Notes that a daemon was heard of; an earlier start of it is ignored.
+ * @param state - State to update.
+ * @param message - Who was heard, and when.
+ */
+export function addHeard(state: MembershipState, message: HeardMessage): void {
+  if (message.daemon === state.daemon) {
+    return;
+  }
+  const record = state.daemonRecords.get(message.daemon) ?? createRecord(state, message);
+  if (message.incarnation < record.incarnation) {
+    return;
+  }
+  record.zone = message.zone;
+  record.incarnation = message.incarnation;
+  record.heardAt = Math.max(record.heardAt, message.at);
+}
+
+/**
+ * Brings the views of all daemons up to date and returns those that changed.
+ * @param state - State to update.
+ * @param now - Current time.
+ */
+export function updateDaemonViews(state: MembershipState, now: Instant): DaemonView[] {
+  const changed: DaemonView[] = [];
+  for (const record of state.daemonRecords.values()) {
+    const view = createDaemonView(state, record, now);
+    const known = state.daemons.get(record.name);
+    if (known === undefined || !isSame(known, view)) {
+      state.daemons.set(record.name, view);
+      changed.push(view);
+    }
+  }
+  return changed;
+}
+
+/**
+ * Forgets the daemons that are neither listed nor heard of, and returns their names.
+ * @param state - State to update.
+ * @param now - Current time.
+ */
+export function removeForgottenDaemons(state: MembershipState, now: Instant): string[] {
+  const forgotten = [...state.daemonRecords.values()].filter((record) => {
+    const silence = now - Math.max(getLastSign(state, record), record.knownAt);
+    return record.listed === undefined && silence > daemonForgetMilliseconds;
+  });
+  for (const record of forgotten) {
+    state.daemonRecords.delete(record.name);
+    state.daemons.delete(record.name);
+  }
+  return forgotten.map((record) => record.name);
+}
+
+function createRecord(state: MembershipState, message: HeardMessage): DaemonRecord {
+  const record = {
+    name: message.daemon,
+    zone: message.zone,
+    incarnation: message.incarnation,
+    heardAt: 0,
+    knownAt: message.at,
+    listed: state.listedHosts.get(message.daemon),
+  };
+  state.daemonRecords.set(record.name, record);
+  return record;
+}
+
+function createDaemonView(state: MembershipState, record: DaemonRecord, now: Instant): DaemonView {
+  return {
+    name: record.name,
+    zone: record.zone,
+    incarnation: record.incarnation,
+    state: getDaemonState(state, record, now),
+    isListed: record.listed !== undefined,
+    isLeaving: record.listed?.state === "leaving",
+    peerAddress: record.listed?.peerAddress,
+    datagramAddress: record.listed?.datagramAddress,
+    operationsAddress: record.listed?.operationsAddress,
+  };
+}
+
+function getDaemonState(state: MembershipState, record: DaemonRecord, now: Instant): DaemonState {
+  const silence = now - getLastSign(state, record);
+  if (silence > daemonLostMilliseconds) {
+    return "lost";
+  }
+  const isSuspect = record.heardAt === 0 || silence > daemonSuspectMilliseconds;
+  return isSuspect ? "suspect" : "live";
+}
+
+/** While this process was paused nobody could be heard, so silence counts from its end. */
+function getLastSign(state: MembershipState, record: DaemonRecord): Instant {
+  const lastSign = record.heardAt === 0 ? record.knownAt : record.heardAt;
+  return Math.max(lastSign, state.staleSince);
+}
+
+function isSame(a: DaemonView, b: DaemonView): boolean {
+  return (Object.keys(a) as (keyof DaemonView)[]).every((key) => a[key] === b[key]);
+}
--- /dev/null
+++ b/packages/kernel/src/membership/evidence.ts
@@ -0,0 +1,142 @@
+import type { Instant } from "../kernel/index.js";
+import { downFailures, maxClockSkewMilliseconds, probePeriodMilliseconds } from "./constants.js";
+import { addFlap } from "./damping.js";
+import type { ObservationMessage, PeerSignMessage } from "./messages.js";
+import type { HostRecord } from "./state.js";
+
+/**
+ * Takes over what this daemon saw of a host.
+ * @param record - Host that was seen.
+ * @param message - What was seen.
+ * @param now - Current time.
+ */
+export function addObservation(
+  record: HostRecord,
+  message: ObservationMessage,
+  now: Instant,
+): void {
+  const at = Math.min(message.at, now);
+  if (!updateIncarnation(record, message.incarnation ?? 0, now)) {
+    return;
+  }
+  switch (message.sign) {
+    case "connectFailed":
+      addFailure(record, at, now);
+      return;
+    case "leaving":
+      addAnswer(record, at);
+      record.checkedAt = Math.max(record.checkedAt, at);
+      record.leavingVersion = Math.max(at, record.leavingVersion + 1, record.aliveVersion + 1);
+      return;
+    case "healthy":
+    case "loadReport":
+      addAnswer(record, at);
+      addLife(record, at);
+      return;
+    case "refused":
+      addAnswer(record, at);
+      record.refusedAt = Math.max(record.refusedAt, at);
+      return;
+    case "answered":
+      addAnswer(record, at);
+  }
+}
+
+/**
+ * Takes over a sign that another daemon passed on.
+ * @param record - Host that the sign is about.
+ * @param message - The sign.
+ * @param now - Current time.
+ */
+export function addPeerSign(record: HostRecord, message: PeerSignMessage, now: Instant): void {
+  const version = Math.min(message.version, now + maxClockSkewMilliseconds);
+  if (!updateIncarnation(record, message.incarnation, now)) {
+    return;
+  }
+  switch (message.state) {
+    case "leaving":
+      record.leavingVersion = Math.max(record.leavingVersion, version);
+      return;
+    case "alive":
+      addPeerLife(record, version, now);
+      return;
+    case "down":
+      addDownReport(record, message.from, version, now);
+  }
+}
+
+/** Returns false when the evidence is about an earlier start of the host. */
+function updateIncarnation(record: HostRecord, incarnation: number, now: Instant): boolean {
+  if (incarnation === 0 || incarnation === record.incarnation) {
+    return true;
+  }
+  if (incarnation < record.incarnation) {
+    return false;
+  }
+  if (record.incarnation > 0) {
+    forgetEarlierStart(record, now);
+  }
+  record.incarnation = incarnation;
+  return true;
+}
+
+function forgetEarlierStart(record: HostRecord, now: Instant): void {
+  record.restartedAt = now;
+  record.leavingVersion = 0;
+  record.failures = 0;
+  record.refusedAt = 0;
+  record.downReports.clear();
+}
+
+function addFailure(record: HostRecord, at: Instant, now: Instant): void {
+  if (at < record.answeredAt) {
+    return;
+  }
+  record.failures += 1;
+  record.failedAt = Math.max(record.failedAt, at);
+  if (record.failures === 1) {
+    record.nextProbeAt = Math.min(record.nextProbeAt, now + probePeriodMilliseconds / 4);
+  }
+  if (record.failures === downFailures) {
+    addFlap(record.damping, now);
+  }
+}
+
+function addAnswer(record: HostRecord, at: Instant): void {
+  record.answeredAt = Math.max(record.answeredAt, at);
+  if (at >= record.failedAt) {
+    record.failures = 0;
+    dropDownReports(record, at);
+  }
+}
+
+function addLife(record: HostRecord, version: number): void {
+  record.aliveVersion = Math.max(record.aliveVersion, version);
+  record.checkedAt = Math.max(record.checkedAt, version);
+}
+
+function addPeerLife(record: HostRecord, version: number, now: Instant): void {
+  addLife(record, version);
+  dropDownReports(record, version);
+  if (record.failures > 0) {
+    record.nextProbeAt = Math.min(record.nextProbeAt, now);
+  }
+}
+
+function addDownReport(record: HostRecord, from: string, version: number, now: Instant): void {
+  if (version <= record.aliveVersion || version <= record.answeredAt) {
+    return;
+  }
+  if (!record.downReports.has(from)) {
+    record.nextProbeAt = Math.min(record.nextProbeAt, now);
+  }
+  record.downReports.set(from, version);
+}
+
+function dropDownReports(record: HostRecord, version: number): void {
+  for (const [from, reported] of record.downReports) {
+    if (reported <= version) {
+      record.downReports.delete(from);
+    }
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/membership/hash.ts
@@ -0,0 +1,30 @@
+const fnvOffset = 0x811c9dc5;
+const fnvPrime = 0x01000193;
+const hashValues = 2 ** 32;
+
+/**
+ * Gets a well mixed 32-bit hash of a text; the same on every daemon.
+ * @param text - Text to hash.
+ */
+export function getHash(text: string): number {
+  let hash = fnvOffset;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
+  }
+  return mix(hash);
+}
+
+/**
+ * Gets a number from 0 to below 1 that depends on nothing but the text.
+ * @param text - Text to hash.
+ */
+export function getFraction(text: string): number {
+  return getHash(text) / hashValues;
+}
+
+function mix(value: number): number {
+  let hash = value;
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/kernel/src/membership/hostViews.ts
@@ -0,0 +1,61 @@
+import type { Instant } from "../kernel/index.js";
+import { judgeHost } from "./judge.js";
+import { queueSign } from "./spread.js";
+import type { HostRecord, MembershipState } from "./state.js";
+import type { HostView } from "./view.js";
+
+/**
+ * Judges hosts again, brings their views up to date and returns those that changed.
+ * @param state - State to update.
+ * @param records - Hosts to judge.
+ * @param now - Current time.
+ */
+export function updateHostViews(
+  state: MembershipState,
+  records: Iterable<HostRecord>,
+  now: Instant,
+): HostView[] {
+  const changed: HostView[] = [];
+  for (const record of records) {
+    const before = state.hosts.get(record.name);
+    const after = createHostView(state, record, now);
+    updateUnsettled(state, after);
+    if (before === undefined || !isSame(before, after)) {
+      state.hosts.set(record.name, after);
+      queueSign(state, before, after);
+      changed.push(after);
+    }
+  }
+  return changed;
+}
+
+function createHostView(state: MembershipState, record: HostRecord, now: Instant): HostView {
+  const { state: hostState, reason } = judgeHost(state, record, now);
+  return {
+    name: record.name,
+    role: record.role,
+    zone: record.zone,
+    address: record.address,
+    state: hostState,
+    reason,
+    reuseAt: hostState === "damped" ? record.damping.reuseAt : undefined,
+  };
+}
+
+function updateUnsettled(state: MembershipState, view: HostView): void {
+  if (view.state === "eligible") {
+    state.unsettled.delete(view.name);
+  } else {
+    state.unsettled.add(view.name);
+  }
+}
+
+function isSame(a: HostView, b: HostView): boolean {
+  return (
+    a.state === b.state &&
+    a.reason === b.reason &&
+    a.address === b.address &&
+    a.zone === b.zone &&
+    a.reuseAt === b.reuseAt
+  );
+}
--- /dev/null
+++ b/packages/kernel/src/membership/membershipPlugin.ts
@@ -0,0 +1,181 @@
+import { pluginRegistry, type Instant } from "../kernel/index.js";
+import { pauseMilliseconds, refreshPeriodMilliseconds } from "./constants.js";
+import { addHeard, removeForgottenDaemons, updateDaemonViews } from "./daemons.js";
+import { addObservation, addPeerSign } from "./evidence.js";
+import { updateHostViews } from "./hostViews.js";
+import { setHostList, setUpstreams } from "./lists.js";
+import type {
+  MembershipEffect,
+  MembershipMessage,
+  ObservationMessage,
+  PeerSignMessage,
+} from "./messages.js";
+import { takeDueProbes } from "./probes.js";
+import { dropOldReports, takeSigns } from "./spread.js";
+import { createMembershipState, type HostRecord, type MembershipState } from "./state.js";
+import type { DaemonView, HostView, MembershipView } from "./view.js";
+import { updateZones } from "./zones.js";
+
+/** Decides which engines, service hosts and daemons may get new work. */
+export const membershipPlugin = pluginRegistry.addPlugin<
+  MembershipState,
+  MembershipMessage,
+  MembershipEffect
+>({
+  name: "membership",
+  createState: createMembershipState,
+  handle: (state, message, now) => {
+    const pauseEffects = notePause(state, now);
+    return { state, effects: [...pauseEffects, ...handle(state, message, now)] };
+  },
+});
+
+/**
+ * Gets the view that the plug-in keeps up to date.
+ * @param state - State of the plug-in.
+ */
+export function getView(state: MembershipState): MembershipView {
+  return state.view;
+}
+
+/** A gap between messages means that this process was paused, or just started. */
+function notePause(state: MembershipState, now: Instant): MembershipEffect[] {
+  const wasPaused = now - state.activeAt > pauseMilliseconds;
+  state.activeAt = Math.max(state.activeAt, now);
+  if (!wasPaused) {
+    return [];
+  }
+  state.staleSince = now;
+  state.nextRefreshAt = now + refreshPeriodMilliseconds;
+  for (const record of state.hostRecords.values()) {
+    record.nextProbeAt = now;
+  }
+  const hosts = updateHostViews(state, state.hostRecords.values(), now);
+  return [{ kind: "refresh" }, ...createChanged(state, hosts, [], [])];
+}
+
+function handle(
+  state: MembershipState,
+  message: MembershipMessage,
+  now: Instant,
+): readonly MembershipEffect[] {
+  switch (message.kind) {
+    case "identity":
+      state.daemon = message.daemon;
+      state.zone = message.zone;
+      state.probeShare = undefined;
+      return [];
+    case "configured":
+      return changeAllHosts(state, setUpstreams(state, message), now);
+    case "hostList":
+      return setHostList(state, message) ? changeAllHosts(state, [], now) : [];
+    case "observed":
+    case "probed":
+      return changeHost(state, message, now, (record) => {
+        addObservation(record, message, now);
+      });
+    case "peerSign":
+      return changeHost(state, message, now, (record) => {
+        addPeerSign(record, message, now);
+      });
+    case "heard":
+      addHeard(state, message);
+      return changeDaemons(state, [], now);
+    case "tick":
+      return handleTick(state, now);
+  }
+}
+
+function changeAllHosts(
+  state: MembershipState,
+  removed: readonly string[],
+  now: Instant,
+): MembershipEffect[] {
+  for (const name of removed) {
+    state.hosts.delete(name);
+    state.unsettled.delete(name);
+    state.queuedSigns.delete(name);
+  }
+  state.probeShare = undefined;
+  updateZones(state);
+  const hosts = updateHostViews(state, state.hostRecords.values(), now);
+  return createChanged(state, hosts, updateDaemonViews(state, now), removed);
+}
+
+function changeHost(
+  state: MembershipState,
+  message: ObservationMessage | PeerSignMessage,
+  now: Instant,
+  change: (record: HostRecord) => void,
+): MembershipEffect[] {
+  const record = state.hostRecords.get(message.host);
+  if (record === undefined) {
+    return [];
+  }
+  const wasFailing = record.failures > 0;
+  change(record);
+  const isZoneAffected = wasFailing !== record.failures > 0;
+  const zones = isZoneAffected ? updateZones(state) : new Set<string>();
+  const records = zones.size === 0 ? [record] : [record, ...getHostsOfZones(state, zones)];
+  return createChanged(state, updateHostViews(state, records, now), [], []);
+}
+
+function changeDaemons(
+  state: MembershipState,
+  removed: readonly string[],
+  now: Instant,
+): MembershipEffect[] {
+  const daemons = updateDaemonViews(state, now);
+  if (daemons.length === 0 && removed.length === 0) {
+    return [];
+  }
+  state.probeShare = undefined;
+  const zones = updateZones(state);
+  const hosts = updateHostViews(state, getHostsOfZones(state, zones), now);
+  return createChanged(state, hosts, daemons, removed);
+}
+
+function handleTick(state: MembershipState, now: Instant): MembershipEffect[] {
+  const effects = changeDaemons(state, removeForgottenDaemons(state, now), now);
+  const records = getUnsettledHosts(state);
+  for (const record of records) {
+    dropOldReports(state, record, now);
+  }
+  effects.push(...createChanged(state, updateHostViews(state, records, now), [], []));
+  effects.push(...takeDueProbes(state, now), ...takeSigns(state), ...takeRefresh(state, now));
+  return effects;
+}
+
+function takeRefresh(state: MembershipState, now: Instant): MembershipEffect[] {
+  const isNeeded = getUnsettledHosts(state).some(
+    (record) => state.hosts.get(record.name)?.reason === "unchecked",
+  );
+  if (!isNeeded || now < state.nextRefreshAt) {
+    return [];
+  }
+  state.nextRefreshAt = now + refreshPeriodMilliseconds;
+  return [{ kind: "refresh" }];
+}
+
+function getUnsettledHosts(state: MembershipState): HostRecord[] {
+  return [...state.unsettled]
+    .map((name) => state.hostRecords.get(name))
+    .filter((record) => record !== undefined);
+}
+
+function getHostsOfZones(state: MembershipState, zones: ReadonlySet<string>): HostRecord[] {
+  if (zones.size === 0) {
+    return [];
+  }
+  return [...state.hostRecords.values()].filter((record) => zones.has(record.zone));
+}
+
+function createChanged(
+  state: MembershipState,
+  hosts: readonly HostView[],
+  daemons: readonly DaemonView[],
+  removed: readonly string[],
+): MembershipEffect[] {
+  const isChanged = hosts.length > 0 || daemons.length > 0 || removed.length > 0;
+  return isChanged ? [{ kind: "changed", view: getView(state), hosts, daemons, removed }] : [];
+}
--- /dev/null
+++ b/packages/kernel/src/membership/probes.ts
@@ -0,0 +1,98 @@
+import type { Instant } from "../kernel/index.js";
+import {
+  downFailures,
+  maxExtraProbes,
+  maxProbePeriodMilliseconds,
+  probePeriodMilliseconds,
+} from "./constants.js";
+import { getHash } from "./hash.js";
+import { isUnchecked } from "./judge.js";
+import type { ProbeEffect } from "./messages.js";
+import type { HostRecord, MembershipState } from "./state.js";
+
+/**
+ * Collects the probes that are due: the daemon's own share of the hosts, and a few others whose
+ * state it has to find out itself.
+ * @param state - State to update.
+ * @param now - Current time.
+ */
+export function takeDueProbes(state: MembershipState, now: Instant): ProbeEffect[] {
+  state.probeShare ??= findProbeShare(state);
+  const probes: ProbeEffect[] = [];
+  for (const name of state.probeShare) {
+    addProbe(state, name, now, probes);
+  }
+  const limit = probes.length + maxExtraProbes;
+  for (const name of getExtraHosts(state)) {
+    if (probes.length < limit) {
+      addProbe(state, name, now, probes);
+    }
+  }
+  return probes;
+}
+
+/**
+ * Gets the daemon that probes a host: the first in rendezvous order among the candidates.
+ * @param host - Name of the host.
+ * @param daemons - Names of the daemons that may probe it.
+ */
+export function getProber(host: string, daemons: readonly string[]): string | undefined {
+  let prober: string | undefined;
+  let highest = -1;
+  for (const daemon of daemons) {
+    const weight = getHash(`${host}/${daemon}`);
+    if (weight > highest || (weight === highest && daemon < (prober ?? ""))) {
+      highest = weight;
+      prober = daemon;
+    }
+  }
+  return prober;
+}
+
+/** Hosts are probed from their own zone, and from this one while that has no live daemon. */
+function findProbeShare(state: MembershipState): Set<string> {
+  const proberNamesByZone = new Map<string, string[]>([[state.zone, [state.daemon]]]);
+  for (const daemon of state.daemons.values()) {
+    if (daemon.state === "live") {
+      const names = proberNamesByZone.get(daemon.zone) ?? [];
+      proberNamesByZone.set(daemon.zone, [...names, daemon.name]);
+    }
+  }
+  const ownZoneNames = proberNamesByZone.get(state.zone) ?? [];
+  const share = [...state.hostRecords.values()].filter((record) => {
+    const names = proberNamesByZone.get(record.zone) ?? ownZoneNames;
+    return getProber(record.name, names) === state.daemon;
+  });
+  return new Set(share.map((record) => record.name));
+}
+
+/** Hosts of the own zone come first, since most new work goes there. */
+function getExtraHosts(state: MembershipState): string[] {
+  const names = [...state.unsettled].filter((name) => {
+    const record = state.hostRecords.get(name);
+    return record !== undefined && needsOwnProbe(state, record);
+  });
+  const isNear = (name: string): boolean => state.hostRecords.get(name)?.zone === state.zone;
+  return [...names.filter(isNear), ...names.filter((name) => !isNear(name))];
+}
+
+function needsOwnProbe(state: MembershipState, record: HostRecord): boolean {
+  const isReported = record.downReports.size > 0 && record.zone === state.zone;
+  const isDelisted = record.listing === "absent" && record.checkedAt < record.listedAt;
+  return record.failures > 0 || isUnchecked(state, record) || isReported || isDelisted;
+}
+
+function addProbe(state: MembershipState, name: string, now: Instant, probes: ProbeEffect[]): void {
+  const record = state.hostRecords.get(name);
+  if (record?.address === undefined || now < record.nextProbeAt) {
+    return;
+  }
+  const isOwn = state.probeShare?.has(name) === true;
+  record.nextProbeAt = now + (isOwn ? probePeriodMilliseconds : getBackoff(record));
+  probes.push({ kind: "probe", host: name, role: record.role, address: record.address });
+}
+
+function getBackoff(record: HostRecord): number {
+  const doublings = Math.max(0, Math.min(record.failures - downFailures, 8));
+  return Math.min(probePeriodMilliseconds * 2 ** doublings, maxProbePeriodMilliseconds);
+}
--- /dev/null
+++ b/packages/kernel/src/membership/view.ts
@@ -0,0 +1,55 @@
+import type { Instant } from "../kernel/index.js";
+
+/** Whether an upstream host may get new work. */
+export type HostState = "eligible" | "suspect" | "leaving" | "down" | "damped";
+
+/** Why a host is in its state. */
+export type HostReason =
+  | "ok"
+  | "listed-leaving"
+  | "said-leaving"
+  | "no-address"
+  | "connect-failed"
+  | "reported-down"
+  | "zone-unreachable"
+  | "flapping"
+  | "refused"
+  | "unchecked"
+  | "delisted";
+
+/** One engine or service host as this daemon sees it. */
+export interface HostView {
+  readonly name: string;
+  readonly role: "engine" | "service";
+  readonly zone: string;
+  readonly address: string | undefined;
+  readonly state: HostState;
+  readonly reason: HostReason;
+  /** Instant from which a damped host is used again. */
+  readonly reuseAt: Instant | undefined;
+}
+
+/** Whether another daemon was heard of lately. */
+export type DaemonState = "live" | "suspect" | "lost";
+
+/** One entry host as this daemon sees it. */
+export interface DaemonView {
+  readonly name: string;
+  readonly zone: string;
+  readonly incarnation: number;
+  readonly state: DaemonState;
+  /** True while the platform lists the host. */
+  readonly isListed: boolean;
+  readonly isLeaving: boolean;
+  readonly peerAddress: string | undefined;
+  readonly datagramAddress: string | undefined;
+  readonly operationsAddress: string | undefined;
+}
+
+/** The hosts as this daemon sees them; updated in place by the plug-in, to be read only. */
+export interface MembershipView {
+  readonly hosts: ReadonlyMap<string, HostView>;
+  readonly daemons: ReadonlyMap<string, DaemonView>;
+  /** Instant of the newest message; a view that was not updated for long must not be used. */
+  readonly activeAt: Instant;
+}
--- /dev/null
+++ b/packages/kernel/src/retries/TooManyAttemptsError.ts
@@ -0,0 +1,13 @@
+import { RetriesError } from "./RetriesError.js";
+
+/** The request failed as often as it may. */
+export class TooManyAttemptsError extends RetriesError {
+  readonly code = "too-many-attempts";
+
+  constructor(
+    readonly requestId: string,
+    readonly attempts: number,
+  ) {
+    super(`request "${requestId}" failed ${String(attempts)} times`);
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/retries/budget.ts
@@ -0,0 +1,66 @@
+/** Retries that a daemon may use before its requests have earned them. */
+export const floorRetries = 3;
+
+/** Retries that may be saved up. */
+export const maxSavedRetries = 50;
+
+const unitsPerRetry = 1000;
+
+/** Token bucket that every request fills and every retry empties, in thousandths of a retry. */
+export interface Budget {
+  unitsPerRequest: number;
+  units: number;
+  requests: number;
+  retries: number;
+}
+
+/**
+ * Creates an empty budget.
+ * @param ratio - Retries allowed per request.
+ */
+export function createBudget(ratio: number): Budget {
+  return { unitsPerRequest: toUnits(ratio), units: 0, requests: 0, retries: 0 };
+}
+
+/**
+ * Changes the ratio; what was earned is kept.
+ * @param budget - Budget to change.
+ * @param ratio - Retries allowed per request.
+ */
+export function setBudgetRatio(budget: Budget, ratio: number): void {
+  budget.unitsPerRequest = toUnits(ratio);
+}
+
+/**
+ * Earns the part of a retry that a request brings.
+ * @param budget - Budget to change.
+ */
+export function addRequest(budget: Budget): void {
+  budget.requests += 1;
+  const earned = budget.units + budget.unitsPerRequest;
+  budget.units = Math.min(earned, maxSavedRetries * unitsPerRetry);
+}
+
+/**
+ * Spends one retry and tells whether there was one to spend.
+ *
+ * The floor is a loan that later requests repay: of n requests at most the larger of the floor
+ * and n times the ratio are sent again.
+ * @param budget - Budget to change.
+ */
+export function spendRetry(budget: Budget): boolean {
+  if (budget.units < unitsPerRetry && !isFloorLeft(budget)) {
+    return false;
+  }
+  budget.units -= unitsPerRetry;
+  budget.retries += 1;
+  return true;
+}
+
+function isFloorLeft(budget: Budget): boolean {
+  return budget.unitsPerRequest > 0 && budget.retries < floorRetries;
+}
+
+function toUnits(ratio: number): number {
+  return Math.floor(ratio * unitsPerRetry);
+}
--- /dev/null
+++ b/packages/kernel/src/retries/decideFailure.ts
@@ -0,0 +1,121 @@
+import type { Instant } from "../kernel/index.js";
+import { getComeBackInstant, getRetryInstant } from "./backoff.js";
+import { spendRetry } from "./budget.js";
+import type { FailureMessage, RetriesEffect } from "./messages.js";
+import { NotRepeatableError } from "./NotRepeatableError.js";
+import type { RetriesError } from "./RetriesError.js";
+import { RetryBudgetExhaustedError } from "./RetryBudgetExhaustedError.js";
+import { RetryDeadlineError } from "./RetryDeadlineError.js";
+import { addFailedRequest, type FailedRequest, type RetriesState } from "./state.js";
+import { StreamBrokenError } from "./StreamBrokenError.js";
+import { TooManyAttemptsError } from "./TooManyAttemptsError.js";
+
+/** Attempts of one request, the first included. */
+export const maxAttempts = 3;
+
+/** Resumes of a stream that makes no progress. */
+export const maxResumes = 2;
+
+/**
+ * Decides what follows a failed attempt.
+ * @param state - State to update.
+ * @param message - The failure.
+ * @param now - Time of the failure.
+ */
+export function decideFailure(
+  state: RetriesState,
+  message: FailureMessage,
+  now: Instant,
+): RetriesEffect {
+  const request = addFailedRequest(state, message.requestId);
+  request.mayHaveRun ||= mayHaveRun(message);
+  request.exclude.add(message.host);
+  const at = getRetryInstant(state.seed, message.requestId, message.attempt, now);
+  if (message.firstByteSent) {
+    return decideBrokenStream(state, request, message, at, now);
+  }
+  const error = getRetryError(state, message, at);
+  if (error !== undefined) {
+    return giveUp(state, request, message, error, now);
+  }
+  return { kind: "retry", requestId: message.requestId, at, exclude: [...request.exclude] };
+}
+
+function mayHaveRun(message: FailureMessage): boolean {
+  return message.firstByteSent || !isSurelyNotRun(message);
+}
+
+function isSurelyNotRun(message: FailureMessage): boolean {
+  return message.class === "neverSent" || message.class === "refused";
+}
+
+/** Finds out why the request must not be sent again; spends budget only when it may. */
+function getRetryError(
+  state: RetriesState,
+  message: FailureMessage,
+  at: Instant,
+): RetriesError | undefined {
+  const { requestId, attempt } = message;
+  if (!message.repeatable && !isSurelyNotRun(message)) {
+    return new NotRepeatableError(requestId, attempt);
+  }
+  if (attempt >= maxAttempts) {
+    return new TooManyAttemptsError(requestId, attempt);
+  }
+  if (at >= message.deadline) {
+    return new RetryDeadlineError(requestId, attempt);
+  }
+  if (!spendRetry(state.budget)) {
+    return new RetryBudgetExhaustedError(requestId, attempt);
+  }
+  return undefined;
+}
+
+function decideBrokenStream(
+  state: RetriesState,
+  request: FailedRequest,
+  message: FailureMessage,
+  at: Instant,
+  now: Instant,
+): RetriesEffect {
+  const offset = message.resumeOffset;
+  if (offset === undefined || !canResume(request, message, offset, at)) {
+    const error = new StreamBrokenError(message.requestId, message.attempt);
+    return giveUp(state, request, message, error, now);
+  }
+  request.resumes += 1;
+  request.resumeOffset = offset;
+  return { kind: "resume", requestId: message.requestId, host: message.host, at, offset };
+}
+
+function canResume(
+  request: FailedRequest,
+  message: FailureMessage,
+  offset: number,
+  at: Instant,
+): boolean {
+  if (offset > request.resumeOffset) {
+    request.resumes = 0;
+  }
+  const isOpen = message.class !== "refused" && message.class !== "mismatch";
+  return isOpen && request.resumes < maxResumes && at < message.deadline;
+}
+
+function giveUp(
+  state: RetriesState,
+  request: FailedRequest,
+  message: FailureMessage,
+  error: RetriesError,
+  now: Instant,
+): RetriesEffect {
+  const { requestId } = message;
+  state.failedRequests.delete(requestId);
+  const comeBackAt = getComeBackInstant(state.seed, requestId, now);
+  return {
+    kind: "giveUp",
+    requestId,
+    error,
+    outcome: request.mayHaveRun ? "unknown" : "not-run",
+    retryAt: Math.max(comeBackAt, message.retryAfter ?? 0),
+  };
+}
