--- a/packages/kernel/src/membership/evidence.ts
+++ b/packages/kernel/src/membership/evidence.ts
@@ -57,6 +57,9 @@
     case "leaving":
       record.leavingVersion = Math.max(record.leavingVersion, version);
       return;
+    case "listedLeaving":
+      addPeerListing(record, message.version, now);
+      return;
     case "alive":
       addPeerLife(record, version, now);
       return;
@@ -123,6 +126,13 @@
   }
 }
 
+function addPeerListing(record: HostRecord, revision: number, now: Instant): void {
+  if (revision > record.leavingListRevision) {
+    record.leavingListRevision = revision;
+    record.leavingListedAt = now;
+  }
+}
+
 function addDownReport(record: HostRecord, from: string, version: number, now: Instant): void {
   if (version <= record.aliveVersion || version <= record.answeredAt) {
     return;
--- a/packages/kernel/src/membership/judge.ts
+++ b/packages/kernel/src/membership/judge.ts
@@ -22,7 +22,7 @@
  */
 export function judgeHost(state: MembershipState, record: HostRecord, now: Instant): Verdict {
   return (
-    judgeLeaving(record) ??
+    judgeLeaving(state, record) ??
     judgeOwnEvidence(record) ??
     judgeReports(state, record) ??
     judgeZone(state, record) ??
@@ -39,8 +39,8 @@
   return record.checkedAt < state.staleSince;
 }
 
-function judgeLeaving(record: HostRecord): Verdict | undefined {
-  if (record.listing === "leaving" && record.restartedAt <= record.listedAt) {
+function judgeLeaving(state: MembershipState, record: HostRecord): Verdict | undefined {
+  if (isListedLeaving(state, record)) {
     return { state: "leaving", reason: "listed-leaving" };
   }
   const isLeaving =
@@ -49,6 +49,14 @@
   return isLeaving ? { state: "leaving", reason: "said-leaving" } : undefined;
 }
 
+/** A list that a peer read counts until this daemon has one as new. */
+function isListedLeaving(state: MembershipState, record: HostRecord): boolean {
+  const isListedHere = record.listing === "leaving" && record.restartedAt <= record.listedAt;
+  const isListedAtPeer =
+    record.leavingListRevision > state.listRevision && record.restartedAt <= record.leavingListedAt;
+  return isListedHere || isListedAtPeer;
+}
+
 function judgeOwnEvidence(record: HostRecord): Verdict | undefined {
   if (record.address === undefined) {
     return { state: "down", reason: "no-address" };
--- a/packages/kernel/src/membership/signs.ts
+++ b/packages/kernel/src/membership/signs.ts
@@ -1,13 +1,16 @@
 import { z } from "zod";
 
 /** What a sign says about an upstream host. */
-export const signStateSchema = z.enum(["alive", "leaving", "down"]);
+export const signStateSchema = z.enum(["alive", "leaving", "listedLeaving", "down"]);
 
 /** Statement about an upstream host that daemons pass on to each other. */
 export const hostSignSchema = z.strictObject({
   host: z.string().min(1),
   state: signStateSchema,
-  /** Orders the signs about one host: the instant of the evidence, raised above older signs. */
+  /**
+   * Orders the signs about one host: the instant of the evidence, raised above older signs. For
+   * `listedLeaving` it is the revision of the host list.
+   */
   version: z.number().min(0),
   /** Start of the host's process that the sign is about; 0 when the host does not tell. */
   incarnation: z.number().min(0),
--- a/packages/kernel/src/membership/spread.ts
+++ b/packages/kernel/src/membership/spread.ts
@@ -23,7 +23,7 @@
   after: HostView,
 ): void {
   const record = state.hostRecords.get(after.name);
-  const sign = record === undefined ? undefined : createSign(record, after);
+  const sign = record === undefined ? undefined : createSign(state, record, after);
   if (sign !== undefined && (sign.state !== "alive" || wasExcluded(before))) {
     state.queuedSigns.set(sign.host, { sign, remaining: signRepeats });
   }
@@ -60,7 +60,7 @@
   const signs: HostSign[] = [];
   for (const view of state.hosts.values()) {
     const record = state.hostRecords.get(view.name);
-    const sign = record === undefined ? undefined : createSign(record, view);
+    const sign = record === undefined ? undefined : createSign(state, record, view);
     if (record !== undefined && sign !== undefined && !isUnchecked(state, record)) {
       signs.push(sign);
     }
@@ -83,11 +83,20 @@
   }
 }
 
-function createSign(record: HostRecord, view: HostView): HostSign | undefined {
+function createSign(
+  state: MembershipState,
+  record: HostRecord,
+  view: HostView,
+): HostSign | undefined {
   const { name: host, incarnation } = record;
   switch (view.reason) {
     case "said-leaving":
       return { host, state: "leaving", version: record.leavingVersion, incarnation };
+    case "listed-leaving": {
+      const ownRevision = record.listing === "leaving" ? state.listRevision : -1;
+      const version = Math.max(ownRevision, record.leavingListRevision);
+      return { host, state: "listedLeaving", version, incarnation };
+    }
     case "connect-failed":
       return view.state === "down"
         ? { host, state: "down", version: record.failedAt, incarnation }
@@ -108,7 +117,7 @@
 }
 
 function rank(sign: HostSign): number {
-  return ["leaving", "alive", "down"].indexOf(sign.state);
+  return ["leaving", "listedLeaving", "alive", "down"].indexOf(sign.state);
 }
 
 function getSignLimit(state: MembershipState): number {
@@ -126,5 +135,5 @@
   state.unsettled.add(name);
   const record = state.hostRecords.get(name);
   const view = state.hosts.get(name);
-  return record === undefined || view === undefined ? undefined : createSign(record, view);
+  return record === undefined || view === undefined ? undefined : createSign(state, record, view);
 }
--- a/packages/kernel/src/membership/state.ts
+++ b/packages/kernel/src/membership/state.ts
@@ -16,6 +16,9 @@
   listing: Listing;
   /** Instant of the list that brought the present listing. */
   listedAt: Instant;
+  /** Newest list revision of which a peer told that the host leaves, and when it told. */
+  leavingListRevision: number;
+  leavingListedAt: Instant;
   /** Start of the host's process; 0 while it is not known. */
   incarnation: number;
   /** Instant at which a new start of the host was noticed; 0 when there was none. */
@@ -137,6 +140,8 @@
     address: undefined,
     listing: "unlisted",
     listedAt: 0,
+    leavingListRevision: -1,
+    leavingListedAt: 0,
     incarnation: 0,
     restartedAt: 0,
     leavingVersion: 0,
