--- a/packages/kernel/src/admission/admissionPlugin.ts
+++ b/packages/kernel/src/admission/admissionPlugin.ts
@@ -98,6 +98,6 @@
 
 function handleTick(state: AdmissionState, now: Instant): readonly AdmissionEffect[] {
   const expired = expireWaiting(state, now);
-  const totals = reportTeamTotals(state);
+  const totals = reportTeamTotals(state, now);
   return [...expired, ...admitWaiting(state, now), { kind: "teamTotals", totals }];
 }
--- a/packages/kernel/src/admission/fleetLimit.ts
+++ b/packages/kernel/src/admission/fleetLimit.ts
@@ -19,20 +19,24 @@
   if (state.daemons.length <= 1) {
     return team.maxConcurrent;
   }
-  const headroom = Math.max(0, team.maxConcurrent - getFleetRunning(state, team, now));
+  const used = getPeersRunning(state, team, now) + team.reported;
+  const headroom = Math.max(0, team.maxConcurrent - used);
   const part = Math.floor(headroom / state.daemons.length);
   const remainder = headroom % state.daemons.length;
-  return team.reported + part + (getRank(state, team) < remainder ? 1 : 0);
+  const settled = Math.min(team.settled, team.reported);
+  return settled + part + (getRank(state, team) < remainder ? 1 : 0);
 }
 
 /**
  * Gets the totals that peers need to know, and notes them as told.
  * @param state - State to update.
+ * @param now - Current time.
  */
-export function reportTeamTotals(state: AdmissionState): TeamTotal[] {
+export function reportTeamTotals(state: AdmissionState, now: Instant): TeamTotal[] {
   const totals: TeamTotal[] = [];
   for (const team of state.teams.values()) {
-    team.reported = isLarge(state, team) ? team.running : 0;
+    team.settled = team.reported;
+    team.reported = isLarge(state, team, now) ? team.running : 0;
     if (team.reported > 0) {
       totals.push({ team: team.name, running: team.reported });
     }
@@ -40,14 +44,19 @@
   return totals;
 }
 
-/** A team is large here when it may soon need more than an even part of its limit. */
-function isLarge(state: AdmissionState, team: TeamAccount): boolean {
+/**
+ * A team is large when it needs half of an even part of its limit here, or when the totals of the
+ * daemons where it does come to half of its limit together with what runs here.
+ */
+function isLarge(state: AdmissionState, team: TeamAccount, now: Instant): boolean {
   const evenPart = team.maxConcurrent / Math.max(1, state.daemons.length);
-  return (team.running + team.waiting.length) * 2 > evenPart;
+  const isLargeHere = (team.running + team.waiting.length) * 2 > evenPart;
+  const running = getPeersRunning(state, team, now) + team.running;
+  return isLargeHere || running * 2 > team.maxConcurrent;
 }
 
-function getFleetRunning(state: AdmissionState, team: TeamAccount, now: Instant): number {
-  let sum = team.reported;
+function getPeersRunning(state: AdmissionState, team: TeamAccount, now: Instant): number {
+  let sum = 0;
   for (const totals of state.peerTotals.values()) {
     const isFresh = now - totals.at <= peerTotalsMaxAgeMilliseconds;
     sum += isFresh ? (totals.runningByTeam.get(team.name) ?? 0) : 0;
--- a/packages/kernel/src/admission/state.ts
+++ b/packages/kernel/src/admission/state.ts
@@ -36,6 +36,8 @@
   lastReturnAt: Instant;
   /** Running requests as told to the peers; 0 while the team is not large. */
   reported: number;
+  /** What was told one tick earlier, so that every peer has answered it with its own totals. */
+  settled: number;
 }
 
 /** What a peer told last. */
--- a/packages/kernel/src/admission/teams.ts
+++ b/packages/kernel/src/admission/teams.ts
@@ -58,5 +58,6 @@
     serviceMilliseconds: initialServiceMilliseconds,
     lastReturnAt: 0,
     reported: 0,
+    settled: 0,
   };
 }
--- /dev/null
+++ b/packages/kernel/tests/admission/SurgeSimulation.ts
@@ -0,0 +1,143 @@
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import {
+  admissionPlugin,
+  Kernel,
+  type AdmissionEffect,
+  type AdmissionMessage,
+  type Team,
+} from "@pistachioway/kernel";
+
+const stepMilliseconds = 20;
+const capacity = 100;
+const patienceMilliseconds = 10_000;
+const secondsOfRun = 120;
+
+/** What one team sends. */
+export interface TeamLoad {
+  readonly team: Team;
+  readonly requestsPerSecond: number;
+  readonly serviceMilliseconds: number;
+}
+
+/** What became of one team's requests. */
+export interface TeamOutcome {
+  readonly team: string;
+  readonly arrived: number;
+  readonly admitted: number;
+  readonly refused: number;
+  readonly expired: number;
+  readonly meanWaitMilliseconds: number;
+}
+
+interface Counts {
+  arrived: number;
+  admitted: number;
+  refused: number;
+  expired: number;
+  waited: number;
+}
+
+/** One daemon's admission plug-in under steady loads of several teams. */
+export class SurgeSimulation {
+  private now = 1_000_000;
+  private sequence = 0;
+  private running = 0;
+  private readonly kernel = Kernel.create(1);
+  private readonly random;
+  private readonly ends: { at: number; requestId: string }[] = [];
+  private readonly counts = new Map<string, Counts>();
+
+  private constructor(
+    private readonly loads: readonly TeamLoad[],
+    seed: number,
+  ) {
+    this.random = xoroshiro128plus(seed);
+    for (const { team } of loads) {
+      const counts = { arrived: 0, admitted: 0, refused: 0, expired: 0, waited: 0 };
+      this.counts.set(team.name, counts);
+    }
+    this.send({ kind: "configure", teams: loads.map((load) => load.team) });
+    this.send({ kind: "capacity", capacity, daemon: "d1", daemons: ["d1"] });
+  }
+
+  /** Runs the loads for two minutes and returns what became of each team's requests. */
+  static run(loads: readonly TeamLoad[], seed: number): TeamOutcome[] {
+    const simulation = new SurgeSimulation(loads, seed);
+    const steps = (secondsOfRun * 1_000) / stepMilliseconds;
+    for (let step = 0; step < steps; step += 1) {
+      simulation.step();
+    }
+    return loads.map((load) => simulation.getOutcome(load.team.name));
+  }
+
+  private step(): void {
+    this.now += stepMilliseconds;
+    for (const end of this.ends.filter(({ at }) => at <= this.now)) {
+      this.ends.splice(this.ends.indexOf(end), 1);
+      this.running -= 1;
+      this.send({ kind: "finish", requestId: end.requestId });
+    }
+    this.loads.forEach((load) => {
+      this.arrive(load);
+    });
+    this.send({ kind: "tick", at: this.now });
+  }
+
+  private arrive(load: TeamLoad): void {
+    const perMillion = load.requestsPerSecond * stepMilliseconds * 1_000;
+    let rest = perMillion - uniformInt(this.random, 0, 999_999);
+    while (rest > 0) {
+      rest -= 1_000_000;
+      this.sequence += 1;
+      const requestId = `${load.team.name}/${String(this.sequence)}`;
+      const deadline = this.now + patienceMilliseconds;
+      this.getCounts(requestId).arrived += 1;
+      this.send({ kind: "arrive", requestId, team: load.team.name, cost: 1, deadline });
+    }
+  }
+
+  private send(message: AdmissionMessage): void {
+    for (const effect of this.kernel.send(admissionPlugin, message, this.now)) {
+      this.carryOut(effect);
+    }
+  }
+
+  private carryOut(effect: AdmissionEffect): void {
+    if (effect.kind === "teamTotals") {
+      return;
+    }
+    const counts = this.getCounts(effect.requestId);
+    if (effect.kind !== "admit") {
+      counts[effect.kind === "refuse" ? "refused" : "expired"] += 1;
+      return;
+    }
+    counts.admitted += 1;
+    counts.waited += this.now - effect.arrivedAt;
+    this.running += 1;
+    if (this.running > capacity) {
+      throw new RangeError(`${String(this.running)} requests run`);
+    }
+    this.ends.push({ at: this.now + this.getServiceTime(effect), requestId: effect.requestId });
+  }
+
+  private getServiceTime(effect: { requestId: string }): number {
+    const load = this.loads.find(({ team }) => effect.requestId.startsWith(`${team.name}/`));
+    const mean = load?.serviceMilliseconds ?? 0;
+    return uniformInt(this.random, Math.floor(mean / 2), Math.ceil((mean * 3) / 2));
+  }
+
+  private getCounts(requestId: string): Counts {
+    const counts = this.counts.get(requestId.split("/")[0] ?? "");
+    if (counts === undefined) {
+      throw new RangeError(`request "${requestId}" belongs to no team`);
+    }
+    return counts;
+  }
+
+  private getOutcome(team: string): TeamOutcome {
+    const { arrived, admitted, refused, expired, waited } = this.getCounts(`${team}/`);
+    const meanWaitMilliseconds = Math.round(waited / Math.max(1, admitted));
+    return { team, arrived, admitted, refused, expired, meanWaitMilliseconds };
+  }
+}
