Add the placement plug-in with its messages and a working policy

Ruled out: counts as deltas between daemons, since a lost or repeated datagram would leave an error for good. Counts are absolute and carry a sequence. Change: plug-in "placement" (start, view, place, finished, peer, tick, peerLost, explain), an owner for each engine's count, reservations with a deadline, digests, a directory of moved chats, and the earlier policies by name (local-share, digest, owner). Conclusion: the interface is ready to build on; the policy is not measured.

--- a/packages/kernel/src/errors/index.ts
+++ b/packages/kernel/src/errors/index.ts
@@ -1,3 +1,4 @@
 export { DuplicatePluginError } from "./DuplicatePluginError.js";
 export { KernelError } from "./KernelError.js";
+export { PlacementNotStartedError } from "./PlacementNotStartedError.js";
 export { UnknownPluginError } from "./UnknownPluginError.js";
--- /dev/null
+++ b/packages/kernel/src/placement/EngineLoad.ts
@@ -0,0 +1,84 @@
+import type { Instant } from "../kernel/Plugin.js";
+import type { EngineGroup } from "./EngineGroup.js";
+
+/** What this daemon knows of one engine: its place in the view and its running requests. */
+export interface EngineLoad {
+  readonly id: number;
+  readonly name: string;
+  zone: string;
+  weight: number;
+  slots: number;
+  isEligible: boolean;
+  /** Daemon that keeps the engine's count. */
+  owner: string;
+  /** Hashes of the models that the engine serves. */
+  modelIds: readonly number[];
+  /** Groups whose mean counts the engine. */
+  groups: readonly EngineGroup[];
+  /** This daemon's running requests, reservations under way included. */
+  own: number;
+  /** Sum of the running requests that other daemons report to this one. */
+  reported: number;
+  /** Sum of the counts that other daemons keep of the engine as its owners. */
+  claimed: number;
+  /** This daemon's running requests when the newest claim arrived. */
+  ownAtClaim: number;
+  /** Count taken over from an earlier owner, valid until `inheritedUntil`. */
+  inherited: number;
+  inheritedUntil: Instant;
+}
+
+/**
+ * Creates an engine without any running request.
+ * @param id - Hash of the engine's name.
+ * @param name - Name of the engine.
+ */
+export function createEngineLoad(id: number, name: string): EngineLoad {
+  return {
+    id,
+    name,
+    zone: "",
+    weight: 1,
+    slots: 1,
+    isEligible: false,
+    owner: "",
+    modelIds: [],
+    groups: [],
+    own: 0,
+    reported: 0,
+    claimed: 0,
+    ownAtClaim: 0,
+    inherited: 0,
+    inheritedUntil: 0,
+  };
+}
+
+/**
+ * Gets the running requests of an engine that are reported to this daemon, its own included.
+ * @param engine - Engine to count.
+ */
+export function getAssignedCount(engine: EngineLoad): number {
+  return Math.max(0, engine.own + engine.reported);
+}
+
+/**
+ * Gets the running requests of an engine that this daemon owns.
+ *
+ * Daemons that disagree on the owner report each request to one of them, so the claims of the
+ * others are added.
+ * @param engine - Engine to count.
+ * @param now - Current time.
+ */
+export function getOwnedCount(engine: EngineLoad, now: Instant): number {
+  const count = getAssignedCount(engine) + engine.claimed;
+  return now < engine.inheritedUntil ? Math.max(count, engine.inherited) : count;
+}
+
+/**
+ * Gets the running requests of an engine as another daemon's claims and this daemon's own changes
+ * since then tell.
+ * @param engine - Engine to count.
+ */
+export function getEstimatedCount(engine: EngineLoad): number {
+  return Math.max(engine.own, engine.claimed + engine.own - engine.ownAtClaim);
+}
--- /dev/null
+++ b/packages/kernel/src/placement/Outbox.ts
@@ -0,0 +1,157 @@
+import type { Instant } from "../kernel/Plugin.js";
+import type { EngineLoad } from "./EngineLoad.js";
+import type { LoadLedger } from "./LoadLedger.js";
+import type { SendEffect } from "./messages.js";
+import type {
+  ChatMove,
+  EngineCount,
+  ModelCount,
+  PlacementPeerMessage,
+  Reservation,
+  ReservationAnswer,
+} from "./peerMessage.js";
+
+interface Pending {
+  /** When the counts first differed from what the peer was told. */
+  changedAt: Instant;
+  moves: ChatMove[];
+}
+
+const maxMovesPerMessage = 64;
+
+/** Composes the datagrams to each peer and holds back what need not be told at once. */
+export class Outbox {
+  private readonly pendingByPeer = new Map<string, Pending>();
+  private sequence = 0;
+
+  private constructor(private readonly ledger: LoadLedger) {}
+
+  /**
+   * Creates an empty outbox.
+   * @param ledger - Ledger whose counts are told.
+   */
+  static create(ledger: LoadLedger): Outbox {
+    return new Outbox(ledger);
+  }
+
+  /**
+   * Notes that the counts of a peer's engines changed.
+   * @param peer - Owner of the engines.
+   * @param now - Current time.
+   */
+  addChange(peer: string, now: Instant): void {
+    if (!this.pendingByPeer.has(peer)) {
+      this.pendingByPeer.set(peer, { changedAt: now, moves: [] });
+    }
+  }
+
+  /**
+   * Adds a chat's new engine to the next datagram to a peer.
+   * @param peer - Owner of the chat's first choice.
+   * @param move - The chat and its engine.
+   * @param now - Current time.
+   */
+  addMove(peer: string, move: ChatMove, now: Instant): void {
+    this.addChange(peer, now);
+    this.pendingByPeer.get(peer)?.moves.push(move);
+  }
+
+  /**
+   * Gets the peers whose counts changed at or before an instant.
+   * @param changedBefore - Newest change to include.
+   */
+  getChangedPeers(changedBefore: Instant): string[] {
+    return [...this.pendingByPeer]
+      .filter(([, pending]) => pending.changedAt <= changedBefore)
+      .map(([peer]) => peer);
+  }
+
+  /**
+   * Composes a reservation.
+   * @param to - Owner of the engine.
+   * @param reservation - Reservation to send.
+   * @param now - Current time.
+   */
+  composeReservation(to: string, reservation: Reservation, now: Instant): SendEffect {
+    return this.compose(to, now, { reservations: [reservation] });
+  }
+
+  /**
+   * Composes an answer to a reservation.
+   * @param to - Daemon that asked.
+   * @param answer - Answer to send.
+   * @param now - Current time.
+   */
+  composeAnswer(to: string, answer: ReservationAnswer, now: Instant): SendEffect {
+    const message = { ...this.createMessage(now), answers: [answer] };
+    return { kind: "send", to, message };
+  }
+
+  /**
+   * Composes the counts that changed.
+   * @param to - Owner of the engines.
+   * @param now - Current time.
+   */
+  composeCounts(to: string, now: Instant): SendEffect {
+    return this.compose(to, now, {});
+  }
+
+  /**
+   * Composes a digest, with the counts of the engines that this daemon owns.
+   * @param to - Daemon to tell.
+   * @param claims - Counts of the owned engines.
+   * @param now - Current time.
+   */
+  composeDigest(to: string, claims: readonly EngineCount[], now: Instant): SendEffect {
+    return this.compose(to, now, { claims: [...claims] });
+  }
+
+  private compose(to: string, now: Instant, parts: Partial<PlacementPeerMessage>): SendEffect {
+    const moves = this.takeMoves(to, now);
+    const counts = this.getOwnCounts(to);
+    return {
+      kind: "send",
+      to,
+      message: { ...this.createMessage(now), counts, moves, ...parts },
+    };
+  }
+
+  private createMessage(now: Instant): PlacementPeerMessage {
+    this.sequence = Math.max(this.sequence + 1, Math.floor(now));
+    return {
+      sequence: this.sequence >>> 0,
+      counts: null,
+      totals: this.getTotals(),
+      claims: null,
+      reservations: [],
+      answers: [],
+      moves: [],
+    };
+  }
+
+  private takeMoves(to: string, now: Instant): ChatMove[] {
+    const moves = this.pendingByPeer.get(to)?.moves ?? [];
+    this.pendingByPeer.delete(to);
+    const rest = moves.splice(maxMovesPerMessage);
+    if (rest.length > 0) {
+      this.pendingByPeer.set(to, { changedAt: now, moves: rest });
+    }
+    return moves;
+  }
+
+  private getTotals(): ModelCount[] {
+    return [...this.ledger.groupsById.values()]
+      .filter((group) => group.own > 0)
+      .map((group) => ({ model: group.id, count: group.own }));
+  }
+
+  private getOwnCounts(owner: string): EngineCount[] {
+    return [...this.ledger.enginesById.values()]
+      .filter((engine) => isReportedTo(engine, owner))
+      .map((engine) => ({ engine: engine.id, count: engine.own }));
+  }
+}
+
+function isReportedTo(engine: EngineLoad, owner: string): boolean {
+  return engine.owner === owner && engine.own > 0;
+}
--- /dev/null
+++ b/packages/kernel/src/placement/OwnerDesk.ts
@@ -0,0 +1,103 @@
+import type { Instant } from "../kernel/Plugin.js";
+import type { PlacementContext } from "./context.js";
+import type { EngineGroup } from "./EngineGroup.js";
+import { getAssignedCount, type EngineLoad } from "./EngineLoad.js";
+import { getLevelLimit, getLimit } from "./limits.js";
+import type { Reservation, ReservationAnswer } from "./peerMessage.js";
+
+/** Answers reservations on the engines that this daemon owns. */
+export class OwnerDesk {
+  private constructor(private readonly context: PlacementContext) {}
+
+  /**
+   * Creates a desk.
+   * @param context - Shared parts of the daemon's placement.
+   */
+  static create(context: PlacementContext): OwnerDesk {
+    return new OwnerDesk(context);
+  }
+
+  /**
+   * Answers a reservation whose request the peer's counts include already.
+   * @param from - Daemon that asks.
+   * @param reservation - Reservation to answer.
+   * @param now - Current time.
+   */
+  answer(from: string, reservation: Reservation, now: Instant): ReservationAnswer {
+    const { ledger } = this.context;
+    const engine = ledger.enginesById.get(reservation.engine);
+    const group = ledger.groupsById.get(reservation.model);
+    if (engine === undefined || group === undefined) {
+      return { id: reservation.id, outcome: "refused", engine: reservation.engine, count: 0 };
+    }
+    const moved = this.getMovedEngine(reservation.chat, engine, now);
+    if (moved !== undefined) {
+      return this.redirect(from, reservation, engine, moved, now);
+    }
+    const isGranted = this.hasRoom(engine, group, reservation.level, 0, now);
+    if (!isGranted) {
+      ledger.addReported(from, engine, -1);
+    }
+    const outcome = isGranted ? "granted" : "refused";
+    return createAnswer(reservation.id, outcome, engine);
+  }
+
+  /**
+   * Gets the engine that a chat moved to, when it is another one and may be used.
+   * @param chat - Hash of the chat; 0 when it need not be looked up.
+   * @param engine - The chat's first choice.
+   * @param now - Current time.
+   */
+  getMovedEngine(chat: number, engine: EngineLoad, now: Instant): EngineLoad | undefined {
+    const id = chat === 0 ? undefined : this.context.directory.getEngine(chat, now);
+    const moved = id === undefined ? undefined : this.context.ledger.enginesById.get(id);
+    return moved === engine || moved?.isEligible !== true ? undefined : moved;
+  }
+
+  /**
+   * Checks whether an engine has room.
+   * @param engine - Engine to check.
+   * @param group - Engines that serve the model.
+   * @param isLevel - Whether only room below the mean counts.
+   * @param added - Requests to add that the counts do not include yet.
+   * @param now - Current time.
+   */
+  hasRoom(
+    engine: EngineLoad,
+    group: EngineGroup,
+    isLevel: boolean,
+    added: number,
+    now: Instant,
+  ): boolean {
+    const { ledger, bound, strategy } = this.context;
+    const limit = isLevel ? getLevelLimit(engine, group) : getLimit(engine, group, bound, strategy);
+    return engine.isEligible && ledger.getCount(engine, now) + added <= limit;
+  }
+
+  private redirect(
+    from: string,
+    reservation: Reservation,
+    engine: EngineLoad,
+    moved: EngineLoad,
+    now: Instant,
+  ): ReservationAnswer {
+    const { ledger, daemon } = this.context;
+    const group = ledger.groupsById.get(reservation.model);
+    ledger.addReported(from, engine, -1);
+    const isGranted =
+      moved.owner === daemon && group !== undefined && this.hasRoom(moved, group, false, 1, now);
+    if (isGranted) {
+      ledger.addReported(from, moved, 1);
+    }
+    const outcome = isGranted ? "granted" : "redirected";
+    return createAnswer(reservation.id, outcome, moved);
+  }
+}
+
+function createAnswer(
+  id: number,
+  outcome: ReservationAnswer["outcome"],
+  engine: EngineLoad,
+): ReservationAnswer {
+  return { id, outcome, engine: engine.id, count: getAssignedCount(engine) };
+}
--- /dev/null
+++ b/packages/kernel/src/placement/Placer.ts
@@ -0,0 +1,189 @@
+import type { Instant } from "../kernel/Plugin.js";
+import { ChatDirectory } from "./ChatDirectory.js";
+import type { PlacementContext } from "./context.js";
+import { explainPlacement } from "./explain.js";
+import { getAssignedCount } from "./EngineLoad.js";
+import { LoadLedger } from "./LoadLedger.js";
+import type {
+  PeerMessage,
+  PlacementEffect,
+  PlacementMessage,
+  StartMessage,
+  ViewMessage,
+} from "./messages.js";
+import { Outbox } from "./Outbox.js";
+import { OwnerDesk } from "./OwnerDesk.js";
+import { PlacementFlow } from "./PlacementFlow.js";
+import type { EngineCount } from "./peerMessage.js";
+import { placementStrategies } from "./strategy.js";
+
+/** Sizes of the parts of the state that grow with traffic. */
+export interface PlacementSizes {
+  readonly requests: number;
+  readonly reservations: number;
+  readonly chats: number;
+  readonly engines: number;
+}
+
+const changeDelayMilliseconds = 100;
+const digestIntervalMilliseconds = 250;
+const digestIntervalPerPeerMilliseconds = 30;
+const missedDigests = 6;
+const maxChats = 65_536;
+
+/** Places requests on engines and keeps the counts of the engines that its daemon owns. */
+export class Placer {
+  private readonly context: PlacementContext;
+  private readonly desk: OwnerDesk;
+  private readonly flow: PlacementFlow;
+  private peers: readonly string[] = [];
+  private nextDigestAt: Instant = 0;
+
+  private constructor(start: StartMessage) {
+    const strategy = placementStrategies[start.strategy ?? "ours"];
+    const ledger = LoadLedger.create(start.daemon, start.zone, strategy.reserves);
+    this.context = {
+      daemon: start.daemon,
+      strategy,
+      ledger,
+      outbox: Outbox.create(ledger),
+      directory: ChatDirectory.create(maxChats),
+      bound: 1,
+      effects: [],
+    };
+    this.desk = OwnerDesk.create(this.context);
+    this.flow = PlacementFlow.create(this.context, this.desk);
+  }
+
+  /**
+   * Creates a placer without a view.
+   * @param start - Name and zone of the daemon, and the version of the policy.
+   */
+  static create(start: StartMessage): Placer {
+    return new Placer(start);
+  }
+
+  /** Gets the sizes of the parts of the state that grow with traffic. */
+  getSizes(): PlacementSizes {
+    return {
+      requests: this.flow.getSize(),
+      reservations: this.flow.getReservationCount(),
+      chats: this.context.directory.getSize(),
+      engines: this.context.ledger.enginesById.size,
+    };
+  }
+
+  /**
+   * Gets the running requests of an engine as far as this daemon knows.
+   * @param name - Name of the engine.
+   * @param now - Current time.
+   */
+  getCount(name: string, now: Instant): number | undefined {
+    const { ledger } = this.context;
+    const engine = ledger.getEngineByName(name);
+    return engine === undefined ? undefined : ledger.getCount(engine, now);
+  }
+
+  /**
+   * Handles a message and returns its effects.
+   * @param message - Message to handle.
+   * @param now - Current time.
+   */
+  handle(message: PlacementMessage, now: Instant): readonly PlacementEffect[] {
+    this.context.effects = [];
+    this.dispatch(message, now);
+    return this.context.effects;
+  }
+
+  private dispatch(message: PlacementMessage, now: Instant): void {
+    switch (message.kind) {
+      case "start":
+        return;
+      case "view":
+        this.setView(message, now);
+        return;
+      case "place":
+        this.flow.place(message, now);
+        return;
+      case "finished":
+        this.flow.finish(message, now);
+        return;
+      case "peer":
+        this.receive(message, now);
+        return;
+      case "tick":
+        this.tick(now);
+        return;
+      case "peerLost":
+        this.context.ledger.removePeer(message.daemon);
+        this.flow.endReservationsAt(message.daemon, now);
+        return;
+      case "explain":
+        this.context.effects.push(explainPlacement(message, this.context, now));
+    }
+  }
+
+  private setView(view: ViewMessage, now: Instant): void {
+    const { ledger, outbox, daemon } = this.context;
+    this.context.bound = view.bound;
+    ledger.setView(view, now);
+    this.peers = view.daemons.map((entry) => entry.name).filter((name) => name !== daemon);
+    for (const engine of ledger.enginesById.values()) {
+      if (engine.own > 0 && engine.owner !== daemon && engine.owner !== "") {
+        outbox.addChange(engine.owner, now);
+      }
+    }
+  }
+
+  private receive({ from, message }: PeerMessage, now: Instant): void {
+    if (!this.peers.includes(from)) {
+      return;
+    }
+    const { ledger, directory, outbox, effects } = this.context;
+    this.flow.setHeard(from);
+    ledger.setPeerCounts(from, message, now);
+    for (const move of message.moves) {
+      directory.addChat(move.chat, move.engine, now);
+    }
+    for (const answer of message.answers) {
+      this.flow.receiveAnswer(from, answer, now);
+    }
+    for (const reservation of message.reservations) {
+      const answer = this.desk.answer(from, reservation, now);
+      effects.push(outbox.composeAnswer(from, answer, now));
+    }
+  }
+
+  private tick(now: Instant): void {
+    const { ledger, outbox, effects, strategy } = this.context;
+    this.flow.endOverdueReservations(now);
+    const interval = this.getDigestInterval();
+    ledger.removeSilentPeers(now - missedDigests * interval);
+    if (strategy.digests && now >= this.nextDigestAt) {
+      this.nextDigestAt = now + interval;
+      this.sendDigests(now);
+    }
+    if (!strategy.digests) {
+      return;
+    }
+    for (const peer of outbox.getChangedPeers(now - changeDelayMilliseconds)) {
+      effects.push(outbox.composeCounts(peer, now));
+    }
+  }
+
+  private sendDigests(now: Instant): void {
+    const { ledger, outbox, effects } = this.context;
+    const claims: EngineCount[] = ledger.getOwnedEngines().map((engine) => ({
+      engine: engine.id,
+      count: getAssignedCount(engine),
+    }));
+    for (const peer of this.peers) {
+      effects.push(outbox.composeDigest(peer, claims, now));
+    }
+  }
+
+  private getDigestInterval(): number {
+    const spread = this.peers.length * digestIntervalPerPeerMilliseconds;
+    return Math.max(digestIntervalMilliseconds, spread);
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/placement/context.ts
@@ -0,0 +1,18 @@
+import type { ChatDirectory } from "./ChatDirectory.js";
+import type { LoadLedger } from "./LoadLedger.js";
+import type { PlacementEffect } from "./messages.js";
+import type { Outbox } from "./Outbox.js";
+import type { PlacementStrategy } from "./strategy.js";
+
+/** What the parts of one daemon's placement share. */
+export interface PlacementContext {
+  readonly daemon: string;
+  readonly strategy: PlacementStrategy;
+  readonly ledger: LoadLedger;
+  readonly outbox: Outbox;
+  readonly directory: ChatDirectory;
+  /** Largest load of an engine as a multiple of the mean. */
+  bound: number;
+  /** Effects of the message that is being handled. */
+  effects: PlacementEffect[];
+}
--- /dev/null
+++ b/packages/kernel/src/placement/explain.ts
@@ -0,0 +1,85 @@
+import type { Instant } from "../kernel/Plugin.js";
+import type { PlacementContext } from "./context.js";
+import { getCandidates, getMean, type EngineGroup } from "./EngineGroup.js";
+import type { EngineLoad } from "./EngineLoad.js";
+import { getHash } from "./hash.js";
+import { getLimit } from "./limits.js";
+import type { ExplainedCandidate, ExplainedEffect, ExplainMessage } from "./messages.js";
+
+/**
+ * Explains where a chat would go, without changing anything.
+ * @param message - Chat and model.
+ * @param context - Shared parts of the daemon's placement.
+ * @param now - Current time.
+ */
+export function explainPlacement(
+  message: ExplainMessage,
+  context: PlacementContext,
+  now: Instant,
+): ExplainedEffect {
+  const { chat, model } = message;
+  const group = context.ledger.groupsById.get(getHash(model));
+  if (group === undefined) {
+    return { kind: "explained", chat, model, mean: 0, candidates: [], choice: null };
+  }
+  const ranked = getRankedEngines(group, getHash(chat), context);
+  const known = context.directory.getEngine(getHash(chat), now);
+  const choice =
+    ranked.find((engine) => engine.id === known && hasRoom(engine, group, context, now)) ??
+    ranked.find((engine) => hasRoom(engine, group, context, now));
+  return {
+    kind: "explained",
+    chat,
+    model,
+    mean: getMean(group),
+    candidates: ranked.map((engine, index) => ({
+      ...describe(engine, group, context, now),
+      rank: index + 1,
+      ...(engine === choice ? { reason: "choice" } : {}),
+    })),
+    choice: choice?.name ?? null,
+  };
+}
+
+/** Orders the engines of a group for a chat; those that may not be used come last. */
+function getRankedEngines(
+  group: EngineGroup,
+  chat: number,
+  { ledger }: PlacementContext,
+): EngineLoad[] {
+  const unusable = [...ledger.enginesById.values()].filter(
+    (engine) => !engine.isEligible && engine.owner !== "" && engine.modelIds.includes(group.id),
+  );
+  return [
+    ...getCandidates(group.engines, chat, group.engines.length),
+    ...getCandidates(unusable, chat, unusable.length),
+  ];
+}
+
+function describe(
+  engine: EngineLoad,
+  group: EngineGroup,
+  context: PlacementContext,
+  now: Instant,
+): Omit<ExplainedCandidate, "rank"> {
+  const reason = hasRoom(engine, group, context, now) ? "eligible" : "above-limit";
+  return {
+    engine: engine.name,
+    zone: engine.zone,
+    load: context.ledger.getCount(engine, now),
+    limit: getLimit(engine, group, context.bound, context.strategy),
+    eligible: engine.isEligible,
+    owner: engine.owner,
+    reason: engine.isEligible ? reason : "not-eligible",
+  };
+}
+
+function hasRoom(
+  engine: EngineLoad,
+  group: EngineGroup,
+  { ledger, bound, strategy }: PlacementContext,
+  now: Instant,
+): boolean {
+  const limit = getLimit(engine, group, bound, strategy);
+  return engine.isEligible && ledger.getCount(engine, now) + 1 <= limit;
+}
--- /dev/null
+++ b/packages/kernel/src/placement/hash.ts
@@ -0,0 +1,34 @@
+import xxhash from "xxhash-wasm";
+
+const { h32 } = await xxhash();
+
+/**
+ * Hashes a name to an unsigned 32-bit number, the same on every daemon.
+ * @param text - Name of an engine, a daemon, a model or a chat.
+ */
+export function getHash(text: string): number {
+  return h32(text) >>> 0;
+}
+
+/**
+ * Mixes two hashes into one uniform unsigned 32-bit number.
+ * @param left - First hash.
+ * @param right - Second hash.
+ */
+export function mixHashes(left: number, right: number): number {
+  let mixed = left ^ Math.imul(right, 0x9e3779b1);
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
+/**
+ * Gets the weighted rendezvous score of a key at a node; the node with the largest score is first.
+ * @param key - Hash of the key.
+ * @param node - Hash of the node.
+ * @param weight - Weight of the node.
+ */
+export function getRendezvousScore(key: number, node: number, weight: number): number {
+  const uniform = (mixHashes(key, node) + 0.5) / 4294967296;
+  return -weight / Math.log(uniform);
+}
