Add the policy bench with its baselines and the oracle

Ruled out: sampling at intervals, which misses short excesses; load is measured after every event. Change: seeded traffic, engine model, six scenarios, two deployments and one zone of the size to design for; baselines, oracle, and the kernel's policies by name.

--- /dev/null
+++ b/packages/experiments/src/bench/BenchOptionError.ts
@@ -0,0 +1,13 @@
+/** An option of the bench has a value that is not allowed. */
+export class BenchOptionError extends Error {
+  readonly code = "invalid-option";
+
+  constructor(
+    readonly option: string,
+    readonly value: string,
+    readonly allowed: readonly string[],
+  ) {
+    super(`option --${option}: "${value}" is not allowed; use ${allowed.join(", ")}`);
+    this.name = new.target.name;
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/bench/EngineModel.ts
@@ -0,0 +1,105 @@
+/** A batch engine with slots, a queue and a prefix cache of limited memory. */
+export class EngineModel {
+  /** False while the engine is leaving or down; such engines refuse new work. */
+  isLive = true;
+  private runningCount = 0;
+  private readonly waiting: (() => void)[] = [];
+  private readonly cachedTokensByPrefix = new Map<number, number>();
+  private cachedTokens = 0;
+
+  private constructor(
+    readonly name: string,
+    readonly zone: string,
+    readonly slots: number,
+    private readonly maxCachedTokens: number,
+  ) {}
+
+  /**
+   * Creates an idle engine with an empty cache.
+   * @param name - Name of the engine.
+   * @param zone - Availability zone of the engine.
+   * @param slots - Concurrent requests that the engine batches.
+   * @param maxCachedTokens - Memory of the prefix cache.
+   */
+  static create(name: string, zone: string, slots: number, maxCachedTokens: number): EngineModel {
+    return new EngineModel(name, zone, slots, maxCachedTokens);
+  }
+
+  /** Gets the running and waiting requests. */
+  getLoad(): number {
+    return this.runningCount + this.waiting.length;
+  }
+
+  /**
+   * Runs a request as soon as a slot is free.
+   * @param run - Called when the request starts.
+   */
+  addRequest(run: () => void): void {
+    if (this.runningCount >= this.slots) {
+      this.waiting.push(run);
+      return;
+    }
+    this.runningCount += 1;
+    run();
+  }
+
+  /** Frees the slot of a request that ended. */
+  removeRequest(): void {
+    const next = this.waiting.shift();
+    if (next === undefined) {
+      this.runningCount -= 1;
+      return;
+    }
+    next();
+  }
+
+  /** Drops all requests and the cache, as a crash does. */
+  reset(): void {
+    this.runningCount = 0;
+    this.waiting.length = 0;
+    this.clearCache();
+  }
+
+  /** Empties the cache, as a restart does. */
+  clearCache(): void {
+    this.cachedTokensByPrefix.clear();
+    this.cachedTokens = 0;
+  }
+
+  /**
+   * Gets the cached tokens of a prefix and makes it the most recently used.
+   * @param prefix - Number of the prefix.
+   */
+  getCachedTokens(prefix: number): number {
+    const tokens = this.cachedTokensByPrefix.get(prefix);
+    if (tokens === undefined) {
+      return 0;
+    }
+    this.cachedTokensByPrefix.delete(prefix);
+    this.cachedTokensByPrefix.set(prefix, tokens);
+    return tokens;
+  }
+
+  /**
+   * Caches a prefix; the least recently used ones make room.
+   * @param prefix - Number of the prefix.
+   * @param tokens - Length of the prefix.
+   */
+  addPrefix(prefix: number, tokens: number): void {
+    const known = this.cachedTokensByPrefix.get(prefix) ?? 0;
+    this.cachedTokensByPrefix.delete(prefix);
+    this.cachedTokensByPrefix.set(prefix, Math.max(known, tokens));
+    this.cachedTokens += Math.max(known, tokens) - known;
+    this.evict();
+  }
+
+  private evict(): void {
+    for (const [prefix, tokens] of this.cachedTokensByPrefix) {
+      if (this.cachedTokens <= this.maxCachedTokens) {
+        return;
+      }
+      this.cachedTokensByPrefix.delete(prefix);
+      this.cachedTokens -= tokens;
+    }
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/bench/EventQueue.ts
@@ -0,0 +1,100 @@
+interface QueuedEvent {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** Runs events in the order of their instants; those of one instant in the order they were added. */
+export class EventQueue {
+  private readonly heap: QueuedEvent[] = [];
+  private nextOrder = 0;
+  private currentInstant = 0;
+
+  private constructor() {
+    // Created through the static method.
+  }
+
+  /** Creates an empty queue at instant 0. */
+  static create(): EventQueue {
+    return new EventQueue();
+  }
+
+  /** Gets the instant of the event that runs, in milliseconds. */
+  getNow(): number {
+    return this.currentInstant;
+  }
+
+  /**
+   * Adds an event.
+   * @param at - Instant of the event, in milliseconds.
+   * @param run - What the event does.
+   */
+  addEvent(at: number, run: () => void): void {
+    const event = { at, order: this.nextOrder, run };
+    this.nextOrder += 1;
+    this.heap.push(event);
+    this.siftUp(this.heap.length - 1);
+  }
+
+  /**
+   * Runs all events before an instant.
+   * @param end - The instant.
+   * @param afterEach - Called after each event.
+   */
+  runUntil(end: number, afterEach: () => void): void {
+    for (let event = this.heap[0]; event !== undefined && event.at < end; event = this.heap[0]) {
+      this.removeFirst();
+      this.currentInstant = event.at;
+      event.run();
+      afterEach();
+    }
+    this.currentInstant = end;
+  }
+
+  private removeFirst(): void {
+    const last = this.heap.pop();
+    if (last !== undefined && this.heap.length > 0) {
+      this.heap[0] = last;
+      this.siftDown(0);
+    }
+  }
+
+  private siftUp(start: number): void {
+    let index = start;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!this.isBefore(index, parent)) {
+        return;
+      }
+      this.swap(index, parent);
+      index = parent;
+    }
+  }
+
+  private siftDown(start: number): void {
+    let index = start;
+    for (;;) {
+      let least = index;
+      for (const child of [2 * index + 1, 2 * index + 2]) {
+        least = child < this.heap.length && this.isBefore(child, least) ? child : least;
+      }
+      if (least === index) {
+        return;
+      }
+      this.swap(index, least);
+      index = least;
+    }
+  }
+
+  private isBefore(left: number, right: number): boolean {
+    const a = this.heap[left] as QueuedEvent;
+    const b = this.heap[right] as QueuedEvent;
+    return a.at < b.at || (a.at === b.at && a.order < b.order);
+  }
+
+  private swap(left: number, right: number): void {
+    const event = this.heap[left] as QueuedEvent;
+    this.heap[left] = this.heap[right] as QueuedEvent;
+    this.heap[right] = event;
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/bench/Traffic.ts
@@ -0,0 +1,280 @@
+import type { DaemonModel, Fleet, FleetListener } from "./Fleet.js";
+import type { EngineModel } from "./EngineModel.js";
+import type { Policy } from "./policies/Policy.js";
+import { Random } from "./Random.js";
+import { createChat, teamPrefixTokens, type Chat } from "./workload.js";
+
+/** One attempt of a chat's request. */
+export interface TrafficRequest {
+  readonly id: string;
+  readonly chat: Chat;
+  readonly daemon: number;
+  readonly promptTokens: number;
+  readonly isFirstTurn: boolean;
+  /** Engines that were tried already. */
+  readonly exclude: readonly number[];
+  /** Engine that runs the request. */
+  engine: number | undefined;
+  isOver: boolean;
+}
+
+/** Tokens that could have been reused, and those that were. */
+export interface ReuseTotals {
+  reusableTokens: number;
+  reusedTokens: number;
+  requests: number;
+  firstTurns: number;
+}
+
+const surgeLoadShare = 0.6;
+const surgeHotShare = 0.3;
+const hotChatCount = 200;
+const surgeTeamCount = 2;
+const uncachedTokensPerSecond = 10_000;
+const resumeMilliseconds = 2000;
+const refusalMilliseconds = 1;
+const callerRetryMilliseconds = 100;
+
+/** Generates the chats of one run and carries their requests through the policy to the engines. */
+export class Traffic implements FleetListener {
+  readonly reuse: ReuseTotals = { reusableTokens: 0, reusedTokens: 0, requests: 0, firstTurns: 0 };
+  private readonly random: Random;
+  private readonly openRequests = new Set<TrafficRequest>();
+  private readonly hotChats: Chat[] = [];
+  private nextChat = 0;
+  private nextRequest = 0;
+
+  private constructor(
+    private readonly fleet: Fleet,
+    private readonly policy: Policy,
+  ) {
+    this.random = Random.create(fleet.seed, 2);
+    fleet.addListener(this);
+    this.planChats();
+    this.planSurge();
+  }
+
+  /**
+   * Plans all chats of a run.
+   * @param fleet - Fleet that serves them.
+   * @param policy - Policy that places their requests.
+   */
+  static create(fleet: Fleet, policy: Policy): Traffic {
+    return new Traffic(fleet, policy);
+  }
+
+  viewChanged(): void {
+    // The policy listens by itself.
+  }
+
+  engineCrashed(engine: number): void {
+    for (const request of [...this.openRequests]) {
+      if (request.engine === engine) {
+        this.end(request);
+        this.fleet.noticeRefusal(request.daemon, engine);
+        this.retry(request, [...request.exclude, engine], refusalMilliseconds);
+      }
+    }
+  }
+
+  /** The engines go on until the time to resume a stream is over; the callers return at once. */
+  daemonLost(daemon: number): void {
+    for (const request of [...this.openRequests]) {
+      if (request.daemon === daemon) {
+        request.isOver = true;
+        this.openRequests.delete(request);
+        this.releaseLater(request);
+        this.retry(request, [], callerRetryMilliseconds);
+      }
+    }
+  }
+
+  private planChats(): void {
+    const { measuredUntil, deployment, seed } = this.fleet;
+    const gap = 1000 / deployment.chatsPerSecond;
+    for (let at = this.random.getExponential(gap); at < measuredUntil;) {
+      const chat = createChat(this.nextChat, seed, deployment);
+      this.nextChat += 1;
+      this.fleet.events.addEvent(at, () => {
+        this.addHotChat(chat);
+        this.startTurn(chat);
+      });
+      at += this.random.getExponential(gap);
+    }
+  }
+
+  private planSurge(): void {
+    const { surge, deployment, seed } = this.fleet;
+    if (surge === undefined) {
+      return;
+    }
+    const random = Random.create(seed, 3);
+    const gap = 1000 / (deployment.chatsPerSecond * surgeLoadShare);
+    for (let at = surge.from; at < surge.until; at += random.getExponential(gap)) {
+      const team = random.getIndex(surgeTeamCount);
+      const chat = createChat(this.nextChat, seed, deployment, team);
+      this.nextChat += 1;
+      const hot = random.getUniform() < surgeHotShare ? random.getIndex(hotChatCount) : undefined;
+      this.fleet.events.addEvent(at, () => {
+        this.startSurge(chat, hot);
+      });
+    }
+  }
+
+  /** Starts a surging chat, or as many turns of a hot chat as the new one would have had. */
+  private startSurge(chat: Chat, hot: number | undefined): void {
+    const hotChat = hot === undefined ? undefined : this.hotChats[hot];
+    if (hotChat === undefined) {
+      this.startTurn(chat);
+      return;
+    }
+    for (let turn = 0; turn < chat.turns; turn += 1) {
+      const at = this.fleet.events.getNow() + turn * hotChat.kind.pauseMilliseconds;
+      this.fleet.events.addEvent(at, () => {
+        this.startTurn(hotChat);
+      });
+    }
+  }
+
+  private addHotChat(chat: Chat): void {
+    const isNear = this.fleet.events.getNow() > this.fleet.measuredFrom - 20_000;
+    if (isNear && this.hotChats.length < hotChatCount && chat.kind.name === "briefing") {
+      this.hotChats.push(chat);
+    }
+  }
+
+  private startTurn(chat: Chat): void {
+    const isFirstTurn = chat.turn === 0;
+    const added = isFirstTurn ? chat.kind.firstPromptTokens : chat.kind.turnTokens;
+    const promptTokens = chat.historyTokens + Math.round(chat.random.getAround(added, 0.5));
+    chat.turn += 1;
+    chat.historyTokens = promptTokens;
+    this.place(chat, promptTokens, isFirstTurn, []);
+  }
+
+  private place(
+    chat: Chat,
+    promptTokens: number,
+    isFirstTurn: boolean,
+    exclude: readonly number[],
+  ): void {
+    const request: TrafficRequest = {
+      id: `request-${String(this.nextRequest)}`,
+      chat,
+      daemon: this.drawDaemon(chat),
+      promptTokens,
+      isFirstTurn,
+      exclude,
+      engine: undefined,
+      isOver: false,
+    };
+    this.nextRequest += 1;
+    this.openRequests.add(request);
+    this.policy.place(request, (engine) => {
+      this.arrive(request, engine);
+    });
+  }
+
+  private drawDaemon(chat: Chat): number {
+    const start = chat.random.getIndex(this.fleet.daemons.length);
+    const order = [...this.fleet.daemons.keys()];
+    const rotated = [...order.slice(start), ...order.slice(0, start)];
+    return rotated.find((index) => (this.fleet.daemons[index] as DaemonModel).isLive) ?? start;
+  }
+
+  private arrive(request: TrafficRequest, engine: number): void {
+    if (request.isOver) {
+      return;
+    }
+    const model = this.fleet.engines[engine] as EngineModel;
+    if (!model.isLive) {
+      this.end(request);
+      this.fleet.noticeRefusal(request.daemon, engine);
+      this.retry(request, [...request.exclude, engine], refusalMilliseconds);
+      return;
+    }
+    request.engine = engine;
+    this.fleet.version += 1;
+    model.addRequest(() => {
+      this.run(request, model);
+    });
+  }
+
+  private run(request: TrafficRequest, model: EngineModel): void {
+    const { chat, promptTokens } = request;
+    const reused = this.takeReuse(request, model);
+    model.addPrefix(-1 - chat.team, teamPrefixTokens);
+    model.addPrefix(chat.id, promptTokens);
+    chat.processedTokens = Math.max(chat.processedTokens, promptTokens);
+    const prefill = ((promptTokens - reused) * 1000) / uncachedTokensPerSecond;
+    const answer = chat.random.getAround(chat.kind.durationMilliseconds, 0.6);
+    this.fleet.events.addEvent(this.fleet.events.getNow() + prefill + answer, () => {
+      this.finish(request, model);
+    });
+  }
+
+  private takeReuse(request: TrafficRequest, model: EngineModel): number {
+    const { chat, promptTokens, isFirstTurn } = request;
+    const reusable = isFirstTurn ? teamPrefixTokens : Math.min(chat.processedTokens, promptTokens);
+    const cached = Math.max(model.getCachedTokens(chat.id), model.getCachedTokens(-1 - chat.team));
+    const reused = Math.min(cached, reusable, promptTokens);
+    if (this.fleet.events.getNow() >= this.fleet.measuredFrom) {
+      this.reuse.reusableTokens += reusable;
+      this.reuse.reusedTokens += reused;
+      this.reuse.requests += 1;
+      this.reuse.firstTurns += isFirstTurn ? 1 : 0;
+    }
+    return reused;
+  }
+
+  private finish(request: TrafficRequest, model: EngineModel): void {
+    if (request.isOver) {
+      return;
+    }
+    const { chat } = request;
+    model.removeRequest();
+    model.addPrefix(chat.id, request.promptTokens + chat.kind.answerTokens);
+    chat.historyTokens = Math.max(
+      chat.historyTokens,
+      request.promptTokens + chat.kind.answerTokens,
+    );
+    chat.processedTokens = Math.max(chat.processedTokens, chat.historyTokens);
+    chat.hintedEngine = chat.carriesHint ? model.name : undefined;
+    this.end(request);
+    this.planNextTurn(chat);
+  }
+
+  private planNextTurn(chat: Chat): void {
+    if (chat.turn < chat.turns) {
+      const pause = chat.random.getExponential(chat.kind.pauseMilliseconds);
+      this.fleet.events.addEvent(this.fleet.events.getNow() + pause, () => {
+        this.startTurn(chat);
+      });
+    }
+  }
+
+  private end(request: TrafficRequest): void {
+    request.isOver = true;
+    this.fleet.version += 1;
+    this.openRequests.delete(request);
+    this.policy.finish(request);
+  }
+
+  private releaseLater(request: TrafficRequest): void {
+    if (request.engine === undefined) {
+      return;
+    }
+    const model = this.fleet.engines[request.engine] as EngineModel;
+    this.fleet.events.addEvent(this.fleet.events.getNow() + resumeMilliseconds, () => {
+      model.removeRequest();
+      this.fleet.version += 1;
+    });
+  }
+
+  private retry(request: TrafficRequest, exclude: readonly number[], delay: number): void {
+    const { chat, promptTokens, isFirstTurn } = request;
+    this.fleet.events.addEvent(this.fleet.events.getNow() + delay, () => {
+      this.place(chat, promptTokens, isFirstTurn, exclude);
+    });
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/bench/policies/Policy.ts
@@ -0,0 +1,23 @@
+import type { Fleet, FleetListener } from "../Fleet.js";
+import type { TrafficRequest } from "../Traffic.js";
+
+/** A way to place requests, as the bench drives it. */
+export interface Policy extends FleetListener {
+  readonly name: string;
+  /**
+   * Places a request and calls back with the engine, at once or later.
+   * @param request - Request to place.
+   * @param decide - Called with the engine's index.
+   */
+  place(request: TrafficRequest, decide: (engine: number) => void): void;
+  /**
+   * Takes a request off its engine.
+   * @param request - Request that no longer runs.
+   */
+  finish(request: TrafficRequest): void;
+  /** Gets the octets that each daemon sent since the last call. */
+  takeControlBytes(): readonly number[];
+}
+
+/** Creates a policy for a fleet. */
+export type PolicyFactory = (fleet: Fleet) => Policy;
--- a/packages/kernel/src/placement/index.ts
+++ b/packages/kernel/src/placement/index.ts
@@ -1,4 +1,6 @@
 export type * from "./messages.js";
+export { packPeerMessage, parsePeerMessage } from "./peerCodec.js";
+export type { PackedPeerMessage } from "./peerCodec.js";
 export { placementPeerMessageSchema } from "./peerMessage.js";
 export type * from "./peerMessage.js";
 export { Placer } from "./Placer.js";
