Add the platform stand-in

Ruled out: a fixed file, since watches, the call rate, staleness and a restore must be real. Change: Platform with watches, rate limit, host list and control calls; runs in-process or as a process. Before: no stand-in.

--- /dev/null
+++ b/packages/standins/src/errors/index.ts
@@ -0,0 +1,3 @@
+export { InvalidOptionError } from "./InvalidOptionError.js";
+export { InvalidRequestError } from "./InvalidRequestError.js";
+export { StandinError } from "./StandinError.js";
--- /dev/null
+++ b/packages/standins/src/http/index.ts
@@ -0,0 +1,2 @@
+export { HttpListener } from "./HttpListener.js";
+export { getBodyText, getHeader, parseBody, parseValue } from "./requests.js";
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./errors/index.js";
+export * from "./platform/index.js";
+export * from "./process/index.js";
--- /dev/null
+++ b/packages/standins/src/platform/History.ts
@@ -0,0 +1,120 @@
+/** One published value and the revision that the platform gave it. */
+export interface Version<Value> {
+  readonly revision: number;
+  readonly value: Value;
+}
+
+/** The published versions of one value, with watchers of the version that is served. */
+export class History<Value> {
+  private versions: Version<Value>[] = [];
+  private staleRevision: number | undefined;
+  private readonly wakeWatchers = new Set<() => void>();
+
+  private constructor() {
+    // Created through the static method.
+  }
+
+  /** Creates a history without a version. */
+  static create<Value>(): History<Value> {
+    return new History<Value>();
+  }
+
+  /** Gets the newest version, whether it is served or not. */
+  getNewest(): Version<Value> | undefined {
+    return this.versions.at(-1);
+  }
+
+  /** Gets the version that readers see. */
+  getServed(): Version<Value> | undefined {
+    if (this.staleRevision === undefined) {
+      return this.getNewest();
+    }
+    return this.versions.findLast((version) => version.revision <= (this.staleRevision ?? 0));
+  }
+
+  /**
+   * Adds a version and returns its revision.
+   * @param value - Value to publish.
+   */
+  addVersion(value: Value): number {
+    const revision = (this.getNewest()?.revision ?? 0) + 1;
+    this.versions.push({ revision, value });
+    this.wake();
+    return revision;
+  }
+
+  /**
+   * Serves the newest version up to a revision; `undefined` serves the newest again.
+   * @param revision - Revision to hold readers at.
+   */
+  setStaleRevision(revision: number | undefined): void {
+    this.staleRevision = revision;
+    this.wake();
+  }
+
+  /** Forgets every version; the next one gets revision 1 again. */
+  wipe(): void {
+    this.versions = [];
+    this.wake();
+  }
+
+  /**
+   * Forgets the versions after a revision; their revisions are given out again.
+   * @param revision - Revision that becomes the newest.
+   */
+  restore(revision: number): void {
+    this.versions = this.versions.filter((version) => version.revision <= revision);
+    this.wake();
+  }
+
+  /**
+   * Waits until the served revision differs from one, and returns whether it does.
+   * @param revision - Revision that the reader has.
+   * @param waitMilliseconds - Longest time to wait.
+   * @param signal - Ends the wait when the reader goes away.
+   * @param isDown - Ends the wait when it returns true on a wake.
+   */
+  async waitForChange(
+    revision: number,
+    waitMilliseconds: number,
+    signal: AbortSignal,
+    isDown: () => boolean,
+  ): Promise<boolean> {
+    const isWaiting = () => !this.isChanged(revision) && !signal.aborted && !isDown();
+    const waitUntil = Date.now() + waitMilliseconds;
+    while (isWaiting() && Date.now() < waitUntil) {
+      await this.waitForWake(waitUntil - Date.now(), signal);
+    }
+    return this.isChanged(revision);
+  }
+
+  /** Gets the number of readers that wait. */
+  getWatcherCount(): number {
+    return this.wakeWatchers.size;
+  }
+
+  /** Wakes every watcher. */
+  wake(): void {
+    for (const wakeWatcher of [...this.wakeWatchers]) {
+      wakeWatcher();
+    }
+  }
+
+  private isChanged(revision: number): boolean {
+    return (this.getServed()?.revision ?? 0) !== revision;
+  }
+
+  private waitForWake(milliseconds: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const wakeWatcher = () => {
+        clearTimeout(timer);
+        signal.removeEventListener("abort", wakeWatcher);
+        this.wakeWatchers.delete(wakeWatcher);
+        resolve();
+      };
+      const timer = setTimeout(wakeWatcher, milliseconds);
+      signal.addEventListener("abort", wakeWatcher);
+      this.wakeWatchers.add(wakeWatcher);
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/process/index.ts
@@ -0,0 +1,2 @@
+export { parseOptions, run } from "./run.js";
+export type { Standin } from "./run.js";
