--- /dev/null
+++ b/packages/standins/src/engine/Batch.ts
@@ -0,0 +1,110 @@
+import type { Generation } from "./Generation.js";
+import type { PrefixCache } from "./PrefixCache.js";
+import type { EngineSettings } from "./schema.js";
+
+/** Runs generations together, one token each a step; those without a slot wait by priority. */
+export class Batch {
+  private readonly running = new Set<Generation>();
+  private readonly waiting: Generation[] = [];
+  private timer: NodeJS.Timeout | undefined;
+  private isFrozen = false;
+
+  private constructor(
+    private readonly settings: EngineSettings,
+    private readonly cache: PrefixCache,
+  ) {}
+
+  /**
+   * Creates an empty batch.
+   * @param settings - Slots and pace.
+   * @param cache - Prefix cache that prompts are looked up in.
+   */
+  static create(settings: EngineSettings, cache: PrefixCache): Batch {
+    return new Batch(settings, cache);
+  }
+
+  /** Whether every slot and every place in the queue is taken. */
+  isFull(): boolean {
+    const { slots, maxWaiting } = this.settings;
+    return this.running.size >= slots && this.waiting.length >= maxWaiting;
+  }
+
+  /** Gets the number of requests that run and that wait. */
+  getCounts(): { running: number; waiting: number } {
+    return { running: this.running.size, waiting: this.waiting.length };
+  }
+
+  /**
+   * Adds a generation: it starts at once when a slot is free.
+   * @param generation - Generation to add.
+   */
+  addGeneration(generation: Generation): void {
+    const later = this.waiting.findIndex(({ priority }) => priority < generation.priority);
+    this.waiting.splice(later === -1 ? this.waiting.length : later, 0, generation);
+    this.fillSlots();
+    this.schedule();
+  }
+
+  /**
+   * Removes a generation that was cancelled.
+   * @param generation - Generation to remove.
+   */
+  removeGeneration(generation: Generation): void {
+    this.running.delete(generation);
+    const index = this.waiting.indexOf(generation);
+    if (index !== -1) {
+      this.waiting.splice(index, 1);
+    }
+    this.fillSlots();
+  }
+
+  /**
+   * Stops or continues all computing.
+   * @param isFrozen - Whether no token is computed.
+   */
+  setFrozen(isFrozen: boolean): void {
+    this.isFrozen = isFrozen;
+    this.schedule();
+  }
+
+  /** Stops the batch for good. */
+  close(): void {
+    clearTimeout(this.timer);
+    this.isFrozen = true;
+  }
+
+  private fillSlots(): void {
+    while (this.running.size < this.settings.slots) {
+      const next = this.waiting.shift();
+      if (next === undefined) {
+        return;
+      }
+      next.start(this.cache.getCachedTokens(next.chat, next.promptWords));
+      this.running.add(next);
+    }
+  }
+
+  private schedule(): void {
+    if (this.timer === undefined && !this.isFrozen && this.running.size > 0) {
+      this.timer = setTimeout(() => {
+        this.step();
+      }, this.settings.tokenMilliseconds);
+    }
+  }
+
+  private step(): void {
+    this.timer = undefined;
+    if (this.isFrozen) {
+      return;
+    }
+    for (const generation of this.running) {
+      generation.step(this.settings.prefillTokensPerStep);
+      if (generation.state === "done") {
+        this.running.delete(generation);
+        this.cache.store(generation.chat, generation.getCacheableWords(), Date.now());
+      }
+    }
+    this.fillSlots();
+    this.schedule();
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/PrefixCache.ts
@@ -0,0 +1,121 @@
+import type { Instant } from "@pistachioway/kernel";
+
+const maxEvents = 10_000;
+
+/** A change of the cache, as engines publish it. */
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly kind: "stored" | "evicted";
+  readonly chat: string;
+  readonly tokens: number;
+}
+
+interface RecordedEvent extends CacheEvent {
+  readonly at: Instant;
+}
+
+/** Cached prompt prefixes per chat in limited memory; the least recently used goes first. */
+export class PrefixCache {
+  /** Words by chat, the least recently used first. */
+  private readonly wordsByChat = new Map<string, readonly string[]>();
+  private readonly events: RecordedEvent[] = [];
+  private tokens = 0;
+  private sequence = 0;
+
+  private constructor(
+    private readonly maxTokens: number,
+    private readonly lostEventEvery: number,
+  ) {}
+
+  /**
+   * Creates an empty cache.
+   * @param maxTokens - Tokens held for all chats together.
+   * @param lostEventEvery - Every n-th event is lost; 0 loses none.
+   */
+  static create(maxTokens: number, lostEventEvery: number): PrefixCache {
+    return new PrefixCache(maxTokens, lostEventEvery);
+  }
+
+  /**
+   * Gets the number of leading words of a prompt that are cached for a chat.
+   * @param chat - Chat id.
+   * @param prompt - Words of the prompt.
+   */
+  getCachedTokens(chat: string, prompt: readonly string[]): number {
+    const cached = this.wordsByChat.get(chat) ?? [];
+    const firstDifference = cached.findIndex((word, index) => word !== prompt[index]);
+    return firstDifference === -1 ? cached.length : firstDifference;
+  }
+
+  /**
+   * Gets the cached words of a chat.
+   * @param chat - Chat id.
+   */
+  getPrefix(chat: string): readonly string[] | undefined {
+    return this.wordsByChat.get(chat);
+  }
+
+  /**
+   * Stores the words of a chat and evicts the least recently used chats beyond the limit.
+   * @param chat - Chat id.
+   * @param words - Words of the prompt and the answer.
+   * @param now - Time of the event.
+   */
+  store(chat: string, words: readonly string[], now: Instant): void {
+    this.remove(chat);
+    if (words.length > this.maxTokens) {
+      return;
+    }
+    this.wordsByChat.set(chat, words);
+    this.tokens += words.length;
+    this.addEvent("stored", chat, words.length, now);
+    this.evict(now);
+  }
+
+  /** Gets the tokens held for all chats. */
+  getTokens(): number {
+    return this.tokens;
+  }
+
+  /**
+   * Gets the events after a sequence number that are old enough to be reported.
+   * @param after - Sequence number that the reader has.
+   * @param notAfter - Time after which events are not reported yet.
+   */
+  getEvents(after: number, notAfter: Instant): { events: CacheEvent[]; next: number } {
+    const due = this.events.filter((event) => event.sequence > after && event.at <= notAfter);
+    const events = due.map(({ sequence, kind, chat, tokens }) => ({
+      sequence,
+      kind,
+      chat,
+      tokens,
+    }));
+    return { events, next: due.at(-1)?.sequence ?? after };
+  }
+
+  private evict(now: Instant): void {
+    for (const [chat, words] of this.wordsByChat) {
+      if (this.tokens <= this.maxTokens) {
+        return;
+      }
+      this.remove(chat);
+      this.addEvent("evicted", chat, words.length, now);
+    }
+  }
+
+  private remove(chat: string): void {
+    this.tokens -= this.wordsByChat.get(chat)?.length ?? 0;
+    this.wordsByChat.delete(chat);
+  }
+
+  private addEvent(kind: CacheEvent["kind"], chat: string, tokens: number, at: Instant): void {
+    this.sequence += 1;
+    if (this.lostEventEvery > 0 && this.sequence % this.lostEventEvery === 0) {
+      return;
+    }
+    this.events.push({ sequence: this.sequence, kind, chat, tokens, at });
+    if (this.events.length > maxEvents) {
+      this.events.shift();
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/answer.ts
@@ -0,0 +1,52 @@
+import { createHash } from "node:crypto";
+
+const digestLength = 10;
+
+/** Tokens of an answer when the request names no limit. */
+export const defaultAnswerTokens = 16;
+
+/** What the content of an answer depends on. */
+export interface AnswerKey {
+  /** Chat id. */
+  readonly chat: string;
+  /** Content of the last message. */
+  readonly message: string;
+  /** Number of tokens; `max_tokens` of the request. */
+  readonly tokens?: number;
+}
+
+/**
+ * Gets the whole answer that any engine gives, whichever attempt asks for it.
+ * @param key - Chat, last message and number of tokens.
+ */
+export function getExpectedAnswer(key: AnswerKey): string {
+  const digest = getAnswerDigest(key);
+  const count = key.tokens ?? defaultAnswerTokens;
+  return Array.from({ length: count }, (_unused, index) => getToken(digest, index)).join("");
+}
+
+/**
+ * Gets the digest that every token of an answer carries.
+ * @param key - Chat and last message.
+ */
+export function getAnswerDigest(key: AnswerKey): string {
+  const text = JSON.stringify([key.chat, key.message]);
+  return createHash("sha256").update(text).digest("hex").slice(0, digestLength);
+}
+
+/**
+ * Gets one token of an answer.
+ * @param digest - Digest of the answer.
+ * @param index - Position of the token, from 0.
+ */
+export function getToken(digest: string, index: number): string {
+  return `${index === 0 ? "" : " "}${digest}.${String(index)}`;
+}
+
+/**
+ * Splits text into the words that count as tokens.
+ * @param text - Text to split.
+ */
+export function getWords(text: string): string[] {
+  return text.split(/\s+/).filter((word) => word !== "");
+}
--- /dev/null
+++ b/packages/standins/src/engine/stream.ts
@@ -0,0 +1,89 @@
+import type { ServerResponse } from "node:http";
+import type { Generation } from "./Generation.js";
+
+/**
+ * Writes a generation as server-sent events, at the pace of the reader.
+ *
+ * The stream ends with `[DONE]` only when the whole answer was written; a cancelled generation
+ * breaks the connection.
+ * @param generation - Generation to write.
+ * @param offset - Tokens that the reader has already.
+ * @param raw - Response to write to; its headers are written.
+ * @param signal - Ends the stream when the reader goes away.
+ */
+export async function writeStream(
+  generation: Generation,
+  offset: number,
+  raw: ServerResponse,
+  signal: AbortSignal,
+): Promise<void> {
+  let sent = offset;
+  while (sent < generation.totalTokens) {
+    await generation.waitForToken(sent, signal);
+    if (signal.aborted || generation.emittedTokens <= sent) {
+      raw.destroy();
+      return;
+    }
+    sent += 1;
+    await writeWithPressure(raw, toTokenEvent(generation, sent), signal);
+  }
+  raw.end(toLastEvents(generation));
+}
+
+/**
+ * Gets the body of an answer that is not streamed.
+ * @param generation - Generation that is done.
+ */
+export function toWholeAnswer(generation: Generation): object {
+  const content = generation.getText(0, generation.totalTokens);
+  return {
+    id: generation.attempt,
+    object: "chat.completion",
+    model: generation.model,
+    choices: [{ index: 0, message: { role: "assistant", content }, finish_reason: "stop" }],
+    usage: generation.getUsage(),
+  };
+}
+
+async function writeWithPressure(
+  raw: ServerResponse,
+  text: string,
+  signal: AbortSignal,
+): Promise<void> {
+  if (raw.write(text) || signal.aborted) {
+    return;
+  }
+  await new Promise<void>((resolve) => {
+    const resume = () => {
+      raw.off("drain", resume);
+      signal.removeEventListener("abort", resume);
+      resolve();
+    };
+    raw.on("drain", resume);
+    signal.addEventListener("abort", resume);
+  });
+}
+
+function toTokenEvent(generation: Generation, sent: number): string {
+  const delta = { content: generation.getText(sent - 1, sent) };
+  const choices = [{ index: 0, delta, finish_reason: null }];
+  return toEvent(sent, { ...toChunk(generation), choices });
+}
+
+function toLastEvents(generation: Generation): string {
+  const choices = [{ index: 0, delta: {}, finish_reason: "stop" }];
+  const last = { ...toChunk(generation), choices, usage: generation.getUsage() };
+  return `${toEvent(generation.totalTokens, last)}data: [DONE]\n\n`;
+}
+
+function toChunk(generation: Generation): object {
+  return {
+    id: generation.attempt,
+    object: "chat.completion.chunk",
+    model: generation.model,
+  };
+}
+
+function toEvent(id: number, data: object): string {
+  return `id: ${String(id)}\ndata: ${JSON.stringify(data)}\n\n`;
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./engine/index.js";
 export * from "./errors/index.js";
 export * from "./platform/index.js";
 export * from "./process/index.js";
