Add the service stand-in and the fault proxy

Ruled out: faults by sleeping, since verdicts would not repeat; faults inside the stand-ins only, since the connection itself must break. Healing a cut connection after bytes were lost was ruled out: TCP never passes a gap, so such a connection is reset. Change: Service with records and faults; FaultProxy with TCP and UDP links, rules by byte or datagram. Found: undici reports a reset after the status line as UND_ERR_SOCKET and before it as ECONNRESET; the test of the reset first expected ECONNRESET for both and now states each exactly.

--- /dev/null
+++ b/packages/standins/src/faults/DatagramLink.ts
@@ -0,0 +1,168 @@
+import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
+import { SignalCounter } from "../signals/index.js";
+import {
+  datagramRuleSchema,
+  type DatagramRule,
+  type DatagramRuleOptions,
+  type Direction,
+  type LinkMode,
+} from "./schema.js";
+
+type Send = (message: Buffer) => void;
+
+/** A UDP socket that passes datagrams on to one target, and answers back, with faults. */
+export class DatagramLink {
+  readonly fired = SignalCounter.create();
+  private readonly socket = createSocket("udp4");
+  private readonly targetUrl: URL;
+  /** Sockets towards the target by the address of the client. */
+  private readonly socketsByClient = new Map<string, Socket>();
+  private readonly counts: Record<Direction, number> = { request: 0, response: 0 };
+  private readonly held: Record<Direction, (() => void)[]> = { request: [], response: [] };
+  private rules: DatagramRule[] = [];
+  private mode: LinkMode = "open";
+
+  private constructor(
+    readonly name: string,
+    target: string,
+  ) {
+    this.targetUrl = new URL(`udp://${target}`);
+    this.socket.on("message", (message, client) => {
+      this.passRequest(message, client);
+    });
+  }
+
+  /**
+   * Creates a link that is not bound yet.
+   * @param name - Name of the link.
+   * @param target - Address in the form `127.0.0.1:PORT`.
+   */
+  static create(name: string, target: string): DatagramLink {
+    return new DatagramLink(name, target);
+  }
+
+  /** Gets the address in the form `127.0.0.1:PORT`. */
+  get address(): string {
+    return `127.0.0.1:${String(this.socket.address().port)}`;
+  }
+
+  /** Binds a free port and returns the address. */
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => this.socket.bind(0, "127.0.0.1", resolve));
+    return this.address;
+  }
+
+  /** Closes every socket. */
+  async close(): Promise<void> {
+    for (const socket of this.socketsByClient.values()) {
+      socket.close();
+    }
+    this.socketsByClient.clear();
+    await new Promise<void>((resolve) => this.socket.close(resolve));
+  }
+
+  /**
+   * Sets what the whole link does.
+   * @param mode - Mode from now on; `refuse` is the same as `cut`.
+   */
+  setMode(mode: LinkMode): void {
+    this.mode = mode;
+  }
+
+  /**
+   * Replaces the rules and counts datagrams from 1 again.
+   * @param rules - Rules from now on.
+   */
+  setRules(rules: readonly DatagramRuleOptions[]): void {
+    this.rules = rules.map((rule) => datagramRuleSchema.parse(rule));
+    this.counts.request = 0;
+    this.counts.response = 0;
+  }
+
+  /** Passes on everything that `hold` keeps back. */
+  release(): void {
+    this.releaseHeld("request");
+    this.releaseHeld("response");
+  }
+
+  /** Gets the counters. */
+  getCounters(): { mode: LinkMode; accepted: number; open: number; fired: number } {
+    const { mode, counts, socketsByClient } = this;
+    const fired = this.fired.getCount();
+    return { mode, accepted: counts.request, open: socketsByClient.size, fired };
+  }
+
+  private passRequest(message: Buffer, client: RemoteInfo): void {
+    const socket = this.getSocketOrOpen(client);
+    this.pass("request", message, (bytes) => {
+      socket.send(bytes, Number(this.targetUrl.port), this.targetUrl.hostname);
+    });
+  }
+
+  private getSocketOrOpen(client: RemoteInfo): Socket {
+    const key = `${client.address}:${String(client.port)}`;
+    const found = this.socketsByClient.get(key);
+    if (found !== undefined) {
+      return found;
+    }
+    const socket = createSocket("udp4");
+    socket.on("message", (message) => {
+      this.pass("response", message, (bytes) => {
+        this.socket.send(bytes, client.port, client.address);
+      });
+    });
+    this.socketsByClient.set(key, socket);
+    return socket;
+  }
+
+  private pass(direction: Direction, message: Buffer, send: Send): void {
+    if (this.isCut(direction)) {
+      return;
+    }
+    this.counts[direction] += 1;
+    const count = this.counts[direction];
+    const rule = this.rules.find((candidate) => applies(candidate, direction, count));
+    if (rule === undefined) {
+      send(message);
+      this.releaseHeld(direction);
+      return;
+    }
+    this.apply(rule, message, send);
+    this.fired.add();
+  }
+
+  private isCut(direction: Direction): boolean {
+    return this.mode === "cut" || this.mode === "refuse" || this.mode === `cut-${direction}`;
+  }
+
+  private apply(rule: DatagramRule, message: Buffer, send: Send): void {
+    switch (rule.action) {
+      case "drop":
+        return;
+      case "duplicate":
+        send(message);
+        send(message);
+        return;
+      case "hold":
+        this.held[rule.direction].push(() => {
+          send(message);
+        });
+        return;
+      case "delay":
+        setTimeout(() => {
+          send(message);
+        }, rule.delayMilliseconds).unref();
+    }
+  }
+
+  private releaseHeld(direction: Direction): void {
+    for (const sendHeld of this.held[direction].splice(0)) {
+      sendHeld();
+    }
+  }
+}
+
+function applies(rule: DatagramRule, direction: Direction, count: number): boolean {
+  const { message, count: length } = rule;
+  return rule.direction === direction && count >= message && count < message + length;
+}
--- /dev/null
+++ b/packages/standins/src/faults/Link.ts
@@ -0,0 +1,185 @@
+import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
+import { SignalCounter } from "../signals/index.js";
+import { Connection } from "./Connection.js";
+import { ruleSchema, type LinkMode, type Rule, type RuleOptions } from "./schema.js";
+
+interface Hold {
+  readonly connection: Connection;
+  readonly rule: Rule;
+  remainingAnswers: number;
+}
+
+/** A TCP listener that passes connections on to one target, with faults. */
+export class Link {
+  readonly fired = SignalCounter.create();
+  private readonly server: Server;
+  private readonly connections = new Set<Connection>();
+  private readonly targetUrl: URL;
+  private mode: LinkMode = "open";
+  private rules: Rule[] = [];
+  private remainingTimes = new Map<Rule, number>();
+  private holds: Hold[] = [];
+  private swapPartner: Connection | undefined;
+  private acceptedCount = 0;
+
+  private constructor(
+    readonly name: string,
+    target: string,
+  ) {
+    this.targetUrl = new URL(`tcp://${target}`);
+    this.server = createServer({ allowHalfOpen: true, pauseOnConnect: true }, (client) => {
+      this.accept(client);
+    });
+  }
+
+  /**
+   * Creates a link that is not listening yet.
+   * @param name - Name of the link.
+   * @param target - Address in the form `127.0.0.1:PORT`.
+   */
+  static create(name: string, target: string): Link {
+    return new Link(name, target);
+  }
+
+  /** Gets the address in the form `127.0.0.1:PORT`. */
+  get address(): string {
+    return `127.0.0.1:${String((this.server.address() as AddressInfo).port)}`;
+  }
+
+  /** Binds a free port and returns the address. */
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
+    return this.address;
+  }
+
+  /** Resets every connection and closes the listener. */
+  async close(): Promise<void> {
+    for (const connection of this.connections) {
+      connection.reset();
+    }
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+
+  /**
+   * Sets what the whole link does, to connections that stand and to new ones.
+   * @param mode - Mode from now on.
+   */
+  setMode(mode: LinkMode): void {
+    this.mode = mode;
+    for (const connection of [...this.connections]) {
+      connection.setMode(mode);
+    }
+  }
+
+  /**
+   * Replaces the rules.
+   * @param rules - Rules from now on.
+   */
+  setRules(rules: readonly RuleOptions[]): void {
+    this.rules = rules.map((rule) => ruleSchema.parse(rule));
+    this.remainingTimes = new Map(this.rules.map((rule) => [rule, rule.times]));
+    this.swapPartner = undefined;
+    for (const connection of this.connections) {
+      connection.setRules(this.rules);
+    }
+  }
+
+  /** Passes on everything that `hold` keeps back. */
+  release(): void {
+    for (const { connection, rule } of this.holds.splice(0)) {
+      connection.setBlocked(rule.direction, false);
+    }
+  }
+
+  /** Gets the counters. */
+  getCounters(): { mode: LinkMode; accepted: number; open: number; fired: number } {
+    const { mode, acceptedCount, connections } = this;
+    return { mode, accepted: acceptedCount, open: connections.size, fired: this.fired.getCount() };
+  }
+
+  private accept(client: Socket): void {
+    this.acceptedCount += 1;
+    if (this.mode === "refuse") {
+      client.resetAndDestroy();
+      return;
+    }
+    const active = this.rules.filter((rule) => (this.remainingTimes.get(rule) ?? 0) > 0);
+    const connection = Connection.create(client, this.targetUrl, active, {
+      onFire: (firing, rule) => this.fire(firing, rule),
+      onAnswer: (answered) => {
+        this.countAnswer(answered);
+      },
+      onClose: (closed) => {
+        this.connections.delete(closed);
+      },
+    });
+    this.connections.add(connection);
+    connection.setMode(this.mode);
+    client.resume();
+  }
+
+  /** Applies a rule; returns whether it may fire again. */
+  private fire(connection: Connection, rule: Rule): boolean {
+    const remaining = this.remainingTimes.get(rule) ?? 0;
+    if (remaining === 0) {
+      return false;
+    }
+    this.remainingTimes.set(rule, remaining - 1);
+    this.apply(connection, rule);
+    this.fired.add();
+    return remaining > 1;
+  }
+
+  private apply(connection: Connection, rule: Rule): void {
+    switch (rule.action) {
+      case "reset":
+        connection.reset();
+        return;
+      case "drop":
+        connection.discard(rule.direction);
+        return;
+      case "cut":
+        connection.discard("request");
+        connection.discard("response");
+        return;
+      case "delay":
+        connection.setBlocked(rule.direction, true);
+        setTimeout(() => {
+          connection.setBlocked(rule.direction, false);
+        }, rule.delayMilliseconds);
+        return;
+      case "hold":
+        connection.setBlocked(rule.direction, true);
+        this.holds.push({ connection, rule, remainingAnswers: rule.releaseAfterAnswers });
+        return;
+      case "swap":
+        this.swap(connection);
+    }
+  }
+
+  private swap(connection: Connection): void {
+    const partner = this.swapPartner;
+    if (partner === undefined) {
+      this.swapPartner = connection;
+      connection.setBlocked("response", true);
+      return;
+    }
+    this.swapPartner = undefined;
+    connection.swapAnswers(partner);
+    partner.setBlocked("response", false);
+  }
+
+  /** Counts an answer that passed on one connection towards the holds of the others. */
+  private countAnswer(answered: Connection): void {
+    for (const hold of [...this.holds]) {
+      if (hold.connection === answered || hold.rule.releaseAfterAnswers === 0) {
+        continue;
+      }
+      hold.remainingAnswers -= 1;
+      if (hold.remainingAnswers === 0) {
+        this.holds = this.holds.filter((other) => other !== hold);
+        hold.connection.setBlocked(hold.rule.direction, false);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/faults/index.ts
@@ -0,0 +1,11 @@
+export { DatagramLink } from "./DatagramLink.js";
+export { FaultProxy } from "./FaultProxy.js";
+export { Link } from "./Link.js";
+export type {
+  DatagramRuleOptions,
+  Direction,
+  FaultProxyOptions,
+  LinkMode,
+  LinkOptions,
+  RuleOptions,
+} from "./schema.js";
--- /dev/null
+++ b/packages/standins/src/service/schema.ts
@@ -0,0 +1,31 @@
+import { z } from "zod";
+
+/** Options of the service stand-in. */
+export const serviceOptionsSchema = z.strictObject({
+  name: z.string().default("service"),
+  port: z.int().min(0).max(65_535).default(0),
+});
+
+/** Faults that the control call sets; those left out stay as they are. */
+export const serviceFaultsSchema = z.strictObject({
+  /** Refuses every call and reports itself as leaving. */
+  leaving: z.boolean().optional(),
+  /** Number of next calls that are refused before they run. */
+  refuseNext: z.int().min(0).optional(),
+  /** Records calls, but answers none until it is false again. */
+  held: z.boolean().optional(),
+  /** Added between the record and the answer. */
+  delayMilliseconds: z.number().min(0).optional(),
+  /** Kills the process at the next call, before or after its record, ahead of the answer. */
+  die: z.enum(["never", "before-record", "after-record"]).optional(),
+});
+
+/** Query of the records: waits until there are enough of them, or the time has passed. */
+export const recordsQuerySchema = z.object({
+  atLeast: z.coerce.number().int().min(0).default(0),
+  wait: z.coerce.number().int().min(0).max(120_000).default(0),
+});
+
+export type ServiceOptions = z.input<typeof serviceOptionsSchema>;
+export type ServiceSettings = z.output<typeof serviceOptionsSchema>;
+export type ServiceFaults = z.infer<typeof serviceFaultsSchema>;
--- /dev/null
+++ b/packages/standins/src/signals/SignalCounter.ts
@@ -0,0 +1,50 @@
+/** Counts something and lets others wait for a number. */
+export class SignalCounter {
+  private count = 0;
+  private readonly wakeWaiters = new Set<() => void>();
+
+  private constructor() {
+    // Created through the static method.
+  }
+
+  /** Creates a counter at zero. */
+  static create(): SignalCounter {
+    return new SignalCounter();
+  }
+
+  /** Gets the count. */
+  getCount(): number {
+    return this.count;
+  }
+
+  /** Adds one. */
+  add(): void {
+    this.count += 1;
+    for (const wakeWaiter of [...this.wakeWaiters]) {
+      wakeWaiter();
+    }
+  }
+
+  /**
+   * Waits until the count is reached or the time has passed.
+   * @param count - Count to wait for.
+   * @param waitMilliseconds - Longest time to wait.
+   */
+  waitFor(count: number, waitMilliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        clearTimeout(timer);
+        this.wakeWaiters.delete(wakeWaiter);
+        resolve();
+      };
+      const wakeWaiter = () => {
+        if (this.count >= count) {
+          finish();
+        }
+      };
+      const timer = setTimeout(finish, waitMilliseconds);
+      this.wakeWaiters.add(wakeWaiter);
+      wakeWaiter();
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/signals/index.ts
@@ -0,0 +1,1 @@
+export { SignalCounter } from "./SignalCounter.js";
--- /dev/null
+++ b/packages/standins/tests/faults/Link.test.ts
@@ -0,0 +1,130 @@
+import { FaultProxy, Service, type LinkMode, type RuleOptions } from "@pistachioway/standins";
+import { Agent, request } from "undici";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+
+const silenceMilliseconds = 150;
+const test = suite("Link");
+
+interface Bench {
+  readonly service: Service;
+  readonly control: string;
+  readonly agent: Agent;
+  send(path: string): Promise<string>;
+  close(): Promise<void>;
+}
+
+/** Starts a service behind a link; `send` resolves to the key of the answer, or to the error. */
+async function start(rules: RuleOptions[] = [], headersTimeout = 30_000): Promise<Bench> {
+  const service = Service.create();
+  const proxy = FaultProxy.create();
+  const control = `http://${await proxy.listen()}/_control/links/s`;
+  const target = await service.listen();
+  const address = await proxy.addLink({ name: "s", target });
+  await request(`${control}/rules`, { method: "PUT", body: JSON.stringify(rules) });
+  const agent = new Agent({
+    connections: 2,
+    pipelining: 1,
+    headersTimeout,
+    bodyTimeout: headersTimeout,
+  });
+  const send = async (path: string) => {
+    try {
+      const answer = await request(`http://${address}${path}`, {
+        method: "POST",
+        dispatcher: agent,
+        body: "meal",
+      });
+      return ((await answer.body.json()) as { path: string }).path;
+    } catch (error) {
+      return (error as { code: string }).code;
+    }
+  };
+  const close = async () => {
+    await agent.destroy();
+    await proxy.close();
+    await service.close();
+  };
+  return { service, control, agent, send, close };
+}
+
+async function setMode(bench: Bench, mode: LinkMode): Promise<void> {
+  await request(`${bench.control}/mode`, { method: "PUT", body: JSON.stringify({ mode }) });
+}
+
+test("resets at a byte of the request or of its answer, once", async () => {
+  const seen = [];
+  for (const rule of [
+    { direction: "request", bytes: 0 },
+    { direction: "request", bytes: 12 },
+    { direction: "response", bytes: 0 },
+    { direction: "response", bytes: 25 },
+  ] as const) {
+    const bench = await start([{ ...rule, text: "POST /b", action: "reset" }]);
+    const answers = [await bench.send("/a"), await bench.send("/b"), await bench.send("/b")];
+    const runs = bench.service.getRuns().map(({ path }) => path);
+    seen.push({ answers, runs });
+    await bench.close();
+  }
+  const answers = ["/a", "ECONNRESET", "/b"];
+  // undici names a reset after the status line differently.
+  const answersAfterStatus = ["/a", "UND_ERR_SOCKET", "/b"];
+  assert.equal(seen, [
+    { answers, runs: ["/a", "/b"] },
+    { answers, runs: ["/a", "/b"] },
+    { answers, runs: ["/a", "/b", "/b"] },
+    { answers: answersAfterStatus, runs: ["/a", "/b", "/b"] },
+  ]);
+});
+
+test("holds an answer until another has passed", async () => {
+  const bench = await start([
+    { text: "POST /first", direction: "response", action: "hold", releaseAfterAnswers: 1 },
+  ]);
+  const order: string[] = [];
+  const first = bench.send("/first").then((path) => order.push(path));
+  const fired = await request(`${bench.control}?atLeast=1&wait=30000`);
+  await fired.body.dump();
+  const second = bench.send("/second").then((path) => order.push(path));
+  await Promise.all([first, second]);
+  assert.equal(order, ["/second", "/first"]);
+  await bench.close();
+});
+
+test("swaps the answers of two connections", async () => {
+  const bench = await start([
+    { text: "POST /swap", direction: "response", action: "swap", times: 2 },
+  ]);
+  assert.equal(await Promise.all([bench.send("/swap-1"), bench.send("/swap-2")]), [
+    "/swap-2",
+    "/swap-1",
+  ]);
+  await bench.close();
+});
+
+test("discards one or both directions without closing the connection", async () => {
+  const seen = [];
+  for (const mode of ["cut", "cut-request", "cut-response"] as const) {
+    const bench = await start([], silenceMilliseconds);
+    await setMode(bench, mode);
+    const cut = await bench.send("/cut");
+    const runs = bench.service.getRuns().length;
+    await setMode(bench, "open");
+    seen.push({ mode, cut, runs, healed: await bench.send("/healed") });
+    await bench.close();
+  }
+  assert.equal(seen, [
+    { mode: "cut", cut: "UND_ERR_HEADERS_TIMEOUT", runs: 0, healed: "/healed" },
+    { mode: "cut-request", cut: "UND_ERR_HEADERS_TIMEOUT", runs: 0, healed: "/healed" },
+    { mode: "cut-response", cut: "UND_ERR_HEADERS_TIMEOUT", runs: 1, healed: "/healed" },
+  ]);
+});
+
+test("refuses every connection", async () => {
+  const bench = await start();
+  await setMode(bench, "refuse");
+  assert.is(await bench.send("/a"), "ECONNRESET");
+  await bench.close();
+});
+
+test.run();
