Add the acts plug-in with its typed interface

Ruled out: a shared record store (nothing of the system writes shared state); running a caller-made key, as an agreed owner of it needs agreed membership. Such keys get a typed error.

--- /dev/null
+++ b/packages/kernel/src/acts/handOver.ts
@@ -0,0 +1,159 @@
+import type { Instant } from "../kernel/index.js";
+import { ActKey } from "./ActKey.js";
+import type {
+  ActsAdopt,
+  ActsEffect,
+  ActsHandOver,
+  ActsTransferred,
+  DaemonIncarnation,
+} from "./messages.js";
+import { getConcludedBytes } from "./records.js";
+import type { ActTable, ConcludedAct } from "./schema.js";
+import {
+  createHolding,
+  getHoldingId,
+  getSelfOrThrow,
+  isGuarded,
+  reject,
+  removeRecord,
+  type ActRecord,
+  type ActsState,
+  type Holding,
+} from "./state.js";
+import { handleSubmit } from "./submit.js";
+
+/** Begins the hand-over of every table; the first successor named stays the only one. */
+export function handleHandOver(state: ActsState, message: ActsHandOver): ActsEffect[] {
+  const effects: ActsEffect[] = [];
+  for (const holding of state.holdings.values()) {
+    if (holding.phase === "held") {
+      holding.phase = "closing";
+      holding.successor = message.successor;
+      effects.push(...releaseWhenIdle(state, holding));
+    }
+  }
+  return effects;
+}
+
+/** Gives a closing table up for good, and only then hands it on, once none of its acts runs. */
+export function releaseWhenIdle(state: ActsState, holding: Holding): ActsEffect[] {
+  const { successor } = holding;
+  const isRunning = [...holding.acts.values()].some((record) => record.conclusion === undefined);
+  if (holding.phase !== "closing" || successor === undefined || isRunning) {
+    return [];
+  }
+  const table = createTable(state, holding);
+  if (isGuarded(state, "hand-over-release")) {
+    holding.phase = "handing-over";
+    [...holding.acts.values()].forEach((record) => {
+      removeRecord(state, holding, record);
+    });
+  } else {
+    holding.phase = "held";
+  }
+  return [{ kind: "transfer", successor, table }];
+}
+
+/** Handles the requests that waited for the end of a hand-over. */
+export function handleTransferred(
+  state: ActsState,
+  message: ActsTransferred,
+  now: Instant,
+): ActsEffect[] {
+  const holding = state.holdings.get(getHoldingId(message.issuer, message.incarnation));
+  if (holding?.phase !== "handing-over") {
+    return [];
+  }
+  holding.phase = message.accepted ? "moved" : "lost";
+  const queue = holding.queue;
+  holding.queue = [];
+  return queue.flatMap((submit) => handleSubmit(state, submit, now));
+}
+
+/** Adopts a table that names this very incarnation as successor; a repeat changes nothing. */
+export function handleAdopt(state: ActsState, message: ActsAdopt): ActsEffect[] {
+  const { requestId, successor, table } = message;
+  const { issuer, incarnation } = table;
+  const id = getHoldingId(issuer, incarnation);
+  const refusal = getAdoptionRefusal(state, successor, table);
+  if (refusal !== undefined) {
+    const message = `table "${id}" is not adopted: ${refusal}`;
+    return [reject(requestId, "act-hand-over", "unknown", message)];
+  }
+  if (!state.holdings.has(id) || !isGuarded(state, "hand-over-once")) {
+    addAdopted(state, table);
+  }
+  return [{ kind: "adopted", requestId, issuer, incarnation }];
+}
+
+function getAdoptionRefusal(
+  state: ActsState,
+  successor: DaemonIncarnation,
+  table: ActTable,
+): string | undefined {
+  const self = getSelfOrThrow(state);
+  const isNamed = successor.name === self.name && successor.incarnation === self.incarnation;
+  if (!isNamed && isGuarded(state, "hand-over-incarnation")) {
+    return `it names incarnation "${successor.incarnation}" of daemon "${successor.name}"`;
+  }
+  if (state.holdings.has(getHoldingId(table.issuer, table.incarnation))) {
+    return undefined;
+  }
+  if (table.lastExpiresAt <= state.latestTime) {
+    return "all its keys have expired";
+  }
+  if (state.holdings.get(getHoldingId(self.name, self.incarnation))?.phase !== "held") {
+    return `daemon "${self.name}" is stopping`;
+  }
+  return hasRoom(state, table) ? undefined : `daemon "${self.name}" has no room for it`;
+}
+
+function hasRoom(state: ActsState, table: ActTable): boolean {
+  const bytes = table.acts.reduce((sum, act) => sum + getConcludedBytes(act.conclusion), 0);
+  const { maxActs, maxBytes } = state.limits;
+  return state.actCount + table.acts.length <= maxActs && state.bytes + bytes <= maxBytes;
+}
+
+function addAdopted(state: ActsState, table: ActTable): void {
+  const owner = { name: table.issuer, incarnation: table.incarnation };
+  const holding = createHolding(owner, table.secret, table.latestTime, table.lastExpiresAt);
+  state.holdings.set(holding.id, holding);
+  for (const act of table.acts) {
+    const record = createRecord(holding, act);
+    holding.acts.set(act.sequence, record);
+    state.actCount += 1;
+    state.bytes += record.bytes;
+  }
+}
+
+function createTable(state: ActsState, holding: Holding): ActTable {
+  return {
+    issuer: holding.issuer,
+    incarnation: holding.incarnation,
+    secret: holding.secret,
+    latestTime: Math.max(state.latestTime, holding.latestTime),
+    lastExpiresAt: holding.lastExpiresAt,
+    acts: [...holding.acts.values()].flatMap(({ sequence, fingerprint, expiresAt, conclusion }) =>
+      conclusion === undefined ? [] : [{ sequence, fingerprint, expiresAt, conclusion }],
+    ),
+  };
+}
+
+function createRecord(holding: Holding, act: ConcludedAct): ActRecord {
+  const { issuer, incarnation, secret, id } = holding;
+  const key = ActKey.create(issuer, incarnation, act.sequence, act.expiresAt, secret);
+  return {
+    actId: key.actId,
+    holdingId: id,
+    key: key.text,
+    service: "",
+    sequence: act.sequence,
+    fingerprint: act.fingerprint,
+    expiresAt: act.expiresAt,
+    attempts: 0,
+    attemptId: "",
+    bytes: getConcludedBytes(act.conclusion),
+    waiters: [],
+    conclusion: act.conclusion,
+  };
+}
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./acts/index.js";
 export * from "./configuration/index.js";
 export * from "./errors/index.js";
 export * from "./hosts/index.js";
