Check configuration files whole, and type the operations answers

Ruled out: stopping at the first error; checking references only after the schema passes, since a wrong type would hide them. References are read through a lenient outline instead. Engines may list adapters; absent means every adapter of their models.

--- /dev/null
+++ b/packages/kernel/src/configuration/referenceFindings.ts
@@ -0,0 +1,219 @@
+import { z } from "zod";
+import { formatPath, formatValue, type ConfigurationPath } from "./findings.js";
+import type { ConfigurationFinding } from "./findings.js";
+
+const text = z.string().optional().catch(undefined);
+const texts = z.array(text).optional().catch(undefined);
+
+function list<Item extends z.ZodType>(item: Item) {
+  return z.array(item).catch([]);
+}
+
+const named = { name: text };
+
+/** The parts of a file that refer to each other, read leniently so that other errors hide none. */
+const outlineSchema = z.object({
+  zones: list(z.object(named).catch({})),
+  models: list(z.object({ ...named, adapters: texts }).catch({})),
+  engines: list(
+    z.object({ ...named, zone: text, models: texts, adapters: texts, role: text }).catch({}),
+  ),
+  services: list(
+    z
+      .object({
+        ...named,
+        hosts: list(z.object({ ...named, zone: text }).catch({})),
+        routes: list(z.object({ method: text, path: text }).catch({})),
+      })
+      .catch({ hosts: [], routes: [] }),
+  ),
+  teams: list(z.object({ ...named, tokenSha256: text }).catch({})),
+});
+
+type Outline = z.infer<typeof outlineSchema>;
+
+/** A text of the file and where it stands. */
+interface Mention {
+  readonly path: ConfigurationPath;
+  readonly value: string | undefined;
+}
+
+/**
+ * Gets the findings for duplicates and for references to things that the file does not hold.
+ * @param file - The parsed file, of any shape.
+ */
+export function getReferenceFindings(file: unknown): ConfigurationFinding[] {
+  const parsed = outlineSchema.safeParse(file);
+  if (!parsed.success) {
+    return [];
+  }
+  const outline = parsed.data;
+  return [
+    ...getDuplicateFindings(outline),
+    ...getZoneFindings(outline),
+    ...getModelFindings(outline),
+    ...getAdapterFindings(outline),
+    ...getUnservedFindings(outline),
+  ];
+}
+
+function getDuplicateFindings(outline: Outline): ConfigurationFinding[] {
+  const hosts = [...getNames(outline.engines, ["engines"]), ...getServiceHosts(outline, "name")];
+  const tokens = outline.teams.map((team, index) => ({
+    path: ["teams", index, "tokenSha256"],
+    value: team.tokenSha256,
+  }));
+  return [
+    ...findDuplicates("zone", getNames(outline.zones, ["zones"])),
+    ...findDuplicates("model", getNames(outline.models, ["models"])),
+    ...findDuplicates("host", hosts),
+    ...findDuplicates("service", getNames(outline.services, ["services"])),
+    ...findDuplicates("team", getNames(outline.teams, ["teams"])),
+    ...findDuplicates("token hash", tokens),
+    ...getNestedDuplicateFindings(outline),
+  ];
+}
+
+function getNestedDuplicateFindings(outline: Outline): ConfigurationFinding[] {
+  const findings: ConfigurationFinding[] = [];
+  for (const [index, model] of outline.models.entries()) {
+    const path = ["models", index, "adapters"];
+    findings.push(...findDuplicates("adapter", getMentions(model.adapters, path)));
+  }
+  for (const [index, engine] of outline.engines.entries()) {
+    const models = getMentions(engine.models, ["engines", index, "models"]);
+    const adapters = getMentions(engine.adapters, ["engines", index, "adapters"]);
+    findings.push(...findDuplicates("model", models), ...findDuplicates("adapter", adapters));
+  }
+  for (const [index, service] of outline.services.entries()) {
+    const routes = service.routes.map((route, position) => ({
+      path: ["services", index, "routes", position],
+      value: route.path === undefined ? undefined : `${route.method ?? "?"} ${route.path}`,
+    }));
+    findings.push(...findDuplicates("route", routes));
+  }
+  return findings;
+}
+
+function getZoneFindings(outline: Outline): ConfigurationFinding[] {
+  const zones = getValues(outline.zones.map((zone) => zone.name));
+  const engines = outline.engines.map((engine, index) => ({
+    path: ["engines", index, "zone"],
+    value: engine.zone,
+  }));
+  return findUnknown("zone", [...engines, ...getServiceHosts(outline, "zone")], zones);
+}
+
+function getModelFindings(outline: Outline): ConfigurationFinding[] {
+  const models = getValues(outline.models.map((model) => model.name));
+  const mentions = outline.engines.flatMap((engine, index) =>
+    getMentions(engine.models, ["engines", index, "models"]),
+  );
+  return findUnknown("model", mentions, models);
+}
+
+function getAdapterFindings(outline: Outline): ConfigurationFinding[] {
+  const adaptersByModel = new Map(outline.models.map((model) => [model.name, model.adapters]));
+  return outline.engines.flatMap((engine, index) => {
+    const adapters = (engine.models ?? []).flatMap((model) => adaptersByModel.get(model) ?? []);
+    const mentions = getMentions(engine.adapters, ["engines", index, "adapters"]);
+    return findUnknown("adapter", mentions, getValues(adapters));
+  });
+}
+
+function getUnservedFindings(outline: Outline): ConfigurationFinding[] {
+  const serving = outline.engines.filter((engine) => engine.role !== "standby");
+  const served = getValues(serving.flatMap((engine) => engine.models ?? []));
+  return getNames(outline.models, ["models"])
+    .filter(({ value }) => value !== undefined && !served.has(value))
+    .map((mention) =>
+      getFinding(mention, `no engine serves model ${getQuoted(mention)}`, [
+        "a model that an engine outside role standby lists",
+      ]),
+    );
+}
+
+function findDuplicates(kind: string, mentions: readonly Mention[]): ConfigurationFinding[] {
+  const firstPaths = new Map<string, string>();
+  const findings: ConfigurationFinding[] = [];
+  for (const mention of mentions) {
+    if (mention.value === undefined) {
+      continue;
+    }
+    const first = firstPaths.get(mention.value);
+    if (first === undefined) {
+      firstPaths.set(mention.value, formatPath(mention.path));
+      continue;
+    }
+    const message = `${kind} ${getQuoted(mention)} is already at ${first}`;
+    findings.push(getFinding(mention, message, ["each only once"]));
+  }
+  return findings;
+}
+
+function findUnknown(
+  kind: string,
+  mentions: readonly Mention[],
+  known: ReadonlySet<string>,
+): ConfigurationFinding[] {
+  return mentions
+    .filter(({ value }) => value !== undefined && !known.has(value))
+    .map((mention) => {
+      const message = `${kind} ${getQuoted(mention)} is not in the configuration`;
+      return getFinding(mention, message, getShown(known));
+    });
+}
+
+function getFinding(
+  mention: Mention,
+  message: string,
+  allowed: readonly string[],
+): ConfigurationFinding {
+  return {
+    kind: "reference",
+    path: formatPath(mention.path),
+    value: formatValue(mention.path, mention.value),
+    message,
+    allowed: allowed.length === 0 ? "nothing" : allowed.join(", "),
+  };
+}
+
+function getQuoted(mention: Mention): string {
+  return formatValue(mention.path, mention.value);
+}
+
+const maxShownNames = 20;
+
+function getShown(names: ReadonlySet<string>): string[] {
+  const shown = [...names].slice(0, maxShownNames);
+  return names.size > maxShownNames
+    ? [...shown, `and ${String(names.size - maxShownNames)} more`]
+    : shown;
+}
+
+function getNames(
+  items: readonly { readonly name?: string | undefined }[],
+  path: ConfigurationPath,
+): Mention[] {
+  return items.map((item, index) => ({ path: [...path, index, "name"], value: item.name }));
+}
+
+function getMentions(
+  values: readonly (string | undefined)[] | undefined,
+  path: ConfigurationPath,
+): Mention[] {
+  return (values ?? []).map((value, index) => ({ path: [...path, index], value }));
+}
+
+function getServiceHosts(outline: Outline, key: "name" | "zone"): Mention[] {
+  return outline.services.flatMap((service, index) =>
+    service.hosts.map((host, position) => ({
+      path: ["services", index, "hosts", position, key],
+      value: host[key],
+    })),
+  );
+}
+
+function getValues(values: readonly (string | undefined)[]): Set<string> {
+  return new Set(values.filter((value) => value !== undefined));
+}
--- a/packages/kernel/src/configuration/schema.ts
+++ b/packages/kernel/src/configuration/schema.ts
@@ -4,6 +4,9 @@
   .string()
   .regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, "must be 1 to 63 of a-z, 0-9, '.' and '-'");
 
+/** Largest configuration file, in bytes of UTF-8. */
+export const maxConfigurationBytes = 1_048_576;
+
 const zoneSchema = z.strictObject({ name, region: name });
 
 const modelSchema = z.strictObject({
@@ -17,6 +20,8 @@
   zone: name,
   /** Names of the models that the engine serves. */
   models: z.array(name).min(1),
+  /** Adapters that the engine carries; every adapter of its models when absent. */
+  adapters: z.array(name).optional(),
   /** Concurrent requests that the engine batches. */
   slots: z.int().min(1).max(4096).default(32),
   /** Share of load relative to other engines. */
@@ -91,3 +96,4 @@
 export type Service = z.infer<typeof serviceSchema>;
 export type Route = z.infer<typeof routeSchema>;
 export type Team = z.infer<typeof teamSchema>;
+export type ServiceHost = z.infer<typeof serviceHostSchema>;
--- /dev/null
+++ b/packages/kernel/src/operations/explanation.ts
@@ -0,0 +1,27 @@
+import { z } from "zod";
+
+const candidateSchema = z.object({
+  engine: z.string(),
+  zone: z.string(),
+  /** Position in the chat's order of preference, from 0. */
+  rank: z.int().min(0),
+  load: z.number(),
+  eligible: z.boolean(),
+  reason: z.string(),
+});
+
+/** The answer of `GET /v1/explain`: where a chat would go, and why. */
+export const explanationSchema = z.object({
+  chat: z.string(),
+  model: z.string(),
+  /** Mean load of the engines that serve the model. */
+  mean: z.number(),
+  /** Load up to which an engine takes new requests. */
+  limit: z.number(),
+  candidates: z.array(candidateSchema),
+  /** Name of the engine that would be chosen; absent when there is none. */
+  choice: z.string().nullish(),
+});
+
+export type Explanation = z.infer<typeof explanationSchema>;
+export type ExplanationCandidate = z.infer<typeof candidateSchema>;
