--- a/packages/kernel/tests/configuration/parseConfiguration.test.ts
+++ b/packages/kernel/tests/configuration/parseConfiguration.test.ts
@@ -68,7 +68,7 @@
     'line 9: models[0].name: no engine serves model "brief" (found "brief"); allowed: a model that an engine outside role standby lists',
     'line 15: engines[0].zone: zone "south" is not in the configuration (found "south"); allowed: north',
     'line 16: engines[0].models[0]: model "poem" is not in the configuration (found "poem"); allowed: brief',
-    'line 17: engines[0].slots: has the wrong type (found "x"); allowed: int',
+    'line 17: engines[0].slots: has the wrong type (found "x"); allowed: number',
     "line 23: services[0].routes[0].repeatable: is missing; allowed: boolean",
     'line 32: teams[1].name: team "drivers" is already at teams[0].name (found "drivers"); allowed: each only once',
     "line 33: teams[1].tokenSha256: token hash (hidden) is already at teams[0].tokenSha256 (found (hidden)); allowed: each only once",
