--- /dev/null
+++ b/packages/daemon/bin/pistachiowayd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/daemon/src/acts/ActSender.ts
@@ -0,0 +1,132 @@
+import type { AttemptResult, HeaderField, Service } from "@pistachioway/kernel";
+import { Problem } from "../errors/index.js";
+import type { RetryTask } from "../kernel/index.js";
+import type { ServiceAnswer, ServiceClient } from "../services/ServiceClient.js";
+import type { AttemptFailure } from "../upstreams/index.js";
+import type { ActCall } from "./schema.js";
+
+/** The end of one send of an act. */
+export interface SendEnd {
+  readonly result: AttemptResult;
+  /** True when the act may be sent to another host, should it provably not have run. */
+  readonly hasOtherHost: boolean;
+}
+
+/** Sends acts to hosts of their service. */
+export class ActSender {
+  private readonly triedHosts = new Map<string, string[]>();
+
+  private constructor(
+    private readonly client: ServiceClient,
+    private readonly retries: RetryTask,
+    private readonly getService: (name: string) => Service | undefined,
+  ) {}
+
+  /**
+   * Creates a sender.
+   * @param client - Client of the services.
+   * @param retries - Decides on further sends within the retry budget.
+   * @param getService - Gets a service of the configuration in force.
+   */
+  static create(
+    client: ServiceClient,
+    retries: RetryTask,
+    getService: (name: string) => Service | undefined,
+  ): ActSender {
+    return new ActSender(client, retries, getService);
+  }
+
+  /**
+   * Sends an act once. The act goes on when its caller goes away.
+   * @param call - Call of the service.
+   * @param actId - Id of the act.
+   * @param attemptId - Id of the attempt, echoed by the host.
+   * @param key - Key of the act, passed to the service.
+   */
+  async send(call: ActCall, actId: string, attemptId: string, key: string): Promise<SendEnd> {
+    const host = this.getHost(call, actId);
+    if (host === undefined) {
+      this.triedHosts.delete(actId);
+      return { result: { kind: "never-sent" }, hasOtherHost: false };
+    }
+    const tried = this.addTriedHost(actId, host);
+    if (tried.length === 1) {
+      this.retries.start(actId);
+    }
+    const headers = { ...call.headers, "idempotency-key": key };
+    const answer = await this.client.send({ ...call, headers }, attemptId, host);
+    if (answer.kind === "answer") {
+      this.forget(actId);
+      return { result: { kind: "answered", answer: toActAnswer(answer) }, hasOtherHost: false };
+    }
+    return this.toFailedEnd(call, actId, host, answer);
+  }
+
+  private toFailedEnd(
+    call: ActCall,
+    actId: string,
+    host: string,
+    failure: AttemptFailure,
+  ): SendEnd {
+    const decision = this.retries.decide({
+      requestId: actId,
+      class: failure.class,
+      host,
+      attempt: this.triedHosts.get(actId)?.length ?? 1,
+      repeatable: false,
+      firstByteSent: false,
+      deadline: call.deadline,
+    });
+    const hasOtherHost = decision.kind === "retry" && this.getHost(call, actId) !== undefined;
+    if (!hasOtherHost) {
+      this.forget(actId);
+    }
+    return { result: toAttemptResult(failure), hasOtherHost };
+  }
+
+  private getHost(call: ActCall, actId: string): string | undefined {
+    const service = this.getService(call.service);
+    if (service === undefined) {
+      return undefined;
+    }
+    try {
+      return this.client.getHostOrThrow(service, this.triedHosts.get(actId) ?? []);
+    } catch (error) {
+      if (error instanceof Problem) {
+        return undefined;
+      }
+      throw error;
+    }
+  }
+
+  private addTriedHost(actId: string, host: string): string[] {
+    const tried = [...(this.triedHosts.get(actId) ?? []), host];
+    this.triedHosts.set(actId, tried);
+    return tried;
+  }
+
+  private forget(actId: string): void {
+    this.triedHosts.delete(actId);
+    this.retries.finish(actId);
+  }
+}
+
+function toAttemptResult(failure: AttemptFailure): AttemptResult {
+  switch (failure.class) {
+    case "neverSent":
+      return { kind: "never-sent" };
+    case "refused":
+      return { kind: "refused-by-upstream" };
+    default:
+      return { kind: "lost" };
+  }
+}
+
+function toActAnswer(answer: ServiceAnswer): {
+  status: number;
+  headers: HeaderField[];
+  body: Uint8Array;
+} {
+  const headers = Object.entries(answer.headers).map(([name, value]) => ({ name, value }));
+  return { status: answer.status, headers, body: answer.body };
+}
--- /dev/null
+++ b/packages/daemon/src/acts/problems.ts
@@ -0,0 +1,56 @@
+import type { ActConclusion, ActError, ActErrorCode, Instant } from "@pistachioway/kernel";
+import { Problem, type ProblemName } from "../errors/index.js";
+
+const problemNames: Readonly<Record<ActErrorCode, ProblemName>> = {
+  "act-key-foreign": "invalid-act-key",
+  "act-key-forged": "invalid-act-key",
+  "act-key-expired": "act-key-expired",
+  "act-key-reused": "act-mismatch",
+  "act-issuer-unlisted": "act-outcome-unknown",
+  "act-issuer-gone": "act-outcome-unknown",
+  "act-issuer-lost": "act-outcome-unknown",
+  "act-running": "act-outcome-unknown",
+  "act-deadline-passed": "deadline-exceeded",
+  "act-answer-not-kept": "act-outcome-unknown",
+  "act-table-full": "act-table-full",
+  "act-hand-over": "shutting-down",
+};
+
+/** Rejections that coming back under the same key cannot change. */
+const finalCodes: ReadonlySet<ActErrorCode> = new Set<ActErrorCode>([
+  "act-key-foreign",
+  "act-key-forged",
+  "act-key-expired",
+  "act-key-reused",
+  "act-answer-not-kept",
+  "act-issuer-gone",
+]);
+
+/**
+ * Gets the problem that tells a caller of a rejected act.
+ * @param error - Rejection by the kernel.
+ * @param retryAt - When coming back can help.
+ */
+export function getRejectionProblem(error: ActError, retryAt: Instant): Problem {
+  const retry = finalCodes.has(error.code) ? undefined : retryAt;
+  return Problem.create(problemNames[error.code], error.message, error.outcome, retry);
+}
+
+/**
+ * Gets the problem of an act that ended without an answer.
+ * @param actId - Act that ended.
+ * @param conclusion - How it ended.
+ * @param retryAt - When coming back can help.
+ */
+export function getConclusionProblem(
+  actId: string,
+  conclusion: ActConclusion,
+  retryAt: Instant,
+): Problem {
+  if (conclusion.state === "refused") {
+    const detail = `act "${actId}" did not run: ${conclusion.reason}; submit it under a new key`;
+    return Problem.create("upstream-refused", detail, "not-run", retryAt);
+  }
+  const detail = `it is not known whether act "${actId}" ran`;
+  return Problem.create("act-outcome-unknown", detail, "unknown");
+}
--- /dev/null
+++ b/packages/daemon/src/callers/AnswerSink.ts
@@ -0,0 +1,129 @@
+import type { FastifyReply } from "fastify";
+import { once } from "node:events";
+import { Problem, type Outcome } from "../errors/index.js";
+
+/** Headers of an answer. */
+export type AnswerHeaders = Readonly<Record<string, string>>;
+
+const millisecondsPerSecond = 1000;
+
+/** Writes one answer to a caller, whole or as a stream, and waits while the caller reads slowly. */
+export class AnswerSink {
+  private isStreaming = false;
+
+  private constructor(
+    private readonly reply: FastifyReply,
+    private readonly requestId: string,
+    private readonly getNow: () => number,
+  ) {}
+
+  /**
+   * Creates a sink.
+   * @param reply - Reply of the HTTP server.
+   * @param requestId - Id of the request, told to the caller.
+   * @param getNow - Reads the clock.
+   */
+  static create(reply: FastifyReply, requestId: string, getNow: () => number): AnswerSink {
+    return new AnswerSink(reply, requestId, getNow);
+  }
+
+  /** True once a part of a stream was written. */
+  isStarted(): boolean {
+    return this.isStreaming;
+  }
+
+  /**
+   * Sends a whole answer.
+   * @param status - HTTP status.
+   * @param headers - Further headers.
+   * @param body - Body.
+   * @param outcome - What is known of the effect of the request.
+   */
+  sendWhole(status: number, headers: AnswerHeaders, body: Buffer, outcome: Outcome): void {
+    void this.reply
+      .code(status)
+      .headers({ ...headers, "x-request-id": this.requestId, "x-outcome": outcome })
+      .send(body);
+  }
+
+  /**
+   * Sends a failure: as a whole answer, or as the last event of a stream that has begun.
+   * @param problem - Failure to tell.
+   * @param headers - Further headers.
+   */
+  sendProblem(problem: Problem, headers: AnswerHeaders = {}): void {
+    const body = toProblemBody(problem, this.requestId);
+    if (this.isStreaming) {
+      this.reply.raw.end(`event: error\ndata: ${body}\n\n`);
+      return;
+    }
+    void this.reply
+      .code(problem.getStatus())
+      .headers({
+        ...headers,
+        ...this.toRetryAfter(problem),
+        "x-request-id": this.requestId,
+        "x-outcome": problem.outcome,
+        "content-type": "application/problem+json",
+      })
+      .send(body);
+  }
+
+  /**
+   * Writes a part of a stream and resolves when the caller can take more.
+   * @param text - Whole server-sent events.
+   * @param headers - Headers, sent with the first part.
+   */
+  async writeEvents(text: string, headers: AnswerHeaders): Promise<void> {
+    if (!this.isStreaming) {
+      this.startStream(headers);
+    }
+    const raw = this.reply.raw;
+    if (raw.destroyed) {
+      return;
+    }
+    if (!raw.write(text)) {
+      await Promise.race([once(raw, "drain"), once(raw, "close")]);
+    }
+  }
+
+  /** Ends a stream. */
+  endStream(): void {
+    this.reply.raw.end();
+  }
+
+  private startStream(headers: AnswerHeaders): void {
+    this.isStreaming = true;
+    this.reply.hijack();
+    this.reply.raw.writeHead(200, {
+      ...headers,
+      "content-type": "text/event-stream",
+      "cache-control": "no-store",
+      "x-request-id": this.requestId,
+    });
+  }
+
+  private toRetryAfter(problem: Problem): AnswerHeaders {
+    if (problem.retryAt === undefined) {
+      return {};
+    }
+    const seconds = Math.ceil((problem.retryAt - this.getNow()) / millisecondsPerSecond);
+    return { "retry-after": String(Math.max(1, seconds)) };
+  }
+}
+
+/**
+ * Formats a failure as `application/problem+json`.
+ * @param problem - Failure.
+ * @param requestId - Id of the request.
+ */
+export function toProblemBody(problem: Problem, requestId: string): string {
+  return JSON.stringify({
+    type: `urn:pistachioway:${problem.code}`,
+    title: problem.code.replaceAll("-", " "),
+    status: problem.getStatus(),
+    detail: problem.detail,
+    outcome: problem.outcome,
+    requestId,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/callers/CallerGate.ts
@@ -0,0 +1,120 @@
+import type { Instant } from "@pistachioway/kernel";
+import type { FastifyReply, FastifyRequest } from "fastify";
+import { Problem } from "../errors/index.js";
+import type { Metrics } from "../metrics/index.js";
+import type { Recorder } from "../timeline/index.js";
+import { AnswerSink } from "./AnswerSink.js";
+import type { CallerRequest } from "./CallerRequest.js";
+import { createCallerRequest, type RequestContext } from "./createCallerRequest.js";
+
+/** The kinds of requests that callers send. */
+export type RequestKind = "chat" | "service" | "act-key";
+
+/** Serves one request and resolves once the answer is written. */
+export type RequestHandler = (request: CallerRequest, sink: AnswerSink) => Promise<void>;
+
+/** What the gate works with. */
+export interface GateParts {
+  readonly context: RequestContext;
+  readonly recorder: Recorder;
+  readonly metrics: Metrics;
+}
+
+const millisecondsPerSecond = 1000;
+
+/** Takes every request of a caller: authenticates, counts, and answers every failure with a type. */
+export class CallerGate {
+  private runningCount = 0;
+  private onIdle: (() => void) | undefined;
+
+  private constructor(private readonly parts: GateParts) {}
+
+  /**
+   * Creates the gate.
+   * @param parts - What the gate works with.
+   */
+  static create(parts: GateParts): CallerGate {
+    return new CallerGate(parts);
+  }
+
+  /** Gets the number of requests in flight. */
+  getRunningCount(): number {
+    return this.runningCount;
+  }
+
+  /** Resolves when no request is in flight. */
+  async waitUntilIdle(): Promise<void> {
+    if (this.runningCount === 0) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      this.onIdle = resolve;
+    });
+  }
+
+  /**
+   * Serves one request.
+   * @param kind - Kind of the request.
+   * @param httpRequest - Request of the HTTP server.
+   * @param reply - Its reply.
+   * @param handler - Function that serves it.
+   */
+  async serve(
+    kind: RequestKind,
+    httpRequest: FastifyRequest,
+    reply: FastifyReply,
+    handler: RequestHandler,
+  ): Promise<void> {
+    const startedAt = this.parts.context.getNow();
+    const sink = AnswerSink.create(reply, httpRequest.id, this.parts.context.getNow);
+    this.runningCount += 1;
+    reply.raw.once("close", () => {
+      this.leave();
+    });
+    try {
+      const request = createCallerRequest(httpRequest, reply, httpRequest.id, this.parts.context);
+      await handler(request, sink);
+      this.finish(kind, httpRequest.id, startedAt, undefined);
+    } catch (error) {
+      const problem = this.toProblem(error, httpRequest.id);
+      sink.sendProblem(problem);
+      this.finish(kind, httpRequest.id, startedAt, problem);
+    }
+  }
+
+  private leave(): void {
+    this.runningCount -= 1;
+    if (this.runningCount === 0) {
+      this.onIdle?.();
+    }
+  }
+
+  private toProblem(error: unknown, requestId: string): Problem {
+    if (error instanceof Problem) {
+      return error;
+    }
+    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.parts.recorder.record("request.error", { request: requestId, detail }, "error");
+    return Problem.create("internal", "an internal error stopped the request", "unknown");
+  }
+
+  private finish(
+    kind: RequestKind,
+    requestId: string,
+    startedAt: Instant,
+    problem: Problem | undefined,
+  ): void {
+    const { metrics, recorder, context } = this.parts;
+    const milliseconds = context.getNow() - startedAt;
+    const outcome = problem?.outcome ?? "complete";
+    metrics.requests.inc({ kind, outcome, problem: problem?.code ?? "none" });
+    metrics.requestDuration.observe({ kind }, milliseconds / millisecondsPerSecond);
+    const fields = { request: requestId, kind, outcome, milliseconds };
+    if (problem === undefined) {
+      recorder.record("request.finished", fields, "info");
+      return;
+    }
+    const failure = { problem: problem.code, detail: problem.detail };
+    recorder.record("request.finished", { ...fields, ...failure }, "warn");
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/callers/ProblemFilter.ts
@@ -0,0 +1,60 @@
+import { Catch, HttpException, type ArgumentsHost, type ExceptionFilter } from "@nestjs/common";
+import type { FastifyReply, FastifyRequest } from "fastify";
+import { Problem } from "../errors/index.js";
+import { AnswerSink } from "./AnswerSink.js";
+
+const payloadTooLargeStatus = 413;
+const notFoundStatus = 404;
+
+/** Turns every error that reaches Nest into a problem. */
+@Catch()
+export class ProblemFilter implements ExceptionFilter {
+  private constructor(private readonly onInternalError: (error: unknown) => void) {}
+
+  /**
+   * Creates the filter.
+   * @param onInternalError - Called with each error that has no type of its own.
+   */
+  static create(onInternalError: (error: unknown) => void): ProblemFilter {
+    return new ProblemFilter(onInternalError);
+  }
+
+  /**
+   * Answers a request whose handling threw.
+   * @param error - What was thrown.
+   * @param host - Request and reply.
+   */
+  catch(error: unknown, host: ArgumentsHost): void {
+    const http = host.switchToHttp();
+    const request = http.getRequest<FastifyRequest>();
+    const sink = AnswerSink.create(http.getResponse<FastifyReply>(), request.id, Date.now);
+    sink.sendProblem(this.toProblem(error, request));
+  }
+
+  private toProblem(error: unknown, request: FastifyRequest): Problem {
+    if (error instanceof Problem) {
+      return error;
+    }
+    const status = getStatus(error);
+    if (status === payloadTooLargeStatus) {
+      return Problem.create("body-too-large", "the body is larger than the limit");
+    }
+    if (status === notFoundStatus) {
+      return Problem.create("unknown-path", `no handler for "${request.method} ${request.url}"`);
+    }
+    if (status !== undefined && status < 500) {
+      const detail = error instanceof Error ? error.message : "the request cannot be read";
+      return Problem.create("invalid-request", detail);
+    }
+    this.onInternalError(error);
+    return Problem.create("internal", "an internal error stopped the request", "unknown");
+  }
+}
+
+function getStatus(error: unknown): number | undefined {
+  if (error instanceof HttpException) {
+    return error.getStatus();
+  }
+  const status = (error as { statusCode?: unknown } | null)?.statusCode;
+  return typeof status === "number" ? status : undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/callers/createCallerRequest.ts
@@ -0,0 +1,81 @@
+import type { Instant } from "@pistachioway/kernel";
+import type { FastifyReply, FastifyRequest } from "fastify";
+import { Problem } from "../errors/index.js";
+import type { ConfigurationIndex } from "../state/index.js";
+import { getTeamOrThrow } from "./authenticate.js";
+import type { CallerRequest } from "./CallerRequest.js";
+
+/** What a request is checked against. */
+export interface RequestContext {
+  readonly getIndex: () => ConfigurationIndex | undefined;
+  readonly getNow: () => Instant;
+  readonly requestMilliseconds: number;
+  /** Earliest time at which a caller may find a configuration in force. */
+  readonly getConfigurationRetryAt: () => Instant;
+}
+
+const maxDeadlineMilliseconds = 3_600_000;
+
+/**
+ * Authenticates a request and reads its deadline.
+ * @param request - Request of the HTTP server.
+ * @param reply - Its reply; when it closes early the request's signal is aborted.
+ * @param id - Id given to the request.
+ * @param context - What the request is checked against.
+ * @throws Problem when the request cannot be taken.
+ */
+export function createCallerRequest(
+  request: FastifyRequest,
+  reply: FastifyReply,
+  id: string,
+  context: RequestContext,
+): CallerRequest {
+  const index = context.getIndex();
+  if (index === undefined) {
+    const retryAt = context.getConfigurationRetryAt();
+    throw Problem.create("no-configuration", "no configuration is in force", "not-run", retryAt);
+  }
+  const arrivedAt = context.getNow();
+  return {
+    id,
+    team: getTeamOrThrow(request.headers.authorization, index),
+    index,
+    method: request.method,
+    url: request.url,
+    headers: request.headers,
+    body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
+    arrivedAt,
+    deadline: getDeadlineOrThrow(request, arrivedAt, context.requestMilliseconds),
+    signal: createDisconnectSignal(reply),
+  };
+}
+
+function getDeadlineOrThrow(
+  request: FastifyRequest,
+  arrivedAt: Instant,
+  requestMilliseconds: number,
+): Instant {
+  const header = request.headers["x-deadline"];
+  if (header === undefined) {
+    return arrivedAt + requestMilliseconds;
+  }
+  const deadline = Number(header);
+  if (!Number.isSafeInteger(deadline) || deadline > arrivedAt + maxDeadlineMilliseconds) {
+    const allowed = "must be milliseconds since the epoch, at most an hour ahead";
+    throw Problem.create("invalid-deadline", `header "x-deadline" ${allowed}`);
+  }
+  if (deadline <= arrivedAt) {
+    throw Problem.create("deadline-exceeded", "the deadline had passed when the request arrived");
+  }
+  return deadline;
+}
+
+function createDisconnectSignal(reply: FastifyReply): AbortSignal {
+  const abort = new AbortController();
+  reply.raw.on("close", () => {
+    if (!reply.raw.writableFinished) {
+      abort.abort();
+    }
+  });
+  return abort.signal;
+}
--- /dev/null
+++ b/packages/daemon/src/chat/ChatRun.ts
@@ -0,0 +1,19 @@
+import type { CallerRequest } from "../callers/CallerRequest.js";
+import type { ChatBody } from "./schema.js";
+
+/** A chat request on its way through the daemon. */
+export interface ChatRun {
+  readonly request: CallerRequest;
+  readonly body: ChatBody;
+  /** Id of the chat as the caller knows it. */
+  readonly chat: string;
+  /** Id of the chat towards engines, distinct for each team. */
+  readonly engineChat: string;
+  /** Estimated tokens of the prompt. */
+  readonly promptTokens: number;
+  /** True when the request holds no earlier answer. */
+  readonly isFirstTurn: boolean;
+  /** Engines that failed this request already. */
+  excluded: readonly string[];
+  attempts: number;
+}
--- /dev/null
+++ b/packages/daemon/src/chat/EngineClient.ts
@@ -0,0 +1,129 @@
+import type { Instant } from "@pistachioway/kernel";
+import type { HostDirectory } from "../kernel/index.js";
+import {
+  sendAttempt,
+  type AttemptAnswer,
+  type AttemptFailure,
+  type AttemptRequest,
+  type Connections,
+} from "../upstreams/index.js";
+import type { ChatRun } from "./ChatRun.js";
+
+const cancelTimeoutMilliseconds = 2_000;
+
+/** Speaks the engines' protocol. */
+export class EngineClient {
+  private constructor(
+    private readonly connections: Connections,
+    private readonly hosts: HostDirectory,
+    private readonly getNow: () => Instant,
+  ) {}
+
+  /**
+   * Creates a client.
+   * @param connections - Connections to the upstreams.
+   * @param hosts - Addresses of the engines; takes what the attempts show of them.
+   * @param getNow - Reads the clock.
+   */
+  static create(
+    connections: Connections,
+    hosts: HostDirectory,
+    getNow: () => Instant,
+  ): EngineClient {
+    return new EngineClient(connections, hosts, getNow);
+  }
+
+  /**
+   * Sends a chat completion request.
+   * @param run - Chat request.
+   * @param attemptId - Id of the attempt.
+   * @param engine - Name of the engine.
+   */
+  async sendChat(
+    run: ChatRun,
+    attemptId: string,
+    engine: string,
+  ): Promise<AttemptAnswer | AttemptFailure> {
+    const { request } = run;
+    return await this.send(engine, {
+      attemptId,
+      method: "POST",
+      path: "/v1/chat/completions",
+      headers: {
+        "content-type": "application/json",
+        "x-chat-id": run.engineChat,
+        "x-priority": String(request.team.priority),
+        "x-deadline": String(request.deadline),
+      },
+      body: request.body,
+      deadline: request.deadline,
+      signal: request.signal,
+    });
+  }
+
+  /**
+   * Asks an engine to go on with a stream that was cut off.
+   * @param run - Chat request.
+   * @param attemptId - Id of the attempt that began the stream.
+   * @param engine - Name of the engine.
+   * @param offset - Number of tokens already passed on.
+   */
+  async resumeChat(
+    run: ChatRun,
+    attemptId: string,
+    engine: string,
+    offset: number,
+  ): Promise<AttemptAnswer | AttemptFailure> {
+    const answer = await this.send(engine, {
+      attemptId,
+      method: "GET",
+      path: `/v1/streams/${attemptId}?offset=${String(offset)}`,
+      headers: {},
+      body: undefined,
+      deadline: run.request.deadline,
+      signal: run.request.signal,
+    });
+    if (answer.kind === "answer" && answer.status !== 200) {
+      answer.body.destroy();
+      const detail = `the stream cannot be resumed: status ${String(answer.status)}`;
+      return { kind: "failure", class: "lost", detail, isLeaving: false };
+    }
+    return answer;
+  }
+
+  /**
+   * Tells an engine to stop generating; a failure of the call changes nothing.
+   * @param attemptId - Id of the attempt.
+   * @param engine - Name of the engine.
+   */
+  cancelChat(attemptId: string, engine: string): void {
+    const request = {
+      attemptId,
+      method: "DELETE" as const,
+      path: `/v1/streams/${attemptId}`,
+      headers: {},
+      body: undefined,
+      deadline: this.getNow() + cancelTimeoutMilliseconds,
+      signal: undefined,
+    };
+    void this.send(engine, request).then((answer) => {
+      if (answer.kind === "answer") {
+        answer.body.resume();
+      }
+    });
+  }
+
+  private async send(
+    engine: string,
+    request: Omit<AttemptRequest, "address">,
+  ): Promise<AttemptAnswer | AttemptFailure> {
+    const address = this.hosts.getAddress(engine);
+    if (address === undefined) {
+      const detail = `engine "${engine}" has no address`;
+      return { kind: "failure", class: "neverSent", detail, isLeaving: false };
+    }
+    const answer = await sendAttempt(this.connections, { ...request, address }, this.getNow);
+    this.hosts.addObservation(engine, answer, request.signal?.aborted ?? false);
+    return answer;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/chat/EventSplitter.ts
@@ -0,0 +1,54 @@
+/** One whole server-sent event. */
+export interface ServerSentEvent {
+  /** The event as received, with its closing blank line. */
+  readonly text: string;
+  readonly id: string | undefined;
+  readonly data: string;
+}
+
+/** The data of the event that ends a whole stream. */
+export const terminalData = "[DONE]";
+
+/** Splits a stream of octets into whole server-sent events; a part of one is never passed on. */
+export class EventSplitter {
+  private readonly decoder = new TextDecoder("utf-8", { fatal: false });
+  private rest = "";
+
+  private constructor() {
+    // Created through the static method.
+  }
+
+  /** Creates a splitter at the start of a stream. */
+  static create(): EventSplitter {
+    return new EventSplitter();
+  }
+
+  /**
+   * Adds octets and gets the events that they complete.
+   * @param octets - Next part of the stream.
+   */
+  addOctets(octets: Uint8Array): ServerSentEvent[] {
+    this.rest += this.decoder.decode(octets, { stream: true });
+    const events: ServerSentEvent[] = [];
+    let end = this.rest.indexOf("\n\n");
+    while (end >= 0) {
+      events.push(parseEvent(this.rest.slice(0, end + 2)));
+      this.rest = this.rest.slice(end + 2);
+      end = this.rest.indexOf("\n\n");
+    }
+    return events;
+  }
+}
+
+function parseEvent(text: string): ServerSentEvent {
+  let id: string | undefined;
+  const data: string[] = [];
+  for (const line of text.split("\n")) {
+    if (line.startsWith("data:")) {
+      data.push(line.slice("data:".length).trimStart());
+    } else if (line.startsWith("id:")) {
+      id = line.slice("id:".length).trim();
+    }
+  }
+  return { text, id, data: data.join("\n") };
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export { ConfigurationTask } from "./ConfigurationTask.js";
+export type { InForce } from "./ConfigurationTask.js";
--- /dev/null
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -0,0 +1,119 @@
+import type { NestFastifyApplication } from "@nestjs/platform-fastify";
+import type { Instant } from "@pistachioway/kernel";
+import { randomUUID } from "node:crypto";
+import { setTimeout as delay } from "node:timers/promises";
+import { createCallersApplication } from "../callers/index.js";
+import { createOperationsApplication } from "../operations/index.js";
+import type { Settings } from "../settings/index.js";
+import { createTasks, type Tasks } from "./createTasks.js";
+
+/** The addresses that a started daemon listens on. */
+export interface Listening {
+  readonly callers: string;
+  readonly operations: string;
+}
+
+const tickMilliseconds = 50;
+
+/** One daemon: its listeners, tasks and life from start to stop. */
+export class Daemon {
+  private phase: "starting" | "ready" | "draining" = "starting";
+  private ticker: NodeJS.Timeout | undefined;
+
+  private constructor(
+    private readonly settings: Settings,
+    private readonly tasks: Tasks,
+    private readonly callers: NestFastifyApplication,
+    private readonly operations: NestFastifyApplication,
+  ) {}
+
+  /**
+   * Creates a daemon that does not listen yet.
+   * @param settings - Checked settings.
+   */
+  static async create(settings: Settings): Promise<Daemon> {
+    const holder: { daemon?: Daemon } = {};
+    const tasks = createTasks(settings, () => holder.daemon?.getPhase() ?? "starting");
+    const callers = await createCallersApplication({
+      gate: tasks.gate,
+      chats: tasks.chats,
+      services: tasks.services,
+      acts: tasks.acts,
+      bodyBytes: settings.limits.bodyBytes,
+      createRequestId: randomUUID,
+      onInternalError: (error) => {
+        const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+        tasks.recorder.record("request.error", { detail }, "error");
+      },
+    });
+    const operations = await createOperationsApplication(tasks.view);
+    holder.daemon = new Daemon(settings, tasks, callers, operations);
+    return holder.daemon;
+  }
+
+  /** Starts to listen and to read the platform; resolves once the listeners are open. */
+  async start(): Promise<Listening> {
+    const { listeners } = this.settings;
+    const operations = await listen(this.operations, listeners.operations);
+    const callers = await listen(this.callers, listeners.callers);
+    this.tasks.platform.start();
+    this.tasks.platform.setReader(true);
+    this.ticker = setInterval(() => {
+      this.tick();
+    }, tickMilliseconds);
+    this.tick();
+    const listening = { callers, operations };
+    this.tasks.recorder.record("daemon.listening", { ...listening }, "info");
+    return listening;
+  }
+
+  /** Gets the phase of the daemon's life. */
+  getPhase(): "starting" | "ready" | "draining" {
+    return this.phase;
+  }
+
+  /**
+   * Stops gracefully: leaves the balancer, finishes every request in flight, closes.
+   * @returns True when no request was cut off.
+   */
+  async stop(): Promise<boolean> {
+    const { limits } = this.settings;
+    const deadline = Date.now() + limits.drainMilliseconds;
+    this.phase = "draining";
+    this.tasks.recorder.record("daemon.draining", { deadline }, "info");
+    await delay(limits.unreadyMilliseconds);
+    const isIdle = await this.waitUntilIdle(deadline);
+    await this.close();
+    this.tasks.recorder.record("daemon.stopped", { cutOff: !isIdle }, "info");
+    return isIdle;
+  }
+
+  private async waitUntilIdle(deadline: Instant): Promise<boolean> {
+    const closing = this.callers.close();
+    const idle = Promise.all([closing, this.tasks.gate.waitUntilIdle()]).then(() => true);
+    const timeout = delay(Math.max(0, deadline - Date.now()), false, { ref: false });
+    return await Promise.race([idle, timeout]);
+  }
+
+  private async close(): Promise<void> {
+    clearInterval(this.ticker);
+    this.tasks.platform.stop();
+    await this.operations.close();
+    await this.tasks.connections.close();
+  }
+
+  private tick(): void {
+    this.tasks.tick();
+    if (this.phase === "starting" && this.tasks.configuration.getInForce() !== undefined) {
+      this.phase = "ready";
+      this.tasks.recorder.record("daemon.ready", {}, "info");
+    }
+  }
+}
+
+async function listen(application: NestFastifyApplication, address: string): Promise<string> {
+  const [host = "127.0.0.1", port = "0"] = address.split(":");
+  await application.listen(Number(port), host);
+  const url = new URL(await application.getUrl());
+  return `${host}:${url.port}`;
+}
--- /dev/null
+++ b/packages/daemon/src/daemon/Probes.ts
@@ -0,0 +1,44 @@
+import type { Instant, Observation, ProbeEffect } from "@pistachioway/kernel";
+import { request } from "undici";
+import { z } from "zod";
+
+/** What a probe showed of an upstream host. */
+export interface Probe {
+  readonly host: string;
+  readonly sign: Observation;
+  /** When the probe was sent, or the time of the report. */
+  readonly at: Instant;
+}
+
+const probeTimeoutMilliseconds = 1_000;
+const unavailableStatus = 503;
+const probePaths = { engine: "/v1/load", service: "/health" } as const;
+const loadSchema = z.looseObject({ at: z.number(), state: z.enum(["live", "leaving"]) });
+
+/**
+ * Asks an upstream host for its state.
+ * @param probe - Host to ask.
+ * @param getNow - Reads the clock.
+ */
+export async function probeHost(probe: ProbeEffect, getNow: () => Instant): Promise<Probe> {
+  const { host, role, address } = probe;
+  const at = getNow();
+  try {
+    const answer = await request(`http://${address}${probePaths[role]}`, {
+      signal: AbortSignal.timeout(probeTimeoutMilliseconds),
+    });
+    const text = await answer.body.text();
+    if (role === "engine" && answer.statusCode === 200) {
+      return { host, ...readLoad(text) };
+    }
+    return { host, sign: answer.statusCode === unavailableStatus ? "leaving" : "healthy", at };
+  } catch {
+    return { host, sign: "connectFailed", at };
+  }
+}
+
+/** A report has the age that it states, since engines publish it with a lag. */
+function readLoad(text: string): Pick<Probe, "sign" | "at"> {
+  const report = loadSchema.parse(JSON.parse(text));
+  return { sign: report.state === "leaving" ? "leaving" : "healthy", at: report.at };
+}
--- /dev/null
+++ b/packages/daemon/src/errors/Problem.ts
@@ -0,0 +1,70 @@
+import type { Instant } from "@pistachioway/kernel";
+import { DaemonError } from "./DaemonError.js";
+
+/** What is known of the effect of a request. */
+export type Outcome = "complete" | "not-run" | "unknown";
+
+/** The stable names of the failures that callers see, with their HTTP status. */
+export const problemStatuses = {
+  "malformed-body": 400,
+  "invalid-request": 400,
+  "invalid-deadline": 400,
+  unauthorized: 401,
+  "unknown-model": 404,
+  "unknown-service": 404,
+  "unknown-path": 404,
+  "body-too-large": 413,
+  "invalid-act-key": 400,
+  "act-key-expired": 410,
+  "act-mismatch": 422,
+  "act-table-full": 503,
+  "act-outcome-unknown": 502,
+  "team-over-limit": 429,
+  "over-capacity": 503,
+  "no-configuration": 503,
+  "no-upstream": 503,
+  "upstream-failed": 502,
+  "upstream-refused": 503,
+  "answer-interrupted": 502,
+  "deadline-exceeded": 504,
+  "shutting-down": 503,
+  internal: 500,
+} as const;
+
+export type ProblemName = keyof typeof problemStatuses;
+
+/** A failure that is told to the caller as `application/problem+json`. */
+export class Problem extends DaemonError {
+  readonly code: ProblemName;
+
+  private constructor(
+    name: ProblemName,
+    readonly detail: string,
+    readonly outcome: Outcome,
+    readonly retryAt: Instant | undefined,
+  ) {
+    super(detail);
+    this.code = name;
+  }
+
+  /**
+   * Creates a problem.
+   * @param name - Stable name of the failure.
+   * @param detail - Sentence that names the thing that failed.
+   * @param outcome - What is known of the effect of the request.
+   * @param retryAt - Earliest time at which a return can help.
+   */
+  static create(
+    name: ProblemName,
+    detail: string,
+    outcome: Outcome = "not-run",
+    retryAt?: Instant,
+  ): Problem {
+    return new Problem(name, detail, outcome, retryAt);
+  }
+
+  /** Gets the HTTP status. */
+  getStatus(): number {
+    return problemStatuses[this.code];
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/errors/index.ts
@@ -0,0 +1,6 @@
+export { DaemonError } from "./DaemonError.js";
+export { PlatformStatusError } from "./PlatformStatusError.js";
+export { Problem, problemStatuses } from "./Problem.js";
+export type { Outcome, ProblemName } from "./Problem.js";
+export { SettingsError } from "./SettingsError.js";
+export type { SettingsIssue } from "./SettingsError.js";
--- /dev/null
+++ b/packages/daemon/src/kernel/RetryTask.ts
@@ -0,0 +1,64 @@
+import {
+  retriesPlugin,
+  type FailureMessage,
+  type Instant,
+  type Kernel,
+  type RetriesEffect,
+} from "@pistachioway/kernel";
+
+/** A failed attempt. */
+export type FailedAttempt = Omit<FailureMessage, "kind">;
+
+/** Owns the retries plug-in. */
+export class RetryTask {
+  private constructor(
+    private readonly kernel: Kernel,
+    private readonly getNow: () => Instant,
+  ) {}
+
+  /**
+   * Creates the task.
+   * @param kernel - Kernel that holds the plug-in's state.
+   * @param getNow - Reads the clock.
+   */
+  static create(kernel: Kernel, getNow: () => Instant): RetryTask {
+    return new RetryTask(kernel, getNow);
+  }
+
+  /**
+   * Sets the retries allowed per request.
+   * @param budgetRatio - Retries per request.
+   */
+  configure(budgetRatio: number): void {
+    this.kernel.send(retriesPlugin, { kind: "configure", budgetRatio }, this.getNow());
+  }
+
+  /**
+   * Reports the first attempt of a request.
+   * @param requestId - Id of the request.
+   */
+  start(requestId: string): void {
+    this.kernel.send(retriesPlugin, { kind: "start", requestId }, this.getNow());
+  }
+
+  /**
+   * Reports the end of a request that was not given up on.
+   * @param requestId - Id of the request.
+   */
+  finish(requestId: string): void {
+    this.kernel.send(retriesPlugin, { kind: "done", requestId }, this.getNow());
+  }
+
+  /**
+   * Decides what follows a failed attempt.
+   * @param attempt - Attempt that failed.
+   */
+  decide(attempt: FailedAttempt): RetriesEffect {
+    const message: FailureMessage = { ...attempt, kind: "failed" };
+    const [effect] = this.kernel.send(retriesPlugin, message, this.getNow());
+    if (effect === undefined) {
+      throw new TypeError(`no decision for failed request "${attempt.requestId}"`);
+    }
+    return effect;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/kernel/index.ts
@@ -0,0 +1,6 @@
+export { AdmissionTask } from "./AdmissionTask.js";
+export { HostDirectory, isEligibleState } from "./HostDirectory.js";
+export { PlacementTask } from "./PlacementTask.js";
+export type { Placed } from "./PlacementTask.js";
+export { RetryTask } from "./RetryTask.js";
+export type { FailedAttempt } from "./RetryTask.js";
--- /dev/null
+++ b/packages/daemon/src/log/Log.ts
@@ -0,0 +1,53 @@
+import { createLogger, format, transports, type Logger } from "winston";
+
+/** A value of a log line or time line event. */
+export type FieldValue = string | number | boolean;
+
+/** The key=value pairs of one log line or time line event. */
+export type Fields = Readonly<Record<string, FieldValue>>;
+
+export type LogLevel = "error" | "warn" | "info" | "debug";
+
+/** Writes one line of key=value pairs for each event. */
+export class Log {
+  private constructor(
+    private readonly logger: Logger,
+    private readonly common: Fields,
+  ) {}
+
+  /**
+   * Creates a log on standard output.
+   * @param level - Least severe level to write.
+   * @param common - Pairs that every line carries.
+   */
+  static create(level: LogLevel, common: Fields): Log {
+    const line = format.printf((info) => String(info.message));
+    const logger = createLogger({ level, format: line, transports: [new transports.Console()] });
+    return new Log(logger, common);
+  }
+
+  /**
+   * Writes one event.
+   * @param level - Severity.
+   * @param event - Name of the event.
+   * @param fields - Ids and values of the event.
+   */
+  write(level: LogLevel, event: string, fields: Fields = {}): void {
+    if (!this.logger.isLevelEnabled(level)) {
+      return;
+    }
+    const at = new Date().toISOString();
+    this.logger.log(level, toLine({ at, level, event, ...this.common, ...fields }));
+  }
+}
+
+function toLine(fields: Fields): string {
+  return Object.entries(fields)
+    .map(([key, value]) => `${key}=${toText(value)}`)
+    .join(" ");
+}
+
+function toText(value: FieldValue): string {
+  const text = String(value);
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/packages/daemon/src/log/index.ts
@@ -0,0 +1,2 @@
+export { Log } from "./Log.js";
+export type { Fields, FieldValue, LogLevel } from "./Log.js";
--- /dev/null
+++ b/packages/daemon/src/metrics/index.ts
@@ -0,0 +1,1 @@
+export { Metrics } from "./Metrics.js";
--- /dev/null
+++ b/packages/daemon/src/operations/OperationsView.ts
@@ -0,0 +1,199 @@
+import {
+  actsPlugin,
+  admissionPlugin,
+  type ActTotals,
+  type DaemonStatus,
+  type EventPage,
+  type ExplainedEffect,
+  type Explanation,
+  type Kernel,
+} from "@pistachioway/kernel";
+import { getEngineChatId } from "../chat/index.js";
+import type { ConfigurationTask } from "../configuration/index.js";
+import type { AdmissionTask, HostDirectory, PlacementTask } from "../kernel/index.js";
+import type { Metrics } from "../metrics/index.js";
+import type { PlatformTask } from "../platform/index.js";
+import type { Timeline } from "../timeline/index.js";
+
+/** The states of a daemon's life. */
+export type DaemonPhase = DaemonStatus["state"];
+
+/** What the view reads. */
+export interface ViewParts {
+  readonly process: string;
+  readonly incarnation: string;
+  readonly zone: string;
+  readonly version: string;
+  readonly startedAt: number;
+  readonly disabledGuards: readonly string[];
+  readonly kernel: Kernel;
+  readonly configuration: ConfigurationTask;
+  readonly platform: PlatformTask;
+  readonly hosts: HostDirectory;
+  readonly placement: PlacementTask;
+  readonly admission: AdmissionTask;
+  readonly metrics: Metrics;
+  readonly timeline: Timeline;
+  readonly getPhase: () => DaemonPhase;
+}
+
+/** Metrics in the Prometheus text format. */
+export interface MetricsText {
+  readonly contentType: string;
+  readonly text: string;
+}
+
+/** Everything that operators can read of a daemon. */
+export class OperationsView {
+  private constructor(private readonly parts: ViewParts) {}
+
+  /**
+   * Creates the view.
+   * @param parts - What the view reads.
+   */
+  static create(parts: ViewParts): OperationsView {
+    return new OperationsView(parts);
+  }
+
+  /** Gets the phase of the daemon's life; only `ready` takes requests from the balancer. */
+  getState(): DaemonPhase {
+    return this.parts.getPhase();
+  }
+
+  /** Gets the metrics. */
+  async getMetrics(): Promise<MetricsText> {
+    const { registry } = this.parts.metrics;
+    return { contentType: registry.contentType, text: await registry.metrics() };
+  }
+
+  /**
+   * Gets a part of the time line.
+   * @param after - Last sequence number already seen.
+   * @param id - Keeps only events that carry this id.
+   */
+  getEvents(after: number, id: string | undefined): EventPage {
+    const page = this.parts.timeline.getPage(after, id);
+    const { process, incarnation } = this.parts;
+    return { process, incarnation, ...page };
+  }
+
+  /**
+   * Tells where a chat would go and why.
+   * @param chat - Id of the chat as its caller knows it.
+   * @param model - Model that serves it.
+   * @param team - Team of the chat; without it the id is taken as engines know it.
+   */
+  explain(chat: string, model: string, team: string | undefined): Explanation | undefined {
+    if (this.parts.configuration.getInForce()?.index.isModel(model) !== true) {
+      return undefined;
+    }
+    const engineChat = team === undefined ? chat : getEngineChatId(team, chat);
+    const explained = this.parts.placement.explain(engineChat, model);
+    return explained === undefined ? undefined : toExplanation(chat, explained);
+  }
+
+  /** Gets this daemon's view of itself and the fleet. */
+  getStatus(): DaemonStatus {
+    const { process, incarnation, zone, version, startedAt, configuration } = this.parts;
+    return {
+      process,
+      incarnation,
+      zone,
+      version,
+      startedAt,
+      state: this.parts.getPhase(),
+      configuration: configuration.getStatus(),
+      refused: configuration.getRefused(),
+      platform: this.parts.platform.getStatus(),
+      peers: this.getPeers(),
+      engines: this.getEngines(),
+      services: this.getServices(),
+      teams: this.getTeams(),
+      acts: this.getActs(),
+      guards: { disabled: [...this.parts.disabledGuards] },
+      counters: {},
+    };
+  }
+
+  private getPeers(): DaemonStatus["peers"] {
+    const daemons = [...this.parts.hosts.getView().daemons.values()];
+    return daemons.map(({ name, zone, state, isLeaving }) => ({
+      name,
+      zone,
+      state: isLeaving ? "leaving" : state,
+      revision: this.parts.configuration.getPeerRevision(name),
+    }));
+  }
+
+  private getEngines(): DaemonStatus["engines"] {
+    const configured = this.parts.configuration.getInForce()?.index.configuration.engines ?? [];
+    const hosts = this.parts.hosts.getView().hosts;
+    const loads = this.getLoads();
+    return configured.map(({ name, zone, models }) => {
+      const host = hosts.get(name);
+      return {
+        name,
+        zone,
+        models,
+        state: host?.state ?? "unknown",
+        reason: host?.reason ?? "not on the host list",
+        load: loads.get(name)?.load ?? 0,
+        limit: loads.get(name)?.limit,
+      };
+    });
+  }
+
+  private getLoads(): Map<string, { load: number; limit: number }> {
+    const models = this.parts.configuration.getInForce()?.index.configuration.models ?? [];
+    const candidates = models.flatMap(
+      (model) => this.parts.placement.explain("", model.name)?.candidates ?? [],
+    );
+    return new Map(candidates.map(({ engine, load, limit }) => [engine, { load, limit }]));
+  }
+
+  private getServices(): DaemonStatus["services"] {
+    const configured = this.parts.configuration.getInForce()?.index.configuration.services ?? [];
+    const hosts = this.parts.hosts.getView().hosts;
+    return configured.map((service) => ({
+      name: service.name,
+      hosts: service.hosts.map(({ name, zone }) => ({
+        name,
+        zone,
+        state: hosts.get(name)?.state ?? "unknown",
+        reason: hosts.get(name)?.reason ?? "not on the host list",
+      })),
+    }));
+  }
+
+  private getTeams(): DaemonStatus["teams"] {
+    const { teams } = this.parts.kernel.getStateOrThrow(admissionPlugin);
+    return [...teams.values()].map(({ name, running, waiting }) => ({
+      name,
+      running,
+      waiting: waiting.length,
+      ...this.parts.admission.getCounts(name),
+    }));
+  }
+
+  private getActs(): ActTotals {
+    const totals = { sending: 0, done: 0, unknown: 0, refused: 0 };
+    for (const holding of this.parts.kernel.getStateOrThrow(actsPlugin).holdings.values()) {
+      for (const act of holding.acts.values()) {
+        totals[act.conclusion?.state ?? "sending"] += 1;
+      }
+    }
+    return totals;
+  }
+}
+
+function toExplanation(chat: string, explained: ExplainedEffect): Explanation {
+  const { model, mean, candidates, choice } = explained;
+  return {
+    chat,
+    model,
+    mean,
+    choice,
+    limit: candidates[0]?.limit ?? 0,
+    candidates: [...candidates],
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/operations/index.ts
@@ -0,0 +1,3 @@
+export { createOperationsApplication } from "./createOperationsApplication.js";
+export { OperationsView } from "./OperationsView.js";
+export type { DaemonPhase } from "./OperationsView.js";
--- /dev/null
+++ b/packages/daemon/src/platform/index.ts
@@ -0,0 +1,2 @@
+export { PlatformTask } from "./PlatformTask.js";
+export type { PlatformValue, PublishedConfiguration } from "./PlatformReader.js";
--- /dev/null
+++ b/packages/daemon/src/services/ServiceClient.ts
@@ -0,0 +1,142 @@
+import type { Instant, Service } from "@pistachioway/kernel";
+import type { Dispatcher } from "undici";
+import { Problem } from "../errors/index.js";
+import type { HostDirectory } from "../kernel/index.js";
+import {
+  readWhole,
+  sendAttempt,
+  type AttemptFailure,
+  type Connections,
+} from "../upstreams/index.js";
+import { getEndToEndHeaders } from "./headers.js";
+
+/** A whole answer of a service. */
+export interface ServiceAnswer {
+  readonly kind: "answer";
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+/** A request to a host of a service. */
+export interface ServiceRequest {
+  readonly method: string;
+  /** Path and query below the service. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  readonly deadline: Instant;
+  /** Aborted when the caller is gone; absent for a request that goes on without its caller. */
+  readonly signal?: AbortSignal;
+}
+
+const maxAnswerBytes = 8_388_608;
+const returnMilliseconds = 2_000;
+
+/** Speaks to the hosts of plain services and spreads calls over them. */
+export class ServiceClient {
+  private readonly runningByHost = new Map<string, number>();
+
+  private constructor(
+    private readonly connections: Connections,
+    private readonly hosts: HostDirectory,
+    private readonly getNow: () => Instant,
+  ) {}
+
+  /**
+   * Creates a client.
+   * @param connections - Connections to the upstreams.
+   * @param hosts - Addresses and states of the hosts; takes what the attempts show of them.
+   * @param getNow - Reads the clock.
+   */
+  static create(
+    connections: Connections,
+    hosts: HostDirectory,
+    getNow: () => Instant,
+  ): ServiceClient {
+    return new ServiceClient(connections, hosts, getNow);
+  }
+
+  /**
+   * Gets the eligible host of a service with the fewest calls running from this daemon.
+   * @param service - Service that is called.
+   * @param excluded - Hosts not to take.
+   * @throws Problem `no-upstream` when no host is left.
+   */
+  getHostOrThrow(service: Service, excluded: readonly string[]): string {
+    const candidates = service.hosts
+      .map((host) => host.name)
+      .filter((name) => this.hosts.isEligible(name) && !excluded.includes(name));
+    const host = candidates.reduce<string | undefined>(
+      (best, name) =>
+        best === undefined || this.getRunning(name) < this.getRunning(best) ? name : best,
+      undefined,
+    );
+    if (host === undefined) {
+      const retryAt = this.getNow() + returnMilliseconds;
+      const detail = `service "${service.name}" has no host that takes work`;
+      throw Problem.create("no-upstream", detail, "not-run", retryAt);
+    }
+    return host;
+  }
+
+  /**
+   * Sends a call to one host and reads the whole answer.
+   * @param request - Call and headers.
+   * @param attemptId - Id of the attempt, echoed by the host.
+   * @param host - Name of the host.
+   */
+  async send(
+    request: ServiceRequest,
+    attemptId: string,
+    host: string,
+  ): Promise<ServiceAnswer | AttemptFailure> {
+    this.runningByHost.set(host, this.getRunning(host) + 1);
+    try {
+      return await this.sendToAddress(request, attemptId, host);
+    } finally {
+      this.runningByHost.set(host, this.getRunning(host) - 1);
+    }
+  }
+
+  private getRunning(host: string): number {
+    return this.runningByHost.get(host) ?? 0;
+  }
+
+  private async sendToAddress(
+    request: ServiceRequest,
+    attemptId: string,
+    host: string,
+  ): Promise<ServiceAnswer | AttemptFailure> {
+    const address = this.hosts.getAddress(host);
+    if (address === undefined) {
+      const detail = `service host "${host}" has no address`;
+      return { kind: "failure", class: "neverSent", detail, isLeaving: false };
+    }
+    const answer = await sendAttempt(
+      this.connections,
+      {
+        attemptId,
+        address,
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers,
+        body: request.body.length === 0 ? undefined : request.body,
+        deadline: request.deadline,
+        signal: request.signal,
+      },
+      this.getNow,
+    );
+    this.hosts.addObservation(host, answer, request.signal?.aborted ?? false);
+    if (answer.kind === "failure") {
+      return answer;
+    }
+    const body = await readWhole(answer.body, maxAnswerBytes);
+    if (body === undefined) {
+      const detail = "the answer was cut off";
+      return { kind: "failure", class: "lost", detail, isLeaving: false };
+    }
+    const kept = getEndToEndHeaders(answer.headers);
+    return { kind: "answer", status: answer.status, headers: kept, body };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/settings/index.ts
@@ -0,0 +1,3 @@
+export { parseSettings } from "./parseSettings.js";
+export { settingsSchema } from "./schema.js";
+export type { Settings } from "./schema.js";
--- /dev/null
+++ b/packages/daemon/src/settings/schema.ts
@@ -0,0 +1,55 @@
+import { z } from "zod";
+
+const listenerAddress = z
+  .string()
+  .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "must be an IPv4 address and a port");
+
+const minPeerKeyCharacters = 32;
+
+/** The settings file of one daemon. Port 0 takes a free port, which the ready line reports. */
+export const settingsSchema = z.strictObject({
+  process: z.strictObject({
+    /** Name of the host in the platform's list. */
+    name: z
+      .string()
+      .regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, "must be 1 to 63 of a-z, 0-9, '.' and '-'"),
+    /** Availability zone of the host. */
+    zone: z.string().min(1),
+  }),
+  listeners: z.strictObject({
+    callers: listenerAddress,
+    peers: listenerAddress,
+    datagrams: listenerAddress,
+    operations: listenerAddress,
+  }),
+  platform: z.strictObject({ address: listenerAddress }),
+  peers: z.strictObject({
+    /** Shared secret that authenticates messages between daemons. */
+    key: z.string().min(minPeerKeyCharacters),
+    /** Peer listeners to ask when the platform cannot be read at start. */
+    seeds: z.array(listenerAddress).default([]),
+  }),
+  limits: z
+    .strictObject({
+      /** Largest request body, in bytes. */
+      bodyBytes: z.int().min(1024).max(67_108_864).default(1_048_576),
+      /** Time allowed for a request that names no deadline, in milliseconds. */
+      requestMilliseconds: z.int().min(100).max(3_600_000).default(120_000),
+      /** Time allowed for a graceful shutdown, in milliseconds. */
+      drainMilliseconds: z.int().min(100).max(3_600_000).default(600_000),
+      /** Time to stay listening, unready, before a stop closes the listener, in milliseconds. */
+      unreadyMilliseconds: z.int().min(0).max(60_000).default(2_000),
+    })
+    .prefault({}),
+  log: z
+    .strictObject({ level: z.enum(["error", "warn", "info", "debug"]).default("info") })
+    .prefault({}),
+  experiments: z
+    .strictObject({
+      /** Guards switched off to show that a test can fail. Never set in production. */
+      disabledGuards: z.array(z.string()).default([]),
+    })
+    .prefault({}),
+});
+
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/packages/daemon/src/state/ConfigurationIndex.ts
@@ -0,0 +1,67 @@
+import type { Configuration, Model, Service, Team } from "@pistachioway/kernel";
+
+/** Look-ups over one accepted configuration. */
+export class ConfigurationIndex {
+  private readonly teamsByTokenHash: ReadonlyMap<string, Team>;
+  private readonly servicesByName: ReadonlyMap<string, Service>;
+  private readonly modelsByName: ReadonlyMap<string, Model>;
+
+  private constructor(readonly configuration: Configuration) {
+    this.teamsByTokenHash = new Map(configuration.teams.map((team) => [team.tokenSha256, team]));
+    this.servicesByName = new Map(configuration.services.map((item) => [item.name, item]));
+    this.modelsByName = new Map(configuration.models.map((model) => [model.name, model]));
+  }
+
+  /**
+   * Creates the look-ups.
+   * @param configuration - Accepted configuration.
+   */
+  static create(configuration: Configuration): ConfigurationIndex {
+    return new ConfigurationIndex(configuration);
+  }
+
+  /**
+   * Gets the team of a token.
+   * @param tokenSha256 - SHA-256 of the token in lower-case hexadecimal.
+   */
+  getTeam(tokenSha256: string): Team | undefined {
+    return this.teamsByTokenHash.get(tokenSha256);
+  }
+
+  /**
+   * Gets a plain service.
+   * @param name - Name of the service.
+   */
+  getService(name: string): Service | undefined {
+    return this.servicesByName.get(name);
+  }
+
+  /**
+   * Tells whether the configuration has a model.
+   * @param name - Name of the model.
+   */
+  isModel(name: string): boolean {
+    return this.modelsByName.has(name);
+  }
+
+  /**
+   * Tells whether a call of a service is idempotent. The longest matching path prefix decides.
+   * @param service - Service that is called.
+   * @param method - HTTP method.
+   * @param path - Path below the service.
+   */
+  isRepeatable(service: Service, method: string, path: string): boolean {
+    const matches = service.routes
+      .filter((route) => route.method === method && isBelow(path, route.path))
+      .sort((a, b) => b.path.length - a.path.length);
+    return matches[0]?.repeatable ?? false;
+  }
+}
+
+/** Tells whether a path equals a prefix or lies below it. */
+function isBelow(path: string, prefix: string): boolean {
+  if (!path.startsWith(prefix)) {
+    return false;
+  }
+  return prefix.endsWith("/") || path.length === prefix.length || path[prefix.length] === "/";
+}
--- /dev/null
+++ b/packages/daemon/src/state/index.ts
@@ -0,0 +1,1 @@
+export { ConfigurationIndex } from "./ConfigurationIndex.js";
--- /dev/null
+++ b/packages/daemon/src/timeline/index.ts
@@ -0,0 +1,3 @@
+export { Timeline } from "./Timeline.js";
+export type { TimelinePage } from "./Timeline.js";
+export { Recorder } from "./Recorder.js";
--- /dev/null
+++ b/packages/daemon/src/upstreams/Connections.ts
@@ -0,0 +1,78 @@
+import { Pool } from "undici";
+
+const connectionsPerHost = 512;
+const connectTimeoutMilliseconds = 1_000;
+const idleTimeoutMilliseconds = 4_000;
+
+/** Owns the connections to upstream hosts, one pool for each address. */
+export class Connections {
+  private readonly poolsByAddress = new Map<string, Pool>();
+
+  private constructor() {
+    // Created through the static method.
+  }
+
+  /** Creates an empty set of pools. */
+  static create(): Connections {
+    return new Connections();
+  }
+
+  /**
+   * Gets the pool of an address, creating it on first use.
+   * @param address - IPv4 address and port.
+   */
+  getPool(address: string): Pool {
+    const existing = this.poolsByAddress.get(address);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const pool = createPool(address);
+    this.poolsByAddress.set(address, pool);
+    return pool;
+  }
+
+  /**
+   * Replaces the pool of an address, so that no connection in use now serves a later request.
+   * Requests in flight on the old connections finish first.
+   * @param address - IPv4 address and port.
+   */
+  discard(address: string): void {
+    const pool = this.poolsByAddress.get(address);
+    if (pool === undefined) {
+      return;
+    }
+    this.poolsByAddress.delete(address);
+    void pool.close();
+  }
+
+  /**
+   * Closes the pools of addresses that are no longer in use.
+   * @param addresses - Addresses still in use.
+   */
+  retain(addresses: ReadonlySet<string>): void {
+    for (const address of this.poolsByAddress.keys()) {
+      if (!addresses.has(address)) {
+        this.discard(address);
+      }
+    }
+  }
+
+  /** Closes every connection at once. */
+  async close(): Promise<void> {
+    const pools = [...this.poolsByAddress.values()];
+    this.poolsByAddress.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+}
+
+function createPool(address: string): Pool {
+  return new Pool(`http://${address}`, {
+    connections: connectionsPerHost,
+    // A second request on a busy connection could be answered out of order.
+    pipelining: 1,
+    connect: { timeout: connectTimeoutMilliseconds },
+    keepAliveTimeout: idleTimeoutMilliseconds,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/upstreams/index.ts
@@ -0,0 +1,9 @@
+export { sendAttempt } from "./Attempt.js";
+export type {
+  AttemptAnswer,
+  AttemptFailure,
+  AttemptFailureClass,
+  AttemptRequest,
+} from "./Attempt.js";
+export { Connections } from "./Connections.js";
+export { readWhole } from "./readWhole.js";
