Add the command line and the example configurations

Configurations of several daemons, engine states and refusals are compared in status. A failed try: the first request for events was sent as "/v1/events?"; the client library drops the empty query, so the path is built without it. Conclusion: runs as node packages/cli/bin/run.js; the bin entry in packages/cli/package.json is left to the lead, as package files are.

--- /dev/null
+++ b/packages/cli/src/commands/ConfigCheck.ts
@@ -0,0 +1,62 @@
+import { Args } from "@oclif/core";
+import {
+  formatFinding,
+  getConfigurationDigest,
+  parseConfiguration,
+  type Configuration,
+  type ConfigurationFinding,
+} from "@pistachioway/kernel";
+import { exitCodes } from "../exitCodes.js";
+import { readTextFile } from "../files/index.js";
+import { ToolCommand } from "./ToolCommand.js";
+
+interface CheckReport {
+  readonly file: string;
+  readonly accepted: boolean;
+  readonly digest: string;
+  readonly findings: readonly ConfigurationFinding[];
+}
+
+/** Checks a configuration file as the daemons will. */
+export class ConfigCheck extends ToolCommand {
+  static override description =
+    "Check a configuration file as the daemons will, and list everything that is wrong with it.";
+
+  static override args = {
+    file: Args.string({ description: "Configuration file in TOML.", required: true }),
+  };
+
+  async run(): Promise<CheckReport> {
+    const { args } = await this.parse(ConfigCheck);
+    const text = await readTextFile(args.file);
+    const digest = getConfigurationDigest(text);
+    const result = parseConfiguration(text);
+    if (result.isOk) {
+      this.log(`${args.file}: accepted, ${getSizes(result.value)}, digest ${digest}`);
+      return { file: args.file, accepted: true, digest, findings: [] };
+    }
+    const { findings } = result.error;
+    this.logFindings(args.file, findings);
+    return { file: args.file, accepted: false, digest, findings };
+  }
+
+  private logFindings(file: string, findings: readonly ConfigurationFinding[]): void {
+    this.raiseExitCode(exitCodes.findings);
+    for (const finding of findings) {
+      this.log(`${file}: ${formatFinding(finding)}`);
+    }
+    this.log(`${file}: refused, ${String(findings.length)} error(s)`);
+  }
+}
+
+function getSizes(configuration: Configuration): string {
+  const { zones, models, engines, services, teams } = configuration;
+  return [
+    `generation ${String(configuration.generation)}`,
+    `${String(zones.length)} zones`,
+    `${String(models.length)} models`,
+    `${String(engines.length)} engines`,
+    `${String(services.flatMap(({ hosts }) => hosts).length)} service hosts`,
+    `${String(teams.length)} teams`,
+  ].join(", ");
+}
--- /dev/null
+++ b/packages/cli/src/commands/ConfigDiff.ts
@@ -0,0 +1,84 @@
+import { Args, Flags } from "@oclif/core";
+import {
+  diffConfigurations,
+  formatFinding,
+  parseConfiguration,
+  type Configuration,
+  type ConfigurationChange,
+  type ConfigurationFinding,
+} from "@pistachioway/kernel";
+import { exitCodes } from "../exitCodes.js";
+import { readTextFile } from "../files/index.js";
+import { toPrintable } from "../text/index.js";
+import { ToolCommand } from "./ToolCommand.js";
+
+interface RefusedFile {
+  readonly file: string;
+  readonly findings: readonly ConfigurationFinding[];
+}
+
+interface DiffReport {
+  readonly changes: readonly ConfigurationChange[];
+  readonly refused: readonly RefusedFile[];
+}
+
+/** Shows what differs between two configuration files. */
+export class ConfigDiff extends ToolCommand {
+  static override description =
+    "Show what differs between two configuration files; items are compared by name.";
+
+  static override args = {
+    before: Args.string({ description: "Configuration file to compare with.", required: true }),
+    after: Args.string({ description: "Configuration file to compare.", required: true }),
+  };
+
+  static override flags = {
+    "exit-code": Flags.boolean({ description: "Exit with 1 when there are differences." }),
+  };
+
+  async run(): Promise<DiffReport> {
+    const { args, flags } = await this.parse(ConfigDiff);
+    const refused: RefusedFile[] = [];
+    const before = await this.readConfiguration(args.before, refused);
+    const after = await this.readConfiguration(args.after, refused);
+    if (before === undefined || after === undefined) {
+      this.raiseExitCode(exitCodes.findings);
+      return { changes: [], refused };
+    }
+    const changes = diffConfigurations(before, after);
+    if (flags["exit-code"] && changes.length > 0) {
+      this.raiseExitCode(exitCodes.findings);
+    }
+    this.log(changes.length === 0 ? "no differences" : changes.map(formatChange).join("\n"));
+    return { changes, refused };
+  }
+
+  private async readConfiguration(
+    file: string,
+    refused: RefusedFile[],
+  ): Promise<Configuration | undefined> {
+    const result = parseConfiguration(await readTextFile(file));
+    if (result.isOk) {
+      return result.value;
+    }
+    const { findings } = result.error;
+    refused.push({ file, findings });
+    for (const finding of findings) {
+      this.log(`${file}: ${formatFinding(finding)}`);
+    }
+    return undefined;
+  }
+}
+
+function formatChange(change: ConfigurationChange): string {
+  const before = JSON.stringify(change.before);
+  const after = JSON.stringify(change.after);
+  switch (change.kind) {
+    case "added":
+      return toPrintable(`+ ${change.path} = ${after}`);
+    case "removed":
+      return toPrintable(`- ${change.path} = ${before}`);
+    case "changed":
+      return toPrintable(`~ ${change.path}: ${before} -> ${after}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/Status.ts
@@ -0,0 +1,61 @@
+import type { DaemonStatus } from "@pistachioway/kernel";
+import { askDaemons } from "../daemons/index.js";
+import { exitCodes } from "../exitCodes.js";
+import {
+  formatDaemons,
+  formatEngines,
+  formatServices,
+  formatTeams,
+  getConcerns,
+} from "../status/index.js";
+import { toPrintable } from "../text/index.js";
+import { DaemonCommand, type ReportedFailure } from "./DaemonCommand.js";
+
+interface StatusReport {
+  readonly daemons: readonly { readonly address: string; readonly status: DaemonStatus }[];
+  readonly concerns: readonly string[];
+  readonly failures: readonly ReportedFailure[];
+}
+
+/** Shows what the daemons report of themselves and of the fleet. */
+export class Status extends DaemonCommand {
+  static override description =
+    "Show what the daemons report of themselves, the configuration in force, upstreams and teams.";
+
+  async run(): Promise<StatusReport> {
+    const { flags } = await this.parse(Status);
+    const { answers, failures } = await askDaemons(this.getAddresses(flags.daemon), (client) =>
+      client.getStatus(),
+    );
+    const statuses = answers.map(({ value }) => value);
+    const concerns = getConcerns(statuses);
+    if (statuses.length > 0) {
+      this.logStatuses(statuses);
+      this.logConcerns(concerns);
+    }
+    if (statuses.some(({ refused }) => refused !== undefined)) {
+      this.raiseExitCode(exitCodes.findings);
+    }
+    return {
+      daemons: answers.map(({ address, value }) => ({ address, status: value })),
+      concerns,
+      failures: this.reportFailures(failures),
+    };
+  }
+
+  private logStatuses(statuses: readonly DaemonStatus[]): void {
+    this.logSection("Daemons", formatDaemons(statuses));
+    this.logSection("Engines", formatEngines(statuses));
+    this.logSection("Services", formatServices(statuses));
+    this.logSection("Teams", formatTeams(statuses));
+  }
+
+  private logConcerns(concerns: readonly string[]): void {
+    if (concerns.length === 0) {
+      this.log(this.palette.good("nothing needs attention"));
+    }
+    for (const concern of concerns) {
+      this.log(this.palette.bad(`! ${toPrintable(concern)}`));
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/Timeline.ts
@@ -0,0 +1,59 @@
+import { Flags } from "@oclif/core";
+import { askDaemons } from "../daemons/index.js";
+import { writeTextFile } from "../files/index.js";
+import {
+  formatEvents,
+  mergeEvents,
+  renderPage,
+  type Lane,
+  type MergedEvent,
+} from "../timeline/index.js";
+import { DaemonCommand, type ReportedFailure } from "./DaemonCommand.js";
+
+interface TimelineReport {
+  readonly processes: readonly Lane[];
+  readonly events: readonly MergedEvent[];
+  readonly failures: readonly ReportedFailure[];
+}
+
+/** Merges the events of all daemons into one time line. */
+export class Timeline extends DaemonCommand {
+  static override description =
+    "Merge the events of all daemons into one time line, ordered by their hybrid logical clocks.";
+
+  static override flags = {
+    id: Flags.string({ description: "Follow one request, act or chat by its id." }),
+    html: Flags.string({ description: "Write a self-contained page to this file instead." }),
+  };
+
+  async run(): Promise<TimelineReport> {
+    const { flags } = await this.parse(Timeline);
+    const { answers, failures } = await askDaemons(this.getAddresses(flags.daemon), (client) =>
+      client.getEvents(flags.id),
+    );
+    const pages = answers.map(({ value }) => value);
+    const processes = pages.map(({ process, incarnation, dropped }) => ({
+      process,
+      incarnation,
+      dropped,
+    }));
+    const events = mergeEvents(pages);
+    if (flags.html === undefined) {
+      this.log(events.length === 0 ? "no events" : formatEvents(events));
+    } else {
+      const title = flags.id === undefined ? "Time line" : `Time line of ${flags.id}`;
+      await writeTextFile(flags.html, renderPage(title, processes, events));
+      this.log(`${flags.html}: ${String(events.length)} events`);
+    }
+    this.warnOfDroppedEvents(processes);
+    return { processes, events, failures: this.reportFailures(failures) };
+  }
+
+  private warnOfDroppedEvents(lanes: readonly Lane[]): void {
+    for (const { process, dropped } of lanes) {
+      if (dropped > 0 && !this.jsonEnabled()) {
+        this.logToStderr(`warning: ${process} no longer holds ${String(dropped)} older events`);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/ToolCommand.ts
@@ -0,0 +1,39 @@
+import { Command } from "@oclif/core";
+import { exitCodes, type ExitCode } from "../exitCodes.js";
+import { ToolError } from "../errors/index.js";
+
+type CaughtError = Parameters<Command["catch"]>[0];
+
+/** Base of the commands: prints JSON on request and sets the documented exit codes. */
+export abstract class ToolCommand extends Command {
+  static override enableJsonFlag = true;
+
+  /** Raises the exit code; a lower one than was set before changes nothing. */
+  protected raiseExitCode(code: ExitCode): void {
+    process.exitCode = Math.max(Number(process.exitCode ?? exitCodes.ok), code);
+  }
+
+  protected override async catch(error: CaughtError): Promise<unknown> {
+    this.raiseExitCode(getExitCode(error));
+    if (this.jsonEnabled()) {
+      this.logJson({ error: { code: getErrorCode(error), message: error.message } });
+      return undefined;
+    }
+    if (error instanceof ToolError) {
+      this.logToStderr(`error: ${error.message}`);
+      return undefined;
+    }
+    return super.catch(error);
+  }
+}
+
+function getExitCode(error: CaughtError): ExitCode {
+  return error instanceof ToolError || "oclif" in error ? exitCodes.usage : exitCodes.internal;
+}
+
+function getErrorCode(error: CaughtError): string {
+  if (error instanceof ToolError) {
+    return error.code;
+  }
+  return "oclif" in error ? "usage" : "internal";
+}
--- /dev/null
+++ b/packages/cli/src/commands/index.ts
@@ -0,0 +1,14 @@
+import { ConfigCheck } from "./ConfigCheck.js";
+import { ConfigDiff } from "./ConfigDiff.js";
+import { Explain } from "./Explain.js";
+import { Status } from "./Status.js";
+import { Timeline } from "./Timeline.js";
+
+/** The commands by name, a colon between topic and command. */
+export const commands = {
+  "config:check": ConfigCheck,
+  "config:diff": ConfigDiff,
+  explain: Explain,
+  status: Status,
+  timeline: Timeline,
+};
--- /dev/null
+++ b/packages/cli/src/daemons/OperationsClient.ts
@@ -0,0 +1,150 @@
+import {
+  eventPageSchema,
+  explanationSchema,
+  statusSchema,
+  type DaemonStatus,
+  type EventPage,
+  type Explanation,
+} from "@pistachioway/kernel";
+import { Result } from "true-myth";
+import { request } from "undici";
+import type { z } from "zod";
+import { DaemonAnswerError, UnreachableDaemonError } from "../errors/index.js";
+
+export type DaemonFailure = DaemonAnswerError | UnreachableDaemonError;
+
+const timeoutMilliseconds = 3_000;
+const maxPages = 1_000;
+const httpOk = 200;
+
+/** Reads the operations listener of one daemon. */
+export class OperationsClient {
+  private constructor(readonly address: string) {}
+
+  /**
+   * Creates a client.
+   * @param address - Address and port of the operations listener.
+   */
+  static create(address: string): OperationsClient {
+    return new OperationsClient(address);
+  }
+
+  /** Gets the daemon's view. */
+  getStatus(): Promise<Result<DaemonStatus, DaemonFailure>> {
+    return this.get("/v1/status", statusSchema);
+  }
+
+  /**
+   * Gets where a chat would go and why.
+   * @param chat - Id of the chat.
+   * @param model - Name of the model.
+   */
+  getExplanation(chat: string, model: string): Promise<Result<Explanation, DaemonFailure>> {
+    const query = new URLSearchParams({ chat, model });
+    return this.get(`/v1/explain?${query.toString()}`, explanationSchema);
+  }
+
+  /**
+   * Gets the events that the daemon still holds, as one page.
+   * @param id - Id of a request, act or chat to follow; all events when absent.
+   */
+  async getEvents(id?: string): Promise<Result<EventPage, DaemonFailure>> {
+    let page = await this.getEventPage(undefined, id);
+    for (let count = 1; count < maxPages && page.isOk; count++) {
+      const whole = page.value;
+      const next = await this.getEventPage(whole.next, id);
+      if (next.isErr || next.value.next === whole.next) {
+        return next.isErr ? next : page;
+      }
+      page = Result.ok(joinPages(whole, next.value));
+    }
+    return page;
+  }
+
+  private getEventPage(
+    after: number | undefined,
+    id: string | undefined,
+  ): Promise<Result<EventPage, DaemonFailure>> {
+    const query = new URLSearchParams();
+    if (after !== undefined) {
+      query.set("after", String(after));
+    }
+    if (id !== undefined) {
+      query.set("id", id);
+    }
+    const path = query.size === 0 ? "/v1/events" : `/v1/events?${query.toString()}`;
+    return this.get(path, eventPageSchema);
+  }
+
+  private async get<Schema extends z.ZodType>(
+    path: string,
+    schema: Schema,
+  ): Promise<Result<z.infer<Schema>, DaemonFailure>> {
+    try {
+      const answer = await request(`http://${this.address}${path}`, {
+        signal: AbortSignal.timeout(timeoutMilliseconds),
+      });
+      const text = await answer.body.text();
+      return this.parseAnswer(path, answer.statusCode, text, schema);
+    } catch (error) {
+      return Result.err(new UnreachableDaemonError(this.address, getReason(error)));
+    }
+  }
+
+  private parseAnswer<Schema extends z.ZodType>(
+    path: string,
+    statusCode: number,
+    text: string,
+    schema: Schema,
+  ): Result<z.infer<Schema>, DaemonFailure> {
+    if (statusCode !== httpOk) {
+      return this.refuse(path, `status ${String(statusCode)} ${getDetail(text)}`.trim());
+    }
+    const json = parseJson(text);
+    if (json.isErr) {
+      return this.refuse(path, json.error);
+    }
+    const parsed = schema.safeParse(json.value);
+    if (parsed.success) {
+      return Result.ok(parsed.data);
+    }
+    const issue = parsed.error.issues[0];
+    return this.refuse(path, `${issue?.path.join(".") ?? ""}: ${issue?.message ?? "wrong shape"}`);
+  }
+
+  private refuse<Value>(path: string, reason: string): Result<Value, DaemonFailure> {
+    return Result.err(new DaemonAnswerError(this.address, path, reason));
+  }
+}
+
+function joinPages(first: EventPage, second: EventPage): EventPage {
+  return {
+    ...second,
+    events: [...first.events, ...second.events],
+    dropped: Math.max(first.dropped, second.dropped),
+  };
+}
+
+function parseJson(text: string): Result<unknown, string> {
+  try {
+    return Result.ok(JSON.parse(text) as unknown);
+  } catch {
+    return Result.err("not JSON");
+  }
+}
+
+/** Gets the detail of a problem answer, if that is what the text is. */
+function getDetail(text: string): string {
+  const json = parseJson(text);
+  const problem = json.isOk ? json.value : undefined;
+  const hasDetail = typeof problem === "object" && problem !== null && "detail" in problem;
+  return hasDetail ? String(problem.detail) : "";
+}
+
+function getReason(error: unknown): string {
+  if (!(error instanceof Error)) {
+    return String(error);
+  }
+  const code = "code" in error && typeof error.code === "string" ? error.code : error.name;
+  return error.message === "" ? code : error.message;
+}
--- /dev/null
+++ b/packages/cli/src/daemons/index.ts
@@ -0,0 +1,4 @@
+export { askDaemons } from "./askDaemons.js";
+export type { Answers } from "./askDaemons.js";
+export { OperationsClient } from "./OperationsClient.js";
+export type { DaemonFailure } from "./OperationsClient.js";
--- /dev/null
+++ b/packages/cli/src/errors/DaemonAddressError.ts
@@ -0,0 +1,10 @@
+import { ToolError } from "./ToolError.js";
+
+/** The address of a daemon that is not an IPv4 address and a port. */
+export class DaemonAddressError extends ToolError {
+  readonly code = "daemon-address";
+
+  constructor(readonly address: string) {
+    super(`daemon "${address}" is not an IPv4 address and a port, as in 127.0.0.1:9100`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/errors/UnreachableDaemonError.ts
@@ -0,0 +1,13 @@
+import { ToolError } from "./ToolError.js";
+
+/** A daemon whose operations listener did not answer. */
+export class UnreachableDaemonError extends ToolError {
+  readonly code = "unreachable-daemon";
+
+  constructor(
+    readonly address: string,
+    readonly reason: string,
+  ) {
+    super(`daemon at ${address} did not answer: ${reason}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,47 @@
+import { Config, Errors, flush, run } from "@oclif/core";
+import { fileURLToPath } from "node:url";
+import { exitCodes } from "./exitCodes.js";
+
+const packageFolder = fileURLToPath(new URL("..", import.meta.url));
+
+/** What oclif reads from a package file, kept here so that no manifest has to be generated. */
+const packageDescription = {
+  name: "pistachioway",
+  version: "0.1.0",
+  description: "Checks configurations and shows what a pistachioway fleet reports.",
+  oclif: {
+    bin: "pistachioway",
+    topicSeparator: " " as const,
+    commands: {
+      strategy: "explicit" as const,
+      target: "./dist/commands/index.js",
+      identifier: "commands",
+    },
+    topics: {
+      config: { description: "Check and compare configuration files." },
+      settings: { description: "Check the settings of a daemon." },
+    },
+  },
+};
+
+/**
+ * Runs the command line and sets the exit code of the process.
+ * @param argv - Arguments after the name of the program.
+ */
+export async function runCommandLine(argv: string[]): Promise<void> {
+  try {
+    const config = await Config.load({ root: packageFolder, pjson: packageDescription });
+    await run(argv, config);
+    await flush();
+  } catch (error) {
+    await handleError(error instanceof Error ? error : new Error(String(error)));
+  }
+}
+
+/** Reports an error; one that oclif does not know is a fault of the command line itself. */
+async function handleError(error: Error): Promise<void> {
+  const reported = "oclif" in error ? error : Object.assign(error, internalError);
+  await Errors.handle(reported as Parameters<typeof Errors.handle>[0]);
+}
+
+const internalError = { oclif: { exit: exitCodes.internal } };
--- /dev/null
+++ b/packages/cli/src/status/index.ts
@@ -0,0 +1,2 @@
+export { getConcerns } from "./getConcerns.js";
+export { formatDaemons, formatEngines, formatServices, formatTeams } from "./tables.js";
--- /dev/null
+++ b/packages/cli/src/text/index.ts
@@ -0,0 +1,2 @@
+export { Palette } from "./Palette.js";
+export { formatNumber, formatTable, toPrintable } from "./table.js";
--- /dev/null
+++ b/packages/cli/src/timeline/renderPage.ts
@@ -0,0 +1,91 @@
+import { formatFields, formatInstant } from "./formatEvents.js";
+import type { MergedEvent } from "./mergeEvents.js";
+
+const style = `
+body { font: 14px/1.4 system-ui, sans-serif; margin: 1rem; color: #222; background: #fff; }
+table { border-collapse: collapse; }
+th { position: sticky; top: 0; background: #eee; text-align: left; }
+th, td { border-left: 1px solid #ccc; padding: 2px 8px; vertical-align: top; }
+tbody tr:nth-child(odd) { background: #f7f7f7; }
+td.time { white-space: nowrap; font-variant-numeric: tabular-nums; color: #555; }
+.name { font-weight: 600; }
+.fields { display: block; font: 12px/1.4 ui-monospace, monospace; overflow-wrap: anywhere; }
+.dropped { color: #a00; }
+`;
+
+/** A process that has a lane on the page. */
+export interface Lane {
+  readonly process: string;
+  readonly incarnation: string;
+  /** Events that were lost before they could be read. */
+  readonly dropped: number;
+}
+
+/**
+ * Renders one self-contained page with a lane for each process.
+ * @param title - Title of the page.
+ * @param lanes - Processes, in the order of their lanes.
+ * @param events - Merged events.
+ */
+export function renderPage(
+  title: string,
+  lanes: readonly Lane[],
+  events: readonly MergedEvent[],
+): string {
+  const startAt = events[0]?.at ?? 0;
+  const rows = events.map((event) => renderRow(event, lanes, startAt)).join("\n");
+  return `<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<meta http-equiv="Content-Security-Policy" content="default-src 'none'; style-src 'unsafe-inline'">
+<title>${escape(title)}</title>
+<style>${style}</style>
+</head>
+<body>
+<h1>${escape(title)}</h1>
+<p>${String(events.length)} events of ${String(lanes.length)} processes, from ${escape(formatInstant(startAt))}; times are milliseconds since then.</p>
+<table>
+<thead><tr><th>ms</th>${lanes.map(renderHeading).join("")}</tr></thead>
+<tbody>
+${rows}
+</tbody>
+</table>
+</body>
+</html>
+`;
+}
+
+function renderHeading(lane: Lane): string {
+  const dropped =
+    lane.dropped === 0 ? "" : `<br><span class="dropped">${String(lane.dropped)} lost</span>`;
+  return `<th>${escape(lane.process)}<br><small>${escape(lane.incarnation)}</small>${dropped}</th>`;
+}
+
+function renderRow(event: MergedEvent, lanes: readonly Lane[], startAt: number): string {
+  const cells = lanes.map((lane) => `<td>${isIn(event, lane) ? renderEvent(event) : ""}</td>`);
+  const title = `${formatInstant(event.at)} logical ${String(event.logical)}`;
+  const time = `<td class="time" title="${escape(title)}">${String(event.at - startAt)}</td>`;
+  return `<tr>${time}${cells.join("")}</tr>`;
+}
+
+function renderEvent(event: MergedEvent): string {
+  const name = `<span class="name">${escape(event.name)}</span>`;
+  return `${name}<span class="fields">${escape(formatFields(event.fields))}</span>`;
+}
+
+function isIn(event: MergedEvent, lane: Lane): boolean {
+  return event.process === lane.process && event.incarnation === lane.incarnation;
+}
+
+const entities: Readonly<Record<string, string>> = {
+  "&": "&amp;",
+  "<": "&lt;",
+  ">": "&gt;",
+  '"': "&quot;",
+  "'": "&#39;",
+};
+
+function escape(text: string): string {
+  return text.replace(/[&<>"']/g, (character) => entities[character] ?? character);
+}
--- /dev/null
+++ b/packages/cli/tests/StubDaemon.ts
@@ -0,0 +1,35 @@
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** Answers of a stub, by path and query. */
+export type StubAnswers = Readonly<Record<string, unknown>>;
+
+/** An operations listener with fixed answers; any other path is answered 404. */
+export class StubDaemon {
+  private constructor(private readonly server: Server) {}
+
+  /**
+   * Creates a stub that listens on an ephemeral port.
+   * @param answers - What to answer, by path and query.
+   */
+  static async create(answers: StubAnswers): Promise<StubDaemon> {
+    const server = createServer((request, response) => {
+      const answer = answers[request.url ?? ""];
+      response.statusCode = answer === undefined ? 404 : 200;
+      response.end(JSON.stringify(answer ?? { detail: "no such path" }));
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    return new StubDaemon(server);
+  }
+
+  /** Gets the address and port. */
+  getAddress(): string {
+    return `127.0.0.1:${String((this.server.address() as AddressInfo).port)}`;
+  }
+
+  /** Stops listening. */
+  close(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+}
--- /dev/null
+++ b/packages/cli/tests/commands/daemons.test.ts
@@ -0,0 +1,174 @@
+import { mkdtemp, readFile, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { DaemonStatus } from "@pistachioway/kernel";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { StubDaemon, type StubAnswers } from "../StubDaemon.js";
+import { runTool } from "../runTool.js";
+import { samplePages, sampleStatus } from "../samples.js";
+
+const refusingStatus: DaemonStatus = {
+  ...sampleStatus,
+  process: "d2",
+  state: "draining",
+  configuration: undefined,
+  refused: {
+    revision: 8,
+    digest: "cd".repeat(32),
+    reasons: [{ kind: "size", path: "", message: "the file is too large", allowed: "less" }],
+  },
+  platform: { reachable: false, isReader: false, calls: 9 },
+  engines: sampleStatus.engines.map((engine) => ({ ...engine, state: "down", reason: "lost" })),
+};
+
+const unreachable = "127.0.0.1:1";
+
+/** Runs a command against stubs and closes them. */
+async function runAgainst(answers: readonly StubAnswers[], ...args: readonly string[]) {
+  const stubs = await Promise.all(answers.map((answer) => StubDaemon.create(answer)));
+  try {
+    const flags = stubs.flatMap((stub) => ["--daemon", stub.getAddress()]);
+    return await runTool(...args, ...flags);
+  } finally {
+    for (const stub of stubs) {
+      stub.close();
+    }
+  }
+}
+
+/** Answers of a stub that holds a page of events. */
+function getEventAnswers(index: number): StubAnswers {
+  const page = samplePages[index];
+  const last = { ...page, events: [], dropped: 0 };
+  return { "/v1/events": page, [`/v1/events?after=${String(page?.next)}`]: last };
+}
+
+const test = suite("commands that ask daemons");
+
+test("status shows every daemon, where views differ, and what is refused", async () => {
+  const answers = [{ "/v1/status": sampleStatus }, { "/v1/status": refusingStatus }];
+  assert.equal(await runAgainst(answers, "status"), {
+    code: 1,
+    errors: "",
+    output: `Daemons
+DAEMON  ZONE   STATE     GENERATION  REVISION  DIGEST        PLATFORM           PEERS     ACTS
+d1      north  ready              1         7  abababababab  reachable, reader  1/1 live  0 sending, 4 done, 0 unknown, 1 refused
+d2      north  draining  -           -         -             unreachable        1/1 live  0 sending, 4 done, 0 unknown, 1 refused
+
+Engines
+ENGINE  ZONE   STATE                   LOAD  LIMIT  MODELS  REASON
+e1      north  eligible (1), down (1)     3      5  brief   lost
+
+Services
+SERVICE  HOST  ZONE   STATE
+records  r1    north  eligible
+
+Teams
+TEAM     RUNNING  ADMITTED  REFUSED
+drivers        4        20        2
+
+! d2: is draining
+! d2: has no configuration
+! d2: cannot reach the platform
+! d2: refused revision 8: the file is too large; allowed: less
+`,
+  });
+});
+
+test("status shows the rest when a daemon cannot be reached or answers unusably", async () => {
+  const answers = [{ "/v1/status": sampleStatus }, { "/v1/status": { process: 1 } }, {}];
+  const run = await runAgainst(answers, "status", "--json", "--daemon", unreachable);
+  const report = JSON.parse(run.output) as {
+    daemons: { status: unknown }[];
+    failures: { message: string }[];
+  };
+  assert.is(run.code, 3);
+  assert.equal(
+    report.daemons.map(({ status }) => status),
+    [sampleStatus],
+  );
+  assert.equal(
+    report.failures.map(({ message }) => message.replace(/127\.0\.0\.1:\d+/g, "ADDRESS")),
+    [
+      "daemon at ADDRESS did not answer: connect ECONNREFUSED ADDRESS",
+      "daemon at ADDRESS answered /v1/status unusably: process: Invalid input: expected string, received number",
+      "daemon at ADDRESS answered /v1/status unusably: status 404 no such path",
+    ],
+  );
+});
+
+test("explain lists the candidates in order of rank", async () => {
+  const explanation = {
+    chat: "c 1",
+    model: "brief",
+    mean: 1.5,
+    limit: 2,
+    candidates: [
+      { engine: "e2", zone: "n", rank: 1, load: 1, eligible: true, reason: "below the limit" },
+      { engine: "e1", zone: "n", rank: 0, load: 2, eligible: false, reason: "at the limit" },
+    ],
+    choice: "e2",
+  };
+  const answers = [{ "/v1/explain?chat=c+1&model=brief": explanation }];
+  const run = await runAgainst(answers, "explain", "c 1", "--model", "brief");
+  assert.equal(
+    { ...run, output: run.output.replace(/127\.0\.0\.1:\d+/, "ADDRESS") },
+    {
+      code: 0,
+      errors: "",
+      output: `ADDRESS: chat c 1, model brief -> e2
+mean load 1.50, limit 2
+RANK  ENGINE  ZONE  LOAD  ELIGIBLE  REASON
+   0  e1      n        2  no        at the limit
+   1  e2      n        1  yes       below the limit
+
+`,
+    },
+  );
+});
+
+test("timeline merges by the clock and tells what was dropped", async () => {
+  assert.equal(await runAgainst([getEventAnswers(0), getEventAnswers(1)], "timeline"), {
+    code: 0,
+    errors: "warning: d1 no longer holds 3 older events\n",
+    output: `TIME                      LOGICAL  PROCESS  EVENT      FIELDS
+1970-01-01T00:00:00.100Z        0  d1       arrived    request=r1
+1970-01-01T00:00:00.100Z        1  d2       forwarded  note="<b>a b</b>"
+1970-01-01T00:00:00.200Z        0  d2       sent       attempt=1
+1970-01-01T00:00:00.200Z        1  d1       answered   request=r1 ok=true
+`,
+  });
+});
+
+test("timeline writes a page with a lane per process and escaped texts", async () => {
+  const folder = await mkdtemp(join(tmpdir(), "pistachioway-"));
+  try {
+    const file = join(folder, "page.html");
+    await runAgainst([getEventAnswers(0), getEventAnswers(1)], "timeline", "--html", file);
+    const page = await readFile(file, "utf8");
+    assert.equal(/<thead>.*<\/thead>/.exec(page)?.[0].match(/<th>d\d/g), ["<th>d1", "<th>d2"]);
+    assert.equal(/<tr>.*forwarded.*<\/tr>/.exec(page)?.[0], getForwardedRow());
+    assert.not.match(page, /<b>|<script|https?:/);
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+});
+
+function getForwardedRow(): string {
+  const time = '<td class="time" title="1970-01-01T00:00:00.100Z logical 1">0</td>';
+  const fields = "note=&quot;&lt;b&gt;a b&lt;/b&gt;&quot;";
+  const event = `<span class="name">forwarded</span><span class="fields">${fields}</span>`;
+  return `<tr>${time}<td></td><td>${event}</td></tr>`;
+}
+
+test("a wrong call exits with 2 and says what is missing", async () => {
+  assert.equal(await runTool("status"), {
+    code: 2,
+    output: "",
+    errors: "error: no daemon is named; use --daemon ADDRESS:PORT or PISTACHIOWAY_DAEMONS\n",
+  });
+  assert.is((await runTool("status", "--nonsense", "--json")).code, 2);
+});
+
+test.run();
--- /dev/null
+++ b/packages/cli/tests/runTool.ts
@@ -0,0 +1,32 @@
+import { spawn } from "node:child_process";
+import { fileURLToPath } from "node:url";
+
+const program = fileURLToPath(new URL("../bin/run.js", import.meta.url));
+
+/** What a run of the command line printed, and its exit code. */
+export interface ToolRun {
+  readonly code: number | null;
+  readonly output: string;
+  readonly errors: string;
+}
+
+/**
+ * Runs the command line as a process of its own.
+ * @param args - Arguments.
+ */
+export function runTool(...args: readonly string[]): Promise<ToolRun> {
+  return new Promise((resolve, reject) => {
+    const child = spawn(process.execPath, [program, ...args], {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, PISTACHIOWAY_DAEMONS: "" },
+    });
+    let output = "";
+    let errors = "";
+    child.stdout.on("data", (chunk: Buffer) => (output += chunk.toString()));
+    child.stderr.on("data", (chunk: Buffer) => (errors += chunk.toString()));
+    child.on("error", reject);
+    child.on("close", (code) => {
+      resolve({ code, output, errors });
+    });
+  });
+}
