Choose only hosts whose state is known, and wait after a pause

Cause: after a start or a pause the daemon's view of hosts is old; new work could go to a leaving host. Change: placement and services ask membership for usable hosts, and wait while none was checked since the pause; service hosts with equal load take turns. Conclusion: the membership plug-in decides for engines and services alike.

--- a/packages/daemon/src/acts/ActSender.ts
+++ b/packages/daemon/src/acts/ActSender.ts
@@ -1,5 +1,4 @@
 import type { AttemptResult, HeaderField, Service } from "@pistachioway/kernel";
-import { Problem } from "../errors/index.js";
 import type { RetryTask } from "../kernel/index.js";
 import type { ServiceAnswer, ServiceClient } from "../services/ServiceClient.js";
 import type { AttemptFailure } from "../upstreams/index.js";
@@ -44,7 +43,7 @@
    * @param key - Key of the act, passed to the service.
    */
   async send(call: ActCall, actId: string, attemptId: string, key: string): Promise<SendEnd> {
-    const host = this.getHost(call, actId);
+    const host = await this.getHost(call, actId);
     if (host === undefined) {
       this.triedHosts.delete(actId);
       return { result: { kind: "never-sent" }, hasOtherHost: false };
@@ -59,15 +58,15 @@
       this.forget(actId);
       return { result: { kind: "answered", answer: toActAnswer(answer) }, hasOtherHost: false };
     }
-    return this.toFailedEnd(call, actId, host, answer);
+    return await this.toFailedEnd(call, actId, host, answer);
   }
 
-  private toFailedEnd(
+  private async toFailedEnd(
     call: ActCall,
     actId: string,
     host: string,
     failure: AttemptFailure,
-  ): SendEnd {
+  ): Promise<SendEnd> {
     const decision = this.retries.decide({
       requestId: actId,
       class: failure.class,
@@ -77,26 +76,20 @@
       firstByteSent: false,
       deadline: call.deadline,
     });
-    const hasOtherHost = decision.kind === "retry" && this.getHost(call, actId) !== undefined;
+    const nextHost = decision.kind === "retry" ? await this.getHost(call, actId) : undefined;
+    const hasOtherHost = nextHost !== undefined;
     if (!hasOtherHost) {
       this.forget(actId);
     }
     return { result: toAttemptResult(failure), hasOtherHost };
   }
 
-  private getHost(call: ActCall, actId: string): string | undefined {
+  private async getHost(call: ActCall, actId: string): Promise<string | undefined> {
     const service = this.getService(call.service);
-    if (service === undefined) {
-      return undefined;
-    }
-    try {
-      return this.client.getHostOrThrow(service, this.triedHosts.get(actId) ?? []);
-    } catch (error) {
-      if (error instanceof Problem) {
-        return undefined;
-      }
-      throw error;
-    }
+    const tried = this.triedHosts.get(actId) ?? [];
+    return service === undefined
+      ? undefined
+      : await this.client.getHost(service, tried, call.deadline);
   }
 
   private addTriedHost(actId: string, host: string): string[] {
--- a/packages/daemon/src/chat/ChatTask.ts
+++ b/packages/daemon/src/chat/ChatTask.ts
@@ -5,6 +5,7 @@
 import type {
   AdmissionTask,
   FailedAttempt,
+  HostDirectory,
   PlacementTask,
   Placed,
   RetryTask,
@@ -22,6 +23,9 @@
   readonly placement: PlacementTask;
   readonly retries: RetryTask;
   readonly engines: EngineClient;
+  readonly hosts: HostDirectory;
+  /** Tells whether any engine of a model is known to take requests. */
+  readonly isServed: (model: string) => boolean;
   readonly recorder: Recorder;
   readonly createAttemptId: () => string;
   readonly onUsage: (usage: Usage | undefined) => void;
@@ -114,6 +118,7 @@
   }
 
   private async place(run: ChatRun, attemptId: string): Promise<Placed> {
+    await this.waitForEngines(run);
     const placed = await this.parts.placement.place({
       attemptId,
       chat: run.engineChat,
@@ -127,6 +132,14 @@
     return placed;
   }
 
+  /** Waits, after a start or a pause, until the state of the model's engines is known. */
+  private async waitForEngines({ request, body }: ChatRun): Promise<void> {
+    if (this.parts.hosts.isStale() || !this.parts.isServed(body.model)) {
+      const engines = request.index.getEngines(body.model);
+      await this.parts.hosts.getUsable(engines, request.deadline, request.signal);
+    }
+  }
+
   private recordPlaced(run: ChatRun, attemptId: string, placed: Placed): void {
     this.parts.recorder.record("chat.placed", {
       request: run.request.id,
--- a/packages/daemon/src/daemon/createTasks.ts
+++ b/packages/daemon/src/daemon/createTasks.ts
@@ -1,5 +1,6 @@
 import {
   Kernel,
+  tickPeriodMilliseconds,
   type ActGuard,
   type ActPeer,
   type ChangedEffect,
@@ -19,6 +20,7 @@
 import { PlatformTask } from "../platform/index.js";
 import { ServiceClient, ServiceTask } from "../services/index.js";
 import type { Settings } from "../settings/index.js";
+import type { ConfigurationIndex } from "../state/index.js";
 import { Recorder, Timeline } from "../timeline/index.js";
 import { Connections } from "../upstreams/index.js";
 import { probeHost } from "./Probes.js";
@@ -74,6 +76,8 @@
   private readonly chats: ChatTask;
   private readonly services: ServiceTask;
   private attempts = 0;
+  private servedModels: ReadonlySet<string> = new Set();
+  private membershipTickAt: Instant = 0;
 
   private constructor(
     private readonly settings: Settings,
@@ -122,12 +126,19 @@
 
   private tick(): void {
     const at = this.getNow();
-    this.hosts.send({ kind: "tick", at });
+    this.tickMembership(at);
     this.placement.send({ kind: "tick" });
     this.admission.send({ kind: "tick", at });
     this.acts.send({ kind: "tick" });
   }
 
+  private tickMembership(at: Instant): void {
+    if (at >= this.membershipTickAt) {
+      this.membershipTickAt = at + tickPeriodMilliseconds;
+      this.hosts.send({ kind: "tick", at });
+    }
+  }
+
   private startActs(): void {
     this.acts.send({
       kind: "start",
@@ -225,6 +236,8 @@
       admission: this.admission,
       placement: this.placement,
       retries: this.retries,
+      hosts: this.hosts,
+      isServed: (model) => this.servedModels.has(model),
       engines: EngineClient.create(this.connections, this.hosts, this.getNow),
       recorder: this.recorder,
       createAttemptId: () => this.createAttemptId(),
@@ -311,9 +324,15 @@
     const { configuration } = inForce.index;
     const live = [...daemons.values()].filter((item) => item.state === "live" && !item.isLeaving);
     const peers = live.filter((daemon) => daemon.name !== name);
+    const usable = this.getUsableEngines(inForce.index);
+    this.servedModels = new Set(
+      configuration.engines.flatMap(({ name: engine, models }) =>
+        usable.has(engine) ? models : [],
+      ),
+    );
     const engines = configuration.engines.map((engine) => ({
       ...engine,
-      eligible: hosts.get(engine.name)?.state === "eligible",
+      eligible: usable.has(engine.name),
     }));
     this.placement.send({
       kind: "view",
@@ -326,6 +345,15 @@
     this.connections.retain(new Set(addresses));
   }
 
+  /** Gets the engines that may get new requests, chosen among the engines of each model. */
+  private getUsableEngines(index: ConfigurationIndex): ReadonlySet<string> {
+    const { configuration } = index;
+    const usable = configuration.models.flatMap(({ name }) =>
+      this.hosts.getUsableNow(index.getEngines(name)),
+    );
+    return new Set(usable.map((host) => host.name));
+  }
+
   private updateCapacity(engines: readonly PlacementEngine[], daemons: readonly string[]): void {
     const slots = engines.reduce((sum, item) => sum + (item.eligible ? item.slots : 0), 0);
     const capacity = Math.ceil((slots * capacityFactor) / daemons.length);
--- a/packages/daemon/src/kernel/HostDirectory.ts
+++ b/packages/daemon/src/kernel/HostDirectory.ts
@@ -1,5 +1,8 @@
 import {
+  getCandidates,
+  getView,
   membershipPlugin,
+  pauseMilliseconds,
   type ChangedEffect,
   type HostSign,
   type HostView,
@@ -11,6 +14,7 @@
   type Observation,
   type ProbeEffect,
 } from "@pistachioway/kernel";
+import { setTimeout as delay } from "node:timers/promises";
 import type { AttemptAnswer, AttemptFailure } from "../upstreams/index.js";
 
 /** What the directory works with. */
@@ -23,6 +27,8 @@
   readonly onRefresh: () => void;
 }
 
+const pollMilliseconds = 20;
+
 /** Owns the membership plug-in: which hosts get new work, and where they are. */
 export class HostDirectory {
   private constructor(private readonly parts: DirectoryParts) {}
@@ -37,7 +43,7 @@
 
   /** Gets the hosts as this daemon sees them. */
   getView(): MembershipView {
-    return this.parts.kernel.getStateOrThrow(membershipPlugin).view;
+    return getView(this.parts.kernel.getStateOrThrow(membershipPlugin));
   }
 
   /**
@@ -49,12 +55,42 @@
   }
 
   /**
-   * Tells whether an upstream host takes new work.
-   * @param name - Name of the host.
+   * Gets the hosts that may get a new request, and waits while their state is not known.
+   * @param names - Names of the hosts that could serve the request.
+   * @param deadline - When to stop waiting.
+   * @param signal - Aborted when the caller is gone.
    */
-  isEligible(name: string): boolean {
-    const host = this.getView().hosts.get(name);
-    return host !== undefined && isEligibleState(host);
+  async getUsable(
+    names: readonly string[],
+    deadline: Instant,
+    signal?: AbortSignal,
+  ): Promise<readonly HostView[]> {
+    for (;;) {
+      const now = this.parts.getNow();
+      const candidates = getCandidates(this.getView(), names, now);
+      if (candidates.kind === "hosts") {
+        return candidates.hosts;
+      }
+      if (candidates.kind === "none" || now >= deadline || signal?.aborted === true) {
+        return [];
+      }
+      this.send({ kind: "tick", at: now });
+      await delay(pollMilliseconds);
+    }
+  }
+
+  /**
+   * Gets the hosts that may get new requests now.
+   * @param names - Names of hosts.
+   */
+  getUsableNow(names: readonly string[]): readonly HostView[] {
+    const candidates = getCandidates(this.getView(), names, this.parts.getNow());
+    return candidates.kind === "hosts" ? candidates.hosts : [];
+  }
+
+  /** True when this process was paused and has not handled a message since. */
+  isStale(): boolean {
+    return this.parts.getNow() - this.getView().activeAt > pauseMilliseconds;
   }
 
   /**
@@ -102,14 +138,6 @@
   }
 }
 
-/**
- * Tells whether a host in this state takes new work.
- * @param host - Host as this daemon sees it.
- */
-export function isEligibleState(host: HostView): boolean {
-  return host.state === "eligible";
-}
-
 /** Gets what an attempt proves of a host; a slow or broken answer alone proves nothing. */
 function getSign(answer: AttemptAnswer | AttemptFailure): Observation | undefined {
   if (answer.kind === "answer") {
--- a/packages/daemon/src/kernel/index.ts
+++ b/packages/daemon/src/kernel/index.ts
@@ -1,5 +1,5 @@
 export { AdmissionTask } from "./AdmissionTask.js";
-export { HostDirectory, isEligibleState } from "./HostDirectory.js";
+export { HostDirectory } from "./HostDirectory.js";
 export { PlacementTask } from "./PlacementTask.js";
 export type { Placed } from "./PlacementTask.js";
 export { RetryTask } from "./RetryTask.js";
--- a/packages/daemon/src/services/ServiceClient.ts
+++ b/packages/daemon/src/services/ServiceClient.ts
@@ -36,6 +36,7 @@
 /** Speaks to the hosts of plain services and spreads calls over them. */
 export class ServiceClient {
   private readonly runningByHost = new Map<string, number>();
+  private turn = 0;
 
   private constructor(
     private readonly connections: Connections,
@@ -58,20 +59,31 @@
   }
 
   /**
-   * Gets the eligible host of a service with the fewest calls running from this daemon.
+   * Gets the host of a service with the fewest calls running from this daemon.
    * @param service - Service that is called.
    * @param excluded - Hosts not to take.
+   * @param deadline - When to stop waiting for the state of the hosts.
+   */
+  async getHost(
+    service: Service,
+    excluded: readonly string[],
+    deadline: Instant,
+  ): Promise<string | undefined> {
+    const names = service.hosts.map((host) => host.name).filter((name) => !excluded.includes(name));
+    const usable = await this.hosts.getUsable(names, deadline);
+    return this.getLeastRunning(usable.map((host) => host.name));
+  }
+
+  /**
+   * Gets the host of a service as `getHost` does.
    * @throws Problem `no-upstream` when no host is left.
    */
-  getHostOrThrow(service: Service, excluded: readonly string[]): string {
-    const candidates = service.hosts
-      .map((host) => host.name)
-      .filter((name) => this.hosts.isEligible(name) && !excluded.includes(name));
-    const host = candidates.reduce<string | undefined>(
-      (best, name) =>
-        best === undefined || this.getRunning(name) < this.getRunning(best) ? name : best,
-      undefined,
-    );
+  async getHostOrThrow(
+    service: Service,
+    excluded: readonly string[],
+    deadline: Instant,
+  ): Promise<string> {
+    const host = await this.getHost(service, excluded, deadline);
     if (host === undefined) {
       const retryAt = this.getNow() + returnMilliseconds;
       const detail = `service "${service.name}" has no host that takes work`;
@@ -80,6 +92,14 @@
     return host;
   }
 
+  /** Gets the least loaded host; equal ones take turns. */
+  private getLeastRunning(names: readonly string[]): string | undefined {
+    const least = Math.min(...names.map((name) => this.getRunning(name)));
+    const equal = names.filter((name) => this.getRunning(name) === least);
+    this.turn += 1;
+    return equal[this.turn % equal.length];
+  }
+
   /**
    * Sends a call to one host and reads the whole answer.
    * @param request - Call and headers.
--- a/packages/daemon/src/services/ServiceTask.ts
+++ b/packages/daemon/src/services/ServiceTask.ts
@@ -61,7 +61,8 @@
     this.parts.retries.start(call.request.id);
     let excluded: readonly string[] = [];
     for (let attempt = 1; ; attempt += 1) {
-      const host = this.parts.client.getHostOrThrow(call.service, excluded);
+      const { deadline } = call.request;
+      const host = await this.parts.client.getHostOrThrow(call.service, excluded, deadline);
       const attemptId = this.parts.createAttemptId();
       const answer = await this.parts.client.send(toServiceRequest(call), attemptId, host);
       if (answer.kind === "answer") {
--- a/packages/daemon/src/state/ConfigurationIndex.ts
+++ b/packages/daemon/src/state/ConfigurationIndex.ts
@@ -6,7 +6,12 @@
   private readonly servicesByName: ReadonlyMap<string, Service>;
   private readonly modelsByName: ReadonlyMap<string, Model>;
 
+  private readonly enginesByModel: ReadonlyMap<string, readonly string[]>;
+
   private constructor(readonly configuration: Configuration) {
+    this.enginesByModel = new Map(
+      configuration.models.map(({ name }) => [name, getServingEngines(configuration, name)]),
+    );
     this.teamsByTokenHash = new Map(configuration.teams.map((team) => [team.tokenSha256, team]));
     this.servicesByName = new Map(configuration.services.map((item) => [item.name, item]));
     this.modelsByName = new Map(configuration.models.map((model) => [model.name, model]));
@@ -44,6 +49,14 @@
     return this.modelsByName.has(name);
   }
 
+  /**
+   * Gets the names of the engines that serve a model.
+   * @param model - Name of the model.
+   */
+  getEngines(model: string): readonly string[] {
+    return this.enginesByModel.get(model) ?? [];
+  }
+
   /**
    * Tells whether a call of a service is idempotent. The longest matching path prefix decides.
    * @param service - Service that is called.
@@ -58,6 +71,12 @@
   }
 }
 
+function getServingEngines(configuration: Configuration, model: string): string[] {
+  return configuration.engines
+    .filter((engine) => engine.role === "serve" && engine.models.includes(model))
+    .map((engine) => engine.name);
+}
+
 /** Tells whether a path equals a prefix or lies below it. */
 function isBelow(path: string, prefix: string): boolean {
   if (!path.startsWith(prefix)) {
