Add datagrams between daemons

Cause: digests need a cheap, authenticated way to each peer. Ruled out: naming the receiver in the datagram, since authenticating its name without sending it costs no octet and still stops reflection to another daemon. Change: Datagrams over node:dgram, a MessagePack body with a 16-octet HMAC, replay window by sender and incarnation, drops counted by reason, splitting of large digests; admission tells totals every 250 ms whatever the tick period.

--- /dev/null
+++ b/packages/daemon/src/peers/Datagrams.ts
@@ -0,0 +1,174 @@
+import type { Instant } from "@pistachioway/kernel";
+import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
+import { once } from "node:events";
+import { DatagramCodec, type Envelope, type ReceivedPart } from "./DatagramCodec.js";
+import { createDropCounts, type DropCounts, type DropReason } from "./drops.js";
+import { groupParts } from "./groupParts.js";
+import { ReplayWindow } from "./ReplayWindow.js";
+import type { DatagramPart } from "./topics.js";
+
+/** Age above which a datagram is dropped, and by which a sender's clock may be ahead. */
+export const maxDatagramAgeMilliseconds = 5_000;
+
+/** Octets of the IPv4 and UDP headers that each datagram costs. */
+export const headerBytes = 28;
+
+/** What the task works with. */
+export interface DatagramsParts {
+  /** Name of this daemon. */
+  readonly daemon: string;
+  /** Start of this daemon, in milliseconds since the epoch. */
+  readonly incarnation: number;
+  /** Key that all daemons share. */
+  readonly key: string;
+  readonly getNow: () => Instant;
+  /** Tells whether a daemon is on the host list. */
+  readonly isPeer: (name: string) => boolean;
+  readonly onPart: (from: DatagramSender, part: ReceivedPart) => void;
+  readonly onDropped: (reason: DropReason, from: string) => void;
+}
+
+/** Who sent a datagram, and when. */
+export type DatagramSender = Pick<Envelope, "sender" | "incarnation" | "at">;
+
+/** Traffic so far; octets include those of the IPv4 and UDP headers. */
+export interface DatagramCounts {
+  sentDatagrams: number;
+  sentBytes: number;
+  receivedDatagrams: number;
+  receivedBytes: number;
+  /** Datagrams that the operating system did not take. */
+  sendFailures: number;
+  readonly dropped: DropCounts;
+}
+
+/** Owns the UDP socket on which daemons send each other digests. */
+export class Datagrams {
+  private readonly codec: DatagramCodec;
+  private readonly window = ReplayWindow.create();
+  private readonly counts: DatagramCounts = {
+    sentDatagrams: 0,
+    sentBytes: 0,
+    receivedDatagrams: 0,
+    receivedBytes: 0,
+    sendFailures: 0,
+    dropped: createDropCounts(),
+  };
+  private sequence = 0;
+
+  private constructor(
+    private readonly parts: DatagramsParts,
+    private readonly socket: Socket,
+  ) {
+    this.codec = DatagramCodec.create(parts.key);
+    socket.on("message", (datagram, remote) => {
+      this.receive(datagram, remote);
+    });
+    socket.on("error", () => {
+      this.counts.sendFailures += 1;
+    });
+  }
+
+  /**
+   * Opens the socket.
+   * @param address - IPv4 address and port to listen on; port 0 takes a free one.
+   * @param parts - What the task works with.
+   */
+  static async create(address: string, parts: DatagramsParts): Promise<Datagrams> {
+    const socket = createSocket("udp4");
+    const { host, port } = parseAddress(address);
+    socket.bind(port, host);
+    await once(socket, "listening");
+    return new Datagrams(parts, socket);
+  }
+
+  /** Gets the address that the socket listens on. */
+  getAddress(): string {
+    const { address, port } = this.socket.address();
+    return `${address}:${String(port)}`;
+  }
+
+  /** Gets the traffic so far. */
+  getCounts(): Readonly<DatagramCounts> {
+    return this.counts;
+  }
+
+  /**
+   * Sends parts to a peer, in as few datagrams as they fit in; any may be lost.
+   * @param to - Name of the peer.
+   * @param address - Datagram address of the peer.
+   * @param parts - What to send.
+   */
+  send(to: string, address: string, parts: readonly DatagramPart[]): void {
+    const { host, port } = parseAddress(address);
+    for (const group of groupParts(parts)) {
+      const datagram = this.encode(to, group);
+      this.counts.sentDatagrams += 1;
+      this.counts.sentBytes += datagram.length + headerBytes;
+      this.socket.send(datagram, port, host, (error) => {
+        this.counts.sendFailures += error === null ? 0 : 1;
+      });
+    }
+  }
+
+  /** Closes the socket. */
+  async close(): Promise<void> {
+    const closed = once(this.socket, "close");
+    this.socket.close();
+    await closed;
+  }
+
+  private encode(to: string, parts: readonly DatagramPart[]): Buffer {
+    this.sequence += 1;
+    const { daemon: sender, incarnation } = this.parts;
+    const envelope = { sender, incarnation, sequence: this.sequence, at: this.parts.getNow() };
+    return this.codec.encode(to, envelope, parts);
+  }
+
+  private receive(datagram: Buffer, remote: RemoteInfo): void {
+    this.counts.receivedDatagrams += 1;
+    this.counts.receivedBytes += datagram.length + headerBytes;
+    const from = `${remote.address}:${String(remote.port)}`;
+    this.codec.decode(this.parts.daemon, datagram).match({
+      Ok: (envelope) => {
+        this.takeEnvelope(envelope, from);
+      },
+      Err: (reason) => {
+        this.drop(reason, from);
+      },
+    });
+  }
+
+  private takeEnvelope(envelope: Envelope, from: string): void {
+    const reason = this.findDropReason(envelope);
+    if (reason !== undefined) {
+      this.drop(reason, from);
+      return;
+    }
+    const { sender, incarnation, at } = envelope;
+    for (const part of envelope.parts) {
+      this.parts.onPart({ sender, incarnation, at }, part);
+    }
+  }
+
+  private findDropReason(envelope: Envelope): DropReason | undefined {
+    const { sender, incarnation, sequence, at } = envelope;
+    if (!this.parts.isPeer(sender)) {
+      return "unlisted";
+    }
+    if (Math.abs(this.parts.getNow() - at) > maxDatagramAgeMilliseconds) {
+      return "old";
+    }
+    return this.window.add(sender, incarnation, sequence) ? undefined : "replayed";
+  }
+
+  private drop(reason: DropReason, from: string): void {
+    this.counts.dropped[reason] += 1;
+    this.parts.onDropped(reason, from);
+  }
+}
+
+function parseAddress(address: string): { host: string; port: number } {
+  const [host = "127.0.0.1", port = "0"] = address.split(":");
+  return { host, port: Number(port) };
+}
--- a/packages/kernel/src/admission/admissionPlugin.ts
+++ b/packages/kernel/src/admission/admissionPlugin.ts
@@ -99,5 +99,6 @@
 function handleTick(state: AdmissionState, now: Instant): readonly AdmissionEffect[] {
   const expired = expireWaiting(state, now);
   const totals = reportTeamTotals(state, now);
-  return [...expired, ...admitWaiting(state, now), { kind: "teamTotals", totals }];
+  const admitted = admitWaiting(state, now);
+  return totals === undefined ? [...expired, ...admitted] : [...expired, ...admitted, totals];
 }
--- a/packages/kernel/src/admission/fleetLimit.ts
+++ b/packages/kernel/src/admission/fleetLimit.ts
@@ -1,8 +1,11 @@
 import type { Instant } from "../kernel/index.js";
 import { getHash } from "../membership/hash.js";
-import type { TeamTotal } from "./messages.js";
+import type { TeamTotal, TeamTotalsEffect } from "./messages.js";
 import type { AdmissionState, TeamAccount } from "./state.js";
 
+/** Time between two reports of the totals; each peer's must arrive between two of one's own. */
+export const teamTotalsPeriodMilliseconds = 250;
+
 /** Age above which a peer's totals are not counted any more. */
 export const peerTotalsMaxAgeMilliseconds = 10_000;
 
@@ -28,11 +31,22 @@
 }
 
 /**
- * Gets the totals that peers need to know, and notes them as told.
+ * Gets the totals that peers need to know, when they are due, and notes them as told.
  * @param state - State to update.
  * @param now - Current time.
  */
-export function reportTeamTotals(state: AdmissionState, now: Instant): TeamTotal[] {
+export function reportTeamTotals(
+  state: AdmissionState,
+  now: Instant,
+): TeamTotalsEffect | undefined {
+  if (now < state.nextTotalsAt) {
+    return undefined;
+  }
+  state.nextTotalsAt = now + teamTotalsPeriodMilliseconds;
+  return { kind: "teamTotals", totals: takeTeamTotals(state, now) };
+}
+
+function takeTeamTotals(state: AdmissionState, now: Instant): TeamTotal[] {
   const totals: TeamTotal[] = [];
   for (const team of state.teams.values()) {
     team.settled = team.reported;
--- a/packages/kernel/src/admission/messages.ts
+++ b/packages/kernel/src/admission/messages.ts
@@ -89,7 +89,7 @@
   readonly retryAt: Instant;
 }
 
-/** Totals of the large teams for the next digest; sent on each tick that has any. */
+/** Totals of the large teams for the next digest, every `teamTotalsPeriodMilliseconds`. */
 export interface TeamTotalsEffect {
   readonly kind: "teamTotals";
   readonly totals: readonly TeamTotal[];
--- a/packages/kernel/src/admission/state.ts
+++ b/packages/kernel/src/admission/state.ts
@@ -57,6 +57,8 @@
   usedCost: number;
   daemon: string;
   daemons: readonly string[];
+  /** Instant from which the peers are told the totals again. */
+  nextTotalsAt: Instant;
   /** Virtual time of the team that was served last. */
   virtualTime: number;
 }
@@ -73,6 +75,7 @@
     usedCost: 0,
     daemon: "",
     daemons: [],
+    nextTotalsAt: 0,
     virtualTime: 0,
   };
 }
