Add calls between daemons

Cause: acts are forwarded, and configurations, host lists, signs and tables of acts are fetched from peers by request. Ruled out: trpc's own fastify plug-in, which streams its answer, so that the answer cannot be authenticated; its fetch adapter gives the whole answer. A call carries x-peer-from, x-peer-at and x-peer-mac over sender, time, receiver, method, path and body; the answer carries x-peer-mac over the call's code, the status and the body. Receiver names are authenticated and not sent, so a host that took over an address refuses. Conclusion: digests go by datagram, everything that needs an answer by call.

--- /dev/null
+++ b/packages/daemon/src/peers/PeerListener.ts
@@ -0,0 +1,136 @@
+import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
+import type { Instant } from "@pistachioway/kernel";
+import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
+import { Result } from "true-myth";
+import { CallAuthenticator, peerHeaders, type CallHeaders } from "./CallAuthenticator.js";
+import { createDropCounts, type DropCounts, type DropReason } from "./drops.js";
+import { createPeerRouter, type PeerHandlers, type PeerRouter } from "./router.js";
+
+/** What the listener works with. */
+export interface PeerListenerParts {
+  /** Name of this daemon. */
+  readonly daemon: string;
+  /** Key that all daemons share. */
+  readonly key: string;
+  /** Largest body of a call, in octets. */
+  readonly bodyBytes: number;
+  readonly getNow: () => Instant;
+  /** Tells whether a daemon is on the host list. */
+  readonly isPeer: (name: string) => boolean;
+  readonly handlers: PeerHandlers;
+  readonly onDropped: (reason: DropReason, from: string) => void;
+  readonly onError: (error: unknown) => void;
+}
+
+/** Path below which the calls are. */
+export const callPrefix = "/peers";
+
+const unauthorizedStatus = 401;
+
+/** Owns the listener for the calls of other daemons. */
+export class PeerListener {
+  private readonly server: FastifyInstance;
+  private readonly authenticator: CallAuthenticator;
+  private readonly router: PeerRouter;
+  private readonly dropped = createDropCounts();
+  private address = "";
+
+  private constructor(private readonly parts: PeerListenerParts) {
+    this.authenticator = CallAuthenticator.create(parts.key, parts.getNow);
+    this.router = createPeerRouter(parts.handlers);
+    this.server = fastify({ bodyLimit: parts.bodyBytes, forceCloseConnections: "idle" });
+    this.server.removeAllContentTypeParsers();
+    this.server.addContentTypeParser("application/json", { parseAs: "string" }, (_, body, done) => {
+      done(null, body);
+    });
+    this.server.post(`${callPrefix}/*`, (request, reply) => this.answer(request, reply));
+  }
+
+  /**
+   * Opens the listener.
+   * @param address - IPv4 address and port to listen on; port 0 takes a free one.
+   * @param parts - What the listener works with.
+   */
+  static async create(address: string, parts: PeerListenerParts): Promise<PeerListener> {
+    const listener = new PeerListener(parts);
+    const [host = "127.0.0.1", port = "0"] = address.split(":");
+    const url = new URL(await listener.server.listen({ host, port: Number(port) }));
+    listener.address = url.host;
+    return listener;
+  }
+
+  /** Gets the address that the listener is open on. */
+  getAddress(): string {
+    return this.address;
+  }
+
+  /** Gets the calls dropped so far, by reason. */
+  getDropCounts(): Readonly<DropCounts> {
+    return this.dropped;
+  }
+
+  /** Closes the listener once the calls in flight are answered. */
+  async close(): Promise<void> {
+    await this.server.close();
+  }
+
+  private async answer(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+    const headers = getCallHeaders(request);
+    const body = typeof request.body === "string" ? request.body : "";
+    const call = { method: request.method, path: request.url, body };
+    const caller = this.check(headers, call);
+    if (caller.isErr) {
+      this.dropped[caller.error] += 1;
+      this.parts.onDropped(caller.error, request.ip);
+      return reply.code(unauthorizedStatus).send({ reason: caller.error });
+    }
+    const response = await this.handle(call, caller.value);
+    const text = await response.text();
+    const mac = this.authenticator.signAnswer(headers.mac, response.status, text);
+    return reply
+      .code(response.status)
+      .header("content-type", "application/json")
+      .header(peerHeaders.mac, mac)
+      .send(text);
+  }
+
+  private check(
+    headers: CallHeaders,
+    call: Parameters<CallAuthenticator["check"]>[2],
+  ): Result<string, DropReason> {
+    const caller = this.authenticator.check(headers, this.parts.daemon, call);
+    return caller.andThen((name) => this.checkListed(name));
+  }
+
+  private checkListed(name: string): Result<string, DropReason> {
+    return this.parts.isPeer(name) ? Result.ok(name) : Result.err("unlisted");
+  }
+
+  private async handle(
+    call: { readonly method: string; readonly path: string; readonly body: string },
+    from: string,
+  ): Promise<Response> {
+    const req = new Request(`http://peer${call.path}`, {
+      method: call.method,
+      headers: { "content-type": "application/json" },
+      body: call.body,
+    });
+    return await fetchRequestHandler({
+      endpoint: callPrefix,
+      req,
+      router: this.router,
+      createContext: () => ({ from }),
+      onError: ({ error }) => {
+        this.parts.onError(error);
+      },
+    });
+  }
+}
+
+function getCallHeaders(request: FastifyRequest): CallHeaders {
+  const get = (name: string): string => {
+    const value = request.headers[name];
+    return typeof value === "string" ? value : "";
+  };
+  return { from: get(peerHeaders.from), at: get(peerHeaders.at), mac: get(peerHeaders.mac) };
+}
--- /dev/null
+++ b/packages/daemon/src/peers/router.ts
@@ -0,0 +1,77 @@
+import { initTRPC } from "@trpc/server";
+import { hostListSchema, hostSignSchema, type HostList, type HostSign } from "@pistachioway/kernel";
+import { Packr } from "msgpackr";
+import { z } from "zod";
+import {
+  forwardedActSchema,
+  forwardedAnswerSchema,
+  type ForwardedAct,
+  type ForwardedAnswer,
+} from "../acts/schema.js";
+import {
+  handOverAnswerSchema,
+  handOverSchema,
+  peerConfigurationSchema,
+  revisionRequestSchema,
+  type HandOver,
+  type HandOverAnswer,
+  type PeerConfiguration,
+  type RevisionRequest,
+} from "./schema.js";
+
+/** What a daemon does for its peers; `from` is the name of the peer that calls. */
+export interface PeerHandlers {
+  /** Runs or answers an act whose key this daemon issued or adopted. */
+  readonly forwardAct: (act: ForwardedAct, from: string) => Promise<ForwardedAnswer>;
+  /** Adopts the table of a daemon that stops. */
+  readonly adoptActs: (handOver: HandOver, from: string) => Promise<HandOverAnswer>;
+  readonly getConfiguration: (request: RevisionRequest, from: string) => Promise<PeerConfiguration>;
+  /** Gets the newest host list, for a peer that cannot read the platform. */
+  readonly getHosts: (request: RevisionRequest, from: string) => Promise<HostList | null>;
+  /** Gets all signs that this daemon holds, for a peer that was paused. */
+  readonly getSigns: (from: string) => Promise<HostSign[]>;
+}
+
+const packr = new Packr({ useRecords: false });
+
+/** Carries every value that MessagePack knows, octets included, as base64 in JSON. */
+export const transformer = {
+  serialize: (value: unknown): string => packr.pack(value).toString("base64"),
+  deserialize: (text: string): unknown => packr.unpack(Buffer.from(text, "base64")),
+};
+
+interface CallContext {
+  readonly from: string;
+}
+
+const trpc = initTRPC.context<CallContext>().create({ transformer });
+
+/**
+ * Creates the calls that peers may make.
+ * @param handlers - What the daemon does for its peers.
+ */
+export function createPeerRouter(handlers: PeerHandlers) {
+  return trpc.router({
+    forwardAct: trpc.procedure
+      .input(forwardedActSchema)
+      .output(forwardedAnswerSchema)
+      .mutation(({ input, ctx }) => handlers.forwardAct(input, ctx.from)),
+    adoptActs: trpc.procedure
+      .input(handOverSchema)
+      .output(handOverAnswerSchema)
+      .mutation(({ input, ctx }) => handlers.adoptActs(input, ctx.from)),
+    getConfiguration: trpc.procedure
+      .input(revisionRequestSchema)
+      .output(peerConfigurationSchema)
+      .mutation(({ input, ctx }) => handlers.getConfiguration(input, ctx.from)),
+    getHosts: trpc.procedure
+      .input(revisionRequestSchema)
+      .output(hostListSchema.nullable())
+      .mutation(({ input, ctx }) => handlers.getHosts(input, ctx.from)),
+    getSigns: trpc.procedure
+      .output(z.array(hostSignSchema))
+      .mutation(({ ctx }) => handlers.getSigns(ctx.from)),
+  });
+}
+
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
--- /dev/null
+++ b/packages/daemon/src/peers/schema.ts
@@ -0,0 +1,24 @@
+import { actTableSchema } from "@pistachioway/kernel";
+import { z } from "zod";
+
+/** A request for something newer than a revision. */
+export const revisionRequestSchema = z.strictObject({ after: z.int().min(-1) });
+
+/** The newest accepted configuration of a peer; null when it has none that is newer. */
+export const peerConfigurationSchema = z
+  .strictObject({ revision: z.int().min(0), value: z.string() })
+  .nullable();
+
+/** A table of acts, and the incarnation that is to adopt it. */
+export const handOverSchema = z.strictObject({
+  successor: z.strictObject({ name: z.string().min(1), incarnation: z.string().min(1) }),
+  table: actTableSchema,
+});
+
+/** Whether a table was adopted. */
+export const handOverAnswerSchema = z.strictObject({ accepted: z.boolean() });
+
+export type RevisionRequest = z.infer<typeof revisionRequestSchema>;
+export type PeerConfiguration = z.infer<typeof peerConfigurationSchema>;
+export type HandOver = z.infer<typeof handOverSchema>;
+export type HandOverAnswer = z.infer<typeof handOverAnswerSchema>;
--- /dev/null
+++ b/packages/daemon/tests/peers/bytes.test.ts
@@ -0,0 +1,92 @@
+import { connect, createServer, type Server } from "node:net";
+import { once } from "node:events";
+import type { HostSign } from "@pistachioway/kernel";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { Datagrams, PeerCalls, PeerListener } from "../../dist/peers/index.js";
+
+const key = "0123456789abcdef0123456789abcdef";
+const now = 1_764_800_000_000;
+
+/** IPv4 and TCP headers with time stamps, for a request, its answer and the last receipt. */
+const segmentBytes = 3 * 52;
+
+const digest: HostSign[] = Array.from({ length: 4 }, (_, index) => {
+  return { host: `engine-${String(index)}`, state: "leaving", version: now, incarnation: now };
+});
+
+/** Relays connections to an address and counts the octets in both directions. */
+async function createCounter(address: string): Promise<{ server: Server; getBytes: () => number }> {
+  let bytes = 0;
+  const server = createServer((near) => {
+    const [host = "", port = ""] = address.split(":");
+    const far = connect(Number(port), host);
+    near.on("data", (chunk) => (bytes += chunk.length));
+    far.on("data", (chunk) => (bytes += chunk.length));
+    near.on("error", () => far.destroy());
+    far.on("error", () => near.destroy());
+    near.pipe(far).pipe(near);
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  return { server, getBytes: () => bytes };
+}
+
+/** Carries the digest in the answer to a call on a connection that is open already. */
+async function getCallBytes(): Promise<number> {
+  const refuse = (): Promise<never> => Promise.reject(new RangeError("not asked for"));
+  const listener = await PeerListener.create("127.0.0.1:0", {
+    daemon: "entry-b",
+    key,
+    bodyBytes: 1_048_576,
+    getNow: () => now,
+    isPeer: () => true,
+    handlers: {
+      forwardAct: refuse,
+      adoptActs: refuse,
+      getConfiguration: refuse,
+      getHosts: refuse,
+      getSigns: () => Promise.resolve(digest),
+    },
+    onDropped: () => undefined,
+    onError: () => undefined,
+  });
+  const { server, getBytes } = await createCounter(listener.getAddress());
+  const { port } = server.address() as { port: number };
+  const calls = PeerCalls.create({ daemon: "entry-a", incarnation: now, key, getNow: () => now });
+  const peer = { name: "entry-b", peerAddress: `127.0.0.1:${String(port)}` };
+  await calls.getSigns(peer, now + 10_000);
+  const before = getBytes();
+  const result = await calls.getSigns(peer, now + 10_000);
+  assert.equal(result.unwrapOr([]), digest);
+  await calls.close();
+  server.close();
+  await listener.close();
+  return getBytes() - before + segmentBytes;
+}
+
+async function getDatagramBytes(): Promise<number> {
+  const datagrams = await Datagrams.create("127.0.0.1:0", {
+    daemon: "entry-a",
+    incarnation: now,
+    key,
+    getNow: () => now,
+    isPeer: () => true,
+    onPart: () => undefined,
+    onDropped: () => undefined,
+  });
+  datagrams.send("entry-b", datagrams.getAddress(), [{ topic: "signs", value: digest }]);
+  const { sentBytes } = datagrams.getCounts();
+  await datagrams.close();
+  return sentBytes;
+}
+
+const test = suite("bytes of a digest");
+
+test("a datagram costs less than half of a call on an open connection", async () => {
+  const call = await getCallBytes();
+  const datagram = await getDatagramBytes();
+  console.log(JSON.stringify({ signs: digest.length, call, datagram }));
+  assert.ok(datagram * 2 < call);
+});
+
+test.run();
