Keep counts through disagreement, silence and lateness

Ruled out: taking the newest list as it is (an absent daemon or engine would drop out of the counts); raising the deadline for all. Change: daemons that are heard stay live, engines that vanish without a sign stay counted for 10 s, a daemon that is no owner in its own view still claims what is reported to it, a decision without an owner takes only a share of the known room, the deadline follows the round trips.

--- a/packages/kernel/src/placement/EngineGroup.ts
+++ b/packages/kernel/src/placement/EngineGroup.ts
@@ -7,6 +7,7 @@
   readonly id: number;
   /** All engines in scope that serve the model and are eligible. */
   engines: readonly EngineLoad[];
+  /** Weight of the engines, and of those that the list lacks for a moment. */
   weight: number;
   /** This daemon's running requests on the engines. */
   own: number;
--- a/packages/kernel/src/placement/EngineLoad.ts
+++ b/packages/kernel/src/placement/EngineLoad.ts
@@ -9,6 +9,8 @@
   weight: number;
   slots: number;
   isEligible: boolean;
+  /** True while the engine is counted although the list lacks it. */
+  isAbsent: boolean;
   /** Daemon that keeps the engine's count. */
   owner: string;
   /** Hashes of the models that the engine serves. */
@@ -21,7 +23,9 @@
   reported: number;
   /** Sum of the counts that other daemons keep of the engine as its owners. */
   claimed: number;
-  /** This daemon's running requests when the newest claim arrived. */
+  /** This daemon's running requests as its owner was told last. */
+  ownTold: number;
+  /** This daemon's running requests that the newest claim counts. */
   ownAtClaim: number;
   /** Count taken over from an earlier owner, valid until `inheritedUntil`. */
   inherited: number;
@@ -41,12 +45,14 @@
     weight: 1,
     slots: 1,
     isEligible: false,
+    isAbsent: false,
     owner: "",
     modelIds: [],
     groups: [],
     own: 0,
     reported: 0,
     claimed: 0,
+    ownTold: 0,
     ownAtClaim: 0,
     inherited: 0,
     inheritedUntil: 0,
@@ -54,11 +60,13 @@
 }
 
 /**
- * Gets the running requests of an engine that are reported to this daemon, its own included.
+ * Gets the running requests of an engine that are counted by this daemon and by no other: its own
+ * when it is the owner, and those that others report to it.
  * @param engine - Engine to count.
+ * @param daemon - Name of this daemon.
  */
-export function getAssignedCount(engine: EngineLoad): number {
-  return Math.max(0, engine.own + engine.reported);
+export function getAssignedCount(engine: EngineLoad, daemon: string): number {
+  return Math.max(0, engine.reported + (engine.owner === daemon ? engine.own : 0));
 }
 
 /**
@@ -70,15 +78,24 @@
  * @param now - Current time.
  */
 export function getOwnedCount(engine: EngineLoad, now: Instant): number {
-  const count = getAssignedCount(engine) + engine.claimed;
-  return now < engine.inheritedUntil ? Math.max(count, engine.inherited) : count;
+  return withInherited(engine, engine.own + engine.reported + engine.claimed, now);
 }
 
 /**
- * Gets the running requests of an engine as another daemon's claims and this daemon's own changes
+ * Gets the running requests of an engine as other daemons' claims and this daemon's own changes
  * since then tell.
  * @param engine - Engine to count.
+ * @param now - Current time.
  */
-export function getEstimatedCount(engine: EngineLoad): number {
-  return Math.max(engine.own, engine.claimed + engine.own - engine.ownAtClaim);
+export function getEstimatedCount(engine: EngineLoad, now: Instant): number {
+  const change = engine.own - engine.ownAtClaim;
+  return withInherited(
+    engine,
+    Math.max(engine.own, engine.claimed + engine.reported + change),
+    now,
+  );
+}
+
+function withInherited(engine: EngineLoad, count: number, now: Instant): number {
+  return now < engine.inheritedUntil ? Math.max(count, engine.inherited) : count;
 }
--- a/packages/kernel/src/placement/LoadLedger.ts
+++ b/packages/kernel/src/placement/LoadLedger.ts
@@ -2,12 +2,13 @@
 import { createEngineGroup, type EngineGroup } from "./EngineGroup.js";
 import {
   createEngineLoad,
+  getAssignedCount,
   getEstimatedCount,
   getOwnedCount,
   type EngineLoad,
 } from "./EngineLoad.js";
 import { getHash } from "./hash.js";
-import type { PlacementDaemon, PlacementEngine, ViewMessage } from "./messages.js";
+import type { PlacementDaemon, PlacementEngine } from "./messages.js";
 import { OwnerChoice } from "./OwnerChoice.js";
 import type { EngineCount, ModelCount, PlacementPeerMessage } from "./peerMessage.js";
 
@@ -19,7 +20,22 @@
   claims: readonly EngineCount[];
 }
 
-const inheritedMilliseconds = 300;
+/** The fleet as the ledger needs it. */
+export interface LedgerFleet {
+  /** The live daemons, this one included. */
+  readonly daemons: readonly PlacementDaemon[];
+  readonly engines: readonly PlacementEngine[];
+  /** Names of engines that are counted although the list lacks them. */
+  readonly absentEngines: readonly string[];
+}
+
+interface CountBefore {
+  readonly engine: number;
+  readonly owner: string;
+  readonly count: number;
+}
+
+const inheritedMilliseconds = 400;
 /** From this many engines of a model in the daemon's own zone on, only these are used. */
 const zoneScopeMinimumEngines = 32;
 
@@ -28,7 +44,6 @@
   readonly enginesById = new Map<number, EngineLoad>();
   readonly groupsById = new Map<number, EngineGroup>();
   private readonly peersByName = new Map<string, PeerRecord>();
-  private ownedEngines: EngineLoad[] = [];
 
   private constructor(
     private readonly daemon: string,
@@ -55,11 +70,6 @@
     return this.enginesById.get(getHash(name));
   }
 
-  /** Gets the engines that this daemon owns. */
-  getOwnedEngines(): readonly EngineLoad[] {
-    return this.ownedEngines;
-  }
-
   /**
    * Gets when a peer's newest message arrived.
    * @param peer - Name of the peer.
@@ -74,23 +84,31 @@
    * @param now - Current time.
    */
   getCount(engine: EngineLoad, now: Instant): number {
-    return engine.owner === this.daemon ? getOwnedCount(engine, now) : getEstimatedCount(engine);
+    return engine.owner === this.daemon
+      ? getOwnedCount(engine, now)
+      : getEstimatedCount(engine, now);
   }
 
   /**
-   * Replaces the view of daemons and engines.
-   * @param view - New view.
+   * Takes over the engines and their owners.
+   * @param fleet - The live daemons and the engines.
    * @param now - Current time.
    */
-  setView(view: ViewMessage, now: Instant): void {
-    const countsBefore = this.getCounts(now);
-    this.updateEngines(view);
-    this.updateGroups(view.engines);
-    this.removeAbsentPeers(view.daemons);
-    this.inheritCounts(countsBefore, now);
-    this.ownedEngines = [...this.enginesById.values()].filter(
-      (engine) => engine.owner === this.daemon,
-    );
+  setFleet(fleet: LedgerFleet, now: Instant): void {
+    const before = this.getCounts(now);
+    this.updateEngines(fleet);
+    this.updateGroups(fleet);
+    this.inheritCounts(before, now);
+  }
+
+  /**
+   * Gets the counts that other daemons are told: of the engines that this daemon owns, and of those
+   * that some other daemon believes it owns.
+   */
+  getClaims(): EngineCount[] {
+    return [...this.enginesById.values()]
+      .filter((engine) => engine.owner === this.daemon || engine.reported > 0)
+      .map((engine) => ({ engine: engine.id, count: getAssignedCount(engine, this.daemon) }));
   }
 
   /**
@@ -155,8 +173,11 @@
     if (record === undefined) {
       return;
     }
+    const before = record.claims.find((entry) => entry.engine === engine.id)?.count ?? 0;
     const others = record.claims.filter((entry) => entry.engine !== engine.id);
-    this.setClaims(record, [...others, { engine: engine.id, count }]);
+    record.claims = [...others, { engine: engine.id, count }];
+    engine.claimed += count - before;
+    engine.ownAtClaim = engine.ownTold;
   }
 
   /**
@@ -217,7 +238,7 @@
     for (const entry of claims) {
       const engine = this.getEngine(entry.engine);
       engine.claimed += entry.count;
-      engine.ownAtClaim = engine.own;
+      engine.ownAtClaim = engine.ownTold;
     }
     record.claims = claims;
   }
@@ -252,39 +273,39 @@
     return group;
   }
 
-  private getCounts(now: Instant): Map<number, number> {
-    const counts = new Map<number, number>();
-    for (const engine of this.enginesById.values()) {
-      counts.set(engine.id, engine.owner === this.daemon ? -1 : this.getCount(engine, now));
-    }
-    return counts;
+  private getCounts(now: Instant): CountBefore[] {
+    return [...this.enginesById.values()].map((engine) => ({
+      engine: engine.id,
+      owner: engine.owner,
+      count: this.getCount(engine, now),
+    }));
   }
 
-  private inheritCounts(countsBefore: ReadonlyMap<number, number>, now: Instant): void {
-    for (const [id, count] of countsBefore) {
+  private inheritCounts(before: readonly CountBefore[], now: Instant): void {
+    for (const { engine: id, owner, count } of before) {
       const engine = this.getEngine(id);
-      if (engine.owner === this.daemon && count >= 0) {
+      if (engine.owner !== owner && owner !== "") {
         engine.inherited = count;
         engine.inheritedUntil = now + inheritedMilliseconds;
       }
     }
   }
 
-  private updateEngines(view: ViewMessage): void {
+  private updateEngines({ daemons, engines, absentEngines }: LedgerFleet): void {
     for (const engine of this.enginesById.values()) {
       engine.isEligible = false;
       engine.owner = "";
       engine.groups = [];
     }
-    const owners = OwnerChoice.create(view.daemons);
-    for (const entry of view.engines) {
-      const id = getHash(entry.name);
-      const engine = this.getNamedEngine(id, entry.name);
+    const owners = OwnerChoice.create(daemons);
+    for (const entry of engines) {
+      const engine = this.getNamedEngine(getHash(entry.name), entry.name);
       engine.zone = entry.zone;
       engine.weight = entry.weight;
       engine.slots = entry.slots;
       engine.modelIds = entry.models.map(getHash);
       engine.isEligible = entry.eligible;
+      engine.isAbsent = absentEngines.includes(entry.name);
       engine.owner = this.sharesOwners ? owners.getOwner(engine) : this.daemon;
     }
     this.removeUnusedEngines();
@@ -309,45 +330,38 @@
     }
   }
 
-  private updateGroups(entries: readonly PlacementEngine[]): void {
+  private updateGroups({ engines, absentEngines }: LedgerFleet): void {
     for (const group of this.groupsById.values()) {
       group.engines = [];
       group.weight = 0;
       group.own = 0;
     }
-    const models = new Set(entries.flatMap((entry) => entry.models));
+    const counted = engines.filter((entry) => entry.eligible || absentEngines.includes(entry.name));
+    const models = new Set(engines.flatMap((entry) => entry.models));
     for (const model of models) {
-      this.fillGroup(this.getGroup(getHash(model)), this.getScope(entries, model));
+      this.fillGroup(this.getGroup(getHash(model)), this.getScope(counted, model));
     }
   }
 
-  /** Gets the eligible engines of a model: the zone's when they are many, else the region's, else all. */
-  private getScope(entries: readonly PlacementEngine[], model: string): PlacementEngine[] {
-    const serving = entries.filter((entry) => entry.eligible && entry.models.includes(model));
+  /** Gets the counted engines of a model: the zone's when they are many, else the region's, else all. */
+  private getScope(counted: readonly PlacementEngine[], model: string): PlacementEngine[] {
+    const serving = counted.filter((entry) => entry.models.includes(model));
     const inZone = serving.filter((entry) => entry.zone === this.zone);
     if (inZone.length >= zoneScopeMinimumEngines) {
       return inZone;
     }
-    const region = entries.find((entry) => entry.zone === this.zone)?.region;
+    const region = counted.find((entry) => entry.zone === this.zone)?.region;
     const inRegion = serving.filter((entry) => region === undefined || entry.region === region);
     return inRegion.length > 0 ? inRegion : serving;
   }
 
   private fillGroup(group: EngineGroup, entries: readonly PlacementEngine[]): void {
-    group.engines = entries.map((entry) => this.getEngine(getHash(entry.name)));
-    for (const engine of group.engines) {
+    const members = entries.map((entry) => this.getEngine(getHash(entry.name)));
+    group.engines = members.filter((engine) => engine.isEligible);
+    for (const engine of members) {
       engine.groups = [...engine.groups, group];
       group.weight += engine.weight;
       group.own += engine.own;
     }
   }
-
-  private removeAbsentPeers(daemons: readonly PlacementDaemon[]): void {
-    const names = new Set(daemons.map((daemon) => daemon.name));
-    for (const name of this.peersByName.keys()) {
-      if (!names.has(name)) {
-        this.removePeer(name);
-      }
-    }
-  }
 }
--- a/packages/kernel/src/placement/Outbox.ts
+++ b/packages/kernel/src/placement/Outbox.ts
@@ -146,12 +146,19 @@
   }
 
   private getOwnCounts(owner: string): EngineCount[] {
-    return [...this.ledger.enginesById.values()]
-      .filter((engine) => isReportedTo(engine, owner))
-      .map((engine) => ({ engine: engine.id, count: engine.own }));
+    const counts: EngineCount[] = [];
+    for (const engine of this.ledger.enginesById.values()) {
+      if (engine.owner === owner) {
+        engine.ownTold = engine.own;
+        addCount(counts, engine);
+      }
+    }
+    return counts;
   }
 }
 
-function isReportedTo(engine: EngineLoad, owner: string): boolean {
-  return engine.owner === owner && engine.own > 0;
+function addCount(counts: EngineCount[], engine: EngineLoad): void {
+  if (engine.own > 0) {
+    counts.push({ engine: engine.id, count: engine.own });
+  }
 }
--- a/packages/kernel/src/placement/OwnerDesk.ts
+++ b/packages/kernel/src/placement/OwnerDesk.ts
@@ -28,18 +28,18 @@
     const engine = ledger.enginesById.get(reservation.engine);
     const group = ledger.groupsById.get(reservation.model);
     if (engine === undefined || group === undefined) {
-      return { id: reservation.id, outcome: "refused", engine: reservation.engine, count: 0 };
+      return { id: reservation.id, outcome: "unknown", engine: reservation.engine, count: 0 };
     }
     const moved = this.getMovedEngine(reservation.chat, engine, now);
     if (moved !== undefined) {
       return this.redirect(from, reservation, engine, moved, now);
     }
-    const isGranted = this.hasRoom(engine, group, reservation.level, 0, now);
+    const isGranted = this.canGrant(engine, group, reservation.level, 0, now);
     if (!isGranted) {
       ledger.addReported(from, engine, -1);
     }
     const outcome = isGranted ? "granted" : "refused";
-    return createAnswer(reservation.id, outcome, engine);
+    return this.createAnswer(reservation.id, outcome, engine);
   }
 
   /**
@@ -68,10 +68,32 @@
     isLevel: boolean,
     added: number,
     now: Instant,
+  ): boolean {
+    return engine.isEligible && this.isBelowLimit(engine, group, isLevel, added, now);
+  }
+
+  /** A daemon whose list lacks an engine goes on counting it for the others. */
+  private canGrant(
+    engine: EngineLoad,
+    group: EngineGroup,
+    isLevel: boolean,
+    added: number,
+    now: Instant,
+  ): boolean {
+    const isUsable = engine.isEligible || engine.isAbsent;
+    return isUsable && this.isBelowLimit(engine, group, isLevel, added, now);
+  }
+
+  private isBelowLimit(
+    engine: EngineLoad,
+    group: EngineGroup,
+    isLevel: boolean,
+    added: number,
+    now: Instant,
   ): boolean {
     const { ledger, bound, strategy } = this.context;
     const limit = isLevel ? getLevelLimit(engine, group) : getLimit(engine, group, bound, strategy);
-    return engine.isEligible && ledger.getCount(engine, now) + added <= limit;
+    return ledger.getCount(engine, now) + added <= limit;
   }
 
   private redirect(
@@ -85,19 +107,20 @@
     const group = ledger.groupsById.get(reservation.model);
     ledger.addReported(from, engine, -1);
     const isGranted =
-      moved.owner === daemon && group !== undefined && this.hasRoom(moved, group, false, 1, now);
+      moved.owner === daemon && group !== undefined && this.canGrant(moved, group, false, 1, now);
     if (isGranted) {
       ledger.addReported(from, moved, 1);
     }
     const outcome = isGranted ? "granted" : "redirected";
-    return createAnswer(reservation.id, outcome, moved);
+    return this.createAnswer(reservation.id, outcome, moved);
   }
-}
 
-function createAnswer(
-  id: number,
-  outcome: ReservationAnswer["outcome"],
-  engine: EngineLoad,
-): ReservationAnswer {
-  return { id, outcome, engine: engine.id, count: getAssignedCount(engine) };
+  private createAnswer(
+    id: number,
+    outcome: ReservationAnswer["outcome"],
+    engine: EngineLoad,
+  ): ReservationAnswer {
+    const count = getAssignedCount(engine, this.context.daemon);
+    return { id, outcome, engine: engine.id, count };
+  }
 }
--- a/packages/kernel/src/placement/PlacementFlow.ts
+++ b/packages/kernel/src/placement/PlacementFlow.ts
@@ -1,47 +1,20 @@
 import type { Instant } from "../kernel/Plugin.js";
 import type { PlacementContext } from "./context.js";
-import { getCandidates, type EngineGroup } from "./EngineGroup.js";
 import type { EngineLoad } from "./EngineLoad.js";
 import { getHash } from "./hash.js";
-import type { FinishedMessage, PlaceMessage, PlacementReason } from "./messages.js";
+import type { FinishedMessage, PlaceMessage } from "./messages.js";
+import { OwnerContacts } from "./OwnerContacts.js";
 import type { OwnerDesk } from "./OwnerDesk.js";
 import type { ChatMove, ReservationAnswer } from "./peerMessage.js";
+import { createPlacement, getAllowedEngines, type Placement } from "./Placement.js";
 
-/** A request on its way to an engine, or running on one. */
-interface Placement {
-  readonly requestId: string;
-  readonly group: EngineGroup;
-  readonly chat: number;
-  /** Engines that may be used. */
-  readonly engines: readonly EngineLoad[];
-  /** The chat's first engines in rendezvous order. */
-  readonly candidates: readonly EngineLoad[];
-  /** Engines that refused the request. */
-  readonly refused: Set<EngineLoad>;
-  /** Engine that the chat was last known at, if any. */
-  known: EngineLoad | undefined;
-  /** True when there is nothing to reuse at the engine to be tried. */
-  isLevel: boolean;
-  /** True while the owner of the first choice may know the chat's engine. */
-  isLookup: boolean;
-  /** Engine that is tried or runs the request. */
-  engine: EngineLoad | undefined;
-  reason: PlacementReason;
-  reservation: number;
-  deadline: Instant;
-}
-
-const reservationTimeoutMilliseconds = 20;
-const silentOwnerMilliseconds = 1000;
 const maxRefusals = 3;
-const shortPromptTokens = 256;
-const noReservation = -1;
 
 /** Takes each request to an engine: chooses, reserves, tries the next one, decides when none answers. */
 export class PlacementFlow {
   private readonly placementsById = new Map<string, Placement>();
   private readonly placementsByReservation = new Map<number, Placement>();
-  private readonly silentUntilByOwner = new Map<string, Instant>();
+  private readonly contacts = OwnerContacts.create();
   private nextReservation = 0;
 
   private constructor(
@@ -81,7 +54,7 @@
       this.context.effects.push({ kind: "unplaceable", requestId: message.requestId, reason });
       return;
     }
-    const placement = this.createPlacement(message, group, engines);
+    const placement = createPlacement(message, group, engines, this.context.strategy);
     this.placementsById.set(message.requestId, placement);
     this.tryEngine(placement, this.getFirstTarget(placement, message, now), now);
   }
@@ -109,21 +82,16 @@
    */
   receiveAnswer(from: string, answer: ReservationAnswer, now: Instant): void {
     const engine = this.context.ledger.enginesById.get(answer.engine);
-    const placement = this.placementsByReservation.get(answer.id);
-    if (engine !== undefined && engine.owner === from) {
-      this.context.ledger.setClaim(from, engine, answer.count);
+    const placement = this.getAskedPlacement(from, answer.id);
+    if (placement !== undefined) {
+      this.contacts.addRoundTrip(from, now - (placement.reservation?.sentAt ?? now));
+      this.correctTold(placement, engine, answer);
     }
-    if (engine === undefined || placement === undefined) {
-      return;
+    if (engine?.owner === from && answer.outcome !== "unknown") {
+      this.context.ledger.setClaim(from, engine, answer.count);
     }
-    if (answer.outcome === "granted") {
-      this.endReservation(placement);
-      this.enterEngine(placement, engine, now);
-      this.confirm(placement, now);
-    } else if (answer.outcome === "redirected") {
-      this.followRedirect(placement, engine, now);
-    } else if (placement.engine === engine) {
-      this.tryNext(placement, now);
+    if (engine !== undefined && placement !== undefined) {
+      this.followAnswer(placement, engine, answer, now);
     }
   }
 
@@ -133,7 +101,7 @@
    */
   endOverdueReservations(now: Instant): void {
     for (const placement of [...this.placementsByReservation.values()]) {
-      if (placement.deadline <= now) {
+      if ((placement.reservation?.deadline ?? now) <= now) {
         this.endSilentReservation(placement, now);
       }
     }
@@ -146,10 +114,11 @@
    */
   endReservationsAt(owner: string, now: Instant): void {
     for (const placement of [...this.placementsByReservation.values()]) {
-      if (placement.engine?.owner === owner) {
+      if (placement.reservation?.owner === owner) {
         this.endSilentReservation(placement, now);
       }
     }
+    this.contacts.removeOwner(owner);
   }
 
   /**
@@ -157,32 +126,7 @@
    * @param owner - Name of the daemon.
    */
   setHeard(owner: string): void {
-    this.silentUntilByOwner.delete(owner);
-  }
-
-  private createPlacement(
-    message: PlaceMessage,
-    group: EngineGroup,
-    engines: readonly EngineLoad[],
-  ): Placement {
-    const { strategy } = this.context;
-    const chat = getHash(message.chat);
-    const isCheap = message.isFirstTurn || message.tokens <= shortPromptTokens;
-    return {
-      requestId: message.requestId,
-      group,
-      chat,
-      engines,
-      candidates: getCandidates(engines, chat, strategy.candidates),
-      refused: new Set(),
-      known: undefined,
-      isLevel: strategy.levels && isCheap,
-      isLookup: false,
-      engine: undefined,
-      reason: "first-choice",
-      reservation: noReservation,
-      deadline: 0,
-    };
+    this.contacts.setHeard(owner);
   }
 
   private getFirstTarget(placement: Placement, message: PlaceMessage, now: Instant): EngineLoad {
@@ -242,16 +186,21 @@
 
   private tryEngine(placement: Placement, engine: EngineLoad, now: Instant): void {
     const { strategy, daemon } = this.context;
-    const isSilent = now < (this.silentUntilByOwner.get(engine.owner) ?? 0);
-    if (!strategy.reserves || isSilent || engine.owner === daemon) {
+    if (!strategy.reserves || engine.owner === daemon) {
       this.decide(placement, engine, now);
       return;
     }
+    if (this.contacts.isSilent(engine.owner, now)) {
+      this.enterEngine(placement, engine, now);
+      this.decideAlone(placement, now);
+      return;
+    }
     this.reserve(placement, engine, now);
   }
 
   /** Decides by the counts at hand, which are exact for the daemon's own engines. */
   private decide(placement: Placement, engine: EngineLoad, now: Instant): void {
+    this.endReservation(placement);
     if (this.desk.hasRoom(engine, placement.group, placement.isLevel, 1, now)) {
       this.enterEngine(placement, engine, now);
       this.confirm(placement, now);
@@ -268,8 +217,8 @@
     this.endReservation(placement);
     const id = this.nextReservation;
     this.nextReservation = (id + 1) >>> 0;
-    placement.reservation = id;
-    placement.deadline = now + reservationTimeoutMilliseconds;
+    const deadline = this.contacts.getDeadline(engine.owner, now);
+    placement.reservation = { id, owner: engine.owner, sentAt: now, deadline };
     this.placementsByReservation.set(id, placement);
     const isLookup = placement.isLookup && placement.known === undefined;
     const reservation = {
@@ -283,6 +232,51 @@
     this.context.effects.push(effect);
   }
 
+  /** Gets the placement that waits for an answer of an owner. */
+  private getAskedPlacement(owner: string, reservation: number): Placement | undefined {
+    const placement = this.placementsByReservation.get(reservation);
+    return placement?.reservation?.owner === owner ? placement : undefined;
+  }
+
+  /** Keeps what the owner knows of this daemon's requests: it counts the one that it answers. */
+  private correctTold(
+    placement: Placement,
+    engine: EngineLoad | undefined,
+    { outcome }: ReservationAnswer,
+  ): void {
+    const tried = placement.engine;
+    if (
+      outcome === "unknown" ||
+      tried === undefined ||
+      (outcome === "granted" && tried === engine)
+    ) {
+      return;
+    }
+    tried.ownTold -= 1;
+    if (outcome === "granted" && engine !== undefined) {
+      engine.ownTold += 1;
+    }
+  }
+
+  private followAnswer(
+    placement: Placement,
+    engine: EngineLoad,
+    { outcome }: ReservationAnswer,
+    now: Instant,
+  ): void {
+    if (outcome === "granted") {
+      this.endReservation(placement);
+      this.enterEngine(placement, engine, now);
+      this.confirm(placement, now);
+    } else if (outcome === "redirected") {
+      this.followRedirect(placement, engine, now);
+    } else if (outcome === "unknown") {
+      this.decideAlone(placement, now);
+    } else if (placement.engine === engine) {
+      this.tryNext(placement, now);
+    }
+  }
+
   private followRedirect(placement: Placement, engine: EngineLoad, now: Instant): void {
     placement.isLookup = false;
     if (!placement.engines.includes(engine)) {
@@ -325,11 +319,17 @@
   }
 
   private endSilentReservation(placement: Placement, now: Instant): void {
+    this.contacts.setSilent(placement.reservation?.owner ?? "", now);
+    this.decideAlone(placement, now);
+  }
+
+  /** Decides without the owner: each daemon takes its share of the room that the last claim left. */
+  private decideAlone(placement: Placement, now: Instant): void {
     const engine = placement.engine as EngineLoad;
-    this.silentUntilByOwner.set(engine.owner, now + silentOwnerMilliseconds);
     this.endReservation(placement);
     placement.reason = "owner-silent";
-    if (this.desk.hasRoom(engine, placement.group, placement.isLevel, 0, now)) {
+    const unseen = Math.max(0, engine.own - engine.ownAtClaim) * (this.context.daemonCount - 1);
+    if (this.desk.hasRoom(engine, placement.group, placement.isLevel, unseen, now)) {
       this.confirm(placement, now);
       return;
     }
@@ -337,8 +337,10 @@
   }
 
   private endReservation(placement: Placement): void {
-    this.placementsByReservation.delete(placement.reservation);
-    placement.reservation = noReservation;
+    if (placement.reservation !== undefined) {
+      this.placementsByReservation.delete(placement.reservation.id);
+      placement.reservation = undefined;
+    }
   }
 
   private enterEngine(placement: Placement, engine: EngineLoad, now: Instant): void {
@@ -389,9 +391,3 @@
     }
   }
 }
-
-function getAllowedEngines(group: EngineGroup, exclude: readonly string[]): readonly EngineLoad[] {
-  return exclude.length === 0
-    ? group.engines
-    : group.engines.filter((engine) => !exclude.includes(engine.name));
-}
--- a/packages/kernel/src/placement/Placer.ts
+++ b/packages/kernel/src/placement/Placer.ts
@@ -2,10 +2,10 @@
 import { ChatDirectory } from "./ChatDirectory.js";
 import type { PlacementContext } from "./context.js";
 import { explainPlacement } from "./explain.js";
-import { getAssignedCount } from "./EngineLoad.js";
 import { LoadLedger } from "./LoadLedger.js";
 import type {
   PeerMessage,
+  PlacementDaemon,
   PlacementEffect,
   PlacementMessage,
   StartMessage,
@@ -14,7 +14,7 @@
 import { Outbox } from "./Outbox.js";
 import { OwnerDesk } from "./OwnerDesk.js";
 import { PlacementFlow } from "./PlacementFlow.js";
-import type { EngineCount } from "./peerMessage.js";
+import { Roster } from "./Roster.js";
 import { placementStrategies } from "./strategy.js";
 
 /** Sizes of the parts of the state that grow with traffic. */
@@ -29,6 +29,8 @@
 const digestIntervalMilliseconds = 250;
 const digestIntervalPerPeerMilliseconds = 30;
 const missedDigests = 6;
+const missedDigestsUnlisted = 3;
+const fleetUpdateMilliseconds = 1000;
 const maxChats = 65_536;
 
 /** Places requests on engines and keeps the counts of the engines that its daemon owns. */
@@ -36,7 +38,9 @@
   private readonly context: PlacementContext;
   private readonly desk: OwnerDesk;
   private readonly flow: PlacementFlow;
-  private peers: readonly string[] = [];
+  private readonly roster: Roster;
+  private liveDaemons = "";
+  private nextFleetUpdateAt: Instant = Infinity;
   private nextDigestAt: Instant = 0;
 
   private constructor(start: StartMessage) {
@@ -49,8 +53,10 @@
       outbox: Outbox.create(ledger),
       directory: ChatDirectory.create(maxChats),
       bound: 1,
+      daemonCount: 1,
       effects: [],
     };
+    this.roster = Roster.create(start.daemon);
     this.desk = OwnerDesk.create(this.context);
     this.flow = PlacementFlow.create(this.context, this.desk);
   }
@@ -115,8 +121,7 @@
         this.tick(now);
         return;
       case "peerLost":
-        this.context.ledger.removePeer(message.daemon);
-        this.flow.endReservationsAt(message.daemon, now);
+        this.removePeer(message.daemon, now);
         return;
       case "explain":
         this.context.effects.push(explainPlacement(message, this.context, now));
@@ -124,10 +129,21 @@
   }
 
   private setView(view: ViewMessage, now: Instant): void {
-    const { ledger, outbox, daemon } = this.context;
     this.context.bound = view.bound;
-    ledger.setView(view, now);
-    this.peers = view.daemons.map((entry) => entry.name).filter((name) => name !== daemon);
+    this.roster.setView(view, now);
+    this.updateFleet(now);
+  }
+
+  private updateFleet(now: Instant): void {
+    const { ledger, outbox, daemon } = this.context;
+    const daemons = this.getLiveDaemons(now);
+    this.roster.removeUnlistedDaemons(daemons);
+    this.liveDaemons = getNames(daemons);
+    const engines = this.roster.getEngines(now);
+    const absentEngines = this.roster.getAbsentEngines();
+    this.nextFleetUpdateAt = absentEngines.length > 0 ? now + fleetUpdateMilliseconds : Infinity;
+    this.context.daemonCount = daemons.length;
+    ledger.setFleet({ daemons, engines, absentEngines }, now);
     for (const engine of ledger.enginesById.values()) {
       if (engine.own > 0 && engine.owner !== daemon && engine.owner !== "") {
         outbox.addChange(engine.owner, now);
@@ -135,10 +151,15 @@
     }
   }
 
+  private getLiveDaemons(now: Instant): PlacementDaemon[] {
+    const interval = this.getDigestInterval();
+    return this.roster.getLiveDaemons((name) => this.context.ledger.getHeardAt(name), {
+      listedBefore: now - missedDigests * interval,
+      unlistedBefore: now - missedDigestsUnlisted * interval,
+    });
+  }
+
   private receive({ from, message }: PeerMessage, now: Instant): void {
-    if (!this.peers.includes(from)) {
-      return;
-    }
     const { ledger, directory, outbox, effects } = this.context;
     this.flow.setHeard(from);
     ledger.setPeerCounts(from, message, now);
@@ -157,33 +178,44 @@
   private tick(now: Instant): void {
     const { ledger, outbox, effects, strategy } = this.context;
     this.flow.endOverdueReservations(now);
-    const interval = this.getDigestInterval();
-    ledger.removeSilentPeers(now - missedDigests * interval);
-    if (strategy.digests && now >= this.nextDigestAt) {
-      this.nextDigestAt = now + interval;
-      this.sendDigests(now);
+    ledger.removeSilentPeers(now - missedDigests * this.getDigestInterval());
+    const isFleetOld = getNames(this.getLiveDaemons(now)) !== this.liveDaemons;
+    if (isFleetOld || now >= this.nextFleetUpdateAt) {
+      this.updateFleet(now);
     }
     if (!strategy.digests) {
       return;
     }
+    if (now >= this.nextDigestAt) {
+      this.nextDigestAt = now + this.getDigestInterval();
+      this.sendDigests(now);
+    }
     for (const peer of outbox.getChangedPeers(now - changeDelayMilliseconds)) {
       effects.push(outbox.composeCounts(peer, now));
     }
   }
 
+  private removePeer(daemon: string, now: Instant): void {
+    this.context.ledger.removePeer(daemon);
+    this.roster.removeDaemon(daemon);
+    this.updateFleet(now);
+    this.flow.endReservationsAt(daemon, now);
+  }
+
   private sendDigests(now: Instant): void {
     const { ledger, outbox, effects } = this.context;
-    const claims: EngineCount[] = ledger.getOwnedEngines().map((engine) => ({
-      engine: engine.id,
-      count: getAssignedCount(engine),
-    }));
-    for (const peer of this.peers) {
+    const claims = ledger.getClaims();
+    for (const peer of this.roster.getPeers()) {
       effects.push(outbox.composeDigest(peer, claims, now));
     }
   }
 
   private getDigestInterval(): number {
-    const spread = this.peers.length * digestIntervalPerPeerMilliseconds;
+    const spread = this.roster.getPeers().length * digestIntervalPerPeerMilliseconds;
     return Math.max(digestIntervalMilliseconds, spread);
   }
 }
+
+function getNames(daemons: readonly PlacementDaemon[]): string {
+  return daemons.map(({ name }) => name).join(" ");
+}
--- a/packages/kernel/src/placement/context.ts
+++ b/packages/kernel/src/placement/context.ts
@@ -13,6 +13,8 @@
   readonly directory: ChatDirectory;
   /** Largest load of an engine as a multiple of the mean. */
   bound: number;
+  /** Number of live daemons, this one included. */
+  daemonCount: number;
   /** Effects of the message that is being handled. */
   effects: PlacementEffect[];
 }
--- a/packages/kernel/src/placement/peerCodec.ts
+++ b/packages/kernel/src/placement/peerCodec.ts
@@ -5,7 +5,7 @@
 /** A peer message as flat lists of numbers, to be encoded as MessagePack; empty ends are left out. */
 export type PackedPeerMessage = (number | number[] | null)[];
 
-const outcomes = ["granted", "refused", "redirected"] as const;
+const outcomes = ["granted", "refused", "redirected", "unknown"] as const;
 
 /**
  * Packs a peer message into few octets.
--- a/packages/kernel/src/placement/peerMessage.ts
+++ b/packages/kernel/src/placement/peerMessage.ts
@@ -18,8 +18,8 @@
 
 const reservationAnswerSchema = z.object({
   id: hashSchema,
-  outcome: z.enum(["granted", "refused", "redirected"]),
-  /** Engine that was granted, refused, or is to be tried instead. */
+  outcome: z.enum(["granted", "refused", "redirected", "unknown"]),
+  /** Engine that was granted, refused, is unknown, or is to be tried instead. */
   engine: hashSchema,
   /** Running requests on the engine as its owner counts them. */
   count: countSchema,
--- a/packages/kernel/src/placement/strategy.ts
+++ b/packages/kernel/src/placement/strategy.ts
@@ -32,7 +32,7 @@
     digests: true,
     levels: false,
     remembers: false,
-    roomShare: 0.4,
+    roomShare: 0.6,
     candidates: 4,
   },
   owner: {
@@ -40,7 +40,7 @@
     digests: true,
     levels: false,
     remembers: false,
-    roomShare: 0.4,
+    roomShare: 0.6,
     candidates: 4,
   },
   ours: {
@@ -48,7 +48,7 @@
     digests: true,
     levels: true,
     remembers: true,
-    roomShare: 0.4,
+    roomShare: 0.6,
     candidates: 4,
   },
 };
