Add the fleet of real processes for the demo and the fault matrix

Cause: the demo and the matrix need a platform, upstreams, daemons and a fault proxy as processes. Ruled out: daemons in one process, since kill -9 and SIGSTOP must strike one of them alone. Change: Fleet starts every process on ephemeral ports with a link before each upstream, each daemon's peer listeners and each daemon's platform; Caller sends chats and acts; answers are checked against getExpectedAnswer. The daemon exports getEngineChatId, which the expected answer depends on. Failed first: the wait for readiness expected the state "live"; daemons report "eligible".

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,3 +1,4 @@
+export { getEngineChatId } from "./chat/index.js";
 export { Daemon } from "./daemon/index.js";
 export { SettingsError } from "./errors/index.js";
 export type { SettingsIssue } from "./errors/index.js";
--- /dev/null
+++ b/packages/experiments/src/errors/index.ts
@@ -0,0 +1,5 @@
+export { ConditionError } from "./ConditionError.js";
+export { ControlError } from "./ControlError.js";
+export { ExperimentError } from "./ExperimentError.js";
+export { ProcessExitError } from "./ProcessExitError.js";
+export { UnknownProcessError } from "./UnknownProcessError.js";
--- /dev/null
+++ b/packages/experiments/src/fleet/Caller.ts
@@ -0,0 +1,105 @@
+import { Agent, request, type Dispatcher } from "undici";
+import { defaultModel, getToken } from "./layout.js";
+
+/** How a call ended, as its caller saw it. */
+export interface CallEnd {
+  /** HTTP status; 0 when the connection broke before an answer. */
+  readonly status: number;
+  /** What the daemon said of the outcome; `broken` when it could not say anything. */
+  readonly outcome: string;
+  /** Body; what arrived of it when the connection broke. */
+  readonly text: string;
+  /** Whether the whole answer arrived. */
+  readonly isWhole: boolean;
+}
+
+/** A chat request. */
+export interface ChatCall {
+  readonly chat: string;
+  readonly message: string;
+  readonly tokens: number;
+  readonly isStream: boolean;
+}
+
+/** A caller of one team, with connections of its own. */
+export class Caller {
+  private readonly agent = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+
+  private constructor(readonly team: string) {}
+
+  /**
+   * Creates a caller.
+   * @param team - Team whose token it uses.
+   */
+  static create(team: string): Caller {
+    return new Caller(team);
+  }
+
+  /** Closes every connection. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  /**
+   * Sends a chat request.
+   * @param address - Callers' listener of a daemon.
+   * @param call - Chat request.
+   */
+  sendChat(address: string, call: ChatCall): Promise<CallEnd> {
+    const messages = [{ role: "user", content: call.message }];
+    const body = { model: defaultModel, messages, max_tokens: call.tokens, stream: call.isStream };
+    return this.send(address, "POST", "/v1/chat/completions", JSON.stringify(body), {
+      "content-type": "application/json",
+      "x-chat-id": call.chat,
+    });
+  }
+
+  /**
+   * Mints an act key.
+   * @param address - Callers' listener of a daemon.
+   */
+  async mintKey(address: string): Promise<string> {
+    const end = await this.send(address, "POST", "/v1/acts", "{}");
+    return (JSON.parse(end.text) as { key: string }).key;
+  }
+
+  /**
+   * Submits an act.
+   * @param address - Callers' listener of a daemon.
+   * @param path - Service and path below it, such as `booking/charges`.
+   * @param key - Act key; without one the daemon mints it.
+   * @param deadline - When to give up.
+   */
+  sendAct(address: string, path: string, key?: string, deadline?: number): Promise<CallEnd> {
+    return this.send(address, "POST", `/v1/services/${path}`, "meal", {
+      ...(key === undefined ? {} : { "idempotency-key": key }),
+      ...(deadline === undefined ? {} : { "x-deadline": String(deadline) }),
+    });
+  }
+
+  private async send(
+    address: string,
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body: string,
+    headers: Record<string, string> = {},
+  ): Promise<CallEnd> {
+    const end = { status: 0, outcome: "broken", text: "", isWhole: false };
+    try {
+      const answer = await request(`http://${address}${path}`, {
+        method,
+        body,
+        dispatcher: this.agent,
+        headers: { ...headers, authorization: `Bearer ${getToken(this.team)}` },
+      });
+      end.status = answer.statusCode;
+      end.outcome = String(answer.headers["x-outcome"] ?? "none");
+      for await (const bytes of answer.body) {
+        end.text += String(bytes);
+      }
+      return { ...end, isWhole: true };
+    } catch {
+      return end;
+    }
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/fleet/Fleet.ts
@@ -0,0 +1,285 @@
+import type { Host } from "@pistachioway/kernel";
+import type { DatagramRuleOptions, LinkMode, RuleOptions, RunRecord } from "@pistachioway/standins";
+import { fileURLToPath } from "node:url";
+import { UnknownProcessError } from "../errors/index.js";
+import { callControl, waitForCondition } from "./control.js";
+import { DaemonProcess } from "./DaemonProcess.js";
+import { createConfigurationText, type DaemonLayout, type FleetLayout } from "./layout.js";
+import { ManagedProcess } from "./ManagedProcess.js";
+
+type StandinKind = "platform" | "engine" | "service" | "faults";
+
+const waitMilliseconds = 20_000;
+
+/** Real processes on ephemeral ports: the platform, upstreams, a fault proxy and daemons. */
+export class Fleet {
+  private readonly standinsByName = new Map<string, ManagedProcess>();
+  private readonly daemonsByName = new Map<string, DaemonProcess>();
+  private readonly killAll = (): void => {
+    this.signalAll("SIGKILL");
+  };
+
+  private constructor(readonly layout: FleetLayout) {
+    process.once("exit", this.killAll);
+  }
+
+  /**
+   * Starts every process and resolves when all daemons are ready and see every upstream.
+   *
+   * Every connection to an upstream, between daemons and to the platform passes a link of the
+   * fault proxy: `NAME` for the upstream or daemon NAME, `NAME.datagrams` for its datagrams,
+   * `NAME.platform` for what the daemon NAME reads.
+   * @param layout - What the fleet is made of.
+   */
+  static async start(layout: FleetLayout): Promise<Fleet> {
+    const fleet = new Fleet(layout);
+    try {
+      await fleet.startStandins();
+      await Promise.all(layout.daemons.map((daemon) => fleet.startDaemon(daemon.name)));
+      await Promise.all(layout.daemons.map((daemon) => fleet.waitUntilReady(daemon.name)));
+      return fleet;
+    } catch (error) {
+      await fleet.stop();
+      throw error;
+    }
+  }
+
+  /** Ends every process. */
+  async stop(): Promise<void> {
+    process.off("exit", this.killAll);
+    await Promise.all(this.getProcesses().map((running) => running.kill()));
+  }
+
+  /**
+   * Starts a daemon of the layout, for the first time or again, and lists it.
+   * @param name - Name of the daemon.
+   */
+  async startDaemon(name: string): Promise<DaemonProcess> {
+    const layout = this.getDaemonLayoutOrThrow(name);
+    const platform = await this.addLink(`${name}.platform`, this.getAddressOrThrow("platform"));
+    const seeds = [...this.daemonsByName.values()].flatMap(({ peers }) => peers ?? []);
+    const daemon = await DaemonProcess.start(layout, this.layout, platform, seeds);
+    this.daemonsByName.set(name, daemon);
+    await this.listHost(await this.toDaemonHost(daemon));
+    return daemon;
+  }
+
+  /**
+   * Gets a daemon.
+   * @param name - Name of the daemon.
+   * @throws UnknownProcessError when the fleet has none of this name.
+   */
+  getDaemonOrThrow(name: string): DaemonProcess {
+    const daemon = this.daemonsByName.get(name);
+    if (daemon === undefined) {
+      throw new UnknownProcessError(name);
+    }
+    return daemon;
+  }
+
+  /**
+   * Gets the address of a stand-in itself, which no link stands before.
+   * @param name - Name of the stand-in.
+   * @throws UnknownProcessError when the fleet has none of this name.
+   */
+  getAddressOrThrow(name: string): string {
+    const address = this.standinsByName.get(name)?.getAddress("address");
+    if (address === undefined) {
+      throw new UnknownProcessError(name);
+    }
+    return address;
+  }
+
+  /** Waits until a daemon is ready and sees every upstream as eligible. */
+  async waitUntilReady(name: string): Promise<void> {
+    await waitForCondition(`daemon "${name}" is ready`, async () => {
+      const status = await this.getStatus(name);
+      const services = status.services.flatMap(({ hosts }) => hosts);
+      const upstreams = [...status.engines, ...services];
+      return status.state === "ready" && upstreams.every(({ state }) => state === "eligible");
+    });
+  }
+
+  /**
+   * Gets what a daemon reports of itself and its view.
+   * @param name - Name of the daemon.
+   */
+  async getStatus(name: string): Promise<FleetStatus> {
+    const { operations } = this.getDaemonOrThrow(name);
+    return (await callControl("GET", `${operations}/v1/status`)) as FleetStatus;
+  }
+
+  /**
+   * Publishes a configuration and returns its revision.
+   * @param text - Text of the TOML file.
+   */
+  async publish(text: string): Promise<number> {
+    const published = await this.callStandin("platform", "PUT", "configuration", text);
+    return (published as { revision: number }).revision;
+  }
+
+  /**
+   * Lists a host, or replaces its entry.
+   * @param host - Entry of the platform's list.
+   */
+  async listHost(host: Host): Promise<void> {
+    await this.callStandin("platform", "PUT", `hosts/${host.name}`, host);
+  }
+
+  /**
+   * Sets faults of an engine or service.
+   * @param name - Name of the stand-in.
+   * @param faults - Faults as its control call takes them.
+   */
+  async setFaults(name: string, faults: object): Promise<void> {
+    await this.callStandin(name, "PUT", "faults", faults);
+  }
+
+  /**
+   * Calls the control listener of a stand-in.
+   * @param name - Name of the stand-in.
+   * @param method - HTTP method.
+   * @param path - Path below `/_control/`.
+   * @param body - JSON body or text.
+   */
+  callStandin(
+    name: string,
+    method: "GET" | "POST" | "PUT",
+    path: string,
+    body?: unknown,
+  ): Promise<unknown> {
+    return callControl(method, `${this.getAddressOrThrow(name)}/_control/${path}`, body);
+  }
+
+  /**
+   * Gets the runs of a service host, once there are a number of them or the wait is over.
+   * @param name - Name of the host.
+   * @param atLeast - Runs to wait for.
+   */
+  async getRuns(name: string, atLeast = 0): Promise<readonly RunRecord[]> {
+    const path = `records?atLeast=${String(atLeast)}&wait=${String(waitMilliseconds)}`;
+    return ((await this.callStandin(name, "GET", path)) as { records: RunRecord[] }).records;
+  }
+
+  /**
+   * Sets the mode of a link.
+   * @param name - Name of the link.
+   * @param mode - What the link does from now on.
+   */
+  async setLinkMode(name: string, mode: LinkMode): Promise<void> {
+    await this.callStandin("faults", "PUT", `links/${name}/mode`, { mode });
+  }
+
+  /**
+   * Sets the rules of a link.
+   * @param name - Name of the link.
+   * @param rules - Rules from now on.
+   */
+  async setLinkRules(name: string, rules: (RuleOptions | DatagramRuleOptions)[]): Promise<void> {
+    await this.callStandin("faults", "PUT", `links/${name}/rules`, rules);
+  }
+
+  /**
+   * Waits until the rules of a link have fired and returns how often they have.
+   * @param name - Name of the link.
+   * @param atLeast - Number to wait for.
+   */
+  async waitUntilFired(name: string, atLeast: number): Promise<number> {
+    const path = `links/${name}?atLeast=${String(atLeast)}&wait=${String(waitMilliseconds)}`;
+    return ((await this.callStandin("faults", "GET", path)) as { fired: number }).fired;
+  }
+
+  /**
+   * Passes on what the rules of a link hold back.
+   * @param name - Name of the link.
+   */
+  async releaseLink(name: string): Promise<void> {
+    await this.callStandin("faults", "POST", `links/${name}/release`);
+  }
+
+  private async startStandins(): Promise<void> {
+    const { engines, services } = this.layout;
+    await Promise.all([
+      this.startStandin("platform", "platform", {}),
+      this.startStandin("faults", "faults", {}),
+      ...engines.map(({ name, options }) => this.startStandin("engine", name, options ?? {})),
+      ...services.map(({ name }) => this.startStandin("service", name, {})),
+    ]);
+    await this.publish(this.layout.configuration ?? createConfigurationText(this.layout));
+    const upstreams = [
+      ...engines.map(({ name, zone }) => ({ name, zone, role: "engine" as const })),
+      ...services.map(({ name, zone }) => ({ name, zone, role: "service" as const })),
+    ];
+    for (const upstream of upstreams) {
+      const address = await this.addLink(upstream.name, this.getAddressOrThrow(upstream.name));
+      await this.listHost({ ...upstream, state: "live", address });
+    }
+  }
+
+  private async startStandin(kind: StandinKind, name: string, options: object): Promise<void> {
+    const main = new URL(`${kind}/main.js`, import.meta.resolve("@pistachioway/standins"));
+    const args = Object.entries({ name, ...options }).flatMap(([key, value]) => [
+      `--${key.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`,
+      String(value),
+    ]);
+    const started = await ManagedProcess.start(name, fileURLToPath(main), args, readReadyLine);
+    this.standinsByName.set(name, started);
+  }
+
+  private async addLink(name: string, target: string, kind = "tcp"): Promise<string> {
+    const link = await this.callStandin("faults", "POST", "links", { name, target, kind });
+    return (link as { address: string }).address;
+  }
+
+  private async toDaemonHost(daemon: DaemonProcess): Promise<Host> {
+    const { callers, operations, peers, datagrams } = daemon;
+    const { name, zone } = daemon.layout;
+    const host: Host = { name, zone, role: "entry", state: "live", address: callers };
+    host.operationsAddress = operations;
+    if (peers !== undefined) {
+      host.peerAddress = await this.addLink(name, peers);
+    }
+    if (datagrams !== undefined) {
+      host.datagramAddress = await this.addLink(`${name}.datagrams`, datagrams, "udp");
+    }
+    return host;
+  }
+
+  private getDaemonLayoutOrThrow(name: string): DaemonLayout {
+    const layout = this.layout.daemons.find((daemon) => daemon.name === name);
+    if (layout === undefined) {
+      throw new UnknownProcessError(name);
+    }
+    return layout;
+  }
+
+  private getProcesses(): ManagedProcess[] {
+    const daemons = [...this.daemonsByName.values()].map((daemon) => daemon.process);
+    return [...daemons, ...this.standinsByName.values()].filter((one) => one.isRunning());
+  }
+
+  private signalAll(signal: NodeJS.Signals): void {
+    for (const running of this.getProcesses()) {
+      running.signal(signal);
+    }
+  }
+}
+
+/** The part of a daemon's status that experiments read. */
+export interface FleetStatus {
+  readonly state: "starting" | "ready" | "draining";
+  readonly configuration?: { readonly revision: number; readonly digest: string };
+  readonly refused?: { readonly revision: number; readonly reasons: readonly unknown[] };
+  readonly engines: readonly { readonly name: string; readonly state: string }[];
+  readonly services: readonly {
+    readonly hosts: readonly { readonly name: string; readonly state: string }[];
+  }[];
+}
+
+function readReadyLine(line: string): Record<string, string> | undefined {
+  try {
+    return (JSON.parse(line) as { ready?: Record<string, string> }).ready;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/fleet/ManagedProcess.ts
@@ -0,0 +1,108 @@
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { createInterface } from "node:readline";
+import { ProcessExitError } from "../errors/index.js";
+
+const maxKeptLines = 200;
+
+/** Reads the addresses out of a line of output; nothing when it is not the ready line. */
+export type ReadyLineReader = (line: string) => Record<string, string> | undefined;
+
+/** A child process that says on standard output when it is ready. */
+export class ManagedProcess {
+  private readonly lines: string[] = [];
+  private addresses: Record<string, string> = {};
+
+  private constructor(
+    readonly name: string,
+    private readonly child: ChildProcess,
+  ) {}
+
+  /**
+   * Starts a process and resolves when it is ready.
+   * @param name - Name for messages.
+   * @param file - JavaScript file to run.
+   * @param args - Arguments.
+   * @param readReadyLine - Recognizes the ready line.
+   * @throws ProcessExitError when the process ends first.
+   */
+  static async start(
+    name: string,
+    file: string,
+    args: readonly string[],
+    readReadyLine: ReadyLineReader,
+  ): Promise<ManagedProcess> {
+    const child = spawn(process.execPath, [file, ...args], { stdio: ["ignore", "pipe", "pipe"] });
+    const started = new ManagedProcess(name, child);
+    await started.waitUntilReady(readReadyLine);
+    return started;
+  }
+
+  /** Whether the process has not ended. */
+  isRunning(): boolean {
+    return this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  /**
+   * Gets an address of the ready line.
+   * @param key - Name of the listener.
+   */
+  getAddress(key: string): string | undefined {
+    return this.addresses[key];
+  }
+
+  /** Gets the last lines of output. */
+  getOutput(): string {
+    return this.lines.join("\n");
+  }
+
+  /**
+   * Sends a signal.
+   * @param signal - Signal to send.
+   */
+  signal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
+  /** Resolves to the exit code when the process has ended; null when a signal ended it. */
+  async waitForExit(): Promise<number | null> {
+    if (this.isRunning()) {
+      await once(this.child, "exit");
+    }
+    return this.child.exitCode;
+  }
+
+  /** Ends the process at once and resolves when it has ended. */
+  async kill(): Promise<void> {
+    this.signal("SIGKILL");
+    await this.waitForExit();
+  }
+
+  private async waitUntilReady(readReadyLine: ReadyLineReader): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      const takeLine = (line: string) => {
+        this.addLine(line);
+        const addresses = readReadyLine(line);
+        if (addresses !== undefined) {
+          this.addresses = addresses;
+          resolve();
+        }
+      };
+      for (const stream of [this.child.stdout, this.child.stderr]) {
+        if (stream !== null) {
+          createInterface({ input: stream }).on("line", takeLine);
+        }
+      }
+      this.child.once("exit", () => {
+        reject(new ProcessExitError(this.name, this.getOutput()));
+      });
+    });
+  }
+
+  private addLine(line: string): void {
+    this.lines.push(line);
+    if (this.lines.length > maxKeptLines) {
+      this.lines.shift();
+    }
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/fleet/answers.ts
@@ -0,0 +1,48 @@
+import { getEngineChatId } from "@pistachioway/daemon";
+import { getExpectedAnswer } from "@pistachioway/standins";
+import { z } from "zod";
+import type { ChatCall } from "./Caller.js";
+
+const streamEnd = "data: [DONE]";
+const wholeSchema = z.object({
+  choices: z.tuple([z.object({ message: z.object({ content: z.string() }) })]),
+});
+const chunkSchema = z.object({
+  choices: z.tuple([z.object({ delta: z.object({ content: z.string().default("") }) })]),
+});
+
+/**
+ * Gets the whole answer that a caller must get to its chat request.
+ * @param team - Team of the caller.
+ * @param call - Chat request.
+ */
+export function getExpectedChatAnswer(team: string, call: ChatCall): string {
+  const { chat, message, tokens } = call;
+  return getExpectedAnswer({ chat: getEngineChatId(team, chat), message, tokens });
+}
+
+/**
+ * Reads the content of an answer that is presented as whole; undefined for any other.
+ * @param call - Chat request.
+ * @param text - Body of the answer.
+ */
+export function readWholeContent(call: ChatCall, text: string): string | undefined {
+  if (!call.isStream) {
+    return wholeSchema.safeParse(parseJson(text)).data?.choices[0].message.content;
+  }
+  const lines = text.split("\n").filter((line) => line !== "");
+  return lines.at(-1) === streamEnd ? lines.map(readChunk).join("") : undefined;
+}
+
+function readChunk(line: string): string {
+  const [, json = ""] = /^data: (\{.*\})$/.exec(line) ?? [];
+  return chunkSchema.safeParse(parseJson(json)).data?.choices[0].delta.content ?? "";
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./errors/index.js";
+export * from "./fleet/index.js";
