Follow events to the time of the call only, and explain a team's chat

Cause: a busy daemon adds events between two pages, so reading until a page came back unchanged could go on for a thousand pages; the daemon hashes a chat's id with its team before engines see it. Ruled out: reading one page only, since a page may hold less than the ring.

--- a/packages/cli/src/commands/Explain.ts
+++ b/packages/cli/src/commands/Explain.ts
@@ -21,12 +21,15 @@
 
   static override flags = {
     model: Flags.string({ description: "Name of the model.", required: true }),
+    team: Flags.string({
+      description: "Team of the chat; without it, the id is taken as the engines know it.",
+    }),
   };
 
   async run(): Promise<ExplainReport> {
     const { args, flags } = await this.parse(Explain);
     const { answers, failures } = await askDaemons(this.getAddresses(flags.daemon), (client) =>
-      client.getExplanation(args.chat, flags.model),
+      client.getExplanation(args.chat, flags.model, flags.team),
     );
     for (const { address, value } of answers) {
       this.logExplanation(address, value);
--- a/packages/cli/src/commands/Timeline.ts
+++ b/packages/cli/src/commands/Timeline.ts
@@ -28,8 +28,9 @@
 
   async run(): Promise<TimelineReport> {
     const { flags } = await this.parse(Timeline);
+    const askedAt = Date.now();
     const { answers, failures } = await askDaemons(this.getAddresses(flags.daemon), (client) =>
-      client.getEvents(flags.id),
+      client.getEvents(flags.id, askedAt),
     );
     const pages = answers.map(({ value }) => value);
     const processes = pages.map(({ process, incarnation, dropped }) => ({
--- a/packages/cli/src/daemons/OperationsClient.ts
+++ b/packages/cli/src/daemons/OperationsClient.ts
@@ -5,6 +5,7 @@
   type DaemonStatus,
   type EventPage,
   type Explanation,
+  type Instant,
 } from "@pistachioway/kernel";
 import { Result } from "true-myth";
 import { request } from "undici";
@@ -14,7 +15,7 @@
 export type DaemonFailure = DaemonAnswerError | UnreachableDaemonError;
 
 const timeoutMilliseconds = 3_000;
-const maxPages = 1_000;
+const maxPages = 100;
 const httpOk = 200;
 
 /** Reads the operations listener of one daemon. */
@@ -38,27 +39,36 @@
    * Gets where a chat would go and why.
    * @param chat - Id of the chat.
    * @param model - Name of the model.
+   * @param team - Team of the chat; without it the id is taken as engines know it.
    */
-  getExplanation(chat: string, model: string): Promise<Result<Explanation, DaemonFailure>> {
-    const query = new URLSearchParams({ chat, model });
+  getExplanation(
+    chat: string,
+    model: string,
+    team: string | undefined,
+  ): Promise<Result<Explanation, DaemonFailure>> {
+    const query = new URLSearchParams({ chat, model, ...(team === undefined ? {} : { team }) });
     return this.get(`/v1/explain?${query.toString()}`, explanationSchema);
   }
 
   /**
-   * Gets the events that the daemon still holds, as one page.
+   * Gets the events that the daemon holds at the time of the call, as one page.
    * @param id - Id of a request, act or chat to follow; all events when absent.
+   * @param askedAt - Time of the call; events after it may be left out.
    */
-  async getEvents(id?: string): Promise<Result<EventPage, DaemonFailure>> {
-    let page = await this.getEventPage(undefined, id);
-    for (let count = 1; count < maxPages && page.isOk; count++) {
-      const whole = page.value;
-      const next = await this.getEventPage(whole.next, id);
-      if (next.isErr || next.value.next === whole.next) {
-        return next.isErr ? next : page;
+  async getEvents(
+    id: string | undefined,
+    askedAt: Instant,
+  ): Promise<Result<EventPage, DaemonFailure>> {
+    let whole = await this.getEventPage(undefined, id);
+    let last = whole;
+    for (let count = 1; count < maxPages && whole.isOk && last.isOk; count++) {
+      if (isLastPage(last.value, askedAt)) {
+        return whole;
       }
-      page = Result.ok(joinPages(whole, next.value));
+      last = await this.getEventPage(last.value.next, id);
+      whole = last.isOk ? Result.ok(joinPages(whole.value, last.value)) : last;
     }
-    return page;
+    return whole;
   }
 
   private getEventPage(
@@ -117,6 +127,11 @@
   }
 }
 
+function isLastPage(page: EventPage, askedAt: Instant): boolean {
+  const last = page.events.at(-1);
+  return last === undefined || last.at >= askedAt;
+}
+
 function joinPages(first: EventPage, second: EventPage): EventPage {
   return {
     ...second,
--- a/packages/cli/tests/commands/daemons.test.ts
+++ b/packages/cli/tests/commands/daemons.test.ts
@@ -110,8 +110,8 @@
     ],
     choice: "e2",
   };
-  const answers = [{ "/v1/explain?chat=c+1&model=brief": explanation }];
-  const run = await runAgainst(answers, "explain", "c 1", "--model", "brief");
+  const answers = [{ "/v1/explain?chat=c+1&model=brief&team=drivers": explanation }];
+  const run = await runAgainst(answers, "explain", "c 1", "--model", "brief", "--team", "drivers");
   assert.equal(
     { ...run, output: run.output.replace(/127\.0\.0\.1:\d+/, "ADDRESS") },
     {
