Check a daemon's settings from the command line

Ruled out: a second schema in the command line; loading the daemon's libraries in every command (the import is inside the command). Seen besides: parseSettings joins several unknown keys into one path.

--- /dev/null
+++ b/packages/cli/src/commands/SettingsCheck.ts
@@ -0,0 +1,43 @@
+import { Args } from "@oclif/core";
+import type { Settings, SettingsIssue } from "@pistachioway/daemon";
+import { exitCodes } from "../exitCodes.js";
+import { readTextFile } from "../files/index.js";
+import { toPrintable } from "../text/index.js";
+import { ToolCommand } from "./ToolCommand.js";
+
+interface SettingsReport {
+  readonly file: string;
+  readonly accepted: boolean;
+  readonly issues: readonly SettingsIssue[];
+}
+
+/** Checks the settings of a daemon without starting it. */
+export class SettingsCheck extends ToolCommand {
+  static override description =
+    "Check the settings file of a daemon without starting it, and list everything that is wrong.";
+
+  static override args = {
+    file: Args.string({ description: "Settings file in TOML.", required: true }),
+  };
+
+  async run(): Promise<SettingsReport> {
+    const { args } = await this.parse(SettingsCheck);
+    const text = await readTextFile(args.file);
+    // Loaded here, so that the other commands start without the daemon's libraries.
+    const { parseSettings } = await import("@pistachioway/daemon");
+    const result = parseSettings(text, args.file);
+    if (result.isOk) {
+      this.log(`${args.file}: accepted, ${getSummary(result.value)}`);
+      return { file: args.file, accepted: true, issues: [] };
+    }
+    this.raiseExitCode(exitCodes.findings);
+    const { issues, message } = result.error;
+    this.log(message.split("\n").map(toPrintable).join("\n"));
+    this.log(`${args.file}: refused, ${String(issues.length)} error(s)`);
+    return { file: args.file, accepted: false, issues };
+  }
+}
+
+function getSummary({ process: { name, zone }, platform }: Settings): string {
+  return `host ${name} in zone ${zone}, platform at ${platform.address}`;
+}
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,6 +1,7 @@
 import { ConfigCheck } from "./ConfigCheck.js";
 import { ConfigDiff } from "./ConfigDiff.js";
 import { Explain } from "./Explain.js";
+import { SettingsCheck } from "./SettingsCheck.js";
 import { Status } from "./Status.js";
 import { Timeline } from "./Timeline.js";
 
@@ -9,6 +10,7 @@
   "config:check": ConfigCheck,
   "config:diff": ConfigDiff,
   explain: Explain,
+  "settings:check": SettingsCheck,
   status: Status,
   timeline: Timeline,
 };
--- /dev/null
+++ b/packages/cli/tests/commands/settings.test.ts
@@ -0,0 +1,44 @@
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { runTool } from "../runTool.js";
+
+const example = fileURLToPath(new URL("../../../../examples/daemon.toml", import.meta.url));
+
+const test = suite("settings check");
+
+test("accepts the example", async () => {
+  assert.equal(await runTool("settings", "check", example), {
+    code: 0,
+    errors: "",
+    output: `${example}: accepted, host entry-north in zone north, platform at 127.0.0.1:7000\n`,
+  });
+});
+
+test("lists every fault at once and hides the key between daemons", async () => {
+  const folder = await mkdtemp(join(tmpdir(), "pistachioway-"));
+  try {
+    const file = join(folder, "bad.toml");
+    const text = await readFile(example, "utf8");
+    const bad = text.replace(/key = ".*"/, 'key = "short-secret"').replace("127.0.0.1:8001", "x");
+    await writeFile(file, bad);
+    const run = await runTool("settings", "check", file, "--json");
+    const report = JSON.parse(run.output) as { issues: { path: string; line: number }[] };
+    assert.is(run.code, 1);
+    assert.equal(
+      report.issues.map(({ path, line }) => [path, line]),
+      [
+        ["listeners.peers", 10],
+        ["peers.key", 18],
+      ],
+    );
+    assert.not.match(run.output, "short-secret");
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+});
+
+test.run();
