--- a/packages/kernel/src/admission/state.ts
+++ b/packages/kernel/src/admission/state.ts
@@ -36,6 +36,8 @@
   lastReturnAt: Instant;
   /** Running requests as told to the peers; 0 while the team is not large. */
   reported: number;
+  /** What was told one tick earlier, so that every peer has answered it with its own totals. */
+  settled: number;
 }
 
 /** What a peer told last. */
@@ -55,6 +57,8 @@
   usedCost: number;
   daemon: string;
   daemons: readonly string[];
+  /** Instant from which the peers are told the totals again. */
+  nextTotalsAt: Instant;
   /** Virtual time of the team that was served last. */
   virtualTime: number;
 }
@@ -71,6 +75,7 @@
     usedCost: 0,
     daemon: "",
     daemons: [],
+    nextTotalsAt: 0,
     virtualTime: 0,
   };
 }
