Count the mean over the same engines on every daemon

Ruled out: a stricter limit for decisions without an owner; it would hide the wrong mean. Change: totals cover all engines that serve the model, and each daemon takes off the counts of those that it believes to be leaving; an engine whose owner is silent counts as if the other daemons placed as many as this one.

--- a/packages/kernel/src/placement/EngineGroup.ts
+++ b/packages/kernel/src/placement/EngineGroup.ts
@@ -1,4 +1,5 @@
-import type { EngineLoad } from "./EngineLoad.js";
+import type { Instant } from "../kernel/Plugin.js";
+import { getCount, type EngineLoad } from "./EngineLoad.js";
 import { getRendezvousScore } from "./hash.js";
 
 /** The engines that serve one model, and the running requests on them. */
@@ -7,9 +8,11 @@
   readonly id: number;
   /** All engines in scope that serve the model and are eligible. */
   engines: readonly EngineLoad[];
+  /** Engines in scope that serve the model but take no new work. */
+  leaving: readonly EngineLoad[];
   /** Weight of the engines, and of those that the list lacks for a moment. */
   weight: number;
-  /** This daemon's running requests on the engines. */
+  /** This daemon's running requests, those on leaving engines included. */
   own: number;
   /** Sum of the running requests that other daemons report. */
   reported: number;
@@ -20,15 +23,20 @@
  * @param id - Hash of the model.
  */
 export function createEngineGroup(id: number): EngineGroup {
-  return { id, engines: [], weight: 0, own: 0, reported: 0 };
+  return { id, engines: [], leaving: [], weight: 0, own: 0, reported: 0 };
 }
 
 /**
- * Gets the mean running requests for each unit of weight.
+ * Gets the mean running requests for each unit of weight, without those on leaving engines.
  * @param group - Group to measure.
+ * @param now - Current time.
  */
-export function getMean(group: EngineGroup): number {
-  return group.weight === 0 ? 0 : (group.own + group.reported) / group.weight;
+export function getMean(group: EngineGroup, now: Instant): number {
+  let total = group.own + group.reported;
+  for (const engine of group.leaving) {
+    total -= getCount(engine, now);
+  }
+  return group.weight === 0 ? 0 : Math.max(0, total) / group.weight;
 }
 
 /**
--- a/packages/kernel/src/placement/EngineLoad.ts
+++ b/packages/kernel/src/placement/EngineLoad.ts
@@ -13,6 +13,8 @@
   isAbsent: boolean;
   /** Daemon that keeps the engine's count. */
   owner: string;
+  /** True when that is this daemon. */
+  isOwned: boolean;
   /** Hashes of the models that the engine serves. */
   modelIds: readonly number[];
   /** Groups whose mean counts the engine. */
@@ -47,6 +49,7 @@
     isEligible: false,
     isAbsent: false,
     owner: "",
+    isOwned: false,
     modelIds: [],
     groups: [],
     own: 0,
@@ -63,39 +66,23 @@
  * Gets the running requests of an engine that are counted by this daemon and by no other: its own
  * when it is the owner, and those that others report to it.
  * @param engine - Engine to count.
- * @param daemon - Name of this daemon.
  */
-export function getAssignedCount(engine: EngineLoad, daemon: string): number {
-  return Math.max(0, engine.reported + (engine.owner === daemon ? engine.own : 0));
+export function getAssignedCount(engine: EngineLoad): number {
+  return Math.max(0, engine.reported + (engine.isOwned ? engine.own : 0));
 }
 
 /**
- * Gets the running requests of an engine that this daemon owns.
+ * Gets the running requests of an engine as far as this daemon knows.
  *
- * Daemons that disagree on the owner report each request to one of them, so the claims of the
- * others are added.
+ * Daemons that disagree on the owner report each request to one of them, so the claims of others
+ * are added to what is reported here. A daemon that is not the owner adds its own changes since the
+ * newest claim.
  * @param engine - Engine to count.
  * @param now - Current time.
  */
-export function getOwnedCount(engine: EngineLoad, now: Instant): number {
-  return withInherited(engine, engine.own + engine.reported + engine.claimed, now);
-}
-
-/**
- * Gets the running requests of an engine as other daemons' claims and this daemon's own changes
- * since then tell.
- * @param engine - Engine to count.
- * @param now - Current time.
- */
-export function getEstimatedCount(engine: EngineLoad, now: Instant): number {
-  const change = engine.own - engine.ownAtClaim;
-  return withInherited(
-    engine,
-    Math.max(engine.own, engine.claimed + engine.reported + change),
-    now,
-  );
-}
-
-function withInherited(engine: EngineLoad, count: number, now: Instant): number {
+export function getCount(engine: EngineLoad, now: Instant): number {
+  const others = engine.reported + engine.claimed;
+  const own = engine.isOwned ? engine.own : engine.own - engine.ownAtClaim;
+  const count = Math.max(engine.own, others + own);
   return now < engine.inheritedUntil ? Math.max(count, engine.inherited) : count;
 }
--- a/packages/kernel/src/placement/LoadLedger.ts
+++ b/packages/kernel/src/placement/LoadLedger.ts
@@ -1,12 +1,6 @@
 import type { Instant } from "../kernel/Plugin.js";
 import { createEngineGroup, type EngineGroup } from "./EngineGroup.js";
-import {
-  createEngineLoad,
-  getAssignedCount,
-  getEstimatedCount,
-  getOwnedCount,
-  type EngineLoad,
-} from "./EngineLoad.js";
+import { createEngineLoad, getAssignedCount, getCount, type EngineLoad } from "./EngineLoad.js";
 import { getHash } from "./hash.js";
 import type { PlacementDaemon, PlacementEngine } from "./messages.js";
 import { OwnerChoice } from "./OwnerChoice.js";
@@ -78,17 +72,6 @@
     return this.peersByName.get(peer)?.heardAt;
   }
 
-  /**
-   * Gets the running requests of an engine as far as this daemon knows.
-   * @param engine - Engine to count.
-   * @param now - Current time.
-   */
-  getCount(engine: EngineLoad, now: Instant): number {
-    return engine.owner === this.daemon
-      ? getOwnedCount(engine, now)
-      : getEstimatedCount(engine, now);
-  }
-
   /**
    * Takes over the engines and their owners.
    * @param fleet - The live daemons and the engines.
@@ -97,7 +80,7 @@
   setFleet(fleet: LedgerFleet, now: Instant): void {
     const before = this.getCounts(now);
     this.updateEngines(fleet);
-    this.updateGroups(fleet);
+    this.updateGroups(fleet.engines);
     this.inheritCounts(before, now);
   }
 
@@ -107,8 +90,8 @@
    */
   getClaims(): EngineCount[] {
     return [...this.enginesById.values()]
-      .filter((engine) => engine.owner === this.daemon || engine.reported > 0)
-      .map((engine) => ({ engine: engine.id, count: getAssignedCount(engine, this.daemon) }));
+      .filter((engine) => engine.isOwned || engine.reported > 0)
+      .map((engine) => ({ engine: engine.id, count: getAssignedCount(engine) }));
   }
 
   /**
@@ -277,7 +260,7 @@
     return [...this.enginesById.values()].map((engine) => ({
       engine: engine.id,
       owner: engine.owner,
-      count: this.getCount(engine, now),
+      count: getCount(engine, now),
     }));
   }
 
@@ -295,6 +278,7 @@
     for (const engine of this.enginesById.values()) {
       engine.isEligible = false;
       engine.owner = "";
+      engine.isOwned = false;
       engine.groups = [];
     }
     const owners = OwnerChoice.create(daemons);
@@ -307,6 +291,7 @@
       engine.isEligible = entry.eligible;
       engine.isAbsent = absentEngines.includes(entry.name);
       engine.owner = this.sharesOwners ? owners.getOwner(engine) : this.daemon;
+      engine.isOwned = engine.owner === this.daemon;
     }
     this.removeUnusedEngines();
   }
@@ -330,38 +315,43 @@
     }
   }
 
-  private updateGroups({ engines, absentEngines }: LedgerFleet): void {
+  private updateGroups(engines: readonly PlacementEngine[]): void {
     for (const group of this.groupsById.values()) {
       group.engines = [];
+      group.leaving = [];
       group.weight = 0;
       group.own = 0;
     }
-    const counted = engines.filter((entry) => entry.eligible || absentEngines.includes(entry.name));
     const models = new Set(engines.flatMap((entry) => entry.models));
     for (const model of models) {
-      this.fillGroup(this.getGroup(getHash(model)), this.getScope(counted, model));
+      this.fillGroup(this.getGroup(getHash(model)), this.getScope(engines, model));
     }
   }
 
-  /** Gets the counted engines of a model: the zone's when they are many, else the region's, else all. */
-  private getScope(counted: readonly PlacementEngine[], model: string): PlacementEngine[] {
-    const serving = counted.filter((entry) => entry.models.includes(model));
+  /** Gets the engines of a model: the zone's when they are many, else the region's, else all. */
+  private getScope(engines: readonly PlacementEngine[], model: string): PlacementEngine[] {
+    const serving = engines.filter((entry) => entry.models.includes(model));
     const inZone = serving.filter((entry) => entry.zone === this.zone);
-    if (inZone.length >= zoneScopeMinimumEngines) {
+    if (getEligibleCount(inZone) >= zoneScopeMinimumEngines) {
       return inZone;
     }
-    const region = counted.find((entry) => entry.zone === this.zone)?.region;
+    const region = engines.find((entry) => entry.zone === this.zone)?.region;
     const inRegion = serving.filter((entry) => region === undefined || entry.region === region);
-    return inRegion.length > 0 ? inRegion : serving;
+    return getEligibleCount(inRegion) > 0 ? inRegion : serving;
   }
 
   private fillGroup(group: EngineGroup, entries: readonly PlacementEngine[]): void {
     const members = entries.map((entry) => this.getEngine(getHash(entry.name)));
     group.engines = members.filter((engine) => engine.isEligible);
+    group.leaving = members.filter((engine) => !engine.isEligible && !engine.isAbsent);
     for (const engine of members) {
       engine.groups = [...engine.groups, group];
-      group.weight += engine.weight;
+      group.weight += engine.isEligible || engine.isAbsent ? engine.weight : 0;
       group.own += engine.own;
     }
   }
 }
+
+function getEligibleCount(entries: readonly PlacementEngine[]): number {
+  return entries.filter((entry) => entry.eligible).length;
+}
--- a/packages/kernel/src/placement/OwnerDesk.ts
+++ b/packages/kernel/src/placement/OwnerDesk.ts
@@ -1,7 +1,7 @@
 import type { Instant } from "../kernel/Plugin.js";
 import type { PlacementContext } from "./context.js";
 import type { EngineGroup } from "./EngineGroup.js";
-import { getAssignedCount, type EngineLoad } from "./EngineLoad.js";
+import { getAssignedCount, getCount, type EngineLoad } from "./EngineLoad.js";
 import { getLevelLimit, getLimit } from "./limits.js";
 import type { Reservation, ReservationAnswer } from "./peerMessage.js";
 
@@ -39,7 +39,7 @@
       ledger.addReported(from, engine, -1);
     }
     const outcome = isGranted ? "granted" : "refused";
-    return this.createAnswer(reservation.id, outcome, engine);
+    return createAnswer(reservation.id, outcome, engine);
   }
 
   /**
@@ -91,9 +91,11 @@
     added: number,
     now: Instant,
   ): boolean {
-    const { ledger, bound, strategy } = this.context;
-    const limit = isLevel ? getLevelLimit(engine, group) : getLimit(engine, group, bound, strategy);
-    return ledger.getCount(engine, now) + added <= limit;
+    const { bound, strategy } = this.context;
+    const limit = isLevel
+      ? getLevelLimit(engine, group, now)
+      : getLimit(engine, group, bound, strategy, now);
+    return getCount(engine, now) + added <= limit;
   }
 
   private redirect(
@@ -103,24 +105,23 @@
     moved: EngineLoad,
     now: Instant,
   ): ReservationAnswer {
-    const { ledger, daemon } = this.context;
+    const { ledger } = this.context;
     const group = ledger.groupsById.get(reservation.model);
     ledger.addReported(from, engine, -1);
     const isGranted =
-      moved.owner === daemon && group !== undefined && this.canGrant(moved, group, false, 1, now);
+      moved.isOwned && group !== undefined && this.canGrant(moved, group, false, 1, now);
     if (isGranted) {
       ledger.addReported(from, moved, 1);
     }
     const outcome = isGranted ? "granted" : "redirected";
-    return this.createAnswer(reservation.id, outcome, moved);
+    return createAnswer(reservation.id, outcome, moved);
   }
+}
 
-  private createAnswer(
-    id: number,
-    outcome: ReservationAnswer["outcome"],
-    engine: EngineLoad,
-  ): ReservationAnswer {
-    const count = getAssignedCount(engine, this.context.daemon);
-    return { id, outcome, engine: engine.id, count };
-  }
+function createAnswer(
+  id: number,
+  outcome: ReservationAnswer["outcome"],
+  engine: EngineLoad,
+): ReservationAnswer {
+  return { id, outcome, engine: engine.id, count: getAssignedCount(engine) };
 }
--- a/packages/kernel/src/placement/PlacementFlow.ts
+++ b/packages/kernel/src/placement/PlacementFlow.ts
@@ -1,6 +1,6 @@
 import type { Instant } from "../kernel/Plugin.js";
 import type { PlacementContext } from "./context.js";
-import type { EngineLoad } from "./EngineLoad.js";
+import { getCount, type EngineLoad } from "./EngineLoad.js";
 import { getHash } from "./hash.js";
 import type { FinishedMessage, PlaceMessage } from "./messages.js";
 import { OwnerContacts } from "./OwnerContacts.js";
@@ -175,7 +175,7 @@
     let least: EngineLoad | undefined;
     let leastLoad = Infinity;
     for (const engine of engines) {
-      const load = this.context.ledger.getCount(engine, now) / engine.weight;
+      const load = this.getCautiousCount(engine, now) / engine.weight;
       if (load < leastLoad && !placement.refused.has(engine)) {
         least = engine;
         leastLoad = load;
@@ -185,8 +185,8 @@
   }
 
   private tryEngine(placement: Placement, engine: EngineLoad, now: Instant): void {
-    const { strategy, daemon } = this.context;
-    if (!strategy.reserves || engine.owner === daemon) {
+    const { strategy } = this.context;
+    if (!strategy.reserves || engine.isOwned) {
       this.decide(placement, engine, now);
       return;
     }
@@ -328,14 +328,26 @@
     const engine = placement.engine as EngineLoad;
     this.endReservation(placement);
     placement.reason = "owner-silent";
-    const unseen = Math.max(0, engine.own - engine.ownAtClaim) * (this.context.daemonCount - 1);
-    if (this.desk.hasRoom(engine, placement.group, placement.isLevel, unseen, now)) {
+    placement.refused.add(engine);
+    if (
+      this.desk.hasRoom(engine, placement.group, placement.isLevel, this.getUnseen(engine), now)
+    ) {
       this.confirm(placement, now);
       return;
     }
     this.takeLeastLoaded(placement, now);
   }
 
+  /** Counts an engine whose owner is silent as if the other daemons placed as many as this one. */
+  private getCautiousCount(engine: EngineLoad, now: Instant): number {
+    const isSilent = !engine.isOwned && this.contacts.isSilent(engine.owner, now);
+    return getCount(engine, now) + (isSilent ? this.getUnseen(engine) : 0);
+  }
+
+  private getUnseen(engine: EngineLoad): number {
+    return Math.max(0, engine.own - engine.ownAtClaim) * (this.context.daemonCount - 1);
+  }
+
   private endReservation(placement: Placement): void {
     if (placement.reservation !== undefined) {
       this.placementsByReservation.delete(placement.reservation.id);
@@ -363,7 +375,7 @@
   }
 
   private addChange(engine: EngineLoad, now: Instant): void {
-    if (engine.owner !== this.context.daemon && engine.owner !== "") {
+    if (!engine.isOwned && engine.owner !== "") {
       this.context.outbox.addChange(engine.owner, now);
     }
   }
@@ -384,7 +396,7 @@
       return;
     }
     const move: ChatMove = { chat: placement.chat, engine: engine.id };
-    if (first.owner === this.context.daemon) {
+    if (first.isOwned) {
       this.context.directory.addChat(move.chat, move.engine, now);
     } else if (first.owner !== "") {
       this.context.outbox.addMove(first.owner, move, now);
--- a/packages/kernel/src/placement/Placer.ts
+++ b/packages/kernel/src/placement/Placer.ts
@@ -1,6 +1,7 @@
 import type { Instant } from "../kernel/Plugin.js";
 import { ChatDirectory } from "./ChatDirectory.js";
 import type { PlacementContext } from "./context.js";
+import { getCount } from "./EngineLoad.js";
 import { explainPlacement } from "./explain.js";
 import { LoadLedger } from "./LoadLedger.js";
 import type {
@@ -85,9 +86,8 @@
    * @param now - Current time.
    */
   getCount(name: string, now: Instant): number | undefined {
-    const { ledger } = this.context;
-    const engine = ledger.getEngineByName(name);
-    return engine === undefined ? undefined : ledger.getCount(engine, now);
+    const engine = this.context.ledger.getEngineByName(name);
+    return engine === undefined ? undefined : getCount(engine, now);
   }
 
   /**
--- a/packages/kernel/src/placement/explain.ts
+++ b/packages/kernel/src/placement/explain.ts
@@ -1,7 +1,7 @@
 import type { Instant } from "../kernel/Plugin.js";
 import type { PlacementContext } from "./context.js";
 import { getCandidates, getMean, type EngineGroup } from "./EngineGroup.js";
-import type { EngineLoad } from "./EngineLoad.js";
+import { getCount, type EngineLoad } from "./EngineLoad.js";
 import { getHash } from "./hash.js";
 import { getLimit } from "./limits.js";
 import type { ExplainedCandidate, ExplainedEffect, ExplainMessage } from "./messages.js";
@@ -31,7 +31,7 @@
     kind: "explained",
     chat,
     model,
-    mean: getMean(group),
+    mean: getMean(group, now),
     candidates: ranked.map((engine, index) => ({
       ...describe(engine, group, context, now),
       rank: index + 1,
@@ -66,8 +66,8 @@
   return {
     engine: engine.name,
     zone: engine.zone,
-    load: context.ledger.getCount(engine, now),
-    limit: getLimit(engine, group, context.bound, context.strategy),
+    load: getCount(engine, now),
+    limit: getLimit(engine, group, context.bound, context.strategy, now),
     eligible: engine.isEligible,
     owner: engine.owner,
     reason: engine.isEligible ? reason : "not-eligible",
@@ -77,9 +77,9 @@
 function hasRoom(
   engine: EngineLoad,
   group: EngineGroup,
-  { ledger, bound, strategy }: PlacementContext,
+  { bound, strategy }: PlacementContext,
   now: Instant,
 ): boolean {
-  const limit = getLimit(engine, group, bound, strategy);
-  return engine.isEligible && ledger.getCount(engine, now) + 1 <= limit;
+  const limit = getLimit(engine, group, bound, strategy, now);
+  return engine.isEligible && getCount(engine, now) + 1 <= limit;
 }
