Add the demo on real processes, with verdicts that can fail

Ruled out: a fleet of its own (the one of packages/experiments/src/fleet is used); a verdict of "held" for a promise that was not put to the test. Conclusion: the demo reports faults of the daemon as it is: a stop waits for callers' idle keep-alive connections until its deadline, and the load bound needs the digests between daemons.

--- /dev/null
+++ b/packages/experiments/src/demo/ChatLoad.ts
@@ -0,0 +1,135 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { Random } from "../bench/Random.js";
+import { getExpectedChatAnswer } from "../fleet/index.js";
+import type { CallerSession } from "./CallerSession.js";
+import type { ChatMessage, ChatTurn } from "./CallerClient.js";
+import type { Ledger } from "./Ledger.js";
+
+/** A kind of chat. */
+export interface ChatKind {
+  readonly team: string;
+  readonly model: string;
+}
+
+const firstWords = { min: 120, spread: 200 };
+const turnWords = { min: 8, spread: 16 };
+const answerTokens = { min: 20, spread: 20 };
+const pauseMilliseconds = { min: 100, spread: 400 };
+const retryMilliseconds = 100;
+const maxTries = 10;
+const maxTurns = 12;
+const streamedShare = 0.7;
+
+/** Returning chats that go on until they are told to stop. */
+export class ChatLoad {
+  private isStopped = false;
+  private readonly loops: Promise<void>[] = [];
+
+  private constructor(
+    private readonly session: CallerSession,
+    private readonly ledger: Ledger,
+  ) {}
+
+  /**
+   * Creates a load that has not started.
+   * @param session - Session that sends the turns.
+   * @param ledger - Ledger that counts the answers.
+   */
+  static create(session: CallerSession, ledger: Ledger): ChatLoad {
+    return new ChatLoad(session, ledger);
+  }
+
+  /**
+   * Starts chats that take turns, pause and return.
+   * @param kind - Kind of the chats.
+   * @param count - Number of chats at a time.
+   * @param seed - Seed of their pauses and lengths.
+   */
+  start(kind: ChatKind, count: number, seed: number): void {
+    for (let index = 0; index < count; index++) {
+      this.loops.push(
+        this.runChats(kind, Random.create(seed, index), `${kind.team}-${String(index)}`),
+      );
+    }
+  }
+
+  /** Lets every chat finish its turn and resolves when all have. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await Promise.all(this.loops);
+  }
+
+  private async runChats(kind: ChatKind, random: Random, name: string): Promise<void> {
+    for (let number = 0; !this.isStopped; number++) {
+      await this.runChat(kind, random, `${name}-${String(number)}`);
+    }
+  }
+
+  private async runChat(kind: ChatKind, random: Random, chat: string): Promise<void> {
+    let history: readonly ChatMessage[] = [];
+    for (let turns = 0; turns < maxTurns && !this.isStopped; turns++) {
+      await delay(getAmount(random, pauseMilliseconds));
+      const turn = createTurn(kind, random, chat, history);
+      const content = await this.takeTurn(turn);
+      if (content === undefined) {
+        this.ledger.chats.unanswered += 1;
+        return;
+      }
+      this.countTurn(turn, content);
+      const { message } = turn;
+      history = [...history, { role: "user", content: message }, { role: "assistant", content }];
+    }
+  }
+
+  /** Sends a turn until it is answered whole; a caller comes back after a typed failure or a cut. */
+  private async takeTurn(turn: ChatTurn): Promise<string | undefined> {
+    for (let tries = 0; tries < maxTries; tries++) {
+      const answer = await this.session.ask((client, address) => client.complete(address, turn));
+      if (answer.kind === "whole") {
+        return answer.content;
+      }
+      await delay(retryMilliseconds * (tries + 1));
+    }
+    return undefined;
+  }
+
+  private countTurn(turn: ChatTurn, content: string): void {
+    const { chats } = this.ledger;
+    const isExpected = content === getExpectedChatAnswer(turn.team, turn);
+    chats.whole += isExpected ? 1 : 0;
+    chats.wrong += isExpected ? 0 : 1;
+    chats.returned += turn.history.length > 0 ? 1 : 0;
+    const repeated = turn.history.reduce((sum, message) => sum + countWords(message.content), 0);
+    chats.repeatedTokens += repeated;
+    chats.promptTokens += repeated + countWords(turn.message);
+  }
+}
+
+function createTurn(
+  kind: ChatKind,
+  random: Random,
+  chat: string,
+  history: readonly ChatMessage[],
+): ChatTurn {
+  const length = getAmount(random, history.length === 0 ? firstWords : turnWords);
+  const words = Array.from({ length }, () => `w${String(random.getIndex(100_000))}`);
+  return {
+    ...kind,
+    chat,
+    history,
+    message: words.join(" "),
+    tokens: getAmount(random, answerTokens),
+    isStream: random.getUniform() < streamedShare,
+  };
+}
+
+function getAmount(
+  random: Random,
+  range: { readonly min: number; readonly spread: number },
+): number {
+  return range.min + random.getIndex(range.spread);
+}
+
+function countWords(text: string): number {
+  return text.split(" ").length;
+}
--- /dev/null
+++ b/packages/experiments/src/demo/Demo.ts
@@ -0,0 +1,220 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { Fleet } from "../fleet/index.js";
+import { ActLoad } from "./ActLoad.js";
+import { Balancer } from "./Balancer.js";
+import { CallerClient } from "./CallerClient.js";
+import { CallerSession } from "./CallerSession.js";
+import { ChatLoad } from "./ChatLoad.js";
+import type { DemoLayout } from "./layout.js";
+import { Ledger } from "./Ledger.js";
+import { getControlBytes, Observer, type EngineRecord } from "./Observer.js";
+import type { Observations } from "./observations.js";
+
+const chatsPerTeam = 60;
+const warmUpMilliseconds = 2_500;
+const stepMilliseconds = 2_000;
+const refusalMilliseconds = 1_000;
+const outageMilliseconds = 2_500;
+const bytesMilliseconds = 2_000;
+const settleMilliseconds = 500;
+
+/** The events that one run puts the fleet through, in order. */
+interface Course {
+  readonly leaving: Observations["leaving"];
+  readonly stop: Observations["stop"];
+  readonly kill: Observations["kill"];
+  readonly configuration: Omit<Observations["configuration"], "samples">;
+  readonly outage: Observations["outage"];
+  readonly controlBytesPerSecond: readonly number[];
+}
+
+/** One run of the demo: callers, upstreams and daemons as real processes, and what goes wrong. */
+export class Demo {
+  private readonly ledger = Ledger.create();
+  private readonly client = CallerClient.create();
+  private readonly balancer: Balancer;
+  private readonly observer: Observer;
+  private readonly chats: ChatLoad;
+  private readonly acts: ActLoad;
+
+  private constructor(
+    private readonly layout: DemoLayout,
+    private readonly fleet: Fleet,
+    private readonly seed: number,
+    private readonly tell: (step: string) => void,
+  ) {
+    this.balancer = Balancer.create(
+      layout.fleet.daemons.map(({ name }) => {
+        const { callers, operations } = fleet.getDaemonOrThrow(name);
+        return { name, callers, operations };
+      }),
+    );
+    const session = CallerSession.create(this.client, this.balancer, this.ledger);
+    this.observer = Observer.create(fleet);
+    this.chats = ChatLoad.create(session, this.ledger);
+    this.acts = ActLoad.create(session, this.ledger);
+  }
+
+  /**
+   * Starts the fleet, runs the demo and ends every process.
+   * @param layout - What to run.
+   * @param seed - Seed of the callers.
+   * @param tell - Told of each step as it begins.
+   */
+  static async run(
+    layout: DemoLayout,
+    seed: number,
+    tell: (step: string) => void,
+  ): Promise<Observations> {
+    tell("start the platform, engines, services and daemons");
+    const fleet = await Fleet.start(layout.fleet);
+    const demo = new Demo(layout, fleet, seed, tell);
+    try {
+      return await demo.observe();
+    } finally {
+      demo.balancer.stop();
+      await demo.client.close();
+      await fleet.stop();
+    }
+  }
+
+  private async observe(): Promise<Observations> {
+    await this.balancer.waitForAll();
+    this.tell("chats return, acts are submitted");
+    this.startLoads();
+    const course = await this.runCourse();
+    this.tell("finish what is in flight");
+    await Promise.all([this.chats.stop(), this.acts.stop()]);
+    await this.observer.stop();
+    return await this.collect(course);
+  }
+
+  private startLoads(): void {
+    this.chats.start({ team: "parents", model: "summary" }, chatsPerTeam, this.seed);
+    this.chats.start({ team: "keyworkers", model: "diary" }, chatsPerTeam, this.seed + 1);
+    const path = "/v1/services/diary-application/medication-notes";
+    this.acts.start({ team: "medication", path }, this.seed + 2);
+    this.observer.start();
+  }
+
+  private async runCourse(): Promise<Course> {
+    await delay(warmUpMilliseconds);
+    const controlBytesPerSecond = await this.measureControlBytes();
+    const leavingAt = await this.leaveEngine();
+    const configuration = await this.publishConfigurations();
+    const stop = await this.stopDaemon();
+    const kill = await this.killDaemon();
+    const outage = await this.cutPlatform();
+    const leaving = await this.getLeaving(leavingAt);
+    return { controlBytesPerSecond, leaving, configuration, stop, kill, outage };
+  }
+
+  private async measureControlBytes(): Promise<readonly number[]> {
+    this.tell("measure the control traffic");
+    const daemons = this.layout.fleet.daemons.map(({ name }) => this.fleet.getDaemonOrThrow(name));
+    const read = () => Promise.all(daemons.map(({ operations }) => getControlBytes(operations)));
+    const startedAt = performance.now();
+    const before = await read();
+    await delay(bytesMilliseconds);
+    const after = await read();
+    const seconds = (performance.now() - startedAt) / 1_000;
+    return after.map((bytes, index) => (bytes - (before[index] ?? 0)) / seconds);
+  }
+
+  private async leaveEngine(): Promise<number> {
+    const engine = this.getLeavingEngine();
+    this.tell(`engine ${engine} leaves; the platform's list does not say so`);
+    this.observer.excludeEngine(engine);
+    const at = Date.now();
+    await this.fleet.setFaults(engine, { leaving: true });
+    await delay(settleMilliseconds);
+    return at;
+  }
+
+  private getLeavingEngine(): string {
+    return this.layout.fleet.engines.at(-1)?.name ?? "";
+  }
+
+  private async getLeaving(at: number): Promise<Observations["leaving"]> {
+    const { requests } = await this.observer.getEngineRecord(this.getLeavingEngine());
+    const times = requests.map((request) => request.at);
+    return {
+      at,
+      requestsBefore: times.filter((time) => time <= at).length,
+      requestTimesAfter: times.filter((time) => time > at),
+    };
+  }
+
+  private async publishConfigurations(): Promise<Course["configuration"]> {
+    this.tell("publish a new configuration");
+    const publishedAt = Date.now();
+    const revision = await this.fleet.publish(this.layout.nextText);
+    await delay(stepMilliseconds);
+    this.tell("publish a configuration that must be refused");
+    const refusedRevision = await this.fleet.publish(this.layout.badText);
+    await delay(refusalMilliseconds);
+    const live = this.layout.fleet.daemons.map(({ name }) => name);
+    return { publishedAt, revision, refusedRevision, live };
+  }
+
+  private async stopDaemon(): Promise<Observations["stop"]> {
+    const daemon = this.getDaemonName(1);
+    this.tell(`stop ${daemon} with SIGTERM`);
+    const running = this.fleet.getDaemonOrThrow(daemon).process;
+    const inFlight = this.ledger.getInFlight(daemon);
+    running.signal("SIGTERM");
+    const exitCode = await running.waitForExit();
+    return { daemon, inFlight, exitCode };
+  }
+
+  private async killDaemon(): Promise<Observations["kill"]> {
+    const daemon = this.getDaemonName(3);
+    this.tell(`kill ${daemon} with SIGKILL`);
+    const at = Date.now();
+    await this.fleet.getDaemonOrThrow(daemon).process.kill();
+    await delay(stepMilliseconds);
+    return { daemon, at };
+  }
+
+  private getDaemonName(index: number): string {
+    return this.layout.fleet.daemons[index]?.name ?? "";
+  }
+
+  private async cutPlatform(): Promise<Observations["outage"]> {
+    this.tell("the platform goes down");
+    await this.fleet.callStandin("platform", "POST", "down", {});
+    const before = this.ledger.chats.whole;
+    await delay(outageMilliseconds);
+    const whole = this.ledger.chats.whole - before;
+    await this.fleet.callStandin("platform", "POST", "up");
+    await delay(settleMilliseconds);
+    return { whole };
+  }
+
+  private async collect(course: Course): Promise<Observations> {
+    const { engines, services } = this.layout.fleet;
+    const records = await Promise.all(
+      engines.map(({ name }) => this.observer.getEngineRecord(name)),
+    );
+    const runs = await Promise.all(services.map(({ name }) => this.fleet.getRuns(name)));
+    const { chats, problems, cuts, acts } = this.ledger;
+    return {
+      ...course,
+      configuration: { ...course.configuration, samples: this.observer.configurations },
+      chats,
+      problems,
+      cuts,
+      acts,
+      runs: runs.flat(),
+      loads: this.observer.loads,
+      bound: this.layout.configuration.load.bound,
+      cacheReuse: getReuse(records),
+    };
+  }
+}
+
+function getReuse(records: readonly EngineRecord[]): number {
+  const cached = records.reduce((sum, { counts }) => sum + counts.cachedTokens, 0);
+  const prompt = records.reduce((sum, { counts }) => sum + counts.promptTokens, 0);
+  return cached / Math.max(1, prompt);
+}
--- /dev/null
+++ b/packages/experiments/src/demo/Observer.ts
@@ -0,0 +1,98 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
+import type { Fleet } from "../fleet/index.js";
+import type { ConfigurationSample, LoadSample } from "./observations.js";
+
+const loadPeriodMilliseconds = 200;
+const statusPeriodMilliseconds = 100;
+
+/** What the demo reads of an engine's records. */
+export interface EngineRecord {
+  readonly counts: { readonly promptTokens: number; readonly cachedTokens: number };
+  readonly load: { readonly running: number; readonly waiting: number };
+  readonly requests: readonly { readonly at: number; readonly outcome: string }[];
+}
+
+/** Watches the engines' loads and the daemons' configurations from outside. */
+export class Observer {
+  readonly loads: LoadSample[] = [];
+  readonly configurations: ConfigurationSample[] = [];
+  private readonly excludedEngines = new Set<string>();
+  private isStopped = false;
+  private watches: Promise<unknown> = Promise.resolve();
+
+  private constructor(private readonly fleet: Fleet) {}
+
+  /**
+   * Creates an observer that has not started.
+   * @param fleet - Fleet to watch.
+   */
+  static create(fleet: Fleet): Observer {
+    return new Observer(fleet);
+  }
+
+  /** Starts to watch. */
+  start(): void {
+    const { daemons } = this.fleet.layout;
+    const watches = daemons.map(({ name }) => this.watchConfiguration(name));
+    this.watches = Promise.all([this.watchLoads(), ...watches]);
+  }
+
+  /** Ends the watching. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await this.watches;
+  }
+
+  /**
+   * Leaves an engine out of the loads from now on.
+   * @param name - Name of the engine.
+   */
+  excludeEngine(name: string): void {
+    this.excludedEngines.add(name);
+  }
+
+  /**
+   * Gets the records of an engine.
+   * @param name - Name of the engine.
+   */
+  async getEngineRecord(name: string): Promise<EngineRecord> {
+    return (await this.fleet.callStandin(name, "GET", "records")) as EngineRecord;
+  }
+
+  private async watchLoads(): Promise<void> {
+    while (!this.isStopped) {
+      const engines = this.fleet.layout.engines.filter(
+        ({ name }) => !this.excludedEngines.has(name),
+      );
+      const at = Date.now();
+      const records = await Promise.all(engines.map(({ name }) => this.getEngineRecord(name)));
+      this.loads.push({ at, loads: records.map(({ load }) => load.running + load.waiting) });
+      await delay(loadPeriodMilliseconds);
+    }
+  }
+
+  private async watchConfiguration(daemon: string): Promise<void> {
+    while (!this.isStopped) {
+      const status = await this.fleet.getStatus(daemon).catch(() => undefined);
+      if (status?.configuration !== undefined) {
+        const { revision } = status.configuration;
+        const refusedRevision = status.refused?.revision;
+        this.configurations.push({ daemon, at: Date.now(), revision, refusedRevision });
+      }
+      await delay(statusPeriodMilliseconds);
+    }
+  }
+}
+
+const controlBytesPattern = /^pistachioway_control_bytes_total\{[^}]*\} (\S+)$/gm;
+
+/**
+ * Gets the bytes of control traffic of a daemon, sent and received, over all channels.
+ * @param operations - Operations listener of the daemon.
+ */
+export async function getControlBytes(operations: string): Promise<number> {
+  const answer = await request(`http://${operations}/metrics`);
+  const text = await answer.body.text();
+  return [...text.matchAll(controlBytesPattern)].reduce((sum, match) => sum + Number(match[1]), 0);
+}
--- /dev/null
+++ b/packages/experiments/src/demo/layout.ts
@@ -0,0 +1,61 @@
+import { readFile } from "node:fs/promises";
+import { fileURLToPath } from "node:url";
+import { parseConfiguration, type Configuration } from "@pistachioway/kernel";
+import type { FleetLayout } from "../fleet/index.js";
+
+const exampleFile = fileURLToPath(
+  new URL("../../../../examples/ballycorrig.toml", import.meta.url),
+);
+const tokenMilliseconds = 20;
+const loadLagMilliseconds = 300;
+const cacheTokens = 100_000;
+
+/** Settings of every daemon that keep a stop short enough for a demo. */
+const extraSettings = "[limits]\nunreadyMilliseconds = 500\ndrainMilliseconds = 10000\n";
+
+/** What the demo runs: the layout, and the configurations that are published. */
+export interface DemoLayout {
+  readonly fleet: FleetLayout;
+  readonly configuration: Configuration;
+  /** Accepted, with one more team. */
+  readonly nextText: string;
+  /** Refused: an engine stands in a zone that the file does not hold. */
+  readonly badText: string;
+}
+
+/** Reads the example of three zones and lays five daemons out over them. */
+export async function createLayout(): Promise<DemoLayout> {
+  const text = await readFile(exampleFile, "utf8");
+  const configuration = parseConfiguration(text).unwrapOrElse((error) => {
+    throw error;
+  });
+  return {
+    configuration,
+    nextText: `${text}\n[[teams]]\nname = "visitors"\ntokenSha256 = "${"0".repeat(64)}"\n`,
+    badText: text.replace('zone = "dublin"\nmodels', 'zone = "nowhere"\nmodels'),
+    fleet: {
+      daemons: ["dublin-1", "dublin-2", "cork-1", "cork-2", "galway-1"].map((place) => ({
+        name: `entry-${place}`,
+        zone: place.split("-")[0] ?? "",
+      })),
+      engines: configuration.engines.map(({ name, zone, slots, models, checksFencing }) => ({
+        name,
+        zone,
+        options: {
+          slots,
+          models: models.join(","),
+          checksFencing,
+          tokenMilliseconds,
+          loadLagMilliseconds,
+          cacheTokens,
+        },
+      })),
+      services: configuration.services.flatMap((service) =>
+        service.hosts.map(({ name, zone }) => ({ name, zone, service: service.name })),
+      ),
+      teams: configuration.teams.map(({ name }) => name),
+      configuration: text,
+      extraSettings,
+    },
+  };
+}
--- /dev/null
+++ b/packages/experiments/src/demo/main.ts
@@ -0,0 +1,33 @@
+import { parseArgs } from "node:util";
+import { Demo } from "./Demo.js";
+import { createLayout } from "./layout.js";
+import { formatReport, getMeasures, type Report } from "./report.js";
+import { getVerdicts } from "./verdicts.js";
+
+const defaultSeed = 20_261_203;
+
+async function main(): Promise<void> {
+  const { values } = parseArgs({
+    options: { json: { type: "boolean", default: false }, seed: { type: "string" } },
+  });
+  const seed = Number(values.seed ?? defaultSeed);
+  const startedAt = performance.now();
+  const getSeconds = () => (performance.now() - startedAt) / 1_000;
+  const tell = (step: string) => {
+    process.stderr.write(`${getSeconds().toFixed(1).padStart(5)} s  ${step}\n`);
+  };
+  const seen = await Demo.run(await createLayout(), seed, tell);
+  const promises = getVerdicts(seen);
+  const held = promises.every((verdict) => verdict.held);
+  const report: Report = {
+    held,
+    seed,
+    seconds: getSeconds(),
+    promises,
+    measures: getMeasures(seen),
+  };
+  process.stdout.write(`${values.json ? JSON.stringify(report) : formatReport(report)}\n`);
+  process.exitCode = held ? 0 : 1;
+}
+
+await main();
--- /dev/null
+++ b/packages/experiments/src/demo/report.ts
@@ -0,0 +1,89 @@
+import type { Observations } from "./observations.js";
+import { getMean, type Verdict } from "./verdicts.js";
+
+/** What the demo measured besides the promises. */
+export interface Measures {
+  readonly whole: number;
+  readonly returned: number;
+  /** Share of prompt tokens that engines found in their caches. */
+  readonly cacheReuse: number;
+  /** Share of prompt words that repeat earlier turns; no cache can reuse more. */
+  readonly repeatedShare: number;
+  /** Mean and largest quotient of the most loaded engine and the mean of all. */
+  readonly meanSkew: number;
+  readonly maxSkew: number;
+  readonly controlBytesPerSecond: readonly number[];
+  readonly problems: Readonly<Record<string, number>>;
+}
+
+/** The whole report, as `--json` prints it. */
+export interface Report {
+  readonly held: boolean;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly promises: readonly Verdict[];
+  readonly measures: Measures;
+}
+
+/** Skew says little where an engine has less than this load on average. */
+const minMeanLoad = 2;
+
+/**
+ * Gets the measures.
+ * @param seen - Everything that the demo saw.
+ */
+export function getMeasures(seen: Observations): Measures {
+  const { chats, loads, cacheReuse, controlBytesPerSecond, problems } = seen;
+  const skews = loads
+    .map((sample) => sample.loads)
+    .filter((values) => getMean(values) >= minMeanLoad)
+    .map((values) => Math.max(...values) / getMean(values));
+  return {
+    whole: chats.whole,
+    returned: chats.returned,
+    cacheReuse,
+    repeatedShare: chats.repeatedTokens / Math.max(1, chats.promptTokens),
+    meanSkew: getMean(skews),
+    maxSkew: Math.max(0, ...skews),
+    controlBytesPerSecond,
+    problems: Object.fromEntries(problems),
+  };
+}
+
+/**
+ * Formats the report for a reader.
+ * @param report - Report to format.
+ */
+export function formatReport(report: Report): string {
+  const width = Math.max(...report.promises.map(({ promise }) => promise.length));
+  const promises = report.promises.map(
+    ({ promise, held, evidence }) =>
+      `  ${held ? "held  " : "BROKEN"}  ${promise.padEnd(width)}  ${evidence}`,
+  );
+  const verdict = report.held ? "every promise held" : "not every promise held";
+  const time = `seed ${String(report.seed)}, ${report.seconds.toFixed(1)} s`;
+  return [
+    "",
+    "Promises",
+    ...promises,
+    "",
+    ...formatMeasures(report.measures),
+    "",
+    `${verdict} (${time})`,
+  ].join("\n");
+}
+
+function formatMeasures(measures: Measures): string[] {
+  const bytes = measures.controlBytesPerSecond.map((value) => value.toFixed(0)).join(", ");
+  const problems = Object.entries(measures.problems)
+    .map(([name, count]) => `${name} ${String(count)}`)
+    .join(", ");
+  return [
+    "Measures",
+    `  whole answers      ${String(measures.whole)}, ${String(measures.returned)} of them to returning chats`,
+    `  cache reuse        ${measures.cacheReuse.toFixed(3)} of prompt tokens; ${measures.repeatedShare.toFixed(3)} repeat earlier turns`,
+    `  skew               ${measures.meanSkew.toFixed(2)} on average, ${measures.maxSkew.toFixed(2)} at most (largest load over the mean)`,
+    `  control bytes/s    ${bytes} (each daemon, sent and received)`,
+    `  typed failures     ${problems === "" ? "none" : problems}`,
+  ];
+}
--- /dev/null
+++ b/packages/experiments/src/demo/verdicts.ts
@@ -0,0 +1,189 @@
+import { createHash } from "node:crypto";
+import type { ActReport, LoadSample, Observations } from "./observations.js";
+
+/** Whether one promise held, and what shows it. */
+export interface Verdict {
+  readonly promise: string;
+  readonly held: boolean;
+  readonly evidence: string;
+}
+
+const leavingLimitMilliseconds = 3_000;
+const inForceLimitMilliseconds = 5_000;
+/** Engines are read one after another within a sample, so a request may be seen twice. */
+const sampleToleranceRequests = 1;
+
+/**
+ * Judges each promise by what was seen. A promise that was not put to the test does not hold.
+ * @param seen - Everything that the demo saw.
+ */
+export function getVerdicts(seen: Observations): Verdict[] {
+  return [
+    judgeLoad(seen),
+    judgeAnswers(seen),
+    judgeNotRun(seen),
+    judgeActs(seen),
+    judgeLeaving(seen),
+    judgeStop(seen),
+    judgeConfiguration(seen),
+    judgeOutage(seen),
+  ];
+}
+
+function judgeLoad({ loads, bound }: Observations): Verdict {
+  const over = loads.filter((sample) => isOverBound(sample, bound));
+  return {
+    promise: "load",
+    held: loads.length > 0 && over.length === 0,
+    evidence:
+      `${String(over.length)} of ${String(loads.length)} samples over ${String(bound)} times the ` +
+      `mean, rounded up, and ${String(sampleToleranceRequests)} for the time between readings`,
+  };
+}
+
+function isOverBound({ loads }: LoadSample, bound: number): boolean {
+  const limit = Math.ceil(bound * getMean(loads)) + sampleToleranceRequests;
+  return Math.max(...loads) > limit;
+}
+
+/**
+ * Gets the mean of some numbers; 0 for none.
+ * @param values - Numbers.
+ */
+export function getMean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+function judgeAnswers({ chats, cuts, kill }: Observations): Verdict {
+  const unexplained = cuts.filter(({ daemon, at }) => daemon !== kill.daemon || at < kill.at);
+  const { whole, wrong, unanswered } = chats;
+  return {
+    promise: "answers",
+    held: whole > 0 && wrong === 0 && unanswered === 0 && unexplained.length === 0,
+    evidence:
+      `${String(whole)} whole, ${String(wrong)} wrong, ${String(unanswered)} unanswered, ` +
+      `${String(cuts.length)} cut, ${String(unexplained.length)} of them not by the kill` +
+      (unexplained[0] === undefined ? "" : ` (${unexplained[0].daemon}: ${unexplained[0].detail})`),
+  };
+}
+
+function judgeNotRun({ acts, runs }: Observations): Verdict {
+  const keys = acts.flatMap((act) => act.keys);
+  const told = keys.filter(({ outcomes }) => outcomes.includes("not-run"));
+  const recorded = new Set(runs.map(({ key }) => key));
+  const untrue = told.filter(({ key }) => recorded.has(key));
+  return {
+    promise: "not-run",
+    held: acts.length > 0 && untrue.length === 0,
+    evidence: `${String(told.length)} acts told not-run, ${String(untrue.length)} of them recorded`,
+  };
+}
+
+function judgeActs({ acts, runs }: Observations): Verdict {
+  const counts = countRuns(runs.map(({ bodyDigest }) => bodyDigest));
+  const getCount = (act: ActReport) => counts.get(getDigest(act.body)) ?? 0;
+  const doubled = acts.filter((act) => getCount(act) > 1);
+  const complete = acts.filter((act) => isTold(act, "complete"));
+  const lost = complete.filter((act) => getCount(act) === 0);
+  const unknown = acts.filter((act) => !isTold(act, "complete") && isTold(act, "unknown"));
+  return {
+    promise: "at most once",
+    held: complete.length > 0 && doubled.length === 0 && lost.length === 0,
+    evidence:
+      `${String(acts.length)} acts, ${String(complete.length)} complete, ` +
+      `${String(unknown.length)} unknown, ${String(doubled.length)} recorded twice, ` +
+      `${String(lost.length)} told complete without a record`,
+  };
+}
+
+function isTold(act: ActReport, outcome: string): boolean {
+  return act.keys.some(({ outcomes }) => outcomes.includes(outcome));
+}
+
+function countRuns(keys: readonly string[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const key of keys) {
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function getDigest(body: string): string {
+  return createHash("sha256").update(body).digest("hex");
+}
+
+function judgeLeaving({ leaving }: Observations): Verdict {
+  const late = leaving.requestTimesAfter.filter((at) => at > leaving.at + leavingLimitMilliseconds);
+  const lastAfter = Math.max(0, ...leaving.requestTimesAfter.map((at) => at - leaving.at));
+  return {
+    promise: "leaving",
+    held: leaving.requestsBefore > 0 && late.length === 0,
+    evidence:
+      `last new request ${String(lastAfter)} ms after the first sign, ` +
+      `${String(late.length)} after ${String(leavingLimitMilliseconds)} ms`,
+  };
+}
+
+function judgeStop({ stop, cuts }: Observations): Verdict {
+  const cutOff = cuts.filter(({ daemon }) => daemon === stop.daemon);
+  return {
+    promise: "planned stop",
+    held: stop.inFlight > 0 && stop.exitCode === 0 && cutOff.length === 0,
+    evidence:
+      `${stop.daemon} stopped with ${String(stop.inFlight)} requests in flight, ` +
+      `${String(cutOff.length)} cut off, exit code ${String(stop.exitCode)}`,
+  };
+}
+
+function judgeConfiguration({ configuration }: Observations): Verdict {
+  const { live, publishedAt, revision, refusedRevision, samples } = configuration;
+  const inForce = live.map((daemon) => getTimeInForce(samples, daemon, revision) - publishedAt);
+  const slowest = Math.max(...inForce);
+  const reversions = countReversions(samples);
+  const refusing = live.filter((daemon) =>
+    samples.some(
+      (sample) => sample.daemon === daemon && sample.refusedRevision === refusedRevision,
+    ),
+  );
+  const taken = samples.filter((sample) => sample.revision === refusedRevision);
+  const isSpread = slowest <= inForceLimitMilliseconds && live.length > 0;
+  const isRefused = refusing.length === live.length && taken.length === 0;
+  return {
+    promise: "configuration",
+    held: isSpread && isRefused && reversions === 0,
+    evidence:
+      `in force on ${String(live.length)} daemons after ${formatTime(slowest)}, ` +
+      `${String(reversions)} reversions, bad file refused on ${String(refusing.length)}`,
+  };
+}
+
+function formatTime(milliseconds: number): string {
+  return Number.isFinite(milliseconds) ? `${String(milliseconds)} ms` : "never";
+}
+
+function getTimeInForce(
+  samples: Observations["configuration"]["samples"],
+  daemon: string,
+  revision: number,
+): number {
+  const sample = samples.find((each) => each.daemon === daemon && each.revision >= revision);
+  return sample?.at ?? Number.POSITIVE_INFINITY;
+}
+
+function countReversions(samples: Observations["configuration"]["samples"]): number {
+  const highest = new Map<string, number>();
+  let count = 0;
+  for (const { daemon, revision } of samples) {
+    count += revision < (highest.get(daemon) ?? 0) ? 1 : 0;
+    highest.set(daemon, Math.max(revision, highest.get(daemon) ?? 0));
+  }
+  return count;
+}
+
+function judgeOutage({ outage }: Observations): Verdict {
+  return {
+    promise: "platform outage",
+    held: outage.whole > 0,
+    evidence: `${String(outage.whole)} whole answers while the platform was down`,
+  };
+}
--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -1,2 +1,3 @@
+export * from "./demo/index.js";
 export * from "./errors/index.js";
 export * from "./fleet/index.js";
