--- a/packages/kernel/src/admission/admissionPlugin.ts
+++ b/packages/kernel/src/admission/admissionPlugin.ts
@@ -98,6 +98,7 @@
 
 function handleTick(state: AdmissionState, now: Instant): readonly AdmissionEffect[] {
   const expired = expireWaiting(state, now);
-  const totals = reportTeamTotals(state);
-  return [...expired, ...admitWaiting(state, now), { kind: "teamTotals", totals }];
+  const totals = reportTeamTotals(state, now);
+  const admitted = admitWaiting(state, now);
+  return totals === undefined ? [...expired, ...admitted] : [...expired, ...admitted, totals];
 }
