Follow an act by its key through every request, and name lost peers and hosts

Cause: a trial of the command line against two real daemons showed that timeline --id KEY found nothing (events carry the act id, never the key), that an act's requests at two daemons have ids of their own, and that status said nothing of a peer not heard or an upstream not eligible. Ruled out: writing keys into events, since a key is the right to run an act; reading every daemon's whole ring, which grows with the fleet.

--- a/packages/cli/src/commands/Timeline.ts
+++ b/packages/cli/src/commands/Timeline.ts
@@ -1,5 +1,5 @@
 import { Flags } from "@oclif/core";
-import { askDaemons } from "../daemons/index.js";
+import { askDaemons, followEvents, type FollowedEvents } from "../daemons/index.js";
 import { writeTextFile } from "../files/index.js";
 import {
   formatEvents,
@@ -13,6 +13,8 @@
 interface TimelineReport {
   readonly processes: readonly Lane[];
   readonly events: readonly MergedEvent[];
+  /** False when more requests and acts belong to the id than were followed. */
+  readonly isWhole: boolean;
   readonly failures: readonly ReportedFailure[];
 }
 
@@ -22,16 +24,15 @@
     "Merge the events of all daemons into one time line, ordered by their hybrid logical clocks.";
 
   static override flags = {
-    id: Flags.string({ description: "Follow one request, act or chat by its id." }),
+    id: Flags.string({ description: "Follow one request, act, act key or chat." }),
     html: Flags.string({ description: "Write a self-contained page to this file instead." }),
   };
 
   async run(): Promise<TimelineReport> {
     const { flags } = await this.parse(Timeline);
     const askedAt = Date.now();
-    const { answers, failures } = await askDaemons(this.getAddresses(flags.daemon), (client) =>
-      client.getEvents(flags.id, askedAt),
-    );
+    const addresses = this.getAddresses(flags.daemon);
+    const { answers, failures, isWhole } = await readEvents(addresses, flags.id, askedAt);
     const pages = answers.map(({ value }) => value);
     const processes = pages.map(({ process, incarnation, dropped }) => ({
       process,
@@ -47,7 +48,10 @@
       this.log(`${flags.html}: ${String(events.length)} events`);
     }
     this.warnOfDroppedEvents(processes);
-    return { processes, events, failures: this.reportFailures(failures) };
+    if (!isWhole && !this.jsonEnabled()) {
+      this.logToStderr("warning: more requests and acts belong to the id than were followed");
+    }
+    return { processes, events, isWhole, failures: this.reportFailures(failures) };
   }
 
   private warnOfDroppedEvents(lanes: readonly Lane[]): void {
@@ -58,3 +62,15 @@
     }
   }
 }
+
+async function readEvents(
+  addresses: readonly string[],
+  id: string | undefined,
+  askedAt: number,
+): Promise<FollowedEvents> {
+  if (id !== undefined) {
+    return followEvents(addresses, id, askedAt);
+  }
+  const all = await askDaemons(addresses, (client) => client.getEvents(undefined, askedAt));
+  return { ...all, isWhole: true };
+}
--- a/packages/cli/src/status/getConcerns.ts
+++ b/packages/cli/src/status/getConcerns.ts
@@ -22,7 +22,7 @@
   if (status.guards.disabled.length > 0) {
     concerns.push(`runs with disabled guards: ${status.guards.disabled.join(", ")}`);
   }
-  concerns.push(...getRefusals(status));
+  concerns.push(...getRefusals(status), ...getLostPeers(status), ...getUnusableHosts(status));
   return concerns.map((concern) => `${status.process}: ${concern}`);
 }
 
@@ -34,6 +34,17 @@
   return refused.reasons.map((reason) => `refused revision ${revision}: ${formatFinding(reason)}`);
 }
 
+function getLostPeers({ peers }: DaemonStatus): string[] {
+  const lost = peers.filter(({ state }) => state === "lost").map(({ name }) => name);
+  return lost.length === 0 ? [] : [`does not hear ${lost.join(", ")}`];
+}
+
+function getUnusableHosts({ engines, services }: DaemonStatus): string[] {
+  return [...engines, ...services.flatMap(({ hosts }) => hosts)]
+    .filter(({ state }) => state !== "eligible")
+    .map(({ name, state, reason }) => `sees ${name} as ${state}: ${reason}`);
+}
+
 function getDisagreements(statuses: readonly DaemonStatus[]): string[] {
   const daemonsByVersion = new Map<string, string[]>();
   for (const { process, configuration } of statuses) {
--- a/packages/cli/tests/commands/daemons.test.ts
+++ b/packages/cli/tests/commands/daemons.test.ts
@@ -19,6 +19,7 @@
     reasons: [{ kind: "size", path: "", message: "the file is too large", allowed: "less" }],
   },
   platform: { reachable: false, isReader: false, calls: 9 },
+  peers: [{ name: "d1", zone: "north", state: "lost" }],
   engines: sampleStatus.engines.map((engine) => ({ ...engine, state: "down", reason: "lost" })),
 };
 
@@ -54,7 +55,7 @@
     output: `Daemons
 DAEMON  ZONE   STATE     GENERATION  REVISION  DIGEST        PLATFORM           PEERS     ACTS
 d1      north  ready              1         7  abababababab  reachable, reader  1/1 live  0 sending, 4 done, 0 unknown, 1 refused
-d2      north  draining  -           -         -             unreachable        1/1 live  0 sending, 4 done, 0 unknown, 1 refused
+d2      north  draining  -           -         -             unreachable        0/1 live  0 sending, 4 done, 0 unknown, 1 refused
 
 Engines
 ENGINE  ZONE   STATE                   LOAD  LIMIT  MODELS  REASON
@@ -72,6 +73,8 @@
 ! d2: has no configuration
 ! d2: cannot reach the platform
 ! d2: refused revision 8: the file is too large; allowed: less
+! d2: does not hear d1
+! d2: sees e1 as down: lost
 `,
   });
 });
@@ -141,6 +144,31 @@
   });
 });
 
+test("timeline follows an act by its key, through the requests that carry it", async () => {
+  const payload = Buffer.from(JSON.stringify(["d1", "i1", 4, 9_000])).toString("base64url");
+  const [page] = samplePages;
+  const event = { at: 100, logical: 0 };
+  const sending = {
+    ...event,
+    sequence: 1,
+    name: "act.sending",
+    fields: { act: "d1/i1/4", request: "r7" },
+  };
+  const finished = { ...event, sequence: 2, name: "request.finished", fields: { request: "r7" } };
+  const answers = {
+    "/v1/events?id=d1%2Fi1%2F4": { ...page, events: [sending] },
+    "/v1/events?after=2&id=d1%2Fi1%2F4": { ...page, events: [] },
+    "/v1/events?id=r7": { ...page, events: [sending, finished] },
+    "/v1/events?after=2&id=r7": { ...page, events: [] },
+  };
+  const run = await runAgainst([answers], "timeline", "--json", "--id", `act1.${payload}.mac`);
+  const report = JSON.parse(run.output) as { events: { name: string }[]; failures: unknown[] };
+  assert.equal(
+    [report.events.map(({ name }) => name), report.failures],
+    [["act.sending", "request.finished"], []],
+  );
+});
+
 test("timeline writes a page with a lane per process and escaped texts", async () => {
   const folder = await mkdtemp(join(tmpdir(), "pistachioway-"));
   try {
