Refuse files with too many items before each is checked

Ruled out: listing only some of the errors of a file, since all are wanted at once. Change: at most 20,000 items of one kind, counted right after the TOML is parsed; the size to design for has 9,000 teams.

--- a/packages/kernel/src/configuration/index.ts
+++ b/packages/kernel/src/configuration/index.ts
@@ -4,7 +4,7 @@
 export type { ConfigurationFinding } from "./findings.js";
 export { getConfigurationDigest } from "./getConfigurationDigest.js";
 export { parseConfiguration } from "./parseConfiguration.js";
-export { configurationSchema, maxConfigurationBytes } from "./schema.js";
+export { configurationSchema, maxConfigurationBytes, maxConfigurationItems } from "./schema.js";
 export type {
   Configuration,
   Engine,
--- a/packages/kernel/src/configuration/parseConfiguration.ts
+++ b/packages/kernel/src/configuration/parseConfiguration.ts
@@ -2,9 +2,14 @@
 import { Result } from "true-myth";
 import { ConfigurationError } from "../errors/index.js";
 import { LineIndex } from "./LineIndex.js";
-import type { ConfigurationFinding } from "./findings.js";
+import { shorten, type ConfigurationFinding } from "./findings.js";
 import { getReferenceFindings } from "./referenceFindings.js";
-import { configurationSchema, maxConfigurationBytes, type Configuration } from "./schema.js";
+import {
+  configurationSchema,
+  maxConfigurationBytes,
+  maxConfigurationItems,
+  type Configuration,
+} from "./schema.js";
 import { getShapeFindings } from "./shapeFindings.js";
 
 /**
@@ -29,6 +34,10 @@
 }
 
 function checkFile(file: unknown, text: string): Result<Configuration, ConfigurationError> {
+  const tooMany = getItemCountFindings(file);
+  if (tooMany.length > 0) {
+    return refuse(tooMany);
+  }
   const parsed = configurationSchema.safeParse(file, { reportInput: true });
   const shapes = parsed.success ? [] : parsed.error.issues.flatMap(getShapeFindings);
   const references = getReferenceFindings(file);
@@ -55,6 +64,20 @@
   };
 }
 
+/** Counts items before they are checked, so that a damaged file cannot hold a daemon for long. */
+function getItemCountFindings(file: unknown): ConfigurationFinding[] {
+  return Object.entries(file ?? {})
+    .filter((entry): entry is [string, unknown[]] => Array.isArray(entry[1]))
+    .filter(([, items]) => items.length > maxConfigurationItems)
+    .map(([key, items]) => ({
+      kind: "size",
+      path: shorten(key),
+      value: `${String(items.length)} items`,
+      message: "has too many items",
+      allowed: `at most ${String(maxConfigurationItems)}`,
+    }));
+}
+
 function getSyntaxFinding(error: unknown, text: string): ConfigurationFinding {
   const line = error instanceof TomlError ? error.line : undefined;
   const isAtEnd = line === text.split("\n").length && !text.endsWith("\n");
--- a/packages/kernel/src/configuration/schema.ts
+++ b/packages/kernel/src/configuration/schema.ts
@@ -7,6 +7,9 @@
 /** Largest configuration file, in bytes of UTF-8. */
 export const maxConfigurationBytes = 1_048_576;
 
+/** Most items of one kind, such as engines or teams. */
+export const maxConfigurationItems = 20_000;
+
 const zoneSchema = z.strictObject({ name, region: name });
 
 const modelSchema = z.strictObject({
--- a/packages/kernel/tests/configuration/hostile.test.ts
+++ b/packages/kernel/tests/configuration/hostile.test.ts
@@ -73,4 +73,9 @@
   assert.is(result.error.findings.length, 20_000);
 });
 
+test("refuses too many items before it checks each", () => {
+  assert.is(getFirstFinding("[[teams]]\n".repeat(20_001)), "size: has too many items");
+  assert.is(getFirstFinding("[[teams]]\n".repeat(20_000)), "shape: is missing");
+});
+
 test.run();
