--- /dev/null
+++ b/packages/kernel/src/placement/PlacementFlow.ts
@@ -0,0 +1,393 @@
+import type { Instant } from "../kernel/Plugin.js";
+import type { PlacementContext } from "./context.js";
+import type { EngineLoad } from "./EngineLoad.js";
+import { getHash } from "./hash.js";
+import type { FinishedMessage, PlaceMessage } from "./messages.js";
+import { OwnerContacts } from "./OwnerContacts.js";
+import type { OwnerDesk } from "./OwnerDesk.js";
+import type { ChatMove, ReservationAnswer } from "./peerMessage.js";
+import { createPlacement, getAllowedEngines, type Placement } from "./Placement.js";
+
+const maxRefusals = 3;
+
+/** Takes each request to an engine: chooses, reserves, tries the next one, decides when none answers. */
+export class PlacementFlow {
+  private readonly placementsById = new Map<string, Placement>();
+  private readonly placementsByReservation = new Map<number, Placement>();
+  private readonly contacts = OwnerContacts.create();
+  private nextReservation = 0;
+
+  private constructor(
+    private readonly context: PlacementContext,
+    private readonly desk: OwnerDesk,
+  ) {}
+
+  /**
+   * Creates a flow without requests.
+   * @param context - Shared parts of the daemon's placement.
+   * @param desk - Answers for the engines that the daemon itself owns.
+   */
+  static create(context: PlacementContext, desk: OwnerDesk): PlacementFlow {
+    return new PlacementFlow(context, desk);
+  }
+
+  /** Gets the number of requests that are placed or on their way. */
+  getSize(): number {
+    return this.placementsById.size;
+  }
+
+  /** Gets the number of reservations that wait for an answer. */
+  getReservationCount(): number {
+    return this.placementsByReservation.size;
+  }
+
+  /**
+   * Places a request.
+   * @param message - Request to place.
+   * @param now - Current time.
+   */
+  place(message: PlaceMessage, now: Instant): void {
+    const group = this.context.ledger.groupsById.get(getHash(message.model));
+    const engines = group === undefined ? [] : getAllowedEngines(group, message.exclude);
+    if (group === undefined || engines.length === 0) {
+      const reason = group === undefined ? "unknown-model" : "no-eligible-engine";
+      this.context.effects.push({ kind: "unplaceable", requestId: message.requestId, reason });
+      return;
+    }
+    const placement = createPlacement(message, group, engines, this.context.strategy);
+    this.placementsById.set(message.requestId, placement);
+    this.tryEngine(placement, this.getFirstTarget(placement, message, now), now);
+  }
+
+  /**
+   * Takes a request off its engine.
+   * @param message - Request that no longer runs.
+   * @param now - Current time.
+   */
+  finish(message: FinishedMessage, now: Instant): void {
+    const placement = this.placementsById.get(message.requestId);
+    if (placement === undefined) {
+      return;
+    }
+    this.placementsById.delete(message.requestId);
+    this.endReservation(placement);
+    this.leaveEngine(placement, now);
+  }
+
+  /**
+   * Handles an owner's answer to a reservation.
+   * @param from - Owner that answered.
+   * @param answer - Its answer.
+   * @param now - Current time.
+   */
+  receiveAnswer(from: string, answer: ReservationAnswer, now: Instant): void {
+    const engine = this.context.ledger.enginesById.get(answer.engine);
+    const placement = this.getAskedPlacement(from, answer.id);
+    if (placement !== undefined) {
+      this.contacts.addRoundTrip(from, now - (placement.reservation?.sentAt ?? now));
+      this.correctTold(placement, engine, answer);
+    }
+    if (engine?.owner === from && answer.outcome !== "unknown") {
+      this.context.ledger.setClaim(from, engine, answer.count);
+    }
+    if (engine !== undefined && placement !== undefined) {
+      this.followAnswer(placement, engine, answer, now);
+    }
+  }
+
+  /**
+   * Decides without the owner every reservation past its deadline.
+   * @param now - Current time.
+   */
+  endOverdueReservations(now: Instant): void {
+    for (const placement of [...this.placementsByReservation.values()]) {
+      if ((placement.reservation?.deadline ?? now) <= now) {
+        this.endSilentReservation(placement, now);
+      }
+    }
+  }
+
+  /**
+   * Decides without the owner every reservation at a daemon that is gone.
+   * @param owner - Name of the daemon.
+   * @param now - Current time.
+   */
+  endReservationsAt(owner: string, now: Instant): void {
+    for (const placement of [...this.placementsByReservation.values()]) {
+      if (placement.reservation?.owner === owner) {
+        this.endSilentReservation(placement, now);
+      }
+    }
+    this.contacts.removeOwner(owner);
+  }
+
+  /**
+   * Notes that a daemon answers again.
+   * @param owner - Name of the daemon.
+   */
+  setHeard(owner: string): void {
+    this.contacts.setHeard(owner);
+  }
+
+  private getFirstTarget(placement: Placement, message: PlaceMessage, now: Instant): EngineLoad {
+    const first = placement.candidates[0] as EngineLoad;
+    if (!this.context.strategy.remembers) {
+      return first;
+    }
+    if (message.isFirstTurn) {
+      return placement.isLevel ? this.getLevelTarget(placement, now) : first;
+    }
+    placement.known = this.getHintedEngine(placement, message);
+    if (placement.known === undefined) {
+      placement.isLookup = true;
+      placement.known = this.desk.getMovedEngine(placement.chat, first, now);
+    }
+    placement.reason = placement.known === undefined ? "first-choice" : "cached";
+    return placement.known ?? first;
+  }
+
+  private getHintedEngine(placement: Placement, message: PlaceMessage): EngineLoad | undefined {
+    const hints = [...(message.cachedHint ?? [])].sort((a, b) => b.tokens - a.tokens);
+    for (const hint of hints) {
+      const engine = this.context.ledger.enginesById.get(getHash(hint.engine));
+      if (engine?.isEligible === true && !message.exclude.includes(hint.engine)) {
+        return engine;
+      }
+    }
+    return placement.known;
+  }
+
+  /** Gets the first choice while it is below the mean, else the least loaded candidate. */
+  private getLevelTarget(placement: Placement, now: Instant): EngineLoad {
+    const first = placement.candidates[0] as EngineLoad;
+    if (this.desk.hasRoom(first, placement.group, true, 1, now)) {
+      return first;
+    }
+    placement.reason = "levelled";
+    return this.getLeastLoaded(placement, placement.candidates, now) ?? first;
+  }
+
+  private getLeastLoaded(
+    placement: Placement,
+    engines: readonly EngineLoad[],
+    now: Instant,
+  ): EngineLoad | undefined {
+    let least: EngineLoad | undefined;
+    let leastLoad = Infinity;
+    for (const engine of engines) {
+      const load = this.context.ledger.getCount(engine, now) / engine.weight;
+      if (load < leastLoad && !placement.refused.has(engine)) {
+        least = engine;
+        leastLoad = load;
+      }
+    }
+    return least;
+  }
+
+  private tryEngine(placement: Placement, engine: EngineLoad, now: Instant): void {
+    const { strategy, daemon } = this.context;
+    if (!strategy.reserves || engine.owner === daemon) {
+      this.decide(placement, engine, now);
+      return;
+    }
+    if (this.contacts.isSilent(engine.owner, now)) {
+      this.enterEngine(placement, engine, now);
+      this.decideAlone(placement, now);
+      return;
+    }
+    this.reserve(placement, engine, now);
+  }
+
+  /** Decides by the counts at hand, which are exact for the daemon's own engines. */
+  private decide(placement: Placement, engine: EngineLoad, now: Instant): void {
+    this.endReservation(placement);
+    if (this.desk.hasRoom(engine, placement.group, placement.isLevel, 1, now)) {
+      this.enterEngine(placement, engine, now);
+      this.confirm(placement, now);
+      return;
+    }
+    this.leaveEngine(placement, now);
+    placement.engine = engine;
+    this.context.ledger.addOwn(engine, 1);
+    this.tryNext(placement, now);
+  }
+
+  private reserve(placement: Placement, engine: EngineLoad, now: Instant): void {
+    this.enterEngine(placement, engine, now);
+    this.endReservation(placement);
+    const id = this.nextReservation;
+    this.nextReservation = (id + 1) >>> 0;
+    const deadline = this.contacts.getDeadline(engine.owner, now);
+    placement.reservation = { id, owner: engine.owner, sentAt: now, deadline };
+    this.placementsByReservation.set(id, placement);
+    const isLookup = placement.isLookup && placement.known === undefined;
+    const reservation = {
+      id,
+      engine: engine.id,
+      model: placement.group.id,
+      chat: isLookup ? placement.chat : 0,
+      level: placement.isLevel,
+    };
+    const effect = this.context.outbox.composeReservation(engine.owner, reservation, now);
+    this.context.effects.push(effect);
+  }
+
+  /** Gets the placement that waits for an answer of an owner. */
+  private getAskedPlacement(owner: string, reservation: number): Placement | undefined {
+    const placement = this.placementsByReservation.get(reservation);
+    return placement?.reservation?.owner === owner ? placement : undefined;
+  }
+
+  /** Keeps what the owner knows of this daemon's requests: it counts the one that it answers. */
+  private correctTold(
+    placement: Placement,
+    engine: EngineLoad | undefined,
+    { outcome }: ReservationAnswer,
+  ): void {
+    const tried = placement.engine;
+    if (
+      outcome === "unknown" ||
+      tried === undefined ||
+      (outcome === "granted" && tried === engine)
+    ) {
+      return;
+    }
+    tried.ownTold -= 1;
+    if (outcome === "granted" && engine !== undefined) {
+      engine.ownTold += 1;
+    }
+  }
+
+  private followAnswer(
+    placement: Placement,
+    engine: EngineLoad,
+    { outcome }: ReservationAnswer,
+    now: Instant,
+  ): void {
+    if (outcome === "granted") {
+      this.endReservation(placement);
+      this.enterEngine(placement, engine, now);
+      this.confirm(placement, now);
+    } else if (outcome === "redirected") {
+      this.followRedirect(placement, engine, now);
+    } else if (outcome === "unknown") {
+      this.decideAlone(placement, now);
+    } else if (placement.engine === engine) {
+      this.tryNext(placement, now);
+    }
+  }
+
+  private followRedirect(placement: Placement, engine: EngineLoad, now: Instant): void {
+    placement.isLookup = false;
+    if (!placement.engines.includes(engine)) {
+      this.tryNext(placement, now);
+      return;
+    }
+    placement.known = engine;
+    placement.reason = "cached";
+    placement.isLevel = false;
+    this.tryEngine(placement, engine, now);
+  }
+
+  /** Tries the next engine after a refusal; after some, takes the least loaded without asking. */
+  private tryNext(placement: Placement, now: Instant): void {
+    const { strategy } = this.context;
+    if (placement.engine !== undefined) {
+      placement.refused.add(placement.engine);
+    }
+    placement.isLookup = false;
+    placement.isLevel = strategy.levels;
+    placement.reason = "spilled";
+    const next = strategy.levels
+      ? this.getLeastLoaded(placement, placement.candidates, now)
+      : placement.candidates.find((candidate) => !placement.refused.has(candidate));
+    if (next !== undefined && placement.refused.size < maxRefusals) {
+      this.tryEngine(placement, next, now);
+      return;
+    }
+    this.takeLeastLoaded(placement, now);
+  }
+
+  private takeLeastLoaded(placement: Placement, now: Instant): void {
+    this.endReservation(placement);
+    this.leaveEngine(placement, now);
+    placement.reason = "all-above-limit";
+    const engine =
+      this.getLeastLoaded(placement, placement.engines, now) ?? placement.candidates[0];
+    this.enterEngine(placement, engine as EngineLoad, now);
+    this.confirm(placement, now);
+  }
+
+  private endSilentReservation(placement: Placement, now: Instant): void {
+    this.contacts.setSilent(placement.reservation?.owner ?? "", now);
+    this.decideAlone(placement, now);
+  }
+
+  /** Decides without the owner: each daemon takes its share of the room that the last claim left. */
+  private decideAlone(placement: Placement, now: Instant): void {
+    const engine = placement.engine as EngineLoad;
+    this.endReservation(placement);
+    placement.reason = "owner-silent";
+    const unseen = Math.max(0, engine.own - engine.ownAtClaim) * (this.context.daemonCount - 1);
+    if (this.desk.hasRoom(engine, placement.group, placement.isLevel, unseen, now)) {
+      this.confirm(placement, now);
+      return;
+    }
+    this.takeLeastLoaded(placement, now);
+  }
+
+  private endReservation(placement: Placement): void {
+    if (placement.reservation !== undefined) {
+      this.placementsByReservation.delete(placement.reservation.id);
+      placement.reservation = undefined;
+    }
+  }
+
+  private enterEngine(placement: Placement, engine: EngineLoad, now: Instant): void {
+    if (placement.engine === engine) {
+      return;
+    }
+    this.leaveEngine(placement, now);
+    placement.engine = engine;
+    this.context.ledger.addOwn(engine, 1);
+    this.addChange(engine, now);
+  }
+
+  private leaveEngine(placement: Placement, now: Instant): void {
+    if (placement.engine === undefined) {
+      return;
+    }
+    this.context.ledger.addOwn(placement.engine, -1);
+    this.addChange(placement.engine, now);
+    placement.engine = undefined;
+  }
+
+  private addChange(engine: EngineLoad, now: Instant): void {
+    if (engine.owner !== this.context.daemon && engine.owner !== "") {
+      this.context.outbox.addChange(engine.owner, now);
+    }
+  }
+
+  private confirm(placement: Placement, now: Instant): void {
+    const { requestId, reason, engine } = placement;
+    if (engine === undefined) {
+      return;
+    }
+    this.context.effects.push({ kind: "placed", requestId, engine: engine.name, reason });
+    this.remember(placement, engine, now);
+  }
+
+  private remember(placement: Placement, engine: EngineLoad, now: Instant): void {
+    const first = placement.candidates[0];
+    const isKnown = engine === (placement.known ?? first);
+    if (!this.context.strategy.remembers || isKnown || first === undefined) {
+      return;
+    }
+    const move: ChatMove = { chat: placement.chat, engine: engine.id };
+    if (first.owner === this.context.daemon) {
+      this.context.directory.addChat(move.chat, move.engine, now);
+    } else if (first.owner !== "") {
+      this.context.outbox.addMove(first.owner, move, now);
+    }
+  }
+}
