Connect the daemons: digests, forwarded acts, spread of configuration, hand-over on a stop

Cause: each daemon stood alone; acts of another issuer, signs, loads and revisions did not travel. Change: digests over datagrams (heartbeat, placement, signs, totals, revision; parts for one peer share a datagram), calls over trpc (acts, tables, configuration, host list, signs), successor on SIGTERM, connection: close while draining, the log survives a reader that goes away (found: EPIPE ended the daemon), task graph split by side (callers, peers).

--- a/packages/daemon/src/acts/ActTask.ts
+++ b/packages/daemon/src/acts/ActTask.ts
@@ -12,6 +12,7 @@
   type Kernel,
 } from "@pistachioway/kernel";
 import { createHash } from "node:crypto";
+import { setTimeout as delay } from "node:timers/promises";
 import type { AnswerSink } from "../callers/AnswerSink.js";
 import type { CallerRequest } from "../callers/CallerRequest.js";
 import { Problem } from "../errors/index.js";
@@ -53,6 +54,7 @@
 const keyLifetimeMilliseconds = 900_000;
 const returnMilliseconds = 1_000;
 const costOfAct = 1;
+const pollMilliseconds = 20;
 
 /** Owns the acts plug-in: runs calls that are not idempotent at most once. */
 export class ActTask {
@@ -148,11 +150,22 @@
   }
 
   /**
-   * Begins to hand every table to a successor.
+   * Hands every table to a successor and resolves when that is over, well or not.
    * @param successor - Incarnation that takes the tables.
+   * @param deadline - When to stop waiting.
    */
-  handOver(successor: DaemonIncarnation): void {
+  async handOver(successor: DaemonIncarnation, deadline: Instant): Promise<void> {
     this.send({ kind: "hand-over", successor });
+    while (this.isHandingOver() && this.parts.getNow() < deadline) {
+      await delay(pollMilliseconds);
+    }
+  }
+
+  private isHandingOver(): boolean {
+    const { holdings } = this.parts.kernel.getStateOrThrow(actsPlugin);
+    return [...holdings.values()].some(
+      ({ phase }) => phase === "closing" || phase === "handing-over",
+    );
   }
 
   /**
--- a/packages/daemon/src/callers/AnswerSink.ts
+++ b/packages/daemon/src/callers/AnswerSink.ts
@@ -96,6 +96,7 @@
     this.isStreaming = true;
     this.reply.hijack();
     this.reply.raw.writeHead(200, {
+      ...(this.reply.getHeaders() as AnswerHeaders),
       ...headers,
       "content-type": "text/event-stream",
       "cache-control": "no-store",
--- a/packages/daemon/src/callers/CallerGate.ts
+++ b/packages/daemon/src/callers/CallerGate.ts
@@ -18,6 +18,8 @@
   readonly context: RequestContext;
   readonly recorder: Recorder;
   readonly metrics: Metrics;
+  /** True while the daemon stops: callers are told to connect elsewhere next. */
+  readonly isDraining: () => boolean;
 }
 
 const millisecondsPerSecond = 1000;
@@ -68,6 +70,9 @@
     const startedAt = this.parts.context.getNow();
     const sink = AnswerSink.create(reply, httpRequest.id, this.parts.context.getNow);
     this.runningCount += 1;
+    if (this.parts.isDraining()) {
+      void reply.header("connection", "close");
+    }
     reply.raw.once("close", () => {
       this.leave();
     });
--- a/packages/daemon/src/configuration/ConfigurationTask.ts
+++ b/packages/daemon/src/configuration/ConfigurationTask.ts
@@ -5,6 +5,7 @@
   type Instant,
   type RefusedConfiguration,
 } from "@pistachioway/kernel";
+import { z } from "zod";
 import type { PublishedConfiguration } from "../platform/index.js";
 import { ConfigurationIndex } from "../state/index.js";
 import type { Recorder } from "../timeline/index.js";
@@ -20,11 +21,17 @@
   readonly getNow: () => Instant;
   readonly recorder: Recorder;
   readonly onInForce: (inForce: InForce) => void;
+  /** A peer has a newer configuration. */
+  readonly onNewer: (peer: string) => void;
 }
 
+const announcementSchema = z.tuple([z.int()]);
+
 /** Decides which published configuration is in force. */
 export class ConfigurationTask {
+  private readonly peerRevisions = new Map<string, number>();
   private inForce: InForce | undefined;
+  private published: PublishedConfiguration | undefined;
   private refused: RefusedConfiguration | undefined;
 
   private constructor(private readonly parts: ConfigurationParts) {}
@@ -54,10 +61,36 @@
 
   /**
    * Gets the revision that a peer last announced.
-   * @param _peer - Name of the daemon.
+   * @param peer - Name of the daemon.
+   */
+  getPeerRevision(peer: string): number | undefined {
+    return this.peerRevisions.get(peer);
+  }
+
+  /** Gets what this daemon tells its neighbours of the configuration in force. */
+  getAnnouncement(): unknown {
+    return this.inForce === undefined ? undefined : [this.inForce.status.revision];
+  }
+
+  /**
+   * Takes what a peer told of its configuration.
+   * @param from - Name of the daemon.
+   * @param announcement - What it told.
+   */
+  takeAnnouncement(from: string, announcement: unknown): void {
+    const [revision] = announcementSchema.parse(announcement);
+    this.peerRevisions.set(from, revision);
+    if (revision > (this.inForce?.status.revision ?? -1)) {
+      this.parts.onNewer(from);
+    }
+  }
+
+  /**
+   * Gets the value in force, for a peer that has an older one.
+   * @param after - Revision that the peer has; -1 for none.
    */
-  getPeerRevision(_peer: string): number | undefined {
-    return undefined;
+  getPublished(after: number): PublishedConfiguration | null {
+    return this.published !== undefined && this.published.revision > after ? this.published : null;
   }
 
   /**
@@ -76,6 +109,7 @@
         const acceptedAt = this.parts.getNow();
         const { generation } = configuration;
         const status = { generation, revision, digest, acceptedAt, source };
+        this.published = published;
         this.inForce = { index: ConfigurationIndex.create(configuration), status };
         this.parts.recorder.record("configuration.in-force", { revision, source }, "info");
         this.parts.onInForce(this.inForce);
--- /dev/null
+++ b/packages/daemon/src/daemon/Context.ts
@@ -0,0 +1,49 @@
+import { Kernel, type Instant } from "@pistachioway/kernel";
+import { randomInt, randomUUID } from "node:crypto";
+import { Log } from "../log/index.js";
+import { Metrics } from "../metrics/index.js";
+import type { DaemonPhase } from "../operations/index.js";
+import type { Settings } from "../settings/index.js";
+import { Recorder, Timeline } from "../timeline/index.js";
+import { Connections } from "../upstreams/index.js";
+
+/** What every task of a daemon may use. */
+export interface Context {
+  readonly settings: Settings;
+  /** Names this start of the daemon in the keys of its acts. */
+  readonly incarnation: string;
+  readonly startedAt: Instant;
+  readonly getNow: () => Instant;
+  readonly getPhase: () => DaemonPhase;
+  readonly kernel: Kernel;
+  readonly metrics: Metrics;
+  readonly timeline: Timeline;
+  readonly recorder: Recorder;
+  readonly connections: Connections;
+}
+
+const maxSeed = 2 ** 31;
+const incarnationCharacters = 8;
+
+/**
+ * Creates what the tasks of a daemon share.
+ * @param settings - Checked settings.
+ * @param getPhase - Gets the phase of the daemon's life.
+ */
+export function createContext(settings: Settings, getPhase: () => DaemonPhase): Context {
+  const getNow = (): Instant => Date.now();
+  const timeline = Timeline.create(getNow);
+  const log = Log.create(settings.log.level, { process: settings.process.name });
+  return {
+    settings,
+    incarnation: randomUUID().slice(0, incarnationCharacters),
+    startedAt: getNow(),
+    getNow,
+    getPhase,
+    kernel: Kernel.create(randomInt(maxSeed)),
+    metrics: Metrics.create(),
+    timeline,
+    recorder: Recorder.create(timeline, log),
+    connections: Connections.create(),
+  };
+}
--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -5,15 +5,19 @@
 import { createCallersApplication } from "../callers/index.js";
 import { createOperationsApplication } from "../operations/index.js";
 import type { Settings } from "../settings/index.js";
-import { createTasks, type Tasks } from "./createTasks.js";
+import { TaskGraph, type Tasks } from "./TaskGraph.js";
 
 /** The addresses that a started daemon listens on. */
 export interface Listening {
   readonly callers: string;
   readonly operations: string;
+  readonly peers: string;
+  readonly datagrams: string;
 }
 
 const tickMilliseconds = 50;
+/** Time in which a successor announces to all daemons that it holds a table. */
+const announcementMilliseconds = 1_500;
 
 /** One daemon: its listeners, tasks and life from start to stop. */
 export class Daemon {
@@ -33,7 +37,8 @@
    */
   static async create(settings: Settings): Promise<Daemon> {
     const holder: { daemon?: Daemon } = {};
-    const tasks = createTasks(settings, () => holder.daemon?.getPhase() ?? "starting");
+    const graph = TaskGraph.create(settings, () => holder.daemon?.getPhase() ?? "starting");
+    const tasks = graph.toTasks();
     const callers = await createCallersApplication({
       gate: tasks.gate,
       chats: tasks.chats,
@@ -54,6 +59,7 @@
   /** Starts to listen and to read the platform; resolves once the listeners are open. */
   async start(): Promise<Listening> {
     const { listeners } = this.settings;
+    const links = await this.tasks.links.open();
     const operations = await listen(this.operations, listeners.operations);
     const callers = await listen(this.callers, listeners.callers);
     this.tasks.platform.start();
@@ -62,7 +68,7 @@
       this.tick();
     }, tickMilliseconds);
     this.tick();
-    const listening = { callers, operations };
+    const listening = { callers, operations, ...links };
     this.tasks.recorder.record("daemon.listening", { ...listening }, "info");
     return listening;
   }
@@ -81,8 +87,10 @@
     const deadline = Date.now() + limits.drainMilliseconds;
     this.phase = "draining";
     this.tasks.recorder.record("daemon.draining", { deadline }, "info");
+    this.tasks.digests.sendHeartbeats();
     await delay(limits.unreadyMilliseconds);
     const isIdle = await this.waitUntilIdle(deadline);
+    await this.handOverActs(deadline);
     await this.close();
     this.tasks.recorder.record("daemon.stopped", { cutOff: !isIdle }, "info");
     return isIdle;
@@ -95,10 +103,22 @@
     return await Promise.race([idle, timeout]);
   }
 
+  /** Hands the table of acts to a neighbour, and stays until it has announced that. */
+  private async handOverActs(deadline: Instant): Promise<void> {
+    const successor = this.tasks.digests.getSuccessor();
+    if (successor === undefined) {
+      this.tasks.recorder.record("act.no-successor", {}, "warn");
+      return;
+    }
+    await this.tasks.acts.handOver(successor, deadline);
+    await delay(announcementMilliseconds);
+  }
+
   private async close(): Promise<void> {
     clearInterval(this.ticker);
     this.tasks.platform.stop();
     await this.operations.close();
+    await this.tasks.links.close();
     await this.tasks.connections.close();
   }
 
--- /dev/null
+++ b/packages/daemon/src/daemon/PeerWiring.ts
@@ -0,0 +1,172 @@
+import {
+  actsPlugin,
+  getAdoptedHoldings,
+  getSigns,
+  membershipPlugin,
+  type HostList,
+} from "@pistachioway/kernel";
+import { randomUUID } from "node:crypto";
+import type { ActTask } from "../acts/index.js";
+import type { ConfigurationTask } from "../configuration/index.js";
+import { DigestTask, PeerLinks, type Heartbeat } from "../digests/index.js";
+import type { AdmissionTask, HostDirectory, PlacementTask } from "../kernel/index.js";
+import type { DatagramSender, PeerHandlers } from "../peers/index.js";
+import type { Context } from "./Context.js";
+
+/** The tasks that messages of peers go to. */
+export interface PeerTargets {
+  readonly hosts: HostDirectory;
+  readonly placement: PlacementTask;
+  readonly admission: AdmissionTask;
+  readonly configuration: ConfigurationTask;
+  readonly acts: ActTask;
+}
+
+/** What the wiring works with. */
+export interface WiringParts {
+  readonly context: Context;
+  /** Gets the newest host list that was read, if it is newer than a revision. */
+  readonly getHostList: (after: number) => HostList | null;
+  /** A daemon began to stop, or is back. */
+  readonly onDaemonChanged: () => void;
+  /** Gets the targets; they are created after the wiring. */
+  readonly getTargets: () => PeerTargets;
+}
+
+/** Connects the links and digests between daemons to the tasks of this one. */
+export class PeerWiring {
+  readonly links: PeerLinks;
+  readonly digests: DigestTask;
+  private readonly drainingDaemons = new Set<string>();
+
+  private constructor(private readonly parts: WiringParts) {
+    this.links = this.createLinks();
+    this.digests = this.createDigests();
+  }
+
+  /**
+   * Creates the links and digests.
+   * @param parts - What they work with.
+   */
+  static create(parts: WiringParts): PeerWiring {
+    return new PeerWiring(parts);
+  }
+
+  /** Asks a few peers, after a pause, for what changed meanwhile. */
+  refresh(): void {
+    for (const peer of this.digests.getRefreshPeers()) {
+      void this.links.getSigns(peer).then((signs) => {
+        for (const sign of signs) {
+          this.targets.hosts.send({ kind: "peerSign", from: peer, ...sign });
+        }
+      });
+    }
+  }
+
+  /**
+   * Gets the configuration of a peer that announced a newer one.
+   * @param peer - Name of the daemon.
+   */
+  async fetchConfiguration(peer: string): Promise<void> {
+    const after = this.targets.configuration.getStatus()?.revision ?? -1;
+    const published = await this.links.getConfiguration(peer, after);
+    if (published !== null) {
+      this.targets.configuration.publish(published, "peer");
+    }
+  }
+
+  private get targets(): PeerTargets {
+    return this.parts.getTargets();
+  }
+
+  private createLinks(): PeerLinks {
+    return PeerLinks.create({
+      settings: this.parts.context.settings,
+      startedAt: this.parts.context.startedAt,
+      getNow: this.parts.context.getNow,
+      metrics: this.parts.context.metrics,
+      recorder: this.parts.context.recorder,
+      getDaemons: () => this.targets.hosts.getView().daemons,
+      onPart: (from, part) => {
+        this.digests.takePart(from, part);
+      },
+      handlers: this.createHandlers(),
+    });
+  }
+
+  private createHandlers(): PeerHandlers {
+    return {
+      forwardAct: (act, from) => this.targets.acts.submitForwarded(from, act),
+      adoptActs: async ({ successor, table }) => ({
+        accepted: await this.targets.acts.adopt(randomUUID(), successor, table),
+      }),
+      getConfiguration: ({ after }) =>
+        Promise.resolve(this.targets.configuration.getPublished(after)),
+      getHosts: ({ after }) => Promise.resolve(this.parts.getHostList(after)),
+      getSigns: () =>
+        Promise.resolve(getSigns(this.parts.context.kernel.getStateOrThrow(membershipPlugin))),
+    };
+  }
+
+  private createDigests(): DigestTask {
+    const { name: daemon, zone } = this.parts.context.settings.process;
+    return DigestTask.create({
+      daemon,
+      zone,
+      incarnation: this.parts.context.incarnation,
+      getNow: this.parts.context.getNow,
+      timeline: this.parts.context.timeline,
+      getDaemons: () => this.targets.hosts.getView().daemons.values(),
+      getHoldings: () => getAdoptedHoldings(this.parts.context.kernel.getStateOrThrow(actsPlugin)),
+      isDraining: () => this.parts.context.getPhase() === "draining",
+      getRevision: () => this.targets.configuration.getAnnouncement(),
+      send: (to, address, parts) => {
+        this.links.send(to, address, parts);
+      },
+      takeHeartbeat: (from, heartbeat) => {
+        this.takeHeartbeat(from, heartbeat);
+      },
+      takePlacement: (from, message) => {
+        this.targets.placement.send({ kind: "peer", from, message });
+      },
+      takeSigns: (from, signs) => {
+        for (const sign of signs) {
+          this.targets.hosts.send({ kind: "peerSign", from, ...sign });
+        }
+      },
+      takeTotals: (from, totals) => {
+        this.targets.admission.send({
+          kind: "peerTotals",
+          from,
+          at: this.parts.context.getNow(),
+          totals,
+        });
+      },
+      takeRevision: (from, revision) => {
+        this.targets.configuration.takeAnnouncement(from, revision);
+      },
+      onMalformed: (from, topic) => {
+        this.parts.context.metrics.droppedMessages.inc({ reason: "malformed" });
+        this.parts.context.recorder.record("peer.message-dropped", {
+          reason: "malformed",
+          from,
+          topic,
+        });
+      },
+    });
+  }
+
+  private takeHeartbeat(from: DatagramSender, heartbeat: Heartbeat): void {
+    const { sender: daemon, incarnation } = from;
+    const at = this.parts.context.getNow();
+    this.targets.hosts.send({ kind: "heard", daemon, zone: heartbeat.zone, incarnation, at });
+    if (this.drainingDaemons.has(daemon) !== heartbeat.isDraining) {
+      if (heartbeat.isDraining) {
+        this.drainingDaemons.add(daemon);
+      } else {
+        this.drainingDaemons.delete(daemon);
+      }
+      this.parts.onDaemonChanged();
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -0,0 +1,320 @@
+import {
+  tickPeriodMilliseconds,
+  type ActGuard,
+  type ChangedEffect,
+  type HostList,
+  type Instant,
+} from "@pistachioway/kernel";
+import { randomBytes, randomInt } from "node:crypto";
+import { ActSender, ActTask } from "../acts/index.js";
+import type { CallerGate } from "../callers/index.js";
+import type { ChatTask } from "../chat/index.js";
+import { ConfigurationTask, type InForce } from "../configuration/index.js";
+import type { DigestTask, PeerLinks } from "../digests/index.js";
+import { AdmissionTask, HostDirectory, PlacementTask, RetryTask } from "../kernel/index.js";
+import { OperationsView, type DaemonPhase } from "../operations/index.js";
+import { PlatformTask } from "../platform/index.js";
+import { ServiceClient, type ServiceTask } from "../services/index.js";
+import type { Settings } from "../settings/index.js";
+import type { Recorder } from "../timeline/index.js";
+import type { Connections } from "../upstreams/index.js";
+import { CallerWiring } from "./CallerWiring.js";
+import { createContext, type Context } from "./Context.js";
+import { PeerWiring, type PeerTargets } from "./PeerWiring.js";
+import { probeHost } from "./probeHost.js";
+import { ViewUpdater } from "./ViewUpdater.js";
+
+/** The tasks of one daemon. */
+export interface Tasks {
+  readonly recorder: Recorder;
+  readonly connections: Connections;
+  readonly platform: PlatformTask;
+  readonly configuration: ConfigurationTask;
+  readonly links: PeerLinks;
+  readonly digests: DigestTask;
+  readonly gate: CallerGate;
+  readonly chats: ChatTask;
+  readonly services: ServiceTask;
+  readonly acts: ActTask;
+  readonly view: OperationsView;
+  /** Lets time pass in every plug-in. */
+  readonly tick: () => void;
+}
+
+const version = "0.1.0";
+const secretBytes = 32;
+const maxSeed = 2 ** 31;
+
+/** Builds the tasks in the order of their needs; later tasks are reached through the graph. */
+export class TaskGraph implements PeerTargets {
+  private readonly peers: PeerWiring;
+  readonly views: ViewUpdater;
+  readonly hosts: HostDirectory;
+  readonly placement: PlacementTask;
+  readonly admission: AdmissionTask;
+  readonly retries: RetryTask;
+  readonly configuration: ConfigurationTask;
+  private readonly platform: PlatformTask;
+  readonly acts: ActTask;
+  private readonly callers: CallerWiring;
+  private hostList: HostList | undefined;
+  private membershipTickAt: Instant = 0;
+
+  private constructor(private readonly context: Context) {
+    const { name, zone } = context.settings.process;
+    this.peers = this.createPeers();
+    this.hosts = this.createHosts();
+    this.placement = this.createPlacement();
+    this.admission = this.createAdmission();
+    this.retries = RetryTask.create(this.context.kernel, this.context.getNow);
+    this.configuration = this.createConfiguration();
+    this.platform = this.createPlatform();
+    const client = ServiceClient.create(this.context.connections, this.hosts, this.context.getNow);
+    this.acts = this.createActs(client);
+    this.hosts.send({ kind: "identity", daemon: name, zone });
+    this.placement.send({ kind: "start", daemon: name, zone, seed: randomInt(maxSeed) });
+    this.views = this.createViews();
+    this.callers = CallerWiring.create(context, { ...this, client });
+    this.startActs();
+  }
+
+  /**
+   * Creates the tasks of a daemon and connects them.
+   * @param settings - Checked settings.
+   * @param getPhase - Gets the phase of the daemon's life.
+   */
+  static create(settings: Settings, getPhase: () => DaemonPhase): TaskGraph {
+    return new TaskGraph(createContext(settings, getPhase));
+  }
+
+  /** Gets the tasks that the daemon runs. */
+  toTasks(): Tasks {
+    const { recorder, connections } = this.context;
+    const { platform, configuration, acts } = this;
+    const { links, digests } = this.peers;
+    const { chats, services, gate } = this.callers;
+    return {
+      recorder,
+      connections,
+      links,
+      digests,
+      platform,
+      configuration,
+      chats,
+      services,
+      acts,
+      gate,
+      view: this.createView(),
+      tick: () => {
+        this.tick();
+      },
+    };
+  }
+
+  private tick(): void {
+    const at = this.context.getNow();
+    this.tickMembership(at);
+    this.peers.digests.tick();
+    this.placement.send({ kind: "tick" });
+    this.admission.send({ kind: "tick", at });
+    this.acts.send({ kind: "tick" });
+  }
+
+  private tickMembership(at: Instant): void {
+    if (at >= this.membershipTickAt) {
+      this.membershipTickAt = at + tickPeriodMilliseconds;
+      this.hosts.send({ kind: "tick", at });
+    }
+  }
+
+  private startActs(): void {
+    this.acts.send({
+      kind: "start",
+      daemon: this.context.settings.process.name,
+      incarnation: this.context.incarnation,
+      secret: randomBytes(secretBytes),
+      disabledGuards: this.context.settings.experiments.disabledGuards as ActGuard[],
+    });
+  }
+
+  private createHosts(): HostDirectory {
+    return HostDirectory.create({
+      kernel: this.context.kernel,
+      getNow: this.context.getNow,
+      onChanged: (effect) => {
+        this.takeView(effect);
+      },
+      onSigns: (signs) => {
+        this.peers.digests.sendSigns(signs);
+      },
+      onProbe: (probe) => {
+        void probeHost(probe, this.context.getNow).then((result) => {
+          this.hosts.send({ kind: "probed", ...result });
+        });
+      },
+      onRefresh: () => {
+        this.context.recorder.record("membership.refresh", {}, "warn");
+        this.platform.refresh();
+        this.peers.refresh();
+      },
+    });
+  }
+
+  private createPeers(): PeerWiring {
+    return PeerWiring.create({
+      context: this.context,
+      getHostList: (after) => {
+        const list = this.hostList;
+        return list !== undefined && list.revision > after ? list : null;
+      },
+      onDaemonChanged: () => {
+        this.views.update();
+      },
+      getTargets: () => this,
+    });
+  }
+
+  private createViews(): ViewUpdater {
+    const { configuration, hosts, placement, admission } = this;
+    const { connections } = this.context;
+    const { name: daemon, zone } = this.context.settings.process;
+    const isDraining = (name: string): boolean => this.peers.digests.isDraining(name);
+    return ViewUpdater.create({
+      daemon,
+      zone,
+      configuration,
+      hosts,
+      placement,
+      admission,
+      connections,
+      isDraining,
+    });
+  }
+
+  private takeHosts(list: HostList): void {
+    if (list.revision > (this.hostList?.revision ?? -1)) {
+      this.hostList = list;
+    }
+    const { revision, hosts } = list;
+    this.hosts.send({ kind: "hostList", revision, hosts, at: this.context.getNow() });
+  }
+
+  private createPlacement(): PlacementTask {
+    return PlacementTask.create({
+      kernel: this.context.kernel,
+      getNow: this.context.getNow,
+      send: (to, message) => {
+        this.peers.digests.sendPlacement(to, message);
+      },
+      onPlaced: ({ reason }) => {
+        this.context.metrics.placements.inc({ reason });
+      },
+    });
+  }
+
+  private createAdmission(): AdmissionTask {
+    return AdmissionTask.create({
+      kernel: this.context.kernel,
+      getNow: this.context.getNow,
+      onTotals: (totals) => {
+        this.peers.digests.sendTotals(totals);
+      },
+    });
+  }
+
+  private createConfiguration(): ConfigurationTask {
+    return ConfigurationTask.create({
+      getNow: this.context.getNow,
+      recorder: this.context.recorder,
+      onInForce: (inForce) => {
+        this.takeConfiguration(inForce);
+      },
+      onNewer: (peer) => {
+        void this.peers.fetchConfiguration(peer);
+      },
+    });
+  }
+
+  private createPlatform(): PlatformTask {
+    return PlatformTask.create({
+      address: this.context.settings.platform.address,
+      getNow: this.context.getNow,
+      metrics: this.context.metrics,
+      recorder: this.context.recorder,
+      onConfiguration: (published) => {
+        this.configuration.publish(published, "platform");
+      },
+      onHosts: (list) => {
+        this.takeHosts(list);
+      },
+      onFailure: () => undefined,
+    });
+  }
+
+  private createActs(client: ServiceClient): ActTask {
+    return ActTask.create({
+      kernel: this.context.kernel,
+      getNow: this.context.getNow,
+      admission: this.admission,
+      sender: ActSender.create(client, this.retries, (name) =>
+        this.configuration.getInForce()?.index.getService(name),
+      ),
+      carrier: this.peers.links,
+      recorder: this.context.recorder,
+      getPeers: () => this.peers.digests.getActPeers(),
+    });
+  }
+
+  private createView(): OperationsView {
+    const { settings, incarnation, startedAt, kernel } = this.context;
+    const { configuration, platform } = this;
+    return OperationsView.create({
+      process: settings.process.name,
+      incarnation,
+      zone: settings.process.zone,
+      version,
+      startedAt,
+      disabledGuards: settings.experiments.disabledGuards,
+      kernel,
+      configuration,
+      platform,
+      hosts: this.hosts,
+      placement: this.placement,
+      admission: this.admission,
+      metrics: this.context.metrics,
+      timeline: this.context.timeline,
+      getPhase: this.context.getPhase,
+      updateMetrics: () => {
+        this.updateMetrics();
+      },
+    });
+  }
+
+  private updateMetrics(): void {
+    this.peers.links.updateMetrics();
+    this.context.metrics.upstreams.reset();
+    for (const { state } of this.hosts.getView().hosts.values()) {
+      this.context.metrics.upstreams.inc({ state });
+    }
+  }
+
+  private takeConfiguration({ index, status }: InForce): void {
+    const { engines, services, teams, retries } = index.configuration;
+    this.context.metrics.configurationRevision.set(status.revision);
+    this.retries.configure(retries.budgetRatio);
+    this.admission.send({ kind: "configure", teams });
+    this.hosts.send({ kind: "configured", engines, services });
+    this.views.update();
+  }
+
+  private takeView(effect: ChangedEffect): void {
+    for (const { name, state, reason } of effect.hosts) {
+      this.context.recorder.record("host.changed", { host: name, state, reason }, "info");
+    }
+    this.peers.digests.updateNeighbours();
+    for (const { name, state } of effect.daemons) {
+      this.context.recorder.record("daemon.changed", { daemon: name, state }, "info");
+    }
+    this.views.update();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/digests/PeerLinks.ts
@@ -0,0 +1,231 @@
+import type {
+  ActTable,
+  DaemonIncarnation,
+  DaemonView,
+  ForwardResult,
+  HostList,
+  HostSign,
+  Instant,
+} from "@pistachioway/kernel";
+import { ActError } from "@pistachioway/kernel";
+import type { ActCarrier, ForwardedAct, ForwardedAnswer } from "../acts/index.js";
+import type { Metrics } from "../metrics/index.js";
+import {
+  Datagrams,
+  PeerCalls,
+  PeerListener,
+  type DatagramPart,
+  type DatagramSender,
+  type DropReason,
+  type Peer,
+  type PeerConfiguration,
+  type PeerHandlers,
+  type ReceivedPart,
+} from "../peers/index.js";
+import type { Settings } from "../settings/index.js";
+import type { Recorder } from "../timeline/index.js";
+
+/** What the links work with. */
+export interface LinkParts {
+  readonly settings: Settings;
+  /** Start of this daemon. */
+  readonly startedAt: Instant;
+  readonly getNow: () => Instant;
+  readonly metrics: Metrics;
+  readonly recorder: Recorder;
+  readonly getDaemons: () => ReadonlyMap<string, DaemonView>;
+  readonly handlers: PeerHandlers;
+  readonly onPart: (from: DatagramSender, part: ReceivedPart) => void;
+}
+
+/** The addresses that peers reach this daemon at. */
+export interface LinkAddresses {
+  readonly peers: string;
+  readonly datagrams: string;
+}
+
+const fetchTimeoutMilliseconds = 2_000;
+const transferTimeoutMilliseconds = 2_000;
+const transferAttempts = 3;
+
+/** Owns the sockets between daemons: datagrams for digests, calls for acts and whole values. */
+export class PeerLinks implements ActCarrier {
+  private datagrams: Datagrams | undefined;
+  private listener: PeerListener | undefined;
+  private readonly calls: PeerCalls;
+  private reported = { sent: 0, received: 0 };
+
+  private constructor(private readonly parts: LinkParts) {
+    const { settings, startedAt, getNow } = parts;
+    const { key } = settings.peers;
+    const daemon = settings.process.name;
+    this.calls = PeerCalls.create({ daemon, incarnation: startedAt, key, getNow });
+  }
+
+  /**
+   * Creates the links; no socket is open before `open`.
+   * @param parts - What the links work with.
+   */
+  static create(parts: LinkParts): PeerLinks {
+    return new PeerLinks(parts);
+  }
+
+  /** Opens the sockets. */
+  async open(): Promise<LinkAddresses> {
+    const { settings, startedAt, getNow, handlers, onPart } = this.parts;
+    const common = {
+      daemon: settings.process.name,
+      key: settings.peers.key,
+      getNow,
+      isPeer: (name: string) => this.isPeer(name),
+      onDropped: (reason: DropReason, from: string) => {
+        this.countDropped(reason, from);
+      },
+    };
+    const { datagrams, peers } = settings.listeners;
+    this.datagrams = await Datagrams.create(datagrams, {
+      ...common,
+      incarnation: startedAt,
+      onPart,
+    });
+    this.listener = await PeerListener.create(peers, {
+      ...common,
+      bodyBytes: settings.limits.bodyBytes * 2,
+      handlers,
+      onError: (error) => {
+        const detail = error instanceof Error ? error.message : String(error);
+        this.parts.recorder.record("peer.call-failed", { detail }, "warn");
+      },
+    });
+    return { peers: this.listener.getAddress(), datagrams: this.datagrams.getAddress() };
+  }
+
+  /**
+   * Sends parts of a digest; any may be lost.
+   * @param to - Name of the daemon.
+   * @param address - Its datagram address.
+   * @param parts - What to send.
+   */
+  send(to: string, address: string, parts: readonly DatagramPart[]): void {
+    this.datagrams?.send(to, address, parts);
+  }
+
+  /**
+   * Submits an act at the daemon that holds its table.
+   * @param to - Name of the daemon.
+   * @param act - The act.
+   */
+  async forward(to: string, act: ForwardedAct): Promise<ForwardResult> {
+    const peer = this.getPeer(to);
+    if (peer === undefined) {
+      return { kind: "lost" };
+    }
+    const answer = await this.calls.forwardAct(peer, act, act.call.deadline);
+    return answer.isOk ? toForwardResult(answer.value) : { kind: "lost" };
+  }
+
+  /**
+   * Hands a table to its successor, as often as needed; the successor takes it once.
+   * @param successor - Incarnation that the table is meant for.
+   * @param table - Table to hand over.
+   */
+  async transfer(successor: DaemonIncarnation, table: ActTable): Promise<boolean> {
+    const peer = this.getPeer(successor.name);
+    for (let attempt = 0; peer !== undefined && attempt < transferAttempts; attempt += 1) {
+      const deadline = this.parts.getNow() + transferTimeoutMilliseconds;
+      const answer = await this.calls.adoptActs(peer, { successor, table }, deadline);
+      if (answer.isOk) {
+        return answer.value.accepted;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Gets the configuration of a peer, if it is newer.
+   * @param from - Name of the daemon.
+   * @param after - Revision that is known; -1 for none.
+   */
+  async getConfiguration(from: string, after: number): Promise<PeerConfiguration> {
+    const peer = this.getPeer(from);
+    if (peer === undefined) {
+      return null;
+    }
+    const deadline = this.parts.getNow() + fetchTimeoutMilliseconds;
+    return (await this.calls.getConfiguration(peer, { after }, deadline)).unwrapOr(null);
+  }
+
+  /**
+   * Gets the host list of a peer, if it is newer.
+   * @param from - Name of the daemon.
+   * @param after - Revision that is known; -1 for none.
+   */
+  async getHosts(from: string, after: number): Promise<HostList | null> {
+    const peer = this.getPeer(from);
+    if (peer === undefined) {
+      return null;
+    }
+    const deadline = this.parts.getNow() + fetchTimeoutMilliseconds;
+    return (await this.calls.getHosts(peer, { after }, deadline)).unwrapOr(null);
+  }
+
+  /**
+   * Gets all signs about upstream hosts that a peer holds.
+   * @param from - Name of the daemon.
+   */
+  async getSigns(from: string): Promise<readonly HostSign[]> {
+    const peer = this.getPeer(from);
+    if (peer === undefined) {
+      return [];
+    }
+    const deadline = this.parts.getNow() + fetchTimeoutMilliseconds;
+    return (await this.calls.getSigns(peer, deadline)).unwrapOr([]);
+  }
+
+  /** Brings the metrics of the control traffic up to date. */
+  updateMetrics(): void {
+    const counts = this.datagrams?.getCounts();
+    if (counts === undefined) {
+      return;
+    }
+    const { controlBytes } = this.parts.metrics;
+    const { sentBytes: sent, receivedBytes: received } = counts;
+    const channel = "datagrams";
+    controlBytes.inc({ channel, direction: "sent" }, sent - this.reported.sent);
+    controlBytes.inc({ channel, direction: "received" }, received - this.reported.received);
+    this.reported = { sent, received };
+  }
+
+  /** Closes the sockets. */
+  async close(): Promise<void> {
+    await this.listener?.close();
+    await this.calls.close();
+    await this.datagrams?.close();
+  }
+
+  private isPeer(name: string): boolean {
+    return this.parts.getDaemons().get(name)?.isListed === true;
+  }
+
+  private getPeer(name: string): Peer | undefined {
+    const daemon = this.parts.getDaemons().get(name);
+    const peerAddress = daemon?.isListed === true ? daemon.peerAddress : undefined;
+    return peerAddress === undefined ? undefined : { name, peerAddress };
+  }
+
+  private countDropped(reason: DropReason, from: string): void {
+    this.parts.metrics.droppedMessages.inc({ reason });
+    this.parts.recorder.record("peer.message-dropped", { reason, from }, "debug");
+  }
+}
+
+function toForwardResult(answer: ForwardedAnswer): ForwardResult {
+  switch (answer.kind) {
+    case "rejected": {
+      const error = new ActError(answer.code, answer.outcome, answer.message);
+      return { kind: "rejected", error };
+    }
+    default:
+      return answer;
+  }
+}
--- a/packages/daemon/src/log/Log.ts
+++ b/packages/daemon/src/log/Log.ts
@@ -22,6 +22,8 @@
    */
   static create(level: LogLevel, common: Fields): Log {
     const line = format.printf((info) => String(info.message));
+    // A reader of the log that goes away must not stop the daemon.
+    process.stdout.on("error", () => undefined);
     const logger = createLogger({ level, format: line, transports: [new transports.Console()] });
     return new Log(logger, common);
   }
--- a/packages/daemon/src/operations/OperationsView.ts
+++ b/packages/daemon/src/operations/OperationsView.ts
@@ -35,6 +35,8 @@
   readonly metrics: Metrics;
   readonly timeline: Timeline;
   readonly getPhase: () => DaemonPhase;
+  /** Brings metrics that are kept elsewhere up to date. */
+  readonly updateMetrics: () => void;
 }
 
 /** Metrics in the Prometheus text format. */
@@ -62,6 +64,7 @@
 
   /** Gets the metrics. */
   async getMetrics(): Promise<MetricsText> {
+    this.parts.updateMetrics();
     const { registry } = this.parts.metrics;
     return { contentType: registry.contentType, text: await registry.metrics() };
   }
--- a/packages/daemon/src/state/ConfigurationIndex.ts
+++ b/packages/daemon/src/state/ConfigurationIndex.ts
@@ -49,6 +49,14 @@
     return this.modelsByName.has(name);
   }
 
+  /**
+   * Gets the region of an availability zone.
+   * @param zone - Name of the zone.
+   */
+  getRegion(zone: string): string | undefined {
+    return this.configuration.zones.find((item) => item.name === zone)?.region;
+  }
+
   /**
    * Gets the names of the engines that serve a model.
    * @param model - Name of the model.
