Name the daemons that share a concern on one line

Cause: with many daemons, status repeated one concern for each of them. Ruled out: hiding which daemons are meant; five are named and the rest counted. Change: concerns are grouped by text.

--- a/packages/cli/src/status/getConcerns.ts
+++ b/packages/cli/src/status/getConcerns.ts
@@ -5,7 +5,28 @@
  * @param statuses - What the daemons report.
  */
 export function getConcerns(statuses: readonly DaemonStatus[]): string[] {
-  return [...statuses.flatMap(getConcernsOfDaemon), ...getDisagreements(statuses)];
+  const daemonsByConcern = new Map<string, string[]>();
+  for (const status of statuses) {
+    for (const concern of getConcernsOfDaemon(status)) {
+      addDaemon(daemonsByConcern, concern, status.process);
+    }
+  }
+  const shared = [...daemonsByConcern].map(
+    ([concern, daemons]) => `${formatNames(daemons)}: ${concern}`,
+  );
+  return [...shared, ...getDisagreements(statuses)];
+}
+
+const maxShownNames = 5;
+
+function formatNames(names: readonly string[]): string {
+  const shown = names.slice(0, maxShownNames).join(", ");
+  const hiddenCount = names.length - maxShownNames;
+  return hiddenCount > 0 ? `${shown} and ${String(hiddenCount)} more` : shown;
+}
+
+function addDaemon(daemonsByText: Map<string, string[]>, text: string, daemon: string): void {
+  daemonsByText.set(text, [...(daemonsByText.get(text) ?? []), daemon]);
 }
 
 function getConcernsOfDaemon(status: DaemonStatus): string[] {
@@ -23,7 +44,7 @@
     concerns.push(`runs with disabled guards: ${status.guards.disabled.join(", ")}`);
   }
   concerns.push(...getRefusals(status), ...getLostPeers(status), ...getUnusableHosts(status));
-  return concerns.map((concern) => `${status.process}: ${concern}`);
+  return concerns;
 }
 
 function getRefusals({ refused }: DaemonStatus): string[] {
@@ -36,7 +57,7 @@
 
 function getLostPeers({ peers }: DaemonStatus): string[] {
   const lost = peers.filter(({ state }) => state === "lost").map(({ name }) => name);
-  return lost.length === 0 ? [] : [`does not hear ${lost.join(", ")}`];
+  return lost.map((name) => `does not hear ${name}`);
 }
 
 function getUnusableHosts({ engines, services }: DaemonStatus): string[] {
@@ -51,13 +72,13 @@
     if (configuration !== undefined) {
       const { generation, revision, digest } = configuration;
       const version = `generation ${String(generation)} revision ${String(revision)} digest ${digest}`;
-      daemonsByVersion.set(version, [...(daemonsByVersion.get(version) ?? []), process]);
+      addDaemon(daemonsByVersion, version, process);
     }
   }
   if (daemonsByVersion.size < 2) {
     return [];
   }
   return [...daemonsByVersion].map(
-    ([version, daemons]) => `configurations differ: ${version} on ${daemons.join(", ")}`,
+    ([version, daemons]) => `configurations differ: ${version} on ${formatNames(daemons)}`,
   );
 }
--- a/packages/cli/tests/commands/daemons.test.ts
+++ b/packages/cli/tests/commands/daemons.test.ts
@@ -79,6 +79,27 @@
   });
 });
 
+test("status names the daemons that share a concern once, and where configurations differ", async () => {
+  const statuses = Array.from({ length: 7 }, (_, index) => ({
+    ...sampleStatus,
+    process: `d${String(index)}`,
+    platform: { ...sampleStatus.platform, reachable: index === 0 },
+    configuration: { ...sampleStatus.configuration, revision: index === 0 ? 8 : 7 },
+  }));
+  const run = await runAgainst(
+    statuses.map((status) => ({ "/v1/status": status })),
+    "status",
+    "--json",
+  );
+  const version = (revision: number) =>
+    `configurations differ: generation 1 revision ${String(revision)} digest ${"ab".repeat(32)}`;
+  assert.equal((JSON.parse(run.output) as { concerns: unknown }).concerns, [
+    "d1, d2, d3, d4, d5 and 1 more: cannot reach the platform",
+    `${version(8)} on d0`,
+    `${version(7)} on d1, d2, d3, d4, d5 and 1 more`,
+  ]);
+});
+
 test("status shows the rest when a daemon cannot be reached or answers unusably", async () => {
   const answers = [{ "/v1/status": sampleStatus }, { "/v1/status": { process: 1 } }, {}];
   const run = await runAgainst(answers, "status", "--json", "--daemon", unreachable);
