--- a/packages/kernel/src/placement/PlacementFlow.ts
+++ b/packages/kernel/src/placement/PlacementFlow.ts
@@ -1,6 +1,7 @@
 import type { Instant } from "../kernel/Plugin.js";
 import type { PlacementContext } from "./context.js";
-import type { EngineLoad } from "./EngineLoad.js";
+import { getCandidates, getMean } from "./EngineGroup.js";
+import { getCount, type EngineLoad } from "./EngineLoad.js";
 import { getHash } from "./hash.js";
 import type { FinishedMessage, PlaceMessage } from "./messages.js";
 import { OwnerContacts } from "./OwnerContacts.js";
@@ -8,7 +9,12 @@
 import type { ChatMove, ReservationAnswer } from "./peerMessage.js";
 import { createPlacement, getAllowedEngines, type Placement } from "./Placement.js";
 
-const maxRefusals = 3;
+/** Expected error of a late count, in square roots of the mean. */
+const uncertaintyFactor = 0.6;
+const maxLevelRefusals = 3;
+const maxRefusals = 5;
+/** Few, so that daemons with late counts do not all take the same engine. */
+const lastResortCandidates = 12;
 
 /** Takes each request to an engine: chooses, reserves, tries the next one, decides when none answers. */
 export class PlacementFlow {
@@ -175,7 +181,7 @@
     let least: EngineLoad | undefined;
     let leastLoad = Infinity;
     for (const engine of engines) {
-      const load = this.context.ledger.getCount(engine, now) / engine.weight;
+      const load = this.getCautiousCount(engine, now) / engine.weight;
       if (load < leastLoad && !placement.refused.has(engine)) {
         least = engine;
         leastLoad = load;
@@ -185,8 +191,8 @@
   }
 
   private tryEngine(placement: Placement, engine: EngineLoad, now: Instant): void {
-    const { strategy, daemon } = this.context;
-    if (!strategy.reserves || engine.owner === daemon) {
+    const { strategy } = this.context;
+    if (!strategy.reserves || engine.isOwned) {
       this.decide(placement, engine, now);
       return;
     }
@@ -195,9 +201,25 @@
       this.decideAlone(placement, now);
       return;
     }
+    if (this.isSurelyBelowLimit(placement, engine, now)) {
+      this.decide(placement, engine, now);
+      return;
+    }
     this.reserve(placement, engine, now);
   }
 
+  /** Checks whether an engine has room even if the late counts of it are too low. */
+  private isSurelyBelowLimit(placement: Placement, engine: EngineLoad, now: Instant): boolean {
+    const { group, isLevel } = placement;
+    const needsLookup = placement.isLookup && placement.known === undefined;
+    if (!this.context.strategy.trustsLowCounts || needsLookup || engine.claimed === 0) {
+      return false;
+    }
+    const margin = Math.ceil(uncertaintyFactor * Math.sqrt(getMean(group, now)));
+    const hasRoom = this.desk.hasRoom(engine, group, false, 1 + margin, now);
+    return hasRoom && this.desk.hasRoom(engine, group, isLevel, 1, now);
+  }
+
   /** Decides by the counts at hand, which are exact for the daemon's own engines. */
   private decide(placement: Placement, engine: EngineLoad, now: Instant): void {
     this.endReservation(placement);
@@ -295,13 +317,14 @@
     if (placement.engine !== undefined) {
       placement.refused.add(placement.engine);
     }
+    placement.refusals += 1;
     placement.isLookup = false;
-    placement.isLevel = strategy.levels;
+    placement.isLevel = strategy.levels && placement.refusals <= maxLevelRefusals;
     placement.reason = "spilled";
     const next = strategy.levels
       ? this.getLeastLoaded(placement, placement.candidates, now)
       : placement.candidates.find((candidate) => !placement.refused.has(candidate));
-    if (next !== undefined && placement.refused.size < maxRefusals) {
+    if (next !== undefined && placement.refusals < maxRefusals) {
       this.tryEngine(placement, next, now);
       return;
     }
@@ -309,11 +332,12 @@
   }
 
   private takeLeastLoaded(placement: Placement, now: Instant): void {
+    const { engines, chat, candidates } = placement;
     this.endReservation(placement);
     this.leaveEngine(placement, now);
     placement.reason = "all-above-limit";
-    const engine =
-      this.getLeastLoaded(placement, placement.engines, now) ?? placement.candidates[0];
+    const lastResort = getCandidates(engines, chat, lastResortCandidates);
+    const engine = this.getLeastLoaded(placement, lastResort, now) ?? candidates[0];
     this.enterEngine(placement, engine as EngineLoad, now);
     this.confirm(placement, now);
   }
@@ -328,14 +352,26 @@
     const engine = placement.engine as EngineLoad;
     this.endReservation(placement);
     placement.reason = "owner-silent";
-    const unseen = Math.max(0, engine.own - engine.ownAtClaim) * (this.context.daemonCount - 1);
-    if (this.desk.hasRoom(engine, placement.group, placement.isLevel, unseen, now)) {
+    placement.refused.add(engine);
+    if (
+      this.desk.hasRoom(engine, placement.group, placement.isLevel, this.getUnseen(engine), now)
+    ) {
       this.confirm(placement, now);
       return;
     }
     this.takeLeastLoaded(placement, now);
   }
 
+  /** Counts an engine whose owner is silent as if the other daemons placed as many as this one. */
+  private getCautiousCount(engine: EngineLoad, now: Instant): number {
+    const isSilent = !engine.isOwned && this.contacts.isSilent(engine.owner, now);
+    return getCount(engine, now) + (isSilent ? this.getUnseen(engine) : 0);
+  }
+
+  private getUnseen(engine: EngineLoad): number {
+    return Math.max(0, engine.own - engine.ownAtClaim) * (this.context.daemonCount - 1);
+  }
+
   private endReservation(placement: Placement): void {
     if (placement.reservation !== undefined) {
       this.placementsByReservation.delete(placement.reservation.id);
@@ -363,7 +399,7 @@
   }
 
   private addChange(engine: EngineLoad, now: Instant): void {
-    if (engine.owner !== this.context.daemon && engine.owner !== "") {
+    if (!engine.isOwned && engine.owner !== "") {
       this.context.outbox.addChange(engine.owner, now);
     }
   }
@@ -384,7 +420,7 @@
       return;
     }
     const move: ChatMove = { chat: placement.chat, engine: engine.id };
-    if (first.owner === this.context.daemon) {
+    if (first.isOwned) {
       this.context.directory.addChat(move.chat, move.engine, now);
     } else if (first.owner !== "") {
       this.context.outbox.addMove(first.owner, move, now);
