Let the fault matrix switch off guards, and pack signs

Cause: the matrix must show that a cell fails without its guard; a heartbeat of one daemon compared the views of all; signs with field names cost 81 octets. Ruled out: a zod schema for the packed list, which could not leave out a bad entry and keep the rest. Change: guards host-pause-check, host-own-sign, host-sign-spread, host-list-order (message identity), admission-shares, retry-budget, retry-repeatable, retry-first-byte (messages configure); packSigns and parseSigns; a heartbeat updates one view.

--- a/packages/kernel/src/admission/admissionPlugin.ts
+++ b/packages/kernel/src/admission/admissionPlugin.ts
@@ -25,6 +25,7 @@
 ): readonly AdmissionEffect[] {
   switch (message.kind) {
     case "configure":
+      state.isShareGuarded = message.disabledGuards?.includes("admission-shares") !== true;
       return [...setTeams(state, message.teams, now), ...admitWaiting(state, now)];
     case "capacity":
       setCapacity(state, message.capacity, message.daemon, message.daemons);
--- a/packages/kernel/src/admission/admit.ts
+++ b/packages/kernel/src/admission/admit.ts
@@ -89,7 +89,8 @@
   if (request === undefined || team.running >= getLocalLimit(state, team, now)) {
     return undefined;
   }
-  return { team, request, isWithinShare: isWithinShare(team, request.cost, capacityPerShare) };
+  const isWithin = isWithinShare(team, request.cost, capacityPerShare);
+  return { team, request, isWithinShare: state.isShareGuarded && isWithin };
 }
 
 function isBefore(a: Candidate, b: Candidate): boolean {
--- a/packages/kernel/src/admission/index.ts
+++ b/packages/kernel/src/admission/index.ts
@@ -5,6 +5,7 @@
 export { teamTotalSchema } from "./messages.js";
 export type {
   AdmissionEffect,
+  AdmissionGuard,
   AdmissionMessage,
   AdmitEffect,
   ExpireEffect,
--- a/packages/kernel/src/admission/messages.ts
+++ b/packages/kernel/src/admission/messages.ts
@@ -11,10 +11,16 @@
 
 export type TeamTotal = z.infer<typeof teamTotalSchema>;
 
+/** A check that the fault matrix can switch off, to show that a cell can fail. */
+export type AdmissionGuard =
+  /** Teams below their share are served before the others. */
+  "admission-shares";
+
 /** The teams of an accepted configuration. */
 export interface TeamsMessage {
   readonly kind: "configure";
   readonly teams: readonly Team[];
+  readonly disabledGuards?: readonly AdmissionGuard[];
 }
 
 /** This daemon's part of the fleet's capacity, and the daemons that share the rest. */
--- a/packages/kernel/src/admission/state.ts
+++ b/packages/kernel/src/admission/state.ts
@@ -47,6 +47,8 @@
 }
 
 export interface AdmissionState {
+  /** False when the guard is switched off. */
+  isShareGuarded: boolean;
   readonly teams: Map<string, TeamAccount>;
   /** Teams that run or wait for something. */
   readonly activeTeams: Set<TeamAccount>;
@@ -66,6 +68,7 @@
 /** Creates the state of a daemon without teams or capacity. */
 export function createAdmissionState(): AdmissionState {
   return {
+    isShareGuarded: true,
     teams: new Map(),
     activeTeams: new Set(),
     running: new Map(),
--- a/packages/kernel/src/membership/daemons.ts
+++ b/packages/kernel/src/membership/daemons.ts
@@ -32,16 +32,18 @@
  * @param now - Current time.
  */
 export function updateDaemonViews(state: MembershipState, now: Instant): DaemonView[] {
-  const changed: DaemonView[] = [];
-  for (const record of state.daemonRecords.values()) {
-    const view = createDaemonView(state, record, now);
-    const known = state.daemons.get(record.name);
-    if (known === undefined || !isSame(known, view)) {
-      state.daemons.set(record.name, view);
-      changed.push(view);
-    }
-  }
-  return changed;
+  return [...state.daemonRecords.values()].flatMap((record) => updateView(state, record, now));
+}
+
+/**
+ * Brings the view of one daemon up to date and returns it if it changed.
+ * @param state - State to update.
+ * @param name - Name of the daemon.
+ * @param now - Current time.
+ */
+export function updateDaemonView(state: MembershipState, name: string, now: Instant): DaemonView[] {
+  const record = state.daemonRecords.get(name);
+  return record === undefined ? [] : updateView(state, record, now);
 }
 
 /**
@@ -61,6 +63,16 @@
   return forgotten.map((record) => record.name);
 }
 
+function updateView(state: MembershipState, record: DaemonRecord, now: Instant): DaemonView[] {
+  const known = state.daemons.get(record.name);
+  const view = createDaemonView(state, record, now);
+  if (known !== undefined && isSame(known, view)) {
+    return [];
+  }
+  state.daemons.set(record.name, view);
+  return [view];
+}
+
 function createRecord(state: MembershipState, message: HeardMessage): DaemonRecord {
   const record = {
     name: message.daemon,
@@ -104,5 +116,14 @@
 }
 
 function isSame(a: DaemonView, b: DaemonView): boolean {
-  return (Object.keys(a) as (keyof DaemonView)[]).every((key) => a[key] === b[key]);
+  return (
+    a.state === b.state &&
+    a.zone === b.zone &&
+    a.incarnation === b.incarnation &&
+    a.isListed === b.isListed &&
+    a.isLeaving === b.isLeaving &&
+    a.peerAddress === b.peerAddress &&
+    a.datagramAddress === b.datagramAddress &&
+    a.operationsAddress === b.operationsAddress
+  );
 }
--- a/packages/kernel/src/membership/index.ts
+++ b/packages/kernel/src/membership/index.ts
@@ -1,6 +1,7 @@
 export { getCandidates } from "./candidates.js";
 export type { Candidates, NoUsableHosts, UncheckedHosts, UsableHosts } from "./candidates.js";
 export { pauseMilliseconds, probePeriodMilliseconds, tickPeriodMilliseconds } from "./constants.js";
+export type { HostGuard } from "./guards.js";
 export { getView, membershipPlugin } from "./membershipPlugin.js";
 export type {
   ChangedEffect,
@@ -13,8 +14,8 @@
   SpreadEffect,
 } from "./messages.js";
 export { getProber } from "./probes.js";
-export { hostSignSchema } from "./signs.js";
-export type { HostSign, Observation, SignState } from "./signs.js";
+export { hostSignSchema, packSigns, parseSigns } from "./signs.js";
+export type { HostSign, Observation, PackedSigns, SignState } from "./signs.js";
 export { getSigns } from "./spread.js";
 export type { MembershipState } from "./state.js";
 export type {
--- a/packages/kernel/src/membership/lists.ts
+++ b/packages/kernel/src/membership/lists.ts
@@ -1,6 +1,6 @@
 import type { Host } from "../hosts/index.js";
 import type { HostListMessage, UpstreamsMessage } from "./messages.js";
-import { createHostRecord, type HostRecord, type MembershipState } from "./state.js";
+import { createHostRecord, isGuarded, type HostRecord, type MembershipState } from "./state.js";
 
 /**
  * Takes over the upstream hosts of a configuration and returns the names that it dropped.
@@ -31,7 +31,8 @@
  * @returns True when the list was taken over.
  */
 export function setHostList(state: MembershipState, message: HostListMessage): boolean {
-  if (message.revision <= state.listRevision || message.hosts.length === 0) {
+  const isUsable = message.revision > state.listRevision && message.hosts.length > 0;
+  if (!isUsable && isGuarded(state, "host-list-order")) {
     return false;
   }
   state.listRevision = message.revision;
@@ -60,6 +61,9 @@
 function setListing(state: MembershipState, record: HostRecord): void {
   const host = state.listedHosts.get(record.name);
   const listing = host?.state ?? (record.listing === "unlisted" ? "unlisted" : "absent");
+  if (host === undefined && !isGuarded(state, "host-list-order")) {
+    record.address = undefined;
+  }
   if (host !== undefined && host.address !== record.address) {
     setAddress(record, host.address);
   }
--- a/packages/kernel/src/membership/membershipPlugin.ts
+++ b/packages/kernel/src/membership/membershipPlugin.ts
@@ -1,6 +1,11 @@
 import { pluginRegistry, type Instant } from "../kernel/index.js";
 import { pauseMilliseconds, refreshPeriodMilliseconds } from "./constants.js";
-import { addHeard, removeForgottenDaemons, updateDaemonViews } from "./daemons.js";
+import {
+  addHeard,
+  removeForgottenDaemons,
+  updateDaemonView,
+  updateDaemonViews,
+} from "./daemons.js";
 import { addObservation, addPeerSign } from "./evidence.js";
 import { updateHostViews } from "./hostViews.js";
 import { setHostList, setUpstreams } from "./lists.js";
@@ -12,7 +17,12 @@
 } from "./messages.js";
 import { takeDueProbes } from "./probes.js";
 import { dropOldReports, takeSigns } from "./spread.js";
-import { createMembershipState, type HostRecord, type MembershipState } from "./state.js";
+import {
+  createMembershipState,
+  isGuarded,
+  type HostRecord,
+  type MembershipState,
+} from "./state.js";
 import type { DaemonView, HostView, MembershipView } from "./view.js";
 import { updateZones } from "./zones.js";
 
@@ -42,7 +52,7 @@
 function notePause(state: MembershipState, now: Instant): MembershipEffect[] {
   const wasPaused = now - state.activeAt > pauseMilliseconds;
   state.activeAt = Math.max(state.activeAt, now);
-  if (!wasPaused) {
+  if (!wasPaused || !isGuarded(state, "host-pause-check")) {
     return [];
   }
   state.staleSince = now;
@@ -63,6 +73,7 @@
     case "identity":
       state.daemon = message.daemon;
       state.zone = message.zone;
+      state.disabledGuards = message.disabledGuards ?? [];
       state.probeShare = undefined;
       return [];
     case "configured":
@@ -80,7 +91,7 @@
       });
     case "heard":
       addHeard(state, message);
-      return changeDaemons(state, [], now);
+      return changeDaemons(state, updateDaemonView(state, message.daemon, now), [], now);
     case "tick":
       return handleTick(state, now);
   }
@@ -109,7 +120,7 @@
   change: (record: HostRecord) => void,
 ): MembershipEffect[] {
   const record = state.hostRecords.get(message.host);
-  if (record === undefined) {
+  if (record === undefined || isIgnored(state, message)) {
     return [];
   }
   const wasFailing = record.failures > 0;
@@ -120,12 +131,17 @@
   return createChanged(state, updateHostViews(state, records, now), [], []);
 }
 
+function isIgnored(state: MembershipState, message: ObservationMessage | PeerSignMessage): boolean {
+  const isOwnSign = message.kind !== "peerSign" && message.sign === "leaving";
+  return isOwnSign && !isGuarded(state, "host-own-sign");
+}
+
 function changeDaemons(
   state: MembershipState,
+  daemons: readonly DaemonView[],
   removed: readonly string[],
   now: Instant,
 ): MembershipEffect[] {
-  const daemons = updateDaemonViews(state, now);
   if (daemons.length === 0 && removed.length === 0) {
     return [];
   }
@@ -136,7 +152,8 @@
 }
 
 function handleTick(state: MembershipState, now: Instant): MembershipEffect[] {
-  const effects = changeDaemons(state, removeForgottenDaemons(state, now), now);
+  const forgotten = removeForgottenDaemons(state, now);
+  const effects = changeDaemons(state, updateDaemonViews(state, now), forgotten, now);
   const records = getUnsettledHosts(state);
   for (const record of records) {
     dropOldReports(state, record, now);
--- a/packages/kernel/src/membership/messages.ts
+++ b/packages/kernel/src/membership/messages.ts
@@ -1,6 +1,7 @@
 import type { Engine, Service } from "../configuration/index.js";
 import type { Host } from "../hosts/index.js";
 import type { Instant } from "../kernel/index.js";
+import type { HostGuard } from "./guards.js";
 import type { HostSign, Observation } from "./signs.js";
 import type { DaemonView, HostView, MembershipView } from "./view.js";
 
@@ -9,6 +10,7 @@
   readonly kind: "identity";
   readonly daemon: string;
   readonly zone: string;
+  readonly disabledGuards?: readonly HostGuard[];
 }
 
 /** The upstream hosts of an accepted configuration. */
--- a/packages/kernel/src/membership/signs.ts
+++ b/packages/kernel/src/membership/signs.ts
@@ -16,6 +16,38 @@
   incarnation: z.number().min(0),
 });
 
+/** Signs as one flat list of host, state, version and incarnation, to be sent in few octets. */
+export type PackedSigns = (string | number)[];
+
+const fieldsOfSign = 4;
+
+/**
+ * Packs signs into few octets.
+ * @param signs - Signs to pack.
+ */
+export function packSigns(signs: readonly HostSign[]): PackedSigns {
+  const states = signStateSchema.options;
+  return signs.flatMap(({ host, state, version, incarnation }) => {
+    return [host, states.indexOf(state), version, incarnation];
+  });
+}
+
+/**
+ * Reads packed signs that came from a peer; those that are not well formed are left out.
+ * @param packed - Decoded MessagePack.
+ */
+export function parseSigns(packed: unknown): HostSign[] {
+  const fields: unknown[] = Array.isArray(packed) ? packed : [];
+  const signs: HostSign[] = [];
+  for (let index = 0; index + fieldsOfSign <= fields.length; index += fieldsOfSign) {
+    const [host, state, version, incarnation] = fields.slice(index, index + fieldsOfSign);
+    const named = signStateSchema.options[state as number];
+    const sign = hostSignSchema.safeParse({ host, state: named, version, incarnation });
+    signs.push(...(sign.success ? [sign.data] : []));
+  }
+  return signs;
+}
+
 export type SignState = z.infer<typeof signStateSchema>;
 export type HostSign = z.infer<typeof hostSignSchema>;
 
--- a/packages/kernel/src/membership/spread.ts
+++ b/packages/kernel/src/membership/spread.ts
@@ -8,7 +8,7 @@
 import { isUnchecked } from "./judge.js";
 import type { SpreadEffect } from "./messages.js";
 import type { HostSign } from "./signs.js";
-import type { HostRecord, MembershipState } from "./state.js";
+import { isGuarded, type HostRecord, type MembershipState } from "./state.js";
 import type { HostReason, HostView } from "./view.js";
 
 /**
@@ -34,6 +34,9 @@
  * @param state - State to update.
  */
 export function takeSigns(state: MembershipState): SpreadEffect[] {
+  if (!isGuarded(state, "host-sign-spread")) {
+    return [];
+  }
   const limit = getSignLimit(state);
   const queued = [...state.queuedSigns.values()].sort((a, b) => rank(a.sign) - rank(b.sign));
   const chosen = queued.slice(0, limit);
--- a/packages/kernel/src/membership/state.ts
+++ b/packages/kernel/src/membership/state.ts
@@ -1,6 +1,7 @@
 import type { Host } from "../hosts/index.js";
 import type { Instant } from "../kernel/index.js";
 import { createDamping, type Damping } from "./damping.js";
+import type { HostGuard } from "./guards.js";
 import type { HostSign } from "./signs.js";
 import type { DaemonView, HostView, MembershipView } from "./view.js";
 
@@ -61,6 +62,7 @@
 
 export interface MembershipState {
   readonly seed: number;
+  disabledGuards: readonly HostGuard[];
   daemon: string;
   zone: string;
   listRevision: number;
@@ -95,6 +97,7 @@
   const daemons = new Map<string, DaemonView>();
   const state: MembershipState = {
     seed,
+    disabledGuards: [],
     daemon: "",
     zone: "",
     listRevision: -1,
@@ -112,7 +115,7 @@
       hosts,
       daemons,
       get activeAt() {
-        return state.activeAt;
+        return isGuarded(state, "host-pause-check") ? state.activeAt : Infinity;
       },
     },
     activeAt: 0,
@@ -122,6 +125,15 @@
   return state;
 }
 
+/**
+ * Tells whether a guard is on.
+ * @param state - State to read.
+ * @param guard - Guard in question.
+ */
+export function isGuarded(state: MembershipState, guard: HostGuard): boolean {
+  return !state.disabledGuards.includes(guard);
+}
+
 /**
  * Creates the record of a host about which nothing is known.
  * @param name - Name of the host.
--- a/packages/kernel/src/retries/decideFailure.ts
+++ b/packages/kernel/src/retries/decideFailure.ts
@@ -6,7 +6,7 @@
 import type { RetriesError } from "./RetriesError.js";
 import { RetryBudgetExhaustedError } from "./RetryBudgetExhaustedError.js";
 import { RetryDeadlineError } from "./RetryDeadlineError.js";
-import { addFailedRequest, type FailedRequest, type RetriesState } from "./state.js";
+import { addFailedRequest, isGuarded, type FailedRequest, type RetriesState } from "./state.js";
 import { StreamBrokenError } from "./StreamBrokenError.js";
 import { TooManyAttemptsError } from "./TooManyAttemptsError.js";
 
@@ -31,7 +31,7 @@
   request.mayHaveRun ||= mayHaveRun(message);
   request.exclude.add(message.host);
   const at = getRetryInstant(state.seed, message.requestId, message.attempt, now);
-  if (message.firstByteSent) {
+  if (message.firstByteSent && isGuarded(state, "retry-first-byte")) {
     return decideBrokenStream(state, request, message, at, now);
   }
   const error = getRetryError(state, message, at);
@@ -56,7 +56,8 @@
   at: Instant,
 ): RetriesError | undefined {
   const { requestId, attempt } = message;
-  if (!message.repeatable && !isSurelyNotRun(message)) {
+  const mayRepeat = message.repeatable || isSurelyNotRun(message);
+  if (!mayRepeat && isGuarded(state, "retry-repeatable")) {
     return new NotRepeatableError(requestId, attempt);
   }
   if (attempt >= maxAttempts) {
@@ -65,7 +66,7 @@
   if (at >= message.deadline) {
     return new RetryDeadlineError(requestId, attempt);
   }
-  if (!spendRetry(state.budget)) {
+  if (!spendRetry(state.budget) && isGuarded(state, "retry-budget")) {
     return new RetryBudgetExhaustedError(requestId, attempt);
   }
   return undefined;
--- a/packages/kernel/src/retries/index.ts
+++ b/packages/kernel/src/retries/index.ts
@@ -8,6 +8,7 @@
   RetriesEffect,
   RetriesMessage,
   RetryEffect,
+  RetryGuard,
 } from "./messages.js";
 export { NotRepeatableError } from "./NotRepeatableError.js";
 export { RetriesError } from "./RetriesError.js";
--- a/packages/kernel/src/retries/messages.ts
+++ b/packages/kernel/src/retries/messages.ts
@@ -10,10 +10,20 @@
  */
 export type FailureClass = "neverSent" | "refused" | "lost" | "timeout" | "mismatch";
 
+/** A check that the fault matrix can switch off, to show that a cell can fail. */
+export type RetryGuard =
+  /** Retries are limited by the budget. */
+  | "retry-budget"
+  /** A call that may have run and is not idempotent is not sent again. */
+  | "retry-repeatable"
+  /** After its first byte a request is not sent again. */
+  | "retry-first-byte";
+
 /** The retry budget of an accepted configuration. */
 export interface BudgetMessage {
   readonly kind: "configure";
   readonly budgetRatio: number;
+  readonly disabledGuards?: readonly RetryGuard[];
 }
 
 /** A request starts its first attempt. */
--- a/packages/kernel/src/retries/retriesPlugin.ts
+++ b/packages/kernel/src/retries/retriesPlugin.ts
@@ -18,6 +18,7 @@
 ): Step<RetriesState, RetriesEffect>["effects"] {
   switch (message.kind) {
     case "configure":
+      state.disabledGuards = message.disabledGuards ?? [];
       setBudgetRatio(state.budget, message.budgetRatio);
       return [];
     case "start":
--- a/packages/kernel/src/retries/state.ts
+++ b/packages/kernel/src/retries/state.ts
@@ -1,4 +1,5 @@
 import { createBudget, type Budget } from "./budget.js";
+import type { RetryGuard } from "./messages.js";
 
 const defaultBudgetRatio = 0.1;
 
@@ -14,6 +15,7 @@
 
 export interface RetriesState {
   readonly seed: number;
+  disabledGuards: readonly RetryGuard[];
   readonly budget: Budget;
   readonly failedRequests: Map<string, FailedRequest>;
 }
@@ -23,7 +25,12 @@
  * @param seed - Seed of the jitter.
  */
 export function createRetriesState(seed: number): RetriesState {
-  return { seed, budget: createBudget(defaultBudgetRatio), failedRequests: new Map() };
+  return {
+    seed,
+    disabledGuards: [],
+    budget: createBudget(defaultBudgetRatio),
+    failedRequests: new Map(),
+  };
 }
 
 /**
@@ -40,3 +47,12 @@
   state.failedRequests.set(requestId, added);
   return added;
 }
+
+/**
+ * Tells whether a guard is on.
+ * @param state - State to read.
+ * @param guard - Guard in question.
+ */
+export function isGuarded(state: RetriesState, guard: RetryGuard): boolean {
+  return !state.disabledGuards.includes(guard);
+}
--- a/packages/kernel/tests/admission/SurgeSimulation.ts
+++ b/packages/kernel/tests/admission/SurgeSimulation.ts
@@ -4,6 +4,7 @@
   admissionPlugin,
   Kernel,
   type AdmissionEffect,
+  type AdmissionGuard,
   type AdmissionMessage,
   type Team,
 } from "@pistachioway/kernel";
@@ -51,19 +52,24 @@
   private constructor(
     private readonly loads: readonly TeamLoad[],
     seed: number,
+    disabledGuards: readonly AdmissionGuard[],
   ) {
     this.random = xoroshiro128plus(seed);
     for (const { team } of loads) {
       const counts = { arrived: 0, admitted: 0, refused: 0, expired: 0, waited: 0 };
       this.counts.set(team.name, counts);
     }
-    this.send({ kind: "configure", teams: loads.map((load) => load.team) });
+    this.send({ kind: "configure", teams: loads.map((load) => load.team), disabledGuards });
     this.send({ kind: "capacity", capacity, daemon: "d1", daemons: ["d1"] });
   }
 
   /** Runs the loads for two minutes and returns what became of each team's requests. */
-  static run(loads: readonly TeamLoad[], seed: number): TeamOutcome[] {
-    const simulation = new SurgeSimulation(loads, seed);
+  static run(
+    loads: readonly TeamLoad[],
+    seed: number,
+    guards: readonly AdmissionGuard[] = [],
+  ): TeamOutcome[] {
+    const simulation = new SurgeSimulation(loads, seed, guards);
     const steps = (secondsOfRun * 1_000) / stepMilliseconds;
     for (let step = 0; step < steps; step += 1) {
       simulation.step();
--- a/packages/kernel/tests/admission/surge.test.ts
+++ b/packages/kernel/tests/admission/surge.test.ts
@@ -1,6 +1,6 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import type { Team } from "@pistachioway/kernel";
+import type { AdmissionGuard, Team } from "@pistachioway/kernel";
 import { SurgeSimulation, type TeamLoad, type TeamOutcome } from "./SurgeSimulation.js";
 
 function createLoad(name: string, requestsPerSecond: number, priority = 5): TeamLoad {
@@ -10,14 +10,19 @@
 }
 
 /** Four teams below or at their share of 25 requests, one of which may surge. */
-function run(surge: number, seed: number, priority = 5): TeamOutcome[] {
+function run(
+  surge: number,
+  seed: number,
+  priority = 5,
+  guards: readonly AdmissionGuard[] = [],
+): TeamOutcome[] {
   const loads = [
     createLoad("large", 2 * surge, priority),
     createLoad("b", 2),
     createLoad("c", 2),
     createLoad("d", 1),
   ];
-  return SurgeSimulation.run(loads, seed);
+  return SurgeSimulation.run(loads, seed, guards);
 }
 
 const test = suite("surge");
@@ -40,4 +45,10 @@
   }
 });
 
+test("without the guard a surging team of high priority takes from the others", () => {
+  const outcomes = run(10, 1, 9, ["admission-shares"]);
+  const lost = outcomes.slice(1).reduce((sum, { refused, expired }) => sum + refused + expired, 0);
+  assert.ok(lost > 100);
+});
+
 test.run();
--- a/packages/kernel/tests/membership/harness.ts
+++ b/packages/kernel/tests/membership/harness.ts
@@ -5,6 +5,7 @@
   membershipPlugin,
   type Engine,
   type Host,
+  type HostGuard,
   type MembershipEffect,
   type MembershipMessage,
   type MembershipState,
@@ -25,27 +26,33 @@
   return { name, role: "engine", zone, state: "live", address: "127.0.0.1:1", ...changes };
 }
 
+const fourEngines: Record<string, string> = { e1: "a", e2: "a", e3: "b", e4: "b" };
+
 /** One daemon's membership plug-in with four engines, e1 and e2 in zone a, e3 and e4 in zone b. */
 export class Harness {
   now = start;
   effects: readonly MembershipEffect[] = [];
   private readonly kernel = Kernel.create(1);
 
-  private constructor(private readonly listed: readonly Host[]) {
-    this.send({ kind: "identity", daemon: "d1", zone: "a" });
+  private constructor(
+    private readonly listed: readonly Host[],
+    disabledGuards: readonly HostGuard[],
+  ) {
+    this.send({ kind: "identity", daemon: "d1", zone: "a", disabledGuards });
     const engines = listed.map((host) => createEngine(host.name, host.zone));
     this.send({ kind: "configured", engines, services: [] });
     this.list(1, listed);
   }
 
   /** Creates a harness whose hosts have not been checked. */
-  static create(zoneByEngine: Record<string, string> = { e1: "a", e2: "a", e3: "b", e4: "b" }) {
-    return new Harness(Object.entries(zoneByEngine).map(([name, zone]) => createHost(name, zone)));
+  static create(zoneByEngine = fourEngines, guards: readonly HostGuard[] = []): Harness {
+    const hosts = Object.entries(zoneByEngine).map(([name, zone]) => createHost(name, zone));
+    return new Harness(hosts, guards);
   }
 
   /** Creates a harness whose hosts all answered. */
-  static createChecked(zoneByEngine?: Record<string, string>): Harness {
-    const harness = Harness.create(zoneByEngine);
+  static createChecked(zoneByEngine = fourEngines, guards: readonly HostGuard[] = []): Harness {
+    const harness = Harness.create(zoneByEngine, guards);
     harness.observeAll("healthy");
     return harness;
   }
--- a/packages/kernel/tests/membership/membership.test.ts
+++ b/packages/kernel/tests/membership/membership.test.ts
@@ -1,7 +1,13 @@
 import fc from "fast-check";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import type { HostSign, Observation } from "@pistachioway/kernel";
+import {
+  packSigns,
+  parseSigns,
+  type HostGuard,
+  type HostSign,
+  type Observation,
+} from "@pistachioway/kernel";
 import { createHost, Harness, start } from "./harness.js";
 
 const test = suite("membership");
@@ -136,6 +142,32 @@
   assert.is(harness.getCandidates(), "e2");
 });
 
+test("each guard can be switched off", () => {
+  const off = (guard: HostGuard): Harness => Harness.createChecked(undefined, [guard]);
+  const pauses = off("host-pause-check").freeze(30_000);
+  const signs = off("host-own-sign").observe("e1", "leaving");
+  const lists = off("host-list-order").list(0, []);
+  const spread = off("host-sign-spread").observe("e1", "leaving").pass(250);
+  assert.equal(
+    [pauses.getCandidates(), signs.getCandidates(), lists.getCandidates()],
+    ["e1 e2 e3 e4", "e1 e2 e3 e4", "none"],
+  );
+  assert.not(spread.getEffectKinds().includes("spread"));
+  const guarded = Harness.createChecked().observe("e1", "leaving").pass(250);
+  assert.ok(guarded.getEffectKinds().includes("spread"));
+});
+
+test("packs signs and leaves out what is not well formed", () => {
+  const signs: HostSign[] = [
+    { host: "e1", state: "leaving", version: start, incarnation: 7 },
+    { host: "e2", state: "listedLeaving", version: 12, incarnation: 0 },
+  ];
+  const packed = packSigns(signs);
+  assert.equal(packed, ["e1", 1, start, 7, "e2", 2, 12, 0]);
+  assert.equal(parseSigns([...packed, "e3", 9, 1, 0, 4, 0, 1, 0, "e5", 0]), signs);
+  assert.equal([parseSigns(null), parseSigns("e1"), parseSigns({})], [[], [], []]);
+});
+
 const observationArbitrary = fc.constantFrom<Observation>(
   "leaving",
   "healthy",
--- a/packages/kernel/tests/retries/decideFailure.test.ts
+++ b/packages/kernel/tests/retries/decideFailure.test.ts
@@ -6,6 +6,7 @@
   type FailureClass,
   type FailureMessage,
   type RetriesEffect,
+  type RetryGuard,
 } from "@pistachioway/kernel";
 
 const now = 1_000_000;
@@ -36,9 +37,12 @@
   }
 }
 
-function createSender(budgetRatio = 1): (changes?: Partial<FailureMessage>) => RetriesEffect {
+function createSender(
+  budgetRatio = 1,
+  disabledGuards: readonly RetryGuard[] = [],
+): (changes?: Partial<FailureMessage>) => RetriesEffect {
   const kernel = Kernel.create(1);
-  kernel.send(retriesPlugin, { kind: "configure", budgetRatio }, now);
+  kernel.send(retriesPlugin, { kind: "configure", budgetRatio, disabledGuards }, now);
   return (changes) => {
     const effects = kernel.send(retriesPlugin, createFailure(changes), now);
     return effects[0] as RetriesEffect;
@@ -125,4 +129,13 @@
   );
 });
 
+test("each guard can be switched off", () => {
+  const kinds = (["retry-budget", "retry-repeatable", "retry-first-byte"] as const).map((guard) => {
+    const changes = { repeatable: guard !== "retry-repeatable" };
+    const send = createSender(guard === "retry-budget" ? 0 : 1, [guard]);
+    return send({ ...changes, firstByteSent: guard === "retry-first-byte" }).kind;
+  });
+  assert.equal(kinds, ["retry", "retry", "retry"]);
+});
+
 test.run();
