Close the callers' connections once no request is in flight

Cause: in the demo a stopping daemon waited for its callers' idle connections and exited with 4 though nothing was cut off. Change: after the last request the connections are closed. Ruled out: a shorter keep-alive time (it would cost every caller connections). Conclusion: only requests count for a graceful shutdown.

--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -96,11 +96,16 @@
     return isIdle;
   }
 
+  /** Closes the callers' listener and waits for the requests in flight. */
   private async waitUntilIdle(deadline: Instant): Promise<boolean> {
-    const closing = this.callers.close();
-    const idle = Promise.all([closing, this.tasks.gate.waitUntilIdle()]).then(() => true);
+    const closed = this.callers.close();
+    const idle = this.tasks.gate.waitUntilIdle().then(() => true);
     const timeout = delay(Math.max(0, deadline - Date.now()), false, { ref: false });
-    return await Promise.race([idle, timeout]);
+    const isIdle = await Promise.race([idle, timeout]);
+    // A connection that was busy when the listener closed stays open until its caller leaves.
+    this.callers.getHttpServer().closeAllConnections();
+    await closed;
+    return isIdle;
   }
 
   /** Hands the table of acts to a neighbour, and stays until it has announced that. */
