Add the revisions plug-in: which configuration is in force

Ruled out: see docs/decisions/0003-configuration.md (all daemons reading, one reader a zone, trusting the platform over peers at a start). Change: acceptance as a pure function, the order (generation, revision, digest), settling at a start, fetching from peers, spreading refusals, two readers a zone with takeover; five switchable guards. Found on the way: a refusal named by its revision alone would circulate for ever after the platform was wiped; it carries the generation in force when it was refused.

--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -8,3 +8,4 @@
 export * from "./operations/index.js";
 export * from "./placement/index.js";
 export * from "./retries/index.js";
+export * from "./revisions/index.js";
--- /dev/null
+++ b/packages/kernel/tests/revisions/Fleet.ts
@@ -0,0 +1,174 @@
+import {
+  getInForce,
+  getPublishedText,
+  getRefused,
+  getRevisionDigest,
+  parseConfiguration,
+  revisionsPlugin,
+  type Acceptance,
+  type RevisionGuard,
+  type RevisionsEffect,
+  type RevisionsMessage,
+  type RevisionsState,
+} from "@pistachioway/kernel";
+import { sampleText } from "../configuration/sample.js";
+
+interface Member {
+  name: string;
+  zone: string;
+  state: RevisionsState;
+  pending: RevisionsEffect[];
+}
+
+const verdicts = new Map<string, ReturnType<Acceptance>>();
+
+/** Judges a text once; every daemon of a fleet gets the same verdict. */
+function accept(text: string): ReturnType<Acceptance> {
+  const verdict = verdicts.get(text) ?? parseConfiguration(text);
+  verdicts.set(text, verdict);
+  return verdict;
+}
+
+/** Creates a valid text of a generation that differs by its mark, or one that is refused. */
+export function createText(generation: number, mark: string, isValid = true): string {
+  const text = sampleText.replace("generation = 2", `generation = ${String(generation)}`);
+  return `${isValid ? text : "unknown = 1\n" + text}\n# ${mark}\n`;
+}
+
+/** Daemons of two zones, a platform and a lossy network, driven step by step. */
+export class Fleet {
+  now = 0;
+  reads = 0;
+  platform = { revision: 1, text: createText(1, "first") };
+  isDown = false;
+  stale?: { revision: number; text: string };
+  members: Member[] = [];
+  namesCutFromPlatform: readonly string[] = [];
+  /** One line for each effect that operators see. */
+  readonly lines: string[] = [];
+
+  private constructor(private readonly disabledGuards: readonly RevisionGuard[]) {}
+
+  static create(size: number, disabledGuards: readonly RevisionGuard[] = []): Fleet {
+    const fleet = new Fleet(disabledGuards);
+    for (let index = 0; index < size; index += 1) {
+      const name = `d${String(index)}`;
+      const state = revisionsPlugin.createState(1);
+      fleet.members.push({ name, zone: `z${String(index % 2)}`, state, pending: [] });
+    }
+    fleet.members.forEach((_member, index) => {
+      fleet.restart(index);
+    });
+    return fleet;
+  }
+
+  restart(index: number): void {
+    const member = this.getMember(index);
+    member.state = revisionsPlugin.createState(1);
+    member.pending = [];
+    const peers = this.members.map(({ name }) => name).filter((name) => name !== member.name);
+    const { name: daemon, zone } = member;
+    const { disabledGuards } = this;
+    this.send(index, { kind: "start", daemon, zone, peers, accept, disabledGuards });
+  }
+
+  send(index: number, message: RevisionsMessage): void {
+    const member = this.getMember(index);
+    const { effects } = revisionsPlugin.handle(member.state, message, this.now);
+    for (const effect of effects) {
+      this.note(member, effect);
+    }
+  }
+
+  /** Delivers one daemon's digest to another. */
+  deliver(from: number, to: number): void {
+    if (from !== to) {
+      this.send(to, { kind: "digest", digest: getRevisionDigest(this.getMember(from).state) });
+    }
+  }
+
+  /** Answers the oldest read or fetch of a daemon. */
+  answer(index: number, isLost = false): void {
+    const member = this.getMember(index);
+    const effect = member.pending.shift();
+    if (effect?.kind === "read") {
+      this.send(index, this.answerRead(member.name, effect.after, isLost));
+    } else if (effect?.kind === "fetch") {
+      const owner = this.members.find(({ name }) => name === effect.from);
+      const text = owner && getPublishedText(owner.state, effect.revision);
+      const { from, revision } = effect;
+      const message: RevisionsMessage =
+        text === undefined || isLost
+          ? { kind: "fetchFailed", from }
+          : {
+              kind: "published",
+              revision: revision.revision,
+              text,
+              source: { kind: "peer", name: from },
+            };
+      this.send(index, message);
+    }
+  }
+
+  /** Lets time pass for every daemon, each hearing every other. */
+  exchange(rounds: number): void {
+    for (let round = 0; round < rounds; round += 1) {
+      this.now += 500;
+      this.members.forEach((_member, to) => {
+        this.members.forEach((_other, from) => {
+          this.deliver(from, to);
+        });
+        this.answer(to);
+        this.answer(to);
+        this.send(to, { kind: "tick" });
+      });
+    }
+  }
+
+  describe(): string[] {
+    return this.members.map(({ state }) => {
+      const inForce = getInForce(state)?.revision;
+      const refused = getRefused(state)?.revision;
+      return `${inForce ? formatRevision(inForce) : "none"} refused ${refused ? formatRevision(refused) : "none"}`;
+    });
+  }
+
+  getMember(index: number): Member {
+    const member = this.members[index % this.members.length];
+    if (member === undefined) {
+      throw new TypeError("the fleet has no members");
+    }
+    return member;
+  }
+
+  private answerRead(name: string, after: number | undefined, isLost: boolean): RevisionsMessage {
+    const value = this.stale ?? this.platform;
+    if (this.isDown || isLost || this.namesCutFromPlatform.includes(name)) {
+      return { kind: "readFailed" };
+    }
+    return value.revision === after
+      ? { kind: "unchanged" }
+      : { kind: "published", ...value, source: { kind: "platform" } };
+  }
+
+  private note(member: Member, effect: RevisionsEffect): void {
+    if (effect.kind === "read" || effect.kind === "fetch") {
+      this.reads += effect.kind === "read" ? 1 : 0;
+      member.pending.push(effect);
+    } else if (effect.kind === "conflict") {
+      this.lines.push(`${member.name} conflict ${formatRevision(effect.inForce)}`);
+    } else if (effect.kind !== "announce") {
+      this.lines.push(`${member.name} ${effect.kind} ${formatRevision(effect.revision)}`);
+    }
+  }
+}
+
+function formatRevision({
+  generation,
+  revision,
+}: {
+  generation: number;
+  revision: number;
+}): string {
+  return `${String(generation)}.${String(revision)}`;
+}
