--- a/packages/daemon/src/peers/DatagramCodec.ts
+++ b/packages/daemon/src/peers/DatagramCodec.ts
@@ -10,6 +10,7 @@
 
 const packr = new Packr({ useRecords: false });
 
+/** Sender, its start, sequence, milliseconds from its start to the sending, and the parts. */
 const envelopeSchema = z.tuple([
   z.string().min(1),
   z.number(),
@@ -64,7 +65,7 @@
   encode(to: string, envelope: Omit<Envelope, "parts">, parts: readonly DatagramPart[]): Buffer {
     const { sender, incarnation, sequence, at } = envelope;
     const packedParts = parts.map((part) => [datagramTopics.indexOf(part.topic), part.value]);
-    const body = packr.pack([sender, incarnation, sequence, at, packedParts]);
+    const body = packr.pack([sender, incarnation, sequence, at - incarnation, packedParts]);
     return Buffer.concat([body, this.getMac(to, body)]);
   }
 
@@ -93,12 +94,12 @@
   if (!parsed.success) {
     return Result.err("malformed");
   }
-  const [sender, incarnation, sequence, at, packedParts] = parsed.data;
+  const [sender, incarnation, sequence, age, packedParts] = parsed.data;
   const parts = packedParts.map(([index, value]) => ({
     topic: datagramTopics[index] ?? "heartbeat",
     value,
   }));
-  return Result.ok({ sender, incarnation, sequence, at, parts });
+  return Result.ok({ sender, incarnation, sequence, at: incarnation + age, parts });
 }
 
 function unpackOrUndefined(body: Buffer): unknown {
--- a/packages/daemon/tests/peers/bytes.test.ts
+++ b/packages/daemon/tests/peers/bytes.test.ts
@@ -1,6 +1,6 @@
 import { connect, createServer, type Server } from "node:net";
 import { once } from "node:events";
-import type { HostSign } from "@pistachioway/kernel";
+import { packSigns, type HostSign } from "@pistachioway/kernel";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import { Datagrams, PeerCalls, PeerListener } from "../../dist/peers/index.js";
@@ -64,7 +64,7 @@
   return getBytes() - before + segmentBytes;
 }
 
-async function getDatagramBytes(): Promise<number> {
+async function getDatagramBytes(value: unknown): Promise<number> {
   const datagrams = await Datagrams.create("127.0.0.1:0", {
     daemon: "entry-a",
     incarnation: now,
@@ -74,7 +74,7 @@
     onPart: () => undefined,
     onDropped: () => undefined,
   });
-  datagrams.send("entry-b", datagrams.getAddress(), [{ topic: "signs", value: digest }]);
+  datagrams.send("entry-b", datagrams.getAddress(), [{ topic: "signs", value }]);
   const { sentBytes } = datagrams.getCounts();
   await datagrams.close();
   return sentBytes;
@@ -84,9 +84,12 @@
 
 test("a datagram costs less than half of a call on an open connection", async () => {
   const call = await getCallBytes();
-  const datagram = await getDatagramBytes();
-  console.log(JSON.stringify({ signs: digest.length, call, datagram }));
+  const datagram = await getDatagramBytes(digest);
+  const packed = await getDatagramBytes(packSigns(digest));
+  const empty = await getDatagramBytes(null);
+  console.log(JSON.stringify({ signs: digest.length, call, datagram, packed, empty }));
   assert.ok(datagram * 2 < call);
+  assert.ok(packed < datagram);
 });
 
 test.run();
