Let the revisions plug-in decide the configuration in force

Cause: the order of revisions was a plain comparison in the daemon; refusals, conflicts, generations, stale platforms and the number of readers had no mechanism there. Change: the daemon carries out the plug-in's reads, fetches and announcements; two readers a zone ask the platform; peers get the compressed text of an announced revision by its digest. Test changed: PeerCalls' getConfiguration asks by revision and digest instead of 'after', as strict.

--- a/packages/daemon/src/configuration/ConfigurationTask.ts
+++ b/packages/daemon/src/configuration/ConfigurationTask.ts
@@ -1,12 +1,23 @@
 import {
-  getConfigurationDigest,
-  parseConfiguration,
+  getInForce,
+  getPublishedText,
+  getRefused,
+  getRevisionDigest,
+  isReader,
+  revisionsPlugin,
   type ConfigurationStatus,
   type Instant,
+  type Kernel,
   type RefusedConfiguration,
+  type Revision,
+  type RevisionDigest,
+  type RevisionInForce,
+  type RevisionRefused,
+  type RevisionsEffect,
+  type RevisionsMessage,
 } from "@pistachioway/kernel";
-import { z } from "zod";
-import type { PublishedConfiguration } from "../platform/index.js";
+import type { Metrics } from "../metrics/index.js";
+import type { ConfigurationReading } from "../platform/index.js";
 import { ConfigurationIndex } from "../state/index.js";
 import type { Recorder } from "../timeline/index.js";
 
@@ -18,20 +29,23 @@
 
 /** What the task works with. */
 export interface ConfigurationParts {
+  readonly kernel: Kernel;
   readonly getNow: () => Instant;
   readonly recorder: Recorder;
+  readonly metrics: Metrics;
   readonly onInForce: (inForce: InForce) => void;
-  /** A peer has a newer configuration. */
-  readonly onNewer: (peer: string) => void;
+  /** Reads the platform. */
+  readonly read: (after: number | undefined, waitUntil: Instant) => Promise<ConfigurationReading>;
+  /** Gets the text of a revision from a peer; undefined when it gave none. */
+  readonly fetch: (from: string, revision: Revision) => Promise<string | undefined>;
+  /** Sends this daemon's digest to every neighbour now. */
+  readonly announce: () => void;
 }
 
-const announcementSchema = z.tuple([z.int()]);
-
-/** Decides which published configuration is in force. */
+/** Owns the revisions plug-in: which published configuration is in force. */
 export class ConfigurationTask {
   private readonly peerRevisions = new Map<string, number>();
   private inForce: InForce | undefined;
-  private published: PublishedConfiguration | undefined;
   private refused: RefusedConfiguration | undefined;
 
   private constructor(private readonly parts: ConfigurationParts) {}
@@ -54,9 +68,33 @@
     return this.inForce?.status;
   }
 
-  /** Gets the newest published value that was refused. */
+  /** Gets the newest published value that was refused, unless a newer one is in force. */
   getRefused(): RefusedConfiguration | undefined {
-    return this.refused;
+    const refused = getRefused(this.parts.kernel.getStateOrThrow(revisionsPlugin));
+    return refused === undefined ? undefined : this.refused;
+  }
+
+  /** Gets when the platform last confirmed the configuration in force. */
+  getConfirmedAt(): Instant | undefined {
+    return getInForce(this.parts.kernel.getStateOrThrow(revisionsPlugin))?.confirmedAt;
+  }
+
+  /** Gets what this daemon tells its neighbours of its configuration. */
+  getDigest(): RevisionDigest {
+    return getRevisionDigest(this.parts.kernel.getStateOrThrow(revisionsPlugin));
+  }
+
+  /** True while this daemon is one of its zone's readers of the platform. */
+  isReader(): boolean {
+    return isReader(this.parts.kernel.getStateOrThrow(revisionsPlugin), this.parts.getNow());
+  }
+
+  /**
+   * Gets the text of a revision, for a peer that lacks it.
+   * @param revision - Revision that the peer was told of.
+   */
+  getText(revision: Revision): string | undefined {
+    return getPublishedText(this.parts.kernel.getStateOrThrow(revisionsPlugin), revision);
   }
 
   /**
@@ -67,58 +105,97 @@
     return this.peerRevisions.get(peer);
   }
 
-  /** Gets what this daemon tells its neighbours of the configuration in force. */
-  getAnnouncement(): unknown {
-    return this.inForce === undefined ? undefined : [this.inForce.status.revision];
-  }
-
   /**
    * Takes what a peer told of its configuration.
-   * @param from - Name of the daemon.
-   * @param announcement - What it told.
+   * @param digest - What it told.
    */
-  takeAnnouncement(from: string, announcement: unknown): void {
-    const [revision] = announcementSchema.parse(announcement);
-    this.peerRevisions.set(from, revision);
-    if (revision > (this.inForce?.status.revision ?? -1)) {
-      this.parts.onNewer(from);
+  takeDigest(digest: RevisionDigest): void {
+    if (digest.inForce !== undefined) {
+      this.peerRevisions.set(digest.from, digest.inForce.revision);
     }
+    this.send({ kind: "digest", digest });
   }
 
   /**
-   * Gets the value in force, for a peer that has an older one.
-   * @param after - Revision that the peer has; -1 for none.
+   * Hands a message to the plug-in and carries out the effects.
+   * @param message - Message to handle.
    */
-  getPublished(after: number): PublishedConfiguration | null {
-    return this.published !== undefined && this.published.revision > after ? this.published : null;
+  send(message: RevisionsMessage): void {
+    const effects = this.parts.kernel.send(revisionsPlugin, message, this.parts.getNow());
+    for (const effect of effects) {
+      this.carryOut(effect);
+    }
   }
 
-  /**
-   * Takes a published value.
-   * @param published - Value of the configuration service.
-   * @param source - Where it came from.
-   */
-  publish(published: PublishedConfiguration, source: "platform" | "peer"): void {
-    const { revision, value } = published;
-    if (revision <= (this.inForce?.status.revision ?? -1)) {
+  private carryOut(effect: RevisionsEffect): void {
+    switch (effect.kind) {
+      case "inForce":
+        this.takeInForce(effect);
+        return;
+      case "refused":
+        this.takeRefused(effect);
+        return;
+      case "stale":
+        this.record("configuration.stale", effect.revision, effect.source.kind);
+        return;
+      case "conflict":
+        this.record("configuration.conflict", effect.discarded, "peer");
+        return;
+      case "read":
+        void this.read(effect.after, effect.waitUntil);
+        return;
+      case "fetch":
+        void this.fetch(effect.from, effect.revision);
+        return;
+      case "announce":
+        this.parts.announce();
+    }
+  }
+
+  private takeInForce({ configuration, revision, source }: RevisionInForce): void {
+    const acceptedAt = this.parts.getNow();
+    const status = { ...revision, acceptedAt, source: source.kind };
+    this.inForce = { index: ConfigurationIndex.create(configuration), status };
+    this.parts.metrics.configurationRevision.set(revision.revision);
+    this.record("configuration.in-force", revision, source.kind);
+    this.parts.onInForce(this.inForce);
+  }
+
+  private takeRefused({ revision, error, source }: RevisionRefused): void {
+    const { digest } = revision;
+    this.refused = { revision: revision.revision, digest, reasons: [...error.findings] };
+    this.parts.metrics.configurationRefused.inc();
+    this.record("configuration.refused", revision, source.kind);
+  }
+
+  private record(name: string, revision: Revision, source: string): void {
+    const level = name === "configuration.in-force" ? "info" : "warn";
+    this.parts.recorder.record(name, { ...revision, source }, level);
+  }
+
+  private async read(after: number | undefined, waitUntil: Instant): Promise<void> {
+    const reading = await this.parts.read(after, waitUntil);
+    switch (reading.kind) {
+      case "published": {
+        const { revision, value: text } = reading.published;
+        this.send({ kind: "published", revision, text, source: { kind: "platform" } });
+        return;
+      }
+      case "unchanged":
+        this.send({ kind: "unchanged" });
+        return;
+      case "failed":
+        this.send({ kind: "readFailed" });
+    }
+  }
+
+  private async fetch(from: string, revision: Revision): Promise<void> {
+    const text = await this.parts.fetch(from, revision);
+    if (text === undefined) {
+      this.send({ kind: "fetchFailed", from });
       return;
     }
-    const digest = getConfigurationDigest(value);
-    parseConfiguration(value).match({
-      Ok: (configuration) => {
-        const acceptedAt = this.parts.getNow();
-        const { generation } = configuration;
-        const status = { generation, revision, digest, acceptedAt, source };
-        this.published = published;
-        this.inForce = { index: ConfigurationIndex.create(configuration), status };
-        this.parts.recorder.record("configuration.in-force", { revision, source }, "info");
-        this.parts.onInForce(this.inForce);
-      },
-      Err: (error) => {
-        this.refused = { revision, digest, reasons: [...error.findings] };
-        const detail = error.message;
-        this.parts.recorder.record("configuration.refused", { revision, detail }, "warn");
-      },
-    });
+    const source = { kind: "peer" as const, name: from };
+    this.send({ kind: "published", revision: revision.revision, text, source });
   }
 }
--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -63,7 +63,6 @@
     const operations = await listen(this.operations, listeners.operations);
     const callers = await listen(this.callers, listeners.callers);
     this.tasks.platform.start();
-    this.tasks.platform.setReader(true);
     this.ticker = setInterval(() => {
       this.tick();
     }, tickMilliseconds);
--- a/packages/daemon/src/daemon/PeerWiring.ts
+++ b/packages/daemon/src/daemon/PeerWiring.ts
@@ -4,13 +4,16 @@
   getSigns,
   membershipPlugin,
   type HostList,
+  type Revision,
 } from "@pistachioway/kernel";
 import { randomUUID } from "node:crypto";
+import { promisify } from "node:util";
+import { gzip } from "node:zlib";
 import type { ActTask } from "../acts/index.js";
 import type { ConfigurationTask } from "../configuration/index.js";
 import { DigestTask, PeerLinks, type Heartbeat } from "../digests/index.js";
 import type { AdmissionTask, HostDirectory, PlacementTask } from "../kernel/index.js";
-import type { DatagramSender, PeerHandlers } from "../peers/index.js";
+import type { DatagramSender, PeerConfiguration, PeerHandlers } from "../peers/index.js";
 import type { Context } from "./Context.js";
 
 /** The tasks that messages of peers go to. */
@@ -33,6 +36,8 @@
   readonly getTargets: () => PeerTargets;
 }
 
+const gzipAsync = promisify(gzip);
+
 /** Connects the links and digests between daemons to the tasks of this one. */
 export class PeerWiring {
   readonly links: PeerLinks;
@@ -63,18 +68,6 @@
     }
   }
 
-  /**
-   * Gets the configuration of a peer that announced a newer one.
-   * @param peer - Name of the daemon.
-   */
-  async fetchConfiguration(peer: string): Promise<void> {
-    const after = this.targets.configuration.getStatus()?.revision ?? -1;
-    const published = await this.links.getConfiguration(peer, after);
-    if (published !== null) {
-      this.targets.configuration.publish(published, "peer");
-    }
-  }
-
   private get targets(): PeerTargets {
     return this.parts.getTargets();
   }
@@ -100,14 +93,18 @@
       adoptActs: async ({ successor, table }) => ({
         accepted: await this.targets.acts.adopt(randomUUID(), successor, table),
       }),
-      getConfiguration: ({ after }) =>
-        Promise.resolve(this.targets.configuration.getPublished(after)),
+      getConfiguration: (revision) => this.getConfiguration(revision),
       getHosts: ({ after }) => Promise.resolve(this.parts.getHostList(after)),
       getSigns: () =>
         Promise.resolve(getSigns(this.parts.context.kernel.getStateOrThrow(membershipPlugin))),
     };
   }
 
+  private async getConfiguration(revision: Revision): Promise<PeerConfiguration> {
+    const text = this.targets.configuration.getText(revision);
+    return text === undefined ? null : { gzip: await gzipAsync(text) };
+  }
+
   private createDigests(): DigestTask {
     const { name: daemon, zone } = this.parts.context.settings.process;
     return DigestTask.create({
@@ -119,7 +116,7 @@
       getDaemons: () => this.targets.hosts.getView().daemons.values(),
       getHoldings: () => getAdoptedHoldings(this.parts.context.kernel.getStateOrThrow(actsPlugin)),
       isDraining: () => this.parts.context.getPhase() === "draining",
-      getRevision: () => this.targets.configuration.getAnnouncement(),
+      getRevisionDigest: () => this.targets.configuration.getDigest(),
       send: (to, address, parts) => {
         this.links.send(to, address, parts);
       },
@@ -142,8 +139,8 @@
           totals,
         });
       },
-      takeRevision: (from, revision) => {
-        this.targets.configuration.takeAnnouncement(from, revision);
+      takeRevisionDigest: (digest) => {
+        this.targets.configuration.takeDigest(digest);
       },
       onMalformed: (from, topic) => {
         this.parts.context.metrics.droppedMessages.inc({ reason: "malformed" });
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -4,6 +4,7 @@
   type ChangedEffect,
   type HostList,
   type Instant,
+  type RevisionGuard,
 } from "@pistachioway/kernel";
 import { randomBytes, randomInt } from "node:crypto";
 import { ActSender, ActTask } from "../acts/index.js";
@@ -43,6 +44,7 @@
 
 const version = "0.1.0";
 const secretBytes = 32;
+const revisionsTickMilliseconds = 100;
 const maxSeed = 2 ** 31;
 
 /** Builds the tasks in the order of their needs; later tasks are reached through the graph. */
@@ -59,6 +61,7 @@
   private readonly callers: CallerWiring;
   private hostList: HostList | undefined;
   private membershipTickAt: Instant = 0;
+  private revisionsTickAt: Instant = 0;
 
   private constructor(private readonly context: Context) {
     const { name, zone } = context.settings.process;
@@ -76,6 +79,7 @@
     this.views = this.createViews();
     this.callers = CallerWiring.create(context, { ...this, client });
     this.startActs();
+    this.startRevisions();
   }
 
   /**
@@ -114,6 +118,7 @@
   private tick(): void {
     const at = this.context.getNow();
     this.tickMembership(at);
+    this.tickRevisions(at);
     this.peers.digests.tick();
     this.placement.send({ kind: "tick" });
     this.admission.send({ kind: "tick", at });
@@ -127,6 +132,21 @@
     }
   }
 
+  private tickRevisions(at: Instant): void {
+    if (at >= this.revisionsTickAt) {
+      this.revisionsTickAt = at + revisionsTickMilliseconds;
+      this.configuration.send({ kind: "tick" });
+    }
+  }
+
+  /** Begins to settle the configuration: with peers, when the host list names some. */
+  private startRevisions(): void {
+    const { name: daemon, zone } = this.context.settings.process;
+    const disabledGuards = this.context.settings.experiments.disabledGuards as RevisionGuard[];
+    const peers = this.peers.digests.getActPeers().map((peer) => peer.name);
+    this.configuration.send({ kind: "start", daemon, zone, peers, disabledGuards });
+  }
+
   private startActs(): void {
     this.acts.send({
       kind: "start",
@@ -223,31 +243,33 @@
   }
 
   private createConfiguration(): ConfigurationTask {
+    const { kernel, getNow, recorder, metrics } = this.context;
     return ConfigurationTask.create({
-      getNow: this.context.getNow,
-      recorder: this.context.recorder,
+      kernel,
+      getNow,
+      recorder,
+      metrics,
       onInForce: (inForce) => {
         this.takeConfiguration(inForce);
       },
-      onNewer: (peer) => {
-        void this.peers.fetchConfiguration(peer);
+      read: (after, waitUntil) => this.platform.readConfiguration(after, waitUntil),
+      fetch: (from, revision) => this.peers.links.getConfiguration(from, revision),
+      announce: () => {
+        this.peers.digests.sendHeartbeats();
       },
     });
   }
 
   private createPlatform(): PlatformTask {
+    const { settings, getNow, metrics, recorder } = this.context;
     return PlatformTask.create({
-      address: this.context.settings.platform.address,
-      getNow: this.context.getNow,
-      metrics: this.context.metrics,
-      recorder: this.context.recorder,
-      onConfiguration: (published) => {
-        this.configuration.publish(published, "platform");
-      },
+      address: settings.platform.address,
+      getNow,
+      metrics,
+      recorder,
       onHosts: (list) => {
         this.takeHosts(list);
       },
-      onFailure: () => undefined,
     });
   }
 
@@ -298,9 +320,8 @@
     }
   }
 
-  private takeConfiguration({ index, status }: InForce): void {
+  private takeConfiguration({ index }: InForce): void {
     const { engines, services, teams, retries } = index.configuration;
-    this.context.metrics.configurationRevision.set(status.revision);
     this.retries.configure(retries.budgetRatio);
     this.admission.send({ kind: "configure", teams });
     this.hosts.send({ kind: "configured", engines, services });
--- a/packages/daemon/src/digests/DigestTask.ts
+++ b/packages/daemon/src/digests/DigestTask.ts
@@ -8,6 +8,7 @@
   type HostSign,
   type Instant,
   type PlacementPeerMessage,
+  type RevisionDigest,
   type TeamTotal,
   teamTotalSchema,
 } from "@pistachioway/kernel";
@@ -16,6 +17,7 @@
 import { splitList } from "../peers/index.js";
 import type { Timeline } from "../timeline/index.js";
 import { getNeighbours, type Neighbour } from "./neighbours.js";
+import { packRevisionDigest, parseRevisionDigest } from "./revisionCodec.js";
 import { heartbeatSchema, type Heartbeat } from "./schema.js";
 
 /** What the task works with; `take…` functions receive what peers told. */
@@ -30,13 +32,13 @@
   readonly getHoldings: () => readonly DaemonIncarnation[];
   readonly isDraining: () => boolean;
   /** Gets what this daemon tells of its configuration. */
-  readonly getRevision: () => unknown;
+  readonly getRevisionDigest: () => RevisionDigest;
   readonly send: (to: string, address: string, parts: readonly DatagramPart[]) => void;
   readonly takeHeartbeat: (from: DatagramSender, heartbeat: Heartbeat) => void;
   readonly takePlacement: (from: string, message: PlacementPeerMessage) => void;
   readonly takeSigns: (from: string, signs: readonly HostSign[]) => void;
   readonly takeTotals: (from: string, totals: readonly TeamTotal[]) => void;
-  readonly takeRevision: (from: string, revision: unknown) => void;
+  readonly takeRevisionDigest: (digest: RevisionDigest) => void;
   readonly onMalformed: (from: string, topic: string) => void;
 }
 
@@ -89,10 +91,8 @@
       clock: this.parts.timeline.getClock(),
     };
     this.broadcast({ topic: "heartbeat", value: heartbeat });
-    const revision = this.parts.getRevision();
-    if (revision !== undefined) {
-      this.broadcast({ topic: "configuration", value: revision });
-    }
+    const digest = packRevisionDigest(this.parts.getRevisionDigest());
+    this.broadcast({ topic: "configuration", value: digest });
   }
 
   /**
@@ -147,7 +147,7 @@
         });
         return;
       case "configuration":
-        this.parts.takeRevision(sender, part.value);
+        this.takeRevisionDigest(sender, part);
         return;
       case "holdings":
         this.parts.onMalformed(sender, part.topic);
@@ -210,6 +210,16 @@
     });
   }
 
+  private takeRevisionDigest(sender: string, part: ReceivedPart): void {
+    const zone = this.heartbeats.get(sender)?.zone;
+    const digest = parseRevisionDigest(sender, zone ?? "", part.value);
+    if (digest !== undefined) {
+      this.parts.takeRevisionDigest(digest);
+    } else if (zone !== undefined) {
+      this.parts.onMalformed(sender, part.topic);
+    }
+  }
+
   private takeChecked<Value>(
     schema: z.ZodType<Value>,
     sender: string,
--- a/packages/daemon/src/digests/PeerLinks.ts
+++ b/packages/daemon/src/digests/PeerLinks.ts
@@ -6,8 +6,11 @@
   HostList,
   HostSign,
   Instant,
+  Revision,
 } from "@pistachioway/kernel";
-import { ActError } from "@pistachioway/kernel";
+import { ActError, maxConfigurationBytes } from "@pistachioway/kernel";
+import { promisify } from "node:util";
+import { gunzip } from "node:zlib";
 import type { ActCarrier, ForwardedAct, ForwardedAnswer } from "../acts/index.js";
 import type { Metrics } from "../metrics/index.js";
 import {
@@ -18,7 +21,6 @@
   type DatagramSender,
   type DropReason,
   type Peer,
-  type PeerConfiguration,
   type PeerHandlers,
   type ReceivedPart,
 } from "../peers/index.js";
@@ -47,6 +49,7 @@
 const fetchTimeoutMilliseconds = 2_000;
 const transferTimeoutMilliseconds = 2_000;
 const transferAttempts = 3;
+const gunzipAsync = promisify(gunzip);
 
 /** Owns the sockets between daemons: datagrams for digests, calls for acts and whole values. */
 export class PeerLinks implements ActCarrier {
@@ -142,17 +145,18 @@
   }
 
   /**
-   * Gets the configuration of a peer, if it is newer.
+   * Gets the text of a configuration from a peer.
    * @param from - Name of the daemon.
-   * @param after - Revision that is known; -1 for none.
+   * @param revision - Revision that it announced.
    */
-  async getConfiguration(from: string, after: number): Promise<PeerConfiguration> {
+  async getConfiguration(from: string, revision: Revision): Promise<string | undefined> {
     const peer = this.getPeer(from);
     if (peer === undefined) {
-      return null;
+      return undefined;
     }
     const deadline = this.parts.getNow() + fetchTimeoutMilliseconds;
-    return (await this.calls.getConfiguration(peer, { after }, deadline)).unwrapOr(null);
+    const answer = await this.calls.getConfiguration(peer, revision, deadline);
+    return answer.isOk && answer.value !== null ? await decompress(answer.value.gzip) : undefined;
   }
 
   /**
@@ -219,6 +223,16 @@
   }
 }
 
+/** Decompresses a text; undefined when the octets are malformed. */
+async function decompress(gzip: Uint8Array): Promise<string | undefined> {
+  try {
+    const octets = await gunzipAsync(gzip, { maxOutputLength: maxConfigurationBytes });
+    return octets.toString("utf8");
+  } catch {
+    return undefined;
+  }
+}
+
 function toForwardResult(answer: ForwardedAnswer): ForwardResult {
   switch (answer.kind) {
     case "rejected": {
--- /dev/null
+++ b/packages/daemon/src/errors/PlatformUnreachableError.ts
@@ -0,0 +1,11 @@
+import { DaemonError } from "./DaemonError.js";
+
+/** A call of the platform got no answer, or one that cannot be read. */
+export class PlatformUnreachableError extends DaemonError {
+  readonly code = "platform-unreachable";
+
+  constructor(value: string, cause: unknown) {
+    const reason = cause instanceof Error ? cause.message : String(cause);
+    super(`platform gave no answer for value "${value}": ${reason}`, { cause });
+  }
+}
--- a/packages/daemon/src/operations/OperationsView.ts
+++ b/packages/daemon/src/operations/OperationsView.ts
@@ -107,7 +107,7 @@
       state: this.parts.getPhase(),
       configuration: configuration.getStatus(),
       refused: configuration.getRefused(),
-      platform: this.parts.platform.getStatus(),
+      platform: this.parts.platform.getStatus(configuration.isReader()),
       peers: this.getPeers(),
       engines: this.getEngines(),
       services: this.getServices(),
--- a/packages/daemon/src/peers/PeerCalls.ts
+++ b/packages/daemon/src/peers/PeerCalls.ts
@@ -1,4 +1,4 @@
-import type { HostList, HostSign, Instant } from "@pistachioway/kernel";
+import type { HostList, HostSign, Instant, Revision } from "@pistachioway/kernel";
 import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from "@trpc/client";
 import { Result } from "true-myth";
 import { Agent, fetch } from "undici";
@@ -101,18 +101,18 @@
   }
 
   /**
-   * Gets a peer's accepted configuration, if it is newer.
+   * Gets the text of a configuration that a peer announced.
    * @param peer - Daemon to call.
-   * @param request - Revision that is known.
+   * @param revision - Revision that it announced.
    * @param deadline - When to stop waiting.
    */
   async getConfiguration(
     peer: Peer,
-    request: RevisionRequest,
+    revision: Revision,
     deadline: Instant,
   ): PeerResult<PeerConfiguration> {
     return await this.call(peer, deadline, (client, signal) => {
-      return client.getConfiguration.mutate(request, { signal });
+      return client.getConfiguration.mutate(revision, { signal });
     });
   }
 
--- a/packages/daemon/src/peers/router.ts
+++ b/packages/daemon/src/peers/router.ts
@@ -1,5 +1,12 @@
 import { initTRPC } from "@trpc/server";
-import { hostListSchema, hostSignSchema, type HostList, type HostSign } from "@pistachioway/kernel";
+import {
+  hostListSchema,
+  hostSignSchema,
+  revisionSchema,
+  type HostList,
+  type HostSign,
+  type Revision,
+} from "@pistachioway/kernel";
 import { Packr } from "msgpackr";
 import { z } from "zod";
 import {
@@ -25,7 +32,8 @@
   readonly forwardAct: (act: ForwardedAct, from: string) => Promise<ForwardedAnswer>;
   /** Adopts the table of a daemon that stops. */
   readonly adoptActs: (handOver: HandOver, from: string) => Promise<HandOverAnswer>;
-  readonly getConfiguration: (request: RevisionRequest, from: string) => Promise<PeerConfiguration>;
+  /** Gets the text of a configuration that this daemon announced. */
+  readonly getConfiguration: (revision: Revision, from: string) => Promise<PeerConfiguration>;
   /** Gets the newest host list, for a peer that cannot read the platform. */
   readonly getHosts: (request: RevisionRequest, from: string) => Promise<HostList | null>;
   /** Gets all signs that this daemon holds, for a peer that was paused. */
@@ -61,7 +69,7 @@
       .output(handOverAnswerSchema)
       .mutation(({ input, ctx }) => handlers.adoptActs(input, ctx.from)),
     getConfiguration: trpc.procedure
-      .input(revisionRequestSchema)
+      .input(revisionSchema)
       .output(peerConfigurationSchema)
       .mutation(({ input, ctx }) => handlers.getConfiguration(input, ctx.from)),
     getHosts: trpc.procedure
--- a/packages/daemon/src/platform/PlatformTask.ts
+++ b/packages/daemon/src/platform/PlatformTask.ts
@@ -1,12 +1,15 @@
-import type { HostList, Instant, PlatformStatus } from "@pistachioway/kernel";
+import {
+  hostListSchema,
+  type HostList,
+  type Instant,
+  type PlatformStatus,
+} from "@pistachioway/kernel";
+import { setTimeout as delay } from "node:timers/promises";
+import { z } from "zod";
+import { PlatformUnreachableError } from "../errors/index.js";
 import type { Metrics } from "../metrics/index.js";
 import type { Recorder } from "../timeline/index.js";
-import {
-  PlatformReader,
-  type PlatformListener,
-  type PlatformValue,
-  type PublishedConfiguration,
-} from "./PlatformReader.js";
+import { readValue, type PlatformValue, type ReadError, type Reading } from "./readValue.js";
 
 /** What the task works with. */
 export interface PlatformParts {
@@ -14,15 +17,28 @@
   readonly getNow: () => Instant;
   readonly metrics: Metrics;
   readonly recorder: Recorder;
-  readonly onConfiguration: (published: PublishedConfiguration) => void;
   readonly onHosts: (list: HostList) => void;
-  readonly onFailure: (value: PlatformValue) => void;
 }
 
-/** Reads the platform: always the host list, the configuration while this daemon is a reader. */
+/** A value of the configuration service. */
+export type PublishedConfiguration = z.infer<typeof publishedSchema>;
+
+/** What a read of the configuration gave. */
+export type ConfigurationReading =
+  | { readonly kind: "published"; readonly published: PublishedConfiguration }
+  | { readonly kind: "unchanged" }
+  | { readonly kind: "failed" };
+
+const publishedSchema = z.strictObject({ revision: z.int().min(0), value: z.string() });
+const watchMilliseconds = 25_000;
+const minPauseMilliseconds = 250;
+const maxPauseMilliseconds = 4_000;
+
+/** Reads the platform, and only reads: watches the host list, and the configuration when asked. */
 export class PlatformTask {
-  private configurationReader: PlatformReader | undefined;
-  private hostsReader: PlatformReader | undefined;
+  private readonly stopping = new AbortController();
+  private watch = new AbortController();
+  private hostsRevision: number | undefined;
   private isReachable = false;
   private lastReadAt: Instant | undefined;
   private calls = 0;
@@ -39,73 +55,110 @@
 
   /** Starts to watch the host list. */
   start(): void {
-    this.hostsReader = this.createReader("hosts");
-  }
-
-  /**
-   * Starts or stops to watch the configuration.
-   * @param isReader - True while this daemon is one of its zone's readers.
-   */
-  setReader(isReader: boolean): void {
-    if (isReader === (this.configurationReader !== undefined)) {
-      return;
-    }
-    this.configurationReader?.stop();
-    this.configurationReader = isReader ? this.createReader("configuration") : undefined;
+    void this.watchHosts(this.watch.signal);
   }
 
   /** Reads the host list now, without waiting for a change. */
   refresh(): void {
-    this.hostsReader?.stop();
-    this.hostsReader = this.createReader("hosts");
+    this.watch.abort();
+    this.watch = new AbortController();
+    this.hostsRevision = undefined;
+    this.start();
   }
 
-  /** Stops every watch. */
+  /** Ends every call. */
   stop(): void {
-    this.hostsReader?.stop();
-    this.setReader(false);
+    this.stopping.abort();
+    this.watch.abort();
   }
 
-  /** Gets what operators read of the platform. */
-  getStatus(): PlatformStatus {
-    return {
-      reachable: this.isReachable,
-      lastReadAt: this.lastReadAt,
-      isReader: this.configurationReader !== undefined,
-      calls: this.calls,
-    };
+  /**
+   * Reads the configuration.
+   * @param after - Revision that is known; the call waits for another one.
+   * @param waitUntil - When to stop waiting.
+   */
+  async readConfiguration(
+    after: number | undefined,
+    waitUntil: Instant,
+  ): Promise<ConfigurationReading> {
+    const reading = await this.read("configuration", after, waitUntil, this.stopping.signal);
+    if (reading === undefined) {
+      return { kind: "failed" };
+    }
+    if (reading.document === undefined) {
+      return { kind: "unchanged" };
+    }
+    const published = publishedSchema.safeParse(reading.document);
+    if (published.success) {
+      return { kind: "published", published: published.data };
+    }
+    this.fail("configuration", new PlatformUnreachableError("configuration", published.error));
+    return { kind: "failed" };
   }
 
-  private createReader(value: PlatformValue): PlatformReader {
-    const { address, getNow } = this.parts;
-    return PlatformReader.create(address, value, this.createListener(), getNow);
+  /**
+   * Gets what operators read of the platform.
+   * @param isReader - True while this daemon is one of its zone's readers of the configuration.
+   */
+  getStatus(isReader: boolean): PlatformStatus {
+    const { isReachable: reachable, lastReadAt, calls } = this;
+    return { reachable, lastReadAt, isReader, calls };
   }
 
-  private createListener(): PlatformListener {
-    return {
-      onConfiguration: this.parts.onConfiguration,
-      onHosts: this.parts.onHosts,
-      onCall: (value, bytes) => {
-        this.countCall(value, bytes);
-      },
-      onFailure: (value, detail, retryAt) => {
-        this.fail(value, detail, retryAt);
-      },
-    };
+  private async watchHosts(signal: AbortSignal): Promise<void> {
+    let pauseMilliseconds = minPauseMilliseconds;
+    while (!signal.aborted) {
+      const waitUntil = this.parts.getNow() + watchMilliseconds;
+      const reading = await this.read("hosts", this.hostsRevision, waitUntil, signal);
+      if (reading !== undefined && this.takeHosts(reading)) {
+        pauseMilliseconds = minPauseMilliseconds;
+        continue;
+      }
+      await delay(pauseMilliseconds, undefined, { signal }).catch(() => undefined);
+      pauseMilliseconds = Math.min(pauseMilliseconds * 2, maxPauseMilliseconds);
+    }
   }
 
-  private countCall(value: PlatformValue, bytes: number): void {
+  /** Takes a reading of the host list; false when it cannot be read. */
+  private takeHosts(reading: Reading): boolean {
+    if (reading.document === undefined) {
+      return true;
+    }
+    const list = hostListSchema.safeParse(reading.document);
+    if (!list.success) {
+      this.fail("hosts", new PlatformUnreachableError("hosts", list.error));
+      return false;
+    }
+    this.hostsRevision = list.data.revision;
+    this.parts.onHosts(list.data);
+    return true;
+  }
+
+  private async read(
+    value: PlatformValue,
+    after: number | undefined,
+    waitUntil: Instant,
+    signal: AbortSignal,
+  ): Promise<Reading | undefined> {
+    const { address, getNow, metrics } = this.parts;
     this.calls += 1;
+    const reading = await readValue({ address, value, after, waitUntil, signal }, getNow);
+    if (reading.isErr) {
+      if (!signal.aborted) {
+        this.fail(value, reading.error);
+      }
+      return undefined;
+    }
     this.isReachable = true;
-    this.lastReadAt = this.parts.getNow();
-    this.parts.metrics.platformCalls.inc({ value, result: "answered" });
-    this.parts.metrics.controlBytes.inc({ channel: "platform", direction: "received" }, bytes);
+    this.lastReadAt = getNow();
+    metrics.platformCalls.inc({ value, result: "answered" });
+    metrics.controlBytes.inc({ channel: "platform", direction: "received" }, reading.value.bytes);
+    return reading.value;
   }
 
-  private fail(value: PlatformValue, detail: string, retryAt: Instant): void {
+  private fail(value: PlatformValue, error: ReadError): void {
     this.isReachable = false;
     this.parts.metrics.platformCalls.inc({ value, result: "failed" });
-    this.parts.recorder.record("platform.read-failed", { value, detail, retryAt }, "warn");
-    this.parts.onFailure(value);
+    this.parts.recorder.record("platform.read-failed", { value, detail: error.message }, "warn");
   }
 }
--- a/packages/daemon/src/platform/index.ts
+++ b/packages/daemon/src/platform/index.ts
@@ -1,2 +1,3 @@
 export { PlatformTask } from "./PlatformTask.js";
-export type { PlatformValue, PublishedConfiguration } from "./PlatformReader.js";
+export type { ConfigurationReading, PublishedConfiguration } from "./PlatformTask.js";
+export type { PlatformValue } from "./readValue.js";
--- a/packages/daemon/tests/peers/PeerCalls.test.ts
+++ b/packages/daemon/tests/peers/PeerCalls.test.ts
@@ -37,6 +37,9 @@
   record: { state: "done", answer: { status: 200, headers: [], body: Buffer.from([254, 0]) } },
 };
 
+const gzip = Buffer.from([0x1f, 0x8b, 0xff, 0]);
+const wanted = { generation: 1, revision: 0, digest: "0".repeat(64) };
+
 const handlers: PeerHandlers = {
   forwardAct: (forwarded, from) => {
     const isSame = Buffer.from(forwarded.call.body).equals(Buffer.from(act.call.body));
@@ -44,7 +47,7 @@
     return Promise.resolve(isSame ? answered : { kind: "rejected", ...rejection });
   },
   adoptActs: () => Promise.reject(new RangeError("no room")),
-  getConfiguration: ({ after }) => Promise.resolve(after < 7 ? { revision: 7, value: "é" } : null),
+  getConfiguration: ({ revision }) => Promise.resolve(revision === 7 ? { gzip } : null),
   getHosts: () => Promise.resolve(null),
   getSigns: () => new Promise(() => undefined),
 };
@@ -86,11 +89,11 @@
   const calls = createCalls();
   const peer = createPeer(listener);
   const forwarded = await calls.forwardAct(peer, act, deadline);
-  const newer = await calls.getConfiguration(peer, { after: 6 }, deadline);
-  const none = await calls.getConfiguration(peer, { after: 7 }, deadline);
+  const known = await calls.getConfiguration(peer, { ...wanted, revision: 7 }, deadline);
+  const none = await calls.getConfiguration(peer, { ...wanted, revision: 8 }, deadline);
   assert.equal(forwarded.unwrapOr({ kind: "moved", to: "" }), answered);
-  assert.equal(newer.unwrapOr(null), { revision: 7, value: "é" });
-  assert.is(none.unwrapOr({ revision: 0, value: "" }), null);
+  assert.equal(known.unwrapOr(null), { gzip });
+  assert.is(none.unwrapOr({ gzip }), null);
   await calls.close();
   await listener.close();
 });
