Send the totals of large teams with the heartbeat

Cause: totals went out on every tick, 4 datagrams a second to each peer. Ruled out: announcements of the configuration (one per acceptance).

--- a/packages/daemon/src/daemon/PeerWiring.ts
+++ b/packages/daemon/src/daemon/PeerWiring.ts
@@ -120,6 +120,9 @@
       send: (to, address, parts) => {
         this.links.send(to, address, parts);
       },
+      onSending: (topic) => {
+        this.parts.context.metrics.controlParts.inc({ topic });
+      },
       takeHeartbeat: (from, heartbeat) => {
         this.takeHeartbeat(from, heartbeat);
       },
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -237,7 +237,7 @@
       kernel: this.context.kernel,
       getNow: this.context.getNow,
       onTotals: (totals) => {
-        this.peers.digests.sendTotals(totals);
+        this.peers.digests.setTotals(totals);
       },
     });
   }
--- a/packages/daemon/src/digests/DigestTask.ts
+++ b/packages/daemon/src/digests/DigestTask.ts
@@ -34,6 +34,7 @@
   /** Gets what this daemon tells of its configuration. */
   readonly getRevisionDigest: () => RevisionDigest;
   readonly send: (to: string, address: string, parts: readonly DatagramPart[]) => void;
+  readonly onSending: (topic: string) => void;
   readonly takeHeartbeat: (from: DatagramSender, heartbeat: Heartbeat) => void;
   readonly takePlacement: (from: string, message: PlacementPeerMessage) => void;
   readonly takeSigns: (from: string, signs: readonly HostSign[]) => void;
@@ -51,6 +52,7 @@
 export class DigestTask {
   private readonly heartbeats = new Map<string, Heartbeat>();
   private readonly pending = new Map<string, DatagramPart[]>();
+  private totals: readonly TeamTotal[] = [];
   private neighbours: readonly Neighbour[] = [];
   private nextHeartbeatAt: Instant = 0;
   private isFlushPlanned = false;
@@ -93,6 +95,10 @@
     this.broadcast({ topic: "heartbeat", value: heartbeat });
     const digest = packRevisionDigest(this.parts.getRevisionDigest());
     this.broadcast({ topic: "configuration", value: digest });
+    if (this.totals.length > 0) {
+      this.broadcast({ topic: "teamTotals", value: this.totals, split: splitList });
+      this.totals = [];
+    }
   }
 
   /**
@@ -113,11 +119,11 @@
   }
 
   /**
-   * Sends the totals of large teams to every neighbour.
+   * Keeps the totals of large teams for the next heartbeat.
    * @param totals - Totals of the admission plug-in.
    */
-  sendTotals(totals: readonly TeamTotal[]): void {
-    this.broadcast({ topic: "teamTotals", value: totals, split: splitList });
+  setTotals(totals: readonly TeamTotal[]): void {
+    this.totals = totals;
   }
 
   /**
@@ -242,6 +248,7 @@
 
   /** Collects the parts for one daemon until the current task is over, to share a datagram. */
   private addPart(to: string, part: DatagramPart): void {
+    this.parts.onSending(part.topic);
     const parts = this.pending.get(to) ?? [];
     parts.push(part);
     this.pending.set(to, parts);
--- a/packages/daemon/src/metrics/Metrics.ts
+++ b/packages/daemon/src/metrics/Metrics.ts
@@ -77,6 +77,13 @@
     registers: [this.registry],
   });
 
+  readonly controlParts = new Counter({
+    name: "pistachioway_control_parts_total",
+    help: "Parts of digests sent to other daemons, by topic.",
+    labelNames: ["topic"],
+    registers: [this.registry],
+  });
+
   readonly droppedMessages = new Counter({
     name: "pistachioway_peer_messages_dropped_total",
     help: "Messages from peers that were dropped, by reason.",
