Let owners grant another of their engines, and keep room for one engine to join

Change: an owner without room grants the least loaded of its engines below the mean; the limit keeps the bound for one engine more and for a fall of the total by 0.15 of its square root; the margin of trust and the delay of changes grow with the interval of digests.

--- a/packages/experiments/src/bench/Fleet.ts
+++ b/packages/experiments/src/bench/Fleet.ts
@@ -29,7 +29,7 @@
 export const loadBound = 1.25;
 
 const slotsPerEngine = 96;
-const maxCachedTokensPerEngine = 900_000;
+const maxCachedTokensPerEngine = 200_000;
 const warmUpSeconds = 40;
 
 /** The engines and daemons of one run, and the faults that befall them. */
--- a/packages/kernel/src/placement/LoadLedger.ts
+++ b/packages/kernel/src/placement/LoadLedger.ts
@@ -37,6 +37,7 @@
 export class LoadLedger {
   readonly enginesById = new Map<number, EngineLoad>();
   readonly groupsById = new Map<number, EngineGroup>();
+  private ownedEngines: readonly EngineLoad[] = [];
   private readonly peersByName = new Map<string, PeerRecord>();
 
   private constructor(
@@ -72,6 +73,11 @@
     return this.peersByName.get(peer)?.heardAt;
   }
 
+  /** Gets the engines that this daemon owns. */
+  getOwnedEngines(): readonly EngineLoad[] {
+    return this.ownedEngines;
+  }
+
   /**
    * Takes over the engines and their owners.
    * @param fleet - The live daemons and the engines.
@@ -82,6 +88,7 @@
     this.updateEngines(fleet);
     this.updateGroups(fleet.engines);
     this.inheritCounts(before, now);
+    this.ownedEngines = [...this.enginesById.values()].filter((engine) => engine.isOwned);
   }
 
   /**
--- a/packages/kernel/src/placement/OwnerDesk.ts
+++ b/packages/kernel/src/placement/OwnerDesk.ts
@@ -34,12 +34,38 @@
     if (moved !== undefined) {
       return this.redirect(from, reservation, engine, moved, now);
     }
-    const isGranted = this.canGrant(engine, group, reservation.level, 0, now);
-    if (!isGranted) {
-      ledger.addReported(from, engine, -1);
+    if (this.canGrant(engine, group, reservation.level, 0, now)) {
+      return createAnswer(reservation.id, "granted", engine);
     }
-    const outcome = isGranted ? "granted" : "refused";
-    return createAnswer(reservation.id, outcome, engine);
+    ledger.addReported(from, engine, -1);
+    const other = this.getOtherEngine(engine, group, now);
+    if (other === undefined) {
+      return createAnswer(reservation.id, "refused", engine);
+    }
+    ledger.addReported(from, other, 1);
+    return createAnswer(reservation.id, "granted", other);
+  }
+
+  /**
+   * Gets the least loaded of the daemon's own engines that is below the mean.
+   * @param engine - Engine that has no room.
+   * @param group - Engines that serve the model.
+   * @param now - Current time.
+   */
+  getOtherEngine(engine: EngineLoad, group: EngineGroup, now: Instant): EngineLoad | undefined {
+    if (!this.context.strategy.levels) {
+      return undefined;
+    }
+    let least: EngineLoad | undefined;
+    let leastLoad = Infinity;
+    for (const other of this.context.ledger.getOwnedEngines()) {
+      const load = getCount(other, now) / other.weight;
+      if (other !== engine && load < leastLoad && other.groups.includes(group)) {
+        least = other;
+        leastLoad = load;
+      }
+    }
+    return least !== undefined && this.hasRoom(least, group, true, 1, now) ? least : undefined;
   }
 
   /**
--- a/packages/kernel/src/placement/PlacementFlow.ts
+++ b/packages/kernel/src/placement/PlacementFlow.ts
@@ -1,16 +1,15 @@
 import type { Instant } from "../kernel/Plugin.js";
 import type { PlacementContext } from "./context.js";
-import { getCandidates, getMean } from "./EngineGroup.js";
-import { getCount, type EngineLoad } from "./EngineLoad.js";
+import { EngineChoice } from "./EngineChoice.js";
+import { getCandidates } from "./EngineGroup.js";
+import type { EngineLoad } from "./EngineLoad.js";
 import { getHash } from "./hash.js";
-import type { FinishedMessage, PlaceMessage } from "./messages.js";
+import type { FinishedMessage, PlaceMessage, PlacementReason } from "./messages.js";
 import { OwnerContacts } from "./OwnerContacts.js";
 import type { OwnerDesk } from "./OwnerDesk.js";
 import type { ChatMove, ReservationAnswer } from "./peerMessage.js";
 import { createPlacement, getAllowedEngines, type Placement } from "./Placement.js";
 
-/** Expected error of a late count, in square roots of the mean. */
-const uncertaintyFactor = 0.6;
 const maxLevelRefusals = 3;
 const maxRefusals = 5;
 /** Few, so that daemons with late counts do not all take the same engine. */
@@ -21,12 +20,15 @@
   private readonly placementsById = new Map<string, Placement>();
   private readonly placementsByReservation = new Map<number, Placement>();
   private readonly contacts = OwnerContacts.create();
+  private readonly choice: EngineChoice;
   private nextReservation = 0;
 
   private constructor(
     private readonly context: PlacementContext,
     private readonly desk: OwnerDesk,
-  ) {}
+  ) {
+    this.choice = EngineChoice.create(context, desk, this.contacts);
+  }
 
   /**
    * Creates a flow without requests.
@@ -62,7 +64,7 @@
     }
     const placement = createPlacement(message, group, engines, this.context.strategy);
     this.placementsById.set(message.requestId, placement);
-    this.tryEngine(placement, this.getFirstTarget(placement, message, now), now);
+    this.tryEngine(placement, this.choice.getFirstTarget(placement, message, now), now);
   }
 
   /**
@@ -135,61 +137,6 @@
     this.contacts.setHeard(owner);
   }
 
-  private getFirstTarget(placement: Placement, message: PlaceMessage, now: Instant): EngineLoad {
-    const first = placement.candidates[0] as EngineLoad;
-    if (!this.context.strategy.remembers) {
-      return first;
-    }
-    if (message.isFirstTurn) {
-      return placement.isLevel ? this.getLevelTarget(placement, now) : first;
-    }
-    placement.known = this.getHintedEngine(placement, message);
-    if (placement.known === undefined) {
-      placement.isLookup = true;
-      placement.known = this.desk.getMovedEngine(placement.chat, first, now);
-    }
-    placement.reason = placement.known === undefined ? "first-choice" : "cached";
-    return placement.known ?? first;
-  }
-
-  private getHintedEngine(placement: Placement, message: PlaceMessage): EngineLoad | undefined {
-    const hints = [...(message.cachedHint ?? [])].sort((a, b) => b.tokens - a.tokens);
-    for (const hint of hints) {
-      const engine = this.context.ledger.enginesById.get(getHash(hint.engine));
-      if (engine?.isEligible === true && !message.exclude.includes(hint.engine)) {
-        return engine;
-      }
-    }
-    return placement.known;
-  }
-
-  /** Gets the first choice while it is below the mean, else the least loaded candidate. */
-  private getLevelTarget(placement: Placement, now: Instant): EngineLoad {
-    const first = placement.candidates[0] as EngineLoad;
-    if (this.desk.hasRoom(first, placement.group, true, 1, now)) {
-      return first;
-    }
-    placement.reason = "levelled";
-    return this.getLeastLoaded(placement, placement.candidates, now) ?? first;
-  }
-
-  private getLeastLoaded(
-    placement: Placement,
-    engines: readonly EngineLoad[],
-    now: Instant,
-  ): EngineLoad | undefined {
-    let least: EngineLoad | undefined;
-    let leastLoad = Infinity;
-    for (const engine of engines) {
-      const load = this.getCautiousCount(engine, now) / engine.weight;
-      if (load < leastLoad && !placement.refused.has(engine)) {
-        least = engine;
-        leastLoad = load;
-      }
-    }
-    return least;
-  }
-
   private tryEngine(placement: Placement, engine: EngineLoad, now: Instant): void {
     const { strategy } = this.context;
     if (!strategy.reserves || engine.isOwned) {
@@ -201,25 +148,13 @@
       this.decideAlone(placement, now);
       return;
     }
-    if (this.isSurelyBelowLimit(placement, engine, now)) {
+    if (this.choice.isSurelyBelowLimit(placement, engine, now)) {
       this.decide(placement, engine, now);
       return;
     }
     this.reserve(placement, engine, now);
   }
 
-  /** Checks whether an engine has room even if the late counts of it are too low. */
-  private isSurelyBelowLimit(placement: Placement, engine: EngineLoad, now: Instant): boolean {
-    const { group, isLevel } = placement;
-    const needsLookup = placement.isLookup && placement.known === undefined;
-    if (!this.context.strategy.trustsLowCounts || needsLookup || engine.claimed === 0) {
-      return false;
-    }
-    const margin = Math.ceil(uncertaintyFactor * Math.sqrt(getMean(group, now)));
-    const hasRoom = this.desk.hasRoom(engine, group, false, 1 + margin, now);
-    return hasRoom && this.desk.hasRoom(engine, group, isLevel, 1, now);
-  }
-
   /** Decides by the counts at hand, which are exact for the daemon's own engines. */
   private decide(placement: Placement, engine: EngineLoad, now: Instant): void {
     this.endReservation(placement);
@@ -228,9 +163,15 @@
       this.confirm(placement, now);
       return;
     }
+    const other = engine.isOwned
+      ? this.desk.getOtherEngine(engine, placement.group, now)
+      : undefined;
+    if (this.context.strategy.reserves && other !== undefined) {
+      this.followGrant(placement, other, now);
+      return;
+    }
     this.leaveEngine(placement, now);
-    placement.engine = engine;
-    this.context.ledger.addOwn(engine, 1);
+    placement.refused.add(engine);
     this.tryNext(placement, now);
   }
 
@@ -287,9 +228,7 @@
     now: Instant,
   ): void {
     if (outcome === "granted") {
-      this.endReservation(placement);
-      this.enterEngine(placement, engine, now);
-      this.confirm(placement, now);
+      this.followGrant(placement, engine, now);
     } else if (outcome === "redirected") {
       this.followRedirect(placement, engine, now);
     } else if (outcome === "unknown") {
@@ -299,6 +238,26 @@
     }
   }
 
+  /** An owner without room at the engine that was asked for may grant another one. */
+  private followGrant(placement: Placement, engine: EngineLoad, now: Instant): void {
+    this.endReservation(placement);
+    if (!placement.engines.includes(engine)) {
+      this.addChange(engine, now);
+      this.tryNext(placement, now);
+      return;
+    }
+    placement.reason = this.getGrantReason(placement, engine);
+    this.enterEngine(placement, engine, now);
+    this.confirm(placement, now);
+  }
+
+  private getGrantReason(placement: Placement, engine: EngineLoad): PlacementReason {
+    if (engine === placement.engine) {
+      return placement.reason;
+    }
+    return engine === placement.known || placement.isLookup ? "cached" : "spilled";
+  }
+
   private followRedirect(placement: Placement, engine: EngineLoad, now: Instant): void {
     placement.isLookup = false;
     if (!placement.engines.includes(engine)) {
@@ -322,7 +281,7 @@
     placement.isLevel = strategy.levels && placement.refusals <= maxLevelRefusals;
     placement.reason = "spilled";
     const next = strategy.levels
-      ? this.getLeastLoaded(placement, placement.candidates, now)
+      ? this.choice.getLeastLoaded(placement, placement.candidates, now)
       : placement.candidates.find((candidate) => !placement.refused.has(candidate));
     if (next !== undefined && placement.refusals < maxRefusals) {
       this.tryEngine(placement, next, now);
@@ -337,7 +296,7 @@
     this.leaveEngine(placement, now);
     placement.reason = "all-above-limit";
     const lastResort = getCandidates(engines, chat, lastResortCandidates);
-    const engine = this.getLeastLoaded(placement, lastResort, now) ?? candidates[0];
+    const engine = this.choice.getLeastLoaded(placement, lastResort, now) ?? candidates[0];
     this.enterEngine(placement, engine as EngineLoad, now);
     this.confirm(placement, now);
   }
@@ -354,7 +313,13 @@
     placement.reason = "owner-silent";
     placement.refused.add(engine);
     if (
-      this.desk.hasRoom(engine, placement.group, placement.isLevel, this.getUnseen(engine), now)
+      this.desk.hasRoom(
+        engine,
+        placement.group,
+        placement.isLevel,
+        this.choice.getUnseen(engine),
+        now,
+      )
     ) {
       this.confirm(placement, now);
       return;
@@ -362,16 +327,6 @@
     this.takeLeastLoaded(placement, now);
   }
 
-  /** Counts an engine whose owner is silent as if the other daemons placed as many as this one. */
-  private getCautiousCount(engine: EngineLoad, now: Instant): number {
-    const isSilent = !engine.isOwned && this.contacts.isSilent(engine.owner, now);
-    return getCount(engine, now) + (isSilent ? this.getUnseen(engine) : 0);
-  }
-
-  private getUnseen(engine: EngineLoad): number {
-    return Math.max(0, engine.own - engine.ownAtClaim) * (this.context.daemonCount - 1);
-  }
-
   private endReservation(placement: Placement): void {
     if (placement.reservation !== undefined) {
       this.placementsByReservation.delete(placement.reservation.id);
--- a/packages/kernel/src/placement/Placer.ts
+++ b/packages/kernel/src/placement/Placer.ts
@@ -1,6 +1,6 @@
 import type { Instant } from "../kernel/Plugin.js";
 import { ChatDirectory } from "./ChatDirectory.js";
-import type { PlacementContext } from "./context.js";
+import { minDigestIntervalMilliseconds, type PlacementContext } from "./context.js";
 import { getCount } from "./EngineLoad.js";
 import { explainPlacement } from "./explain.js";
 import { LoadLedger } from "./LoadLedger.js";
@@ -26,8 +26,8 @@
   readonly engines: number;
 }
 
-const changeDelayMilliseconds = 100;
-const digestIntervalMilliseconds = 250;
+/** Part of the interval of digests for which a change may wait. */
+const changeDelayShare = 0.4;
 const digestIntervalPerPeerMilliseconds = 30;
 const missedDigests = 6;
 const missedDigestsUnlisted = 3;
@@ -55,6 +55,7 @@
       directory: ChatDirectory.create(maxChats),
       bound: 1,
       daemonCount: 1,
+      digestInterval: minDigestIntervalMilliseconds,
       effects: [],
     };
     this.roster = Roster.create(start.daemon);
@@ -143,6 +144,7 @@
     const absentEngines = this.roster.getAbsentEngines();
     this.nextFleetUpdateAt = absentEngines.length > 0 ? now + fleetUpdateMilliseconds : Infinity;
     this.context.daemonCount = daemons.length;
+    this.context.digestInterval = this.getDigestInterval();
     ledger.setFleet({ daemons, engines, absentEngines }, now);
     for (const engine of ledger.enginesById.values()) {
       if (engine.own > 0 && engine.owner !== daemon && engine.owner !== "") {
@@ -190,7 +192,7 @@
       this.nextDigestAt = now + this.getDigestInterval();
       this.sendDigests(now);
     }
-    for (const peer of outbox.getChangedPeers(now - changeDelayMilliseconds)) {
+    for (const peer of outbox.getChangedPeers(now - changeDelayShare * this.getDigestInterval())) {
       effects.push(outbox.composeCounts(peer, now));
     }
   }
@@ -212,7 +214,7 @@
 
   private getDigestInterval(): number {
     const spread = this.roster.getPeers().length * digestIntervalPerPeerMilliseconds;
-    return Math.max(digestIntervalMilliseconds, spread);
+    return Math.max(minDigestIntervalMilliseconds, spread);
   }
 }
 
--- a/packages/kernel/src/placement/context.ts
+++ b/packages/kernel/src/placement/context.ts
@@ -4,6 +4,9 @@
 import type { Outbox } from "./Outbox.js";
 import type { PlacementStrategy } from "./strategy.js";
 
+/** Milliseconds between digests of few daemons. */
+export const minDigestIntervalMilliseconds = 250;
+
 /** What the parts of one daemon's placement share. */
 export interface PlacementContext {
   readonly daemon: string;
@@ -15,6 +18,8 @@
   bound: number;
   /** Number of live daemons, this one included. */
   daemonCount: number;
+  /** Milliseconds between digests; longer when there are many daemons. */
+  digestInterval: number;
   /** Effects of the message that is being handled. */
   effects: PlacementEffect[];
 }
--- a/packages/kernel/src/placement/limits.ts
+++ b/packages/kernel/src/placement/limits.ts
@@ -6,7 +6,8 @@
 /**
  * Gets the most running requests that a placement may lead to on an engine.
  *
- * The mean falls as requests end, so a placement uses only a share of the room below the bound.
+ * The mean falls while an engine's load stays: when another engine joins, and as requests end. So
+ * the limit keeps the bound for one engine more and for some requests less.
  * @param engine - Engine to place on.
  * @param group - Engines that serve the model.
  * @param bound - Largest load of an engine as a multiple of the mean.
@@ -20,9 +21,13 @@
   strategy: PlacementStrategy,
   now: Instant,
 ): number {
-  const fair = engine.weight * getMean(group, now);
-  const room = fair * (bound - 1) * strategy.roomShare;
-  return Math.max(getLevelLimit(engine, group, now), Math.floor(fair + room));
+  const mean = getMean(group, now);
+  const total = mean * group.weight;
+  const lowTotal = Math.max(0, total - strategy.fallFactor * Math.sqrt(total));
+  const count = group.engines.length;
+  const lowMean = (lowTotal / group.weight) * (count / (count + strategy.joiningEngines));
+  const level = Math.max(1, Math.ceil(engine.weight * mean));
+  return Math.max(level, Math.floor(engine.weight * bound * lowMean));
 }
 
 /**
--- a/packages/kernel/src/placement/strategy.ts
+++ b/packages/kernel/src/placement/strategy.ts
@@ -10,8 +10,10 @@
   readonly remembers: boolean;
   /** Whether a placement far below the limit by late counts is made without asking the owner. */
   readonly trustsLowCounts: boolean;
-  /** Share of the room between the mean and the bound that placements may use. */
-  readonly roomShare: number;
+  /** Engines that may join without the bound being broken. */
+  readonly joiningEngines: number;
+  /** Fall of the running requests that the limit allows for, in square roots of their number. */
+  readonly fallFactor: number;
   /** Number of rendezvous candidates among which the least loaded is sought. */
   readonly candidates: number;
 }
@@ -27,7 +29,8 @@
     levels: false,
     remembers: false,
     trustsLowCounts: false,
-    roomShare: 1,
+    joiningEngines: 0,
+    fallFactor: 0,
     candidates: 4,
   },
   digest: {
@@ -36,7 +39,8 @@
     levels: false,
     remembers: false,
     trustsLowCounts: false,
-    roomShare: 0.6,
+    joiningEngines: 1,
+    fallFactor: 0.15,
     candidates: 4,
   },
   owner: {
@@ -45,7 +49,8 @@
     levels: false,
     remembers: false,
     trustsLowCounts: false,
-    roomShare: 0.6,
+    joiningEngines: 1,
+    fallFactor: 0.15,
     candidates: 4,
   },
   ours: {
@@ -54,7 +59,8 @@
     levels: true,
     remembers: true,
     trustsLowCounts: true,
-    roomShare: 0.6,
+    joiningEngines: 1,
+    fallFactor: 0.15,
     candidates: 4,
   },
 };
