Ask a silent owner once more before deciding without it

Cause: with 2 % of datagrams lost, each lost reservation was decided by late counts. Ruled out: longer deadlines, which would not bring a lost datagram back. Change: a reservation is sent once more when its owner was heard within two digests.

--- a/packages/kernel/src/placement/OwnerContacts.ts
+++ b/packages/kernel/src/placement/OwnerContacts.ts
@@ -64,17 +64,24 @@
   /**
    * Notes that an owner let a deadline pass; the next deadline is later.
    * @param owner - The owner.
-   * @param now - Current time.
    */
-  setSilent(owner: string, now: Instant): void {
+  addTimeout(owner: string): void {
     const contact = this.getContact(owner);
-    contact.silentUntil = now + silentMilliseconds;
     contact.deviationMilliseconds = Math.min(
       maxTimeoutMilliseconds / deviationFactor,
       Math.max(contact.deviationMilliseconds, minTimeoutMilliseconds / deviationFactor) * 2,
     );
   }
 
+  /**
+   * Notes that an owner is not to be asked for a while.
+   * @param owner - The owner.
+   * @param now - Current time.
+   */
+  setSilent(owner: string, now: Instant): void {
+    this.getContact(owner).silentUntil = now + silentMilliseconds;
+  }
+
   /**
    * Notes that an owner was heard.
    * @param owner - The owner.
--- a/packages/kernel/src/placement/Placement.ts
+++ b/packages/kernel/src/placement/Placement.ts
@@ -37,6 +37,8 @@
   readonly owner: string;
   readonly sentAt: Instant;
   readonly deadline: Instant;
+  /** True when it was sent again after a first deadline. */
+  readonly isRepeated: boolean;
 }
 
 const shortPromptTokens = 256;
--- a/packages/kernel/src/placement/PlacementFlow.ts
+++ b/packages/kernel/src/placement/PlacementFlow.ts
@@ -10,6 +10,8 @@
 import type { ChatMove, ReservationAnswer } from "./peerMessage.js";
 import { createPlacement, getAllowedEngines, type Placement } from "./Placement.js";
 
+/** Digests within which an owner must have been heard to be asked again. */
+const heardDigests = 2;
 const maxLevelRefusals = 3;
 const maxRefusals = 5;
 /** Few, so that daemons with late counts do not all take the same engine. */
@@ -175,13 +177,18 @@
     this.tryNext(placement, now);
   }
 
-  private reserve(placement: Placement, engine: EngineLoad, now: Instant): void {
+  private reserve(
+    placement: Placement,
+    engine: EngineLoad,
+    now: Instant,
+    isRepeated = false,
+  ): void {
     this.enterEngine(placement, engine, now);
     this.endReservation(placement);
     const id = this.nextReservation;
     this.nextReservation = (id + 1) >>> 0;
     const deadline = this.contacts.getDeadline(engine.owner, now);
-    placement.reservation = { id, owner: engine.owner, sentAt: now, deadline };
+    placement.reservation = { id, owner: engine.owner, sentAt: now, deadline, isRepeated };
     this.placementsByReservation.set(id, placement);
     const isLookup = placement.isLookup && placement.known === undefined;
     const reservation = {
@@ -301,11 +308,26 @@
     this.confirm(placement, now);
   }
 
+  /** Asks again once when the owner was heard of late, since a datagram may be lost. */
   private endSilentReservation(placement: Placement, now: Instant): void {
-    this.contacts.setSilent(placement.reservation?.owner ?? "", now);
+    const { reservation, engine } = placement;
+    if (reservation === undefined || engine === undefined) {
+      return;
+    }
+    this.contacts.addTimeout(reservation.owner);
+    if (!reservation.isRepeated && this.isHeardOfLate(engine.owner, now)) {
+      this.reserve(placement, engine, now, true);
+      return;
+    }
+    this.contacts.setSilent(reservation.owner, now);
     this.decideAlone(placement, now);
   }
 
+  private isHeardOfLate(owner: string, now: Instant): boolean {
+    const heardAt = this.context.ledger.getHeardAt(owner) ?? -Infinity;
+    return heardAt >= now - heardDigests * this.context.digestInterval;
+  }
+
   /** Decides without the owner: each daemon takes its share of the room that the last claim left. */
   private decideAlone(placement: Placement, now: Instant): void {
     const engine = placement.engine as EngineLoad;
