--- a/packages/experiments/src/fleet/Caller.ts
+++ b/packages/experiments/src/fleet/Caller.ts
@@ -19,6 +19,8 @@
   readonly message: string;
   readonly tokens: number;
   readonly isStream: boolean;
+  /** When to give up; the daemon's default when absent. */
+  readonly deadline?: number;
 }
 
 /** A caller of one team, with connections of its own. */
@@ -51,6 +53,7 @@
     return this.send(address, "POST", "/v1/chat/completions", JSON.stringify(body), {
       "content-type": "application/json",
       "x-chat-id": call.chat,
+      ...(call.deadline === undefined ? {} : { "x-deadline": String(call.deadline) }),
     });
   }
 
--- a/packages/experiments/src/fleet/Fleet.ts
+++ b/packages/experiments/src/fleet/Fleet.ts
@@ -1,4 +1,4 @@
-import type { Host } from "@pistachioway/kernel";
+import type { DaemonStatus, Host } from "@pistachioway/kernel";
 import type { DatagramRuleOptions, LinkMode, RuleOptions, RunRecord } from "@pistachioway/standins";
 import { fileURLToPath } from "node:url";
 import { UnknownProcessError } from "../errors/index.js";
@@ -64,6 +64,18 @@
     return daemon;
   }
 
+  /**
+   * Kills a stand-in and starts it again, empty, at the same address.
+   * @param kind - Kind of the stand-in.
+   * @param name - Name of the stand-in.
+   */
+  async restartStandin(kind: StandinKind, name: string): Promise<void> {
+    const port = new URL(`tcp://${this.getAddressOrThrow(name)}`).port;
+    await this.standinsByName.get(name)?.kill();
+    const options = this.layout.engines.find((engine) => engine.name === name)?.options;
+    await this.startStandin(kind, name, { ...options, port });
+  }
+
   /**
    * Gets a daemon.
    * @param name - Name of the daemon.
@@ -104,9 +116,9 @@
    * Gets what a daemon reports of itself and its view.
    * @param name - Name of the daemon.
    */
-  async getStatus(name: string): Promise<FleetStatus> {
+  async getStatus(name: string): Promise<DaemonStatus> {
     const { operations } = this.getDaemonOrThrow(name);
-    return (await callControl("GET", `${operations}/v1/status`)) as FleetStatus;
+    return (await callControl("GET", `${operations}/v1/status`)) as DaemonStatus;
   }
 
   /**
@@ -265,17 +277,6 @@
   }
 }
 
-/** The part of a daemon's status that experiments read. */
-export interface FleetStatus {
-  readonly state: "starting" | "ready" | "draining";
-  readonly configuration?: { readonly revision: number; readonly digest: string };
-  readonly refused?: { readonly revision: number; readonly reasons: readonly unknown[] };
-  readonly engines: readonly { readonly name: string; readonly state: string }[];
-  readonly services: readonly {
-    readonly hosts: readonly { readonly name: string; readonly state: string }[];
-  }[];
-}
-
 function readReadyLine(line: string): Record<string, string> | undefined {
   try {
     return (JSON.parse(line) as { ready?: Record<string, string> }).ready;
--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./errors/index.js";
 export * from "./fleet/index.js";
+export * from "./matrix/index.js";
--- /dev/null
+++ b/packages/experiments/src/matrix/configuration.ts
@@ -0,0 +1,173 @@
+import type { DaemonStatus } from "@pistachioway/kernel";
+import { createConfigurationText, waitForCondition, type Fleet } from "../fleet/index.js";
+import type { Trial, TrialContext, Verdict } from "./schema.js";
+
+const daemons = ["d1", "d2"] as const;
+const limitMilliseconds = 5_000;
+const refusedText = "[[zones]]\nname = ";
+const operators = 6;
+
+type Observation = Omit<Verdict, "promise">;
+
+/** Makes the trials of the configuration. */
+export function createConfigurationTrials(): Trial[] {
+  return [
+    createTrial("none", "during the change of configuration", observePublish),
+    createTrial("two operators at once", "during the change of configuration", observeOperators),
+    createTrial("refused configuration", "during the change of configuration", observeRefused),
+    createTrial("platform stale", "after the change of configuration", observeStale),
+    createTrial("platform stale", "during a restart", observeStaleRestart),
+    createTrial("platform down", "during a restart", observeDownRestart),
+    createTrial("platform down", "during the change of configuration", observeDownPublish),
+    createTrial("cut from the platform", "during the change of configuration", observeCutDaemon),
+  ];
+}
+
+function createTrial(
+  fault: string,
+  step: string,
+  observe: (fleet: Fleet) => Promise<Observation>,
+): Trial {
+  return {
+    fault,
+    step,
+    promises: ["configuration"],
+    isQuick: true,
+    run: async ({ fleet }: TrialContext) => {
+      try {
+        return [{ promise: "configuration", ...(await observe(fleet)) }];
+      } finally {
+        await heal(fleet);
+      }
+    },
+  };
+}
+
+async function heal(fleet: Fleet): Promise<void> {
+  await fleet.callStandin("platform", "POST", "up");
+  await fleet.callStandin("platform", "POST", "stale", {});
+  await Promise.all(daemons.map((name) => fleet.setLinkMode(`${name}.platform`, "open")));
+  const revision = await publishValid(fleet);
+  await waitUntilInForce(fleet, revision);
+}
+
+async function observePublish(fleet: Fleet): Promise<Observation> {
+  const publishedAt = Date.now();
+  const revision = await publishValid(fleet);
+  const isInForce = await waitUntilInForce(fleet, revision);
+  return { held: isInForce, figures: { revision, milliseconds: Date.now() - publishedAt } };
+}
+
+async function observeOperators(fleet: Fleet): Promise<Observation> {
+  const publishing = Array.from({ length: operators }, () => publishValid(fleet));
+  const newest = Math.max(...(await Promise.all(publishing)));
+  const isInForce = await waitUntilInForce(fleet, newest);
+  const statuses = await getStatuses(fleet);
+  const digests = new Set(statuses.map(({ configuration }) => configuration?.digest));
+  return { held: isInForce && digests.size === 1, figures: { newest, digests: digests.size } };
+}
+
+async function observeRefused(fleet: Fleet): Promise<Observation> {
+  const accepted = await publishValid(fleet);
+  await waitUntilInForce(fleet, accepted);
+  const refused = await fleet.publish(refusedText);
+  const isReported = await isMet("every daemon reports the refused value", async () => {
+    const statuses = await getStatuses(fleet);
+    return statuses.every((status) => status.refused?.revision === refused);
+  });
+  const statuses = await getStatuses(fleet);
+  const reasons = new Set(statuses.map((status) => JSON.stringify(status.refused?.reasons)));
+  const isKept = statuses.every(({ configuration }) => configuration?.revision === accepted);
+  const figures = { isReported, isKept, differentReasons: reasons.size };
+  return { held: isReported && isKept && reasons.size === 1, figures };
+}
+
+async function observeStale(fleet: Fleet): Promise<Observation> {
+  const older = await publishValid(fleet);
+  const newer = await publishValid(fleet);
+  await waitUntilInForce(fleet, newer);
+  await fleet.callStandin("platform", "POST", "stale", { configurationRevision: older });
+  await waitUntilReadAgain(fleet);
+  const lowest = Math.min(...(await getRevisions(fleet)));
+  return { held: lowest === newer, figures: { older, newer, lowest } };
+}
+
+async function observeStaleRestart(fleet: Fleet): Promise<Observation> {
+  const older = await publishValid(fleet);
+  const newer = await publishValid(fleet);
+  await waitUntilInForce(fleet, newer);
+  await fleet.callStandin("platform", "POST", "stale", { configurationRevision: older });
+  await restart(fleet, "d2");
+  const isInForce = await waitUntilInForce(fleet, newer);
+  return { held: isInForce, figures: { older, newer, inForce: await toText(fleet) } };
+}
+
+async function observeDownRestart(fleet: Fleet): Promise<Observation> {
+  const revision = await publishValid(fleet);
+  await waitUntilInForce(fleet, revision);
+  await fleet.callStandin("platform", "POST", "down");
+  await restart(fleet, "d2");
+  const isInForce = await waitUntilInForce(fleet, revision);
+  return { held: isInForce, figures: { revision, inForce: await toText(fleet) } };
+}
+
+async function observeDownPublish(fleet: Fleet): Promise<Observation> {
+  await fleet.callStandin("platform", "POST", "down");
+  const revision = await publishValid(fleet);
+  await fleet.callStandin("platform", "POST", "up");
+  const isInForce = await waitUntilInForce(fleet, revision);
+  return { held: isInForce, figures: { revision, inForce: await toText(fleet) } };
+}
+
+/** A daemon that cannot reach the platform takes the newest value from its peers. */
+async function observeCutDaemon(fleet: Fleet): Promise<Observation> {
+  await fleet.setLinkMode("d2.platform", "refuse");
+  const revision = await publishValid(fleet);
+  const isInForce = await waitUntilInForce(fleet, revision);
+  return { held: isInForce, figures: { revision, inForce: await toText(fleet) } };
+}
+
+async function publishValid(fleet: Fleet): Promise<number> {
+  return fleet.publish(fleet.layout.configuration ?? createConfigurationText(fleet.layout));
+}
+
+async function restart(fleet: Fleet, name: string): Promise<void> {
+  await fleet.getDaemonOrThrow(name).process.kill();
+  await fleet.startDaemon(name);
+}
+
+function waitUntilInForce(fleet: Fleet, revision: number): Promise<boolean> {
+  return isMet(`revision ${String(revision)} is in force`, async () => {
+    const revisions = await getRevisions(fleet);
+    return revisions.every((one) => one === revision);
+  });
+}
+
+/** Waits until the platform has answered a read of each daemon since now. */
+async function waitUntilReadAgain(fleet: Fleet): Promise<void> {
+  const now = Date.now();
+  await isMet("the platform was read again", async () => {
+    const statuses = await getStatuses(fleet);
+    return statuses.some(({ platform }) => (platform.lastReadAt ?? 0) > now);
+  });
+}
+
+function isMet(name: string, condition: () => Promise<boolean>): Promise<boolean> {
+  return waitForCondition(name, condition, limitMilliseconds).then(
+    () => true,
+    () => false,
+  );
+}
+
+async function getStatuses(fleet: Fleet): Promise<DaemonStatus[]> {
+  return Promise.all(daemons.map((name) => fleet.getStatus(name)));
+}
+
+async function getRevisions(fleet: Fleet): Promise<number[]> {
+  const statuses = await getStatuses(fleet);
+  return statuses.map(({ configuration }) => configuration?.revision ?? 0);
+}
+
+async function toText(fleet: Fleet): Promise<string> {
+  return (await getRevisions(fleet)).join(",");
+}
--- /dev/null
+++ b/packages/experiments/src/matrix/leaving.ts
@@ -0,0 +1,87 @@
+import { Caller, callControl } from "../fleet/index.js";
+import { setTimeout as delay } from "node:timers/promises";
+import type { Fleet } from "../fleet/index.js";
+import type { Trial, TrialContext, Verdict } from "./schema.js";
+
+const team = "routes";
+const leavingEngine = "e1";
+const daemons = ["d1", "d2"] as const;
+const limitMilliseconds = 3_000;
+const loadMilliseconds = 4_500;
+const callers = 8;
+const tokens = 4;
+
+interface Records {
+  readonly requests: readonly { readonly at: number }[];
+}
+
+/**
+ * Makes a trial in which an engine says that it is leaving, while the platform lists it as live.
+ * @param fault - Name of the fault.
+ * @param step - Name of the step.
+ * @param strike - Done before the engine begins to leave.
+ * @param heal - Brings the fleet back.
+ * @param isQuick - Whether CI runs it.
+ */
+export function createLeavingTrial(
+  fault: string,
+  step: string,
+  strike: (fleet: Fleet) => Promise<void>,
+  heal: (fleet: Fleet) => Promise<void>,
+  isQuick: boolean,
+): Trial {
+  return {
+    fault,
+    step,
+    promises: ["leaving"],
+    isQuick,
+    run: async (context) => {
+      try {
+        return [await observeLeaving(context, strike)];
+      } finally {
+        await heal(context.fleet);
+        await context.fleet.setFaults(leavingEngine, { leaving: false });
+      }
+    },
+  };
+}
+
+async function observeLeaving(
+  { fleet, id }: TrialContext,
+  strike: (fleet: Fleet) => Promise<void>,
+): Promise<Verdict> {
+  await strike(fleet);
+  await fleet.setFaults(leavingEngine, { leaving: true });
+  const leftAt = Date.now();
+  const counts = await sendLoad(fleet, id, leftAt + loadMilliseconds);
+  const path = `${fleet.getAddressOrThrow(leavingEngine)}/_control/records`;
+  const { requests } = (await callControl("GET", path)) as Records;
+  const arrivals = requests.map(({ at }) => at - leftAt).filter((age) => age >= 0);
+  const lastArrivalMilliseconds = Math.max(0, ...arrivals);
+  const late = arrivals.filter((age) => age > limitMilliseconds).length;
+  const figures = { ...counts, arrivals: arrivals.length, late, lastArrivalMilliseconds };
+  return { promise: "leaving", held: late === 0 && counts.complete > 0, figures };
+}
+
+/** Sends chats through every daemon until a time, each caller one after the other. */
+async function sendLoad(
+  fleet: Fleet,
+  id: string,
+  until: number,
+): Promise<{ complete: number; failed: number }> {
+  const caller = Caller.create(team);
+  const counts = { complete: 0, failed: 0 };
+  const send = async (index: number) => {
+    const { callers: address } = fleet.getDaemonOrThrow(daemons[index % daemons.length] ?? "d1");
+    for (let turn = 0; Date.now() < until; turn += 1) {
+      const chat = `${id}-${String(index)}-${String(turn)}`;
+      const call = { chat, message: "what is left", tokens, isStream: false };
+      const end = await caller.sendChat(address, call);
+      counts[end.outcome === "complete" ? "complete" : "failed"] += 1;
+      await delay(1);
+    }
+  };
+  await Promise.all(Array.from({ length: callers }, (_unused, index) => send(index)));
+  await caller.close();
+  return counts;
+}
--- /dev/null
+++ b/packages/experiments/src/matrix/run.ts
@@ -0,0 +1,122 @@
+import { Random } from "../bench/Random.js";
+import { Fleet, type FleetLayout } from "../fleet/index.js";
+import type { CellResult, MatrixOptions, Trial, Verdict } from "./schema.js";
+import { trials } from "./trials.js";
+
+const layout: FleetLayout = {
+  daemons: [
+    { name: "d1", zone: "north" },
+    { name: "d2", zone: "south" },
+  ],
+  engines: [
+    { name: "e1", zone: "north" },
+    { name: "e2", zone: "south" },
+  ],
+  services: [
+    { name: "booking-1", service: "booking", zone: "north" },
+    { name: "booking-2", service: "booking", zone: "south" },
+  ],
+  teams: ["routes"],
+  extraSettings: "[limits]\nunreadyMilliseconds = 200",
+};
+
+/**
+ * Gets the name of a cell, as `--cell` takes it.
+ * @param promise - Promise of the cell.
+ * @param trial - Trial that shows whether it holds.
+ */
+export function getCellName(promise: string, trial: Pick<Trial, "fault" | "step">): string {
+  return `${promise}/${trial.fault}/${trial.step}`;
+}
+
+/**
+ * Runs the trials that the options choose, one after the other on one fleet.
+ * @param options - Options of the command.
+ * @param onCell - Called with each result as it comes.
+ */
+export async function runMatrix(
+  options: MatrixOptions,
+  onCell: (cell: CellResult) => void = () => undefined,
+): Promise<CellResult[]> {
+  const cells: CellResult[] = [];
+  const disabledGuards = options.without === undefined ? [] : [options.without];
+  let fleet: Fleet | undefined;
+  for (const [index, trial] of trials.entries()) {
+    if (!isChosen(trial, options)) {
+      continue;
+    }
+    fleet ??= await Fleet.start({ ...layout, disabledGuards });
+    const verdicts = await runTrial(fleet, trial, options.seed, index);
+    const died = getDiedDaemons(fleet);
+    for (const verdict of verdicts.filter((one) => isChosenCell(one, trial, options))) {
+      const { fault, step } = trial;
+      const { promise, held, figures } = addDied(verdict, died);
+      const cell = { promise, fault, step, held, seed: options.seed, figures };
+      cells.push(cell);
+      onCell(cell);
+    }
+    fleet = died.length === 0 ? await keepIfReady(fleet) : await stopFleet(fleet);
+  }
+  await fleet?.stop();
+  return cells;
+}
+
+async function runTrial(
+  fleet: Fleet,
+  trial: Trial,
+  seed: number,
+  index: number,
+): Promise<readonly Verdict[]> {
+  const random = Random.create(seed, index);
+  const id = `t${String(seed)}-${String(index)}`;
+  try {
+    return await trial.run({ fleet, id, getIndex: (limit) => random.getIndex(limit) });
+  } catch (error) {
+    const figures = { error: error instanceof Error ? error.message : String(error) };
+    return trial.promises.map((promise) => ({ promise, held: false, figures }));
+  }
+}
+
+/** Gets the daemons that ended without being told to. */
+function getDiedDaemons(fleet: Fleet): string[] {
+  return layout.daemons
+    .map(({ name }) => name)
+    .filter((name) => !fleet.getDaemonOrThrow(name).process.isRunning());
+}
+
+/** No promise holds while a fault ends a daemon. */
+function addDied(verdict: Verdict, died: readonly string[]): Verdict {
+  if (died.length === 0) {
+    return verdict;
+  }
+  return { ...verdict, held: false, figures: { ...verdict.figures, died: died.join(",") } };
+}
+
+async function stopFleet(fleet: Fleet): Promise<undefined> {
+  await fleet.stop();
+}
+
+/** A fleet that a trial left broken is stopped, so that the next trial gets a new one. */
+async function keepIfReady(fleet: Fleet): Promise<Fleet | undefined> {
+  try {
+    await Promise.all(layout.daemons.map(({ name }) => fleet.waitUntilReady(name)));
+    return fleet;
+  } catch {
+    return await stopFleet(fleet);
+  }
+}
+
+function isChosen(trial: Trial, options: MatrixOptions): boolean {
+  const { cell, quick, without } = options;
+  if (cell !== undefined) {
+    return trial.promises.some((promise) => getCellName(promise, trial).includes(cell));
+  }
+  if (without !== undefined) {
+    return trial.guards?.includes(without) ?? false;
+  }
+  return trial.isQuick || !quick;
+}
+
+function isChosenCell(verdict: Verdict, trial: Trial, { cell }: MatrixOptions): boolean {
+  return cell === undefined || getCellName(verdict.promise, trial).includes(cell);
+}
--- /dev/null
+++ b/packages/experiments/src/matrix/stop.ts
@@ -0,0 +1,134 @@
+import {
+  Caller,
+  getExpectedChatAnswer,
+  readWholeContent,
+  waitForCondition,
+  type CallEnd,
+  type ChatCall,
+  type Fleet,
+} from "../fleet/index.js";
+import type { Trial, TrialContext, Verdict } from "./schema.js";
+
+const team = "routes";
+const stopped = "d1";
+const longStreamTokens = 400;
+const longStreams = 12;
+const serviceHosts = ["booking-1", "booking-2"] as const;
+const gracefulExitCode = 0;
+
+/** Makes the trials of a planned stop. */
+export function createStopTrials(): Trial[] {
+  return [
+    createStopTrial("planned stop", "mid-answer", observeStreams),
+    createStopTrial("planned stop", "after the request before the answer", observeAct),
+    createStopTrial("daemons replaced one after another", "mid-answer", observeReplacement),
+  ];
+}
+
+function createStopTrial(
+  fault: string,
+  step: string,
+  observe: (context: TrialContext) => Promise<Verdict>,
+): Trial {
+  return {
+    fault,
+    step,
+    promises: ["planned-stop"],
+    isQuick: step === "mid-answer" && fault === "planned stop",
+    run: async (context) => [await observe(context)],
+  };
+}
+
+async function observeStreams(context: TrialContext): Promise<Verdict> {
+  const figures = await stopUnderStreams(context, stopped);
+  return { promise: "planned-stop", held: isGraceful(figures), figures };
+}
+
+async function observeReplacement(context: TrialContext): Promise<Verdict> {
+  const first = await stopUnderStreams(context, "d1");
+  const second = await stopUnderStreams(context, "d2");
+  const figures = {
+    whole: first.whole + second.whole,
+    cutOff: first.cutOff + second.cutOff,
+    exitCode: Math.max(first.exitCode, second.exitCode),
+  };
+  return { promise: "planned-stop", held: isGraceful(first) && isGraceful(second), figures };
+}
+
+interface StopFigures extends Record<string, number> {
+  readonly whole: number;
+  readonly cutOff: number;
+  readonly exitCode: number;
+}
+
+function isGraceful({ whole, cutOff, exitCode }: StopFigures): boolean {
+  return whole === longStreams && cutOff === 0 && exitCode === gracefulExitCode;
+}
+
+/** Stops a daemon with long streams in flight, each past its first bytes, and starts it again. */
+async function stopUnderStreams({ fleet, id }: TrialContext, name: string): Promise<StopFigures> {
+  const caller = Caller.create(team);
+  const { callers, process } = fleet.getDaemonOrThrow(name);
+  const calls = Array.from({ length: longStreams }, (_unused, index) => toCall(id, name, index));
+  const streaming = calls.map((call) => caller.sendChat(callers, call));
+  await waitUntilAccepted(fleet, calls.length);
+  process.signal("SIGTERM");
+  const ends = await Promise.all(streaming);
+  const exitCode = (await process.waitForExit()) ?? -1;
+  await caller.close();
+  await fleet.startDaemon(name);
+  await fleet.waitUntilReady(name);
+  const whole = ends.filter((end, index) => isWholeAnswer(calls[index], end)).length;
+  return { whole, cutOff: ends.length - whole, exitCode };
+}
+
+function toCall(id: string, name: string, index: number): ChatCall {
+  const chat = `${id}-${name}-${String(index)}`;
+  return {
+    chat,
+    message: "the long briefing",
+    tokens: longStreamTokens,
+    isStream: index % 2 === 0,
+  };
+}
+
+function isWholeAnswer(call: ChatCall | undefined, end: CallEnd): boolean {
+  const content = call === undefined ? undefined : readWholeContent(call, end.text);
+  return call !== undefined && content === getExpectedChatAnswer(team, call);
+}
+
+/** Waits until engines run a number of requests at once. */
+async function waitUntilAccepted(fleet: Fleet, count: number): Promise<void> {
+  await waitForCondition(`${String(count)} requests run`, async () => {
+    const loads = await Promise.all(
+      fleet.layout.engines.map(({ name }) => fleet.callStandin(name, "GET", "load")),
+    );
+    const running = loads.map((load) => (load as { running: number }).running);
+    return running.reduce((sum, one) => sum + one, 0) >= count;
+  });
+}
+
+/** Stops the issuer of an act that has been recorded but not answered yet. */
+async function observeAct({ fleet, id }: TrialContext): Promise<Verdict> {
+  const caller = Caller.create(team);
+  const { callers, process } = fleet.getDaemonOrThrow(stopped);
+  await Promise.all(serviceHosts.map((host) => fleet.setFaults(host, { held: true })));
+  const answering = caller.sendAct(callers, `booking/charges/${id}`);
+  await waitUntilRecorded(fleet, id);
+  process.signal("SIGTERM");
+  await Promise.all(serviceHosts.map((host) => fleet.setFaults(host, { held: false })));
+  const end = await answering;
+  const exitCode = (await process.waitForExit()) ?? -1;
+  await caller.close();
+  await fleet.startDaemon(stopped);
+  await fleet.waitUntilReady(stopped);
+  const held = end.outcome === "complete" && exitCode === gracefulExitCode;
+  return { promise: "planned-stop", held, figures: { outcome: end.outcome, exitCode } };
+}
+
+async function waitUntilRecorded(fleet: Fleet, id: string): Promise<void> {
+  await waitForCondition(`act "${id}" is recorded`, async () => {
+    const runs = await Promise.all(serviceHosts.map((host) => fleet.getRuns(host)));
+    return runs.flat().some(({ path }) => path.endsWith(id));
+  });
+}
--- /dev/null
+++ b/packages/experiments/src/matrix/trials.ts
@@ -0,0 +1,180 @@
+import type { Fleet } from "../fleet/index.js";
+import { createActTrial, forwarder, issuer, serviceHosts, type Strike } from "./acts.js";
+import { createAnswerTrial, engines } from "./answers.js";
+import { createConfigurationTrials } from "./configuration.js";
+import { createLeavingTrial } from "./leaving.js";
+import type { Trial } from "./schema.js";
+import { createStopTrials } from "./stop.js";
+
+interface ActStep {
+  readonly name: string;
+  readonly direction: "request" | "response";
+  readonly bytes: number;
+}
+
+const lateMilliseconds = 1_000;
+const frozenMilliseconds = 300;
+
+/** Places in the exchange between a daemon and a service at which a fault strikes an act. */
+const actSteps: readonly ActStep[] = [
+  { name: "after connect before the first byte", direction: "request", bytes: 0 },
+  { name: "mid-request", direction: "request", bytes: 60 },
+  { name: "after the request before the answer", direction: "response", bytes: 0 },
+  { name: "mid-answer", direction: "response", bytes: 90 },
+];
+
+/** Every trial of the matrix: faults by steps, with what each must show. */
+export const trials: readonly Trial[] = [
+  ...createLinkTrials(),
+  ...createDaemonTrials(),
+  ...createConnectTrials(),
+  ...createAnswerTrials(),
+  ...createLeavingTrials(),
+  ...createStopTrials(),
+  ...createConfigurationTrials(),
+];
+
+/** Faults of the connection between the issuer and the service. */
+function createLinkTrials(): Trial[] {
+  const none = createActTrial("none", "no fault", undefined, { guards: ["act-single-send"] });
+  const struck = actSteps.flatMap(({ name, direction, bytes }) => {
+    const rule = { direction, bytes };
+    const guards = direction === "response" ? ["act-lost-unknown"] : [];
+    return [
+      createActTrial("reset mid-byte", name, { rule: { ...rule, action: "reset" } }, { guards }),
+      createActTrial("cut both ways", name, { rule: { ...rule, action: "cut" }, isSilent: true }),
+      createActTrial(
+        "cut one way",
+        name,
+        { rule: { ...rule, action: "drop" }, isSilent: true },
+        { isQuick: false },
+      ),
+      createActTrial("answer late", name, {
+        rule: { ...rule, action: "delay", delayMilliseconds: lateMilliseconds },
+        isSilent: true,
+      }),
+    ];
+  });
+  return [none, ...struck];
+}
+
+/** Faults of a daemon while the issuer's request is held at a step. */
+function createDaemonTrials(): Trial[] {
+  return actSteps.flatMap(({ name, direction, bytes }) => {
+    const rule = { direction, bytes, action: "hold" as const };
+    return [
+      createActTrial("kill -9 of the issuer", name, createKill(rule, issuer)),
+      createActTrial("kill -9 of the forwarder", name, createKill(rule, forwarder), {
+        isQuick: false,
+      }),
+      createActTrial("freeze of the issuer", name, createFreeze(rule, issuer)),
+      createActTrial("freeze of the forwarder", name, createFreeze(rule, forwarder), {
+        isQuick: false,
+      }),
+    ];
+  });
+}
+
+function createKill(rule: Strike["rule"], name: string): Strike {
+  return {
+    rule,
+    whenFired: (fleet) => fleet.getDaemonOrThrow(name).process.kill(),
+    heal: async (fleet) => {
+      await fleet.startDaemon(name);
+    },
+  };
+}
+
+/** The daemon wakes late: after its callers' deadlines may have passed and the link went on. */
+function createFreeze(rule: Strike["rule"], name: string): Strike {
+  return {
+    rule,
+    whenFired: async (fleet) => {
+      fleet.getDaemonOrThrow(name).process.signal("SIGSTOP");
+      await Promise.all(serviceHosts.map((host) => fleet.releaseLink(host)));
+      setTimeout(() => {
+        fleet.getDaemonOrThrow(name).process.signal("SIGCONT");
+      }, frozenMilliseconds);
+    },
+  };
+}
+
+/** Faults before a connection to the service is there. */
+function createConnectTrials(): Trial[] {
+  const setModes = (mode: "refuse" | "cut") => async (fleet: Fleet) => {
+    await Promise.all(serviceHosts.map((host) => fleet.setLinkMode(host, mode)));
+  };
+  return [
+    createActTrial("reset mid-byte", "before connect", { before: setModes("refuse") }),
+    createActTrial("half-open connection", "before connect", {
+      before: setModes("cut"),
+      isSilent: true,
+    }),
+  ];
+}
+
+/** Faults of the connections between the daemons and the engines. */
+function createAnswerTrials(): Trial[] {
+  const late = { direction: "response", action: "hold", releaseAfterAnswers: 3 } as const;
+  const swap = { direction: "response", action: "swap" } as const;
+  const reset = { direction: "response", action: "reset" } as const;
+  const before = "after the request before the answer";
+  return [
+    createAnswerTrial("none", "no fault", undefined),
+    createAnswerTrial("answers late", before, { ...late, times: 12 }),
+    createAnswerTrial("answers late", "mid-answer", { ...late, bytes: 300, times: 12 }),
+    createAnswerTrial("answers crossed", before, { ...swap, times: 8 }),
+    createAnswerTrial("reset mid-byte", before, { ...reset, times: 6 }),
+    createAnswerTrial("reset mid-byte", "mid-answer", { ...reset, bytes: 400, times: 6 }),
+    createAnswerTrial("kill -9 of an engine", "mid-answer", undefined, killEngine),
+    createAnswerTrial("freeze of an engine", "mid-answer", undefined, freezeEngine),
+    createAnswerTrial("engine flapping", "before connect", undefined, flapEngine),
+    createAnswerTrial("reset mid-byte", "before connect", undefined, refuseEngine),
+    createAnswerTrial("reset mid-byte, answers crossed", "mid-answer", {
+      ...swap,
+      bytes: 400,
+      times: 6,
+    }),
+  ];
+}
+
+async function killEngine(fleet: Fleet): Promise<void> {
+  await fleet.restartStandin("engine", engines[0]);
+}
+
+async function freezeEngine(fleet: Fleet): Promise<void> {
+  await fleet.setFaults(engines[0], { frozen: true });
+  setTimeout(() => void fleet.setFaults(engines[0], { frozen: false }), frozenMilliseconds);
+}
+
+async function flapEngine(fleet: Fleet): Promise<void> {
+  await fleet.setFaults(engines[0], { flapEveryRequests: 3 });
+  setTimeout(() => {
+    void fleet.setFaults(engines[0], { flapEveryRequests: 0, leaving: false });
+  }, frozenMilliseconds);
+}
+
+async function refuseEngine(fleet: Fleet): Promise<void> {
+  await fleet.setLinkMode(engines[0], "refuse");
+}
+
+/** An engine leaves while the platform's list still has it as live. */
+function createLeavingTrials(): Trial[] {
+  const nothing = () => Promise.resolve();
+  const cut = (mode: "cut" | "open") => async (fleet: Fleet) => {
+    await Promise.all(["d1", "d2"].map((name) => fleet.setLinkMode(`${name}.platform`, mode)));
+  };
+  const freeze = async (fleet: Fleet) => {
+    fleet.getDaemonOrThrow("d2").process.signal("SIGSTOP");
+    setTimeout(() => {
+      fleet.getDaemonOrThrow("d2").process.signal("SIGCONT");
+    }, lateMilliseconds);
+    await Promise.resolve();
+  };
+  const step = "before connect";
+  return [
+    createLeavingTrial("platform's list lags", step, nothing, nothing, true),
+    createLeavingTrial("cut from the platform", step, cut("cut"), cut("open"), false),
+    createLeavingTrial("freeze of a daemon", step, freeze, nothing, false),
+  ];
+}
--- a/packages/standins/src/engine/Engine.ts
+++ b/packages/standins/src/engine/Engine.ts
@@ -115,7 +115,7 @@
     );
     server.delete<AttemptRoute>("/v1/streams/:attempt", (request, reply) => {
       this.cancel(request.params.attempt);
-      return reply.code(204).send();
+      return reply.code(204).header("x-attempt-id", request.params.attempt).send();
     });
   }
 
@@ -259,6 +259,7 @@
   ): Promise<FastifyReply> {
     const { offset } = parseValue(offsetQuerySchema, request.query);
     const generation = this.generationsByAttempt.get(attempt);
+    void reply.header("x-attempt-id", attempt);
     if (generation === undefined || generation.state === "cancelled") {
       return reply.code(404).send({ error: { type: "unknown-stream" } });
     }
@@ -310,6 +311,7 @@
       this.setFaults(parseBody(engineFaultsSchema, request));
       return this.faults;
     });
+    server.get("/_control/load", () => this.batch.getCounts());
     server.get("/_control/records", () => ({
       counts: this.records.counts,
       load: this.batch.getCounts(),
