--- a/packages/cli/tests/commands/daemons.test.ts
+++ b/packages/cli/tests/commands/daemons.test.ts
@@ -19,6 +19,7 @@
     reasons: [{ kind: "size", path: "", message: "the file is too large", allowed: "less" }],
   },
   platform: { reachable: false, isReader: false, calls: 9 },
+  peers: [{ name: "d1", zone: "north", state: "lost" }],
   engines: sampleStatus.engines.map((engine) => ({ ...engine, state: "down", reason: "lost" })),
 };
 
@@ -54,7 +55,7 @@
     output: `Daemons
 DAEMON  ZONE   STATE     GENERATION  REVISION  DIGEST        PLATFORM           PEERS     ACTS
 d1      north  ready              1         7  abababababab  reachable, reader  1/1 live  0 sending, 4 done, 0 unknown, 1 refused
-d2      north  draining  -           -         -             unreachable        1/1 live  0 sending, 4 done, 0 unknown, 1 refused
+d2      north  draining  -           -         -             unreachable        0/1 live  0 sending, 4 done, 0 unknown, 1 refused
 
 Engines
 ENGINE  ZONE   STATE                   LOAD  LIMIT  MODELS  REASON
@@ -72,10 +73,33 @@
 ! d2: has no configuration
 ! d2: cannot reach the platform
 ! d2: refused revision 8: the file is too large; allowed: less
+! d2: does not hear d1
+! d2: sees e1 as down: lost
 `,
   });
 });
 
+test("status names the daemons that share a concern once, and where configurations differ", async () => {
+  const statuses = Array.from({ length: 7 }, (_, index) => ({
+    ...sampleStatus,
+    process: `d${String(index)}`,
+    platform: { ...sampleStatus.platform, reachable: index === 0 },
+    configuration: { ...sampleStatus.configuration, revision: index === 0 ? 8 : 7 },
+  }));
+  const run = await runAgainst(
+    statuses.map((status) => ({ "/v1/status": status })),
+    "status",
+    "--json",
+  );
+  const version = (revision: number) =>
+    `configurations differ: generation 1 revision ${String(revision)} digest ${"ab".repeat(32)}`;
+  assert.equal((JSON.parse(run.output) as { concerns: unknown }).concerns, [
+    "d1, d2, d3, d4, d5 and 1 more: cannot reach the platform",
+    `${version(8)} on d0`,
+    `${version(7)} on d1, d2, d3, d4, d5 and 1 more`,
+  ]);
+});
+
 test("status shows the rest when a daemon cannot be reached or answers unusably", async () => {
   const answers = [{ "/v1/status": sampleStatus }, { "/v1/status": { process: 1 } }, {}];
   const run = await runAgainst(answers, "status", "--json", "--daemon", unreachable);
@@ -141,6 +165,31 @@
   });
 });
 
+test("timeline follows an act by its key, through the requests that carry it", async () => {
+  const payload = Buffer.from(JSON.stringify(["d1", "i1", 4, 9_000])).toString("base64url");
+  const [page] = samplePages;
+  const event = { at: 100, logical: 0 };
+  const sending = {
+    ...event,
+    sequence: 1,
+    name: "act.sending",
+    fields: { act: "d1/i1/4", request: "r7" },
+  };
+  const finished = { ...event, sequence: 2, name: "request.finished", fields: { request: "r7" } };
+  const answers = {
+    "/v1/events?id=d1%2Fi1%2F4": { ...page, events: [sending] },
+    "/v1/events?after=2&id=d1%2Fi1%2F4": { ...page, events: [] },
+    "/v1/events?id=r7": { ...page, events: [sending, finished] },
+    "/v1/events?after=2&id=r7": { ...page, events: [] },
+  };
+  const run = await runAgainst([answers], "timeline", "--json", "--id", `act1.${payload}.mac`);
+  const report = JSON.parse(run.output) as { events: { name: string }[]; failures: unknown[] };
+  assert.equal(
+    [report.events.map(({ name }) => name), report.failures],
+    [["act.sending", "request.finished"], []],
+  );
+});
+
 test("timeline writes a page with a lane per process and escaped texts", async () => {
   const folder = await mkdtemp(join(tmpdir(), "pistachioway-"));
   try {
