Put the demo's not-run promise to the test

Cause: no act of the demo was ever told not-run, so its verdict held without being tried. Ruled out: judging it by the absence of any such answer.

--- a/packages/experiments/src/demo/Demo.ts
+++ b/packages/experiments/src/demo/Demo.ts
@@ -17,6 +17,7 @@
 const outageMilliseconds = 2_500;
 const bytesMilliseconds = 2_000;
 const settleMilliseconds = 500;
+const refusedCalls = 8;
 
 /** The events that one run puts the fleet through, in order. */
 interface Course {
@@ -100,6 +101,7 @@
   private async runCourse(): Promise<Course> {
     await delay(warmUpMilliseconds);
     const controlBytesPerSecond = await this.measureControlBytes();
+    await this.refuseCalls();
     const leavingAt = await this.leaveEngine();
     const configuration = await this.publishConfigurations();
     const stop = await this.stopDaemon();
@@ -121,6 +123,15 @@
     return after.map((bytes, index) => (bytes - (before[index] ?? 0)) / seconds);
   }
 
+  private async refuseCalls(): Promise<void> {
+    this.tell("the service hosts refuse some calls before they run");
+    const { services } = this.layout.fleet;
+    await Promise.all(
+      services.map(({ name }) => this.fleet.setFaults(name, { refuseNext: refusedCalls })),
+    );
+    await delay(settleMilliseconds);
+  }
+
   private async leaveEngine(): Promise<number> {
     const engine = this.getLeavingEngine();
     this.tell(`engine ${engine} leaves; the platform's list does not say so`);
--- a/packages/experiments/src/demo/verdicts.ts
+++ b/packages/experiments/src/demo/verdicts.ts
@@ -74,8 +74,8 @@
   const untrue = told.filter(({ key }) => recorded.has(key));
   return {
     promise: "not-run",
-    held: acts.length > 0 && untrue.length === 0,
-    evidence: `${String(told.length)} acts told not-run, ${String(untrue.length)} of them recorded`,
+    held: told.length > 0 && untrue.length === 0,
+    evidence: `${String(told.length)} keys told not-run, ${String(untrue.length)} of them recorded`,
   };
 }
 
--- a/packages/experiments/tests/demo/verdicts.test.ts
+++ b/packages/experiments/tests/demo/verdicts.test.ts
@@ -7,6 +7,8 @@
 const run = { key: "k1", bodyDigest: digest };
 const sample = { daemon: "d1", at: 150, revision: 2 };
 
+const refusedKey = { key: "k0", outcomes: ["not-run"] };
+
 /** A run in which every promise held. */
 const good: Observations = {
   chats: {
@@ -19,7 +21,7 @@
   },
   problems: new Map(),
   cuts: [{ daemon: "d3", at: 301, detail: "reset" }],
-  acts: [{ body: "note", keys: [{ key: "k1", outcomes: ["unknown", "complete"] }] }],
+  acts: [{ body: "note", keys: [refusedKey, { key: "k1", outcomes: ["unknown", "complete"] }] }],
   runs: [run],
   loads: [{ at: 0, loads: [4, 6, 5] }],
   bound: 1.25,
@@ -60,7 +62,7 @@
         "0 of 1 samples over 1.25 times the mean, rounded up, and 1 for the time between readings",
       ],
       [true, "answers", "9 whole, 0 wrong, 0 unanswered, 1 cut, 0 of them not by the kill"],
-      [true, "not-run", "0 acts told not-run, 0 of them recorded"],
+      [true, "not-run", "1 keys told not-run, 0 of them recorded"],
       [
         true,
         "at most once",
@@ -80,14 +82,16 @@
 
 test("break each by what breaks it", () => {
   const { chats, leaving, stop } = good;
-  const refused = [{ body: "note", keys: [{ key: "k1", outcomes: ["not-run"] }] }];
+  const untold = { body: "note", keys: [{ key: "k1", outcomes: ["complete"] }] };
   assert.equal(getBroken({ loads: [{ at: 0, loads: [1, 9, 2] }] }), ["load"]);
   assert.equal(getBroken({ chats: { ...chats, wrong: 1 } }), ["answers"]);
   assert.equal(getBroken({ chats: { ...chats, unanswered: 1 } }), ["answers"]);
   assert.equal(getBroken({ cuts: [{ daemon: "d1", at: 400, detail: "" }] }), ["answers"]);
   assert.equal(getBroken({ cuts: [{ daemon: "d3", at: 299, detail: "" }] }), ["answers"]);
-  assert.equal(getBroken({ acts: refused }), ["not-run", "at most once"]);
+  assert.equal(getBroken({ acts: [untold] }), ["not-run"]);
+  assert.equal(getBroken({ acts: [{ body: "note", keys: [refusedKey] }] }), ["at most once"]);
   assert.equal(getBroken({ runs: [run, { ...run, key: "k2" }] }), ["at most once"]);
+  assert.equal(getBroken({ runs: [{ ...run, key: "k0" }] }), ["not-run"]);
   assert.equal(getBroken({ runs: [] }), ["at most once"]);
   assert.equal(getBroken({ leaving: { ...leaving, requestTimesAfter: [4_001] } }), ["leaving"]);
   assert.equal(getBroken({ stop: { ...stop, exitCode: 4 } }), ["planned stop"]);
