Reject mixed answers, wire orders, and let a daemon start without the platform

Ruled out: trusting the echoed header alone (it stays right when only the body is crossed); answering datagrams to their source address (a fault proxy or a second interface hides it). Change: every event must carry the attempt's completion id and a rising offset, whole answers are checked against Content-Digest; a starting daemon asks its seeds (now NAME@ADDRESS, since calls are authenticated by name) and listed peers for host list and revision; the orders plug-in is carried out; one ticker in place of three hand-kept due times.

--- a/packages/daemon/src/chat/ChatAttempt.ts
+++ b/packages/daemon/src/chat/ChatAttempt.ts
@@ -2,10 +2,10 @@
 import { Problem } from "../errors/index.js";
 import type { Placed } from "../kernel/index.js";
 import type { AttemptAnswer, AttemptFailure } from "../upstreams/index.js";
-import { readWhole } from "../upstreams/index.js";
+import { isIntact, readWhole } from "../upstreams/index.js";
 import type { ChatRun } from "./ChatRun.js";
 import type { EngineClient } from "./EngineClient.js";
-import { parseUsage, StreamRelay, type Usage } from "./StreamRelay.js";
+import { isOfAttempt, parseUsage, StreamRelay, type Usage } from "./StreamRelay.js";
 
 /** How one attempt at one engine ended. */
 export type ChatAttemptEnd =
@@ -35,7 +35,7 @@
     private readonly sink: AnswerSink,
   ) {
     const headers = this.getHeaders();
-    this.relay = StreamRelay.create((text) => sink.writeEvents(text, headers));
+    this.relay = StreamRelay.create(attemptId, (text) => sink.writeEvents(text, headers));
   }
 
   /**
@@ -112,7 +112,11 @@
     if (body === undefined) {
       return this.fail(toLost("the answer was cut off"));
     }
-    this.usage = parseUsage(body.toString("utf8"));
+    const text = body.toString("utf8");
+    if (!isIntact(answer.headers, body) || !isOfAttempt(text, this.attemptId)) {
+      return this.fail(toMismatch("the answer is mixed with another"));
+    }
+    this.usage = parseUsage(text);
     const headers = { ...this.getHeaders(), "content-type": "application/json" };
     this.sink.sendWhole(answer.status, headers, body, "complete");
     return { kind: "complete" };
@@ -124,6 +128,9 @@
     if (this.chatRun.request.signal.aborted) {
       return this.disconnect();
     }
+    if (end === "mixed") {
+      return this.fail(toMismatch("the stream is mixed with another"));
+    }
     if (end === "interrupted") {
       return this.fail(toLost("the stream was cut off"));
     }
@@ -146,6 +153,10 @@
   }
 }
 
+function toMismatch(detail: string): AttemptFailure {
+  return { kind: "failure", class: "mismatch", detail, isLeaving: false };
+}
+
 function toLost(detail: string): AttemptFailure {
   return { kind: "failure", class: "lost", detail, isLeaving: false };
 }
--- a/packages/daemon/src/chat/EngineClient.ts
+++ b/packages/daemon/src/chat/EngineClient.ts
@@ -1,6 +1,7 @@
 import type { Instant } from "@pistachioway/kernel";
 import type { HostDirectory } from "../kernel/index.js";
 import {
+  discardBody,
   sendAttempt,
   type AttemptAnswer,
   type AttemptFailure,
@@ -77,14 +78,14 @@
     const answer = await this.send(engine, {
       attemptId,
       method: "GET",
-      path: `/v1/streams/${attemptId}?offset=${String(offset)}`,
+      path: `/v1/streams/${encodeURIComponent(attemptId)}?offset=${String(offset)}`,
       headers: {},
       body: undefined,
       deadline: run.request.deadline,
       signal: run.request.signal,
     });
     if (answer.kind === "answer" && answer.status !== 200) {
-      answer.body.destroy();
+      discardBody(answer.body);
       const detail = `the stream cannot be resumed: status ${String(answer.status)}`;
       return { kind: "failure", class: "lost", detail, isLeaving: false };
     }
@@ -100,7 +101,7 @@
     const request = {
       attemptId,
       method: "DELETE" as const,
-      path: `/v1/streams/${attemptId}`,
+      path: `/v1/streams/${encodeURIComponent(attemptId)}`,
       headers: {},
       body: undefined,
       deadline: this.getNow() + cancelTimeoutMilliseconds,
@@ -108,7 +109,7 @@
     };
     void this.send(engine, request).then((answer) => {
       if (answer.kind === "answer") {
-        answer.body.resume();
+        discardBody(answer.body);
       }
     });
   }
--- a/packages/daemon/src/chat/StreamRelay.ts
+++ b/packages/daemon/src/chat/StreamRelay.ts
@@ -8,22 +8,29 @@
   readonly cachedTokens: number;
 }
 
-/** How the reading of one upstream body ended. */
-export type RelayEnd = "complete" | "interrupted";
+/**
+ * How the reading of one upstream body ended; `mixed` when an event of another attempt, or one that
+ * was passed on before, came up.
+ */
+export type RelayEnd = "complete" | "interrupted" | "mixed";
 
 /** Relays whole events of a stream to the caller, and knows how far it came. */
 export class StreamRelay {
   private lastOffset = 0;
   private lastUsage: Usage | undefined;
 
-  private constructor(private readonly write: (text: string) => Promise<void>) {}
+  private constructor(
+    private readonly attemptId: string,
+    private readonly write: (text: string) => Promise<void>,
+  ) {}
 
   /**
    * Creates a relay at the start of a stream.
+   * @param attemptId - Id of the attempt, which is the id of every event's completion.
    * @param write - Writes whole events to the caller and resolves when it can take more.
    */
-  static create(write: (text: string) => Promise<void>): StreamRelay {
-    return new StreamRelay(write);
+  static create(attemptId: string, write: (text: string) => Promise<void>): StreamRelay {
+    return new StreamRelay(attemptId, write);
   }
 
   /** Gets the number of tokens that were passed on. */
@@ -45,7 +52,11 @@
     try {
       for await (const octets of body) {
         const events = splitter.addOctets(octets as Uint8Array);
-        await this.writeNew(events);
+        const taken = this.takeWhileOwn(events);
+        await this.writeAll(taken);
+        if (taken.length < events.length) {
+          return "mixed";
+        }
         if (events.some((event) => event.data === terminalData)) {
           return "complete";
         }
@@ -56,23 +67,30 @@
     return "interrupted";
   }
 
-  /** Writes events that were not passed on before; a resumed stream may repeat some. */
-  private async writeNew(events: readonly ServerSentEvent[]): Promise<void> {
-    const isNew = (event: ServerSentEvent): boolean => {
-      const offset = event.id === undefined ? undefined : Number(event.id);
-      if (offset === undefined) {
-        return true;
-      }
-      const isAhead = offset > this.lastOffset;
-      this.lastOffset = Math.max(this.lastOffset, offset);
-      return isAhead || hasUsage(event);
-    };
-    const fresh = events.filter(isNew);
-    fresh.forEach((event) => {
-      this.readUsage(event);
-    });
-    if (fresh.length > 0) {
-      await this.write(fresh.map((event) => event.text).join(""));
+  /** Takes the events up to the first that does not continue this attempt's stream. */
+  private takeWhileOwn(events: readonly ServerSentEvent[]): ServerSentEvent[] {
+    const foreign = events.findIndex((event) => !this.takeOwn(event));
+    return foreign < 0 ? [...events] : events.slice(0, foreign);
+  }
+
+  /** Takes an event that continues the stream; false when it cannot be of this attempt. */
+  private takeOwn(event: ServerSentEvent): boolean {
+    if (event.data === terminalData) {
+      return this.lastUsage !== undefined;
+    }
+    const offset = Number(event.id);
+    const isNext = hasUsage(event) ? offset === this.lastOffset : offset > this.lastOffset;
+    if (!isNext || !isOfAttempt(event.data, this.attemptId)) {
+      return false;
+    }
+    this.lastOffset = offset;
+    this.readUsage(event);
+    return true;
+  }
+
+  private async writeAll(events: readonly ServerSentEvent[]): Promise<void> {
+    if (events.length > 0) {
+      await this.write(events.map((event) => event.text).join(""));
     }
   }
 
@@ -88,6 +106,19 @@
   return event.data.includes('"usage"');
 }
 
+/**
+ * Tells whether an answer or event is JSON whose completion id is that of the attempt.
+ * @param text - JSON text.
+ * @param attemptId - Id of the attempt.
+ */
+export function isOfAttempt(text: string, attemptId: string): boolean {
+  try {
+    return (JSON.parse(text) as { id?: unknown } | null)?.id === attemptId;
+  } catch {
+    return false;
+  }
+}
+
 /**
  * Reads the token counts of an answer or event.
  * @param text - JSON text.
--- a/packages/daemon/src/configuration/ConfigurationTask.ts
+++ b/packages/daemon/src/configuration/ConfigurationTask.ts
@@ -5,6 +5,7 @@
   getRevisionDigest,
   isReader,
   revisionsPlugin,
+  type ConfigurationInForce,
   type ConfigurationStatus,
   type Instant,
   type Kernel,
@@ -74,9 +75,14 @@
     return refused === undefined ? undefined : this.refused;
   }
 
-  /** Gets when the platform last confirmed the configuration in force. */
-  getConfirmedAt(): Instant | undefined {
-    return getInForce(this.parts.kernel.getStateOrThrow(revisionsPlugin))?.confirmedAt;
+  /** Gets the configuration in force with the time of its last confirmation by the platform. */
+  getConfigurationInForce(): ConfigurationInForce | undefined {
+    return getInForce(this.parts.kernel.getStateOrThrow(revisionsPlugin));
+  }
+
+  /** Reads the platform now, as a confirmation of the configuration in force. */
+  async readNow(): Promise<void> {
+    await this.read(undefined, this.parts.getNow());
   }
 
   /** Gets what this daemon tells its neighbours of its configuration. */
--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -127,7 +127,7 @@
   }
 
   private tick(): void {
-    this.tasks.tick();
+    this.tasks.ticker.tick();
     if (this.phase === "starting" && this.tasks.configuration.getInForce() !== undefined) {
       this.phase = "ready";
       this.tasks.recorder.record("daemon.ready", {}, "info");
--- a/packages/daemon/src/daemon/PeerWiring.ts
+++ b/packages/daemon/src/daemon/PeerWiring.ts
@@ -30,6 +30,8 @@
   readonly context: Context;
   /** Gets the newest host list that was read, if it is newer than a revision. */
   readonly getHostList: (after: number) => HostList | null;
+  /** Takes a host list that a peer had read. */
+  readonly takeHostList: (list: HostList) => void;
   /** A daemon began to stop, or is back. */
   readonly onDaemonChanged: () => void;
   /** Gets the targets; they are created after the wiring. */
@@ -57,6 +59,15 @@
     return new PeerWiring(parts);
   }
 
+  /** Asks daemons by calls for what digests would tell, while no configuration is in force. */
+  bootstrap(): void {
+    const known = this.digests.getRefreshPeers();
+    for (const peer of new Set([...known, ...this.links.getSeeds()])) {
+      void this.askForHosts(peer);
+      void this.askForRevision(peer);
+    }
+  }
+
   /** Asks a few peers, after a pause, for what changed meanwhile. */
   refresh(): void {
     for (const peer of this.digests.getRefreshPeers()) {
@@ -68,6 +79,20 @@
     }
   }
 
+  private async askForHosts(peer: string): Promise<void> {
+    const list = await this.links.getHosts(peer, this.parts.getHostList(-1)?.revision ?? -1);
+    if (list !== null) {
+      this.parts.takeHostList(list);
+    }
+  }
+
+  private async askForRevision(peer: string): Promise<void> {
+    const digest = await this.links.getRevisionDigest(peer);
+    if (digest !== undefined) {
+      this.targets.configuration.takeDigest(digest);
+    }
+  }
+
   private get targets(): PeerTargets {
     return this.parts.getTargets();
   }
@@ -95,6 +120,7 @@
       }),
       getConfiguration: (revision) => this.getConfiguration(revision),
       getHosts: ({ after }) => Promise.resolve(this.parts.getHostList(after)),
+      getRevisionDigest: () => Promise.resolve(this.targets.configuration.getDigest()),
       getSigns: () =>
         Promise.resolve(getSigns(this.parts.context.kernel.getStateOrThrow(membershipPlugin))),
     };
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -3,7 +3,7 @@
   type ActGuard,
   type ChangedEffect,
   type HostList,
-  type Instant,
+  type OrderGuard,
   type RevisionGuard,
 } from "@pistachioway/kernel";
 import { randomBytes, randomInt } from "node:crypto";
@@ -14,6 +14,7 @@
 import type { DigestTask, PeerLinks } from "../digests/index.js";
 import { AdmissionTask, HostDirectory, PlacementTask, RetryTask } from "../kernel/index.js";
 import { OperationsView, type DaemonPhase } from "../operations/index.js";
+import { OrderTask } from "../orders/index.js";
 import { PlatformTask } from "../platform/index.js";
 import { ServiceClient, type ServiceTask } from "../services/index.js";
 import type { Settings } from "../settings/index.js";
@@ -23,6 +24,7 @@
 import { createContext, type Context } from "./Context.js";
 import { PeerWiring, type PeerTargets } from "./PeerWiring.js";
 import { probeHost } from "./probeHost.js";
+import { Ticker } from "./Ticker.js";
 import { ViewUpdater } from "./ViewUpdater.js";
 
 /** The tasks of one daemon. */
@@ -38,13 +40,13 @@
   readonly services: ServiceTask;
   readonly acts: ActTask;
   readonly view: OperationsView;
-  /** Lets time pass in every plug-in. */
-  readonly tick: () => void;
+  readonly ticker: Ticker;
 }
 
 const version = "0.1.0";
 const secretBytes = 32;
 const revisionsTickMilliseconds = 100;
+const bootstrapMilliseconds = 500;
 const maxSeed = 2 ** 31;
 
 /** Builds the tasks in the order of their needs; later tasks are reached through the graph. */
@@ -55,13 +57,12 @@
   readonly placement: PlacementTask;
   readonly admission: AdmissionTask;
   readonly retries: RetryTask;
+  private readonly orders: OrderTask;
   readonly configuration: ConfigurationTask;
   private readonly platform: PlatformTask;
   readonly acts: ActTask;
   private readonly callers: CallerWiring;
   private hostList: HostList | undefined;
-  private membershipTickAt: Instant = 0;
-  private revisionsTickAt: Instant = 0;
 
   private constructor(private readonly context: Context) {
     const { name, zone } = context.settings.process;
@@ -71,6 +72,7 @@
     this.admission = this.createAdmission();
     this.retries = RetryTask.create(this.context.kernel, this.context.getNow);
     this.configuration = this.createConfiguration();
+    this.orders = this.createOrders();
     this.platform = this.createPlatform();
     const client = ServiceClient.create(this.context.connections, this.hosts, this.context.getNow);
     this.acts = this.createActs(client);
@@ -109,42 +111,42 @@
       acts,
       gate,
       view: this.createView(),
-      tick: () => {
-        this.tick();
-      },
+      ticker: this.createTicker(),
     };
   }
 
-  private tick(): void {
-    const at = this.context.getNow();
-    this.tickMembership(at);
-    this.tickRevisions(at);
-    this.peers.digests.tick();
-    this.placement.send({ kind: "tick" });
-    this.admission.send({ kind: "tick", at });
-    this.acts.send({ kind: "tick" });
-  }
-
-  private tickMembership(at: Instant): void {
-    if (at >= this.membershipTickAt) {
-      this.membershipTickAt = at + tickPeriodMilliseconds;
+  /** Lets time pass in every plug-in, at the pace that each one asks for. */
+  private createTicker(): Ticker {
+    const ticker = Ticker.create(this.context.getNow);
+    ticker.addPeriodic(tickPeriodMilliseconds, (at) => {
       this.hosts.send({ kind: "tick", at });
-    }
-  }
-
-  private tickRevisions(at: Instant): void {
-    if (at >= this.revisionsTickAt) {
-      this.revisionsTickAt = at + revisionsTickMilliseconds;
+    });
+    ticker.addPeriodic(0, (at) => {
+      this.peers.digests.tick();
+      this.placement.send({ kind: "tick" });
+      this.admission.send({ kind: "tick", at });
+      this.acts.send({ kind: "tick" });
+    });
+    ticker.addPeriodic(revisionsTickMilliseconds, () => {
       this.configuration.send({ kind: "tick" });
-    }
+      this.orders.send({ kind: "tick" });
+    });
+    ticker.addPeriodic(bootstrapMilliseconds, () => {
+      if (this.configuration.getInForce() === undefined) {
+        this.peers.bootstrap();
+      }
+    });
+    return ticker;
   }
 
   /** Begins to settle the configuration: with peers, when the host list names some. */
   private startRevisions(): void {
     const { name: daemon, zone } = this.context.settings.process;
-    const disabledGuards = this.context.settings.experiments.disabledGuards as RevisionGuard[];
+    const guards = this.context.settings.experiments.disabledGuards;
+    const disabledGuards = guards as RevisionGuard[];
     const peers = this.peers.digests.getActPeers().map((peer) => peer.name);
     this.configuration.send({ kind: "start", daemon, zone, peers, disabledGuards });
+    this.orders.send({ kind: "start", daemon, zone, disabledGuards: guards as OrderGuard[] });
   }
 
   private startActs(): void {
@@ -187,6 +189,9 @@
         const list = this.hostList;
         return list !== undefined && list.revision > after ? list : null;
       },
+      takeHostList: (list) => {
+        this.takeHosts(list);
+      },
       onDaemonChanged: () => {
         this.views.update();
       },
@@ -214,6 +219,7 @@
   private takeHosts(list: HostList): void {
     if (list.revision > (this.hostList?.revision ?? -1)) {
       this.hostList = list;
+      this.peers.digests.updateNeighbours();
     }
     const { revision, hosts } = list;
     this.hosts.send({ kind: "hostList", revision, hosts, at: this.context.getNow() });
@@ -260,6 +266,31 @@
     });
   }
 
+  private createOrders(): OrderTask {
+    const { kernel, getNow, recorder } = this.context;
+    return OrderTask.create({
+      kernel,
+      getNow,
+      hosts: this.hosts,
+      recorder,
+      confirm: () => {
+        void this.configuration.readNow().then(() => {
+          this.updateOrders();
+        });
+      },
+    });
+  }
+
+  /** Tells the orders plug-in of the configuration in force and of the live daemons. */
+  private updateOrders(): void {
+    const inForce = this.configuration.getConfigurationInForce();
+    if (inForce !== undefined) {
+      const [, ...daemons] = this.views.getDaemons();
+      this.orders.send({ kind: "peers", daemons });
+      this.orders.send({ kind: "inForce", ...inForce });
+    }
+  }
+
   private createPlatform(): PlatformTask {
     const { settings, getNow, metrics, recorder } = this.context;
     return PlatformTask.create({
@@ -325,6 +356,7 @@
     this.retries.configure(retries.budgetRatio);
     this.admission.send({ kind: "configure", teams });
     this.hosts.send({ kind: "configured", engines, services });
+    this.updateOrders();
     this.views.update();
   }
 
@@ -337,5 +369,8 @@
       this.context.recorder.record("daemon.changed", { daemon: name, state }, "info");
     }
     this.views.update();
+    if (effect.daemons.length > 0) {
+      this.updateOrders();
+    }
   }
 }
--- /dev/null
+++ b/packages/daemon/src/daemon/Ticker.ts
@@ -0,0 +1,42 @@
+import type { Instant } from "@pistachioway/kernel";
+
+interface Periodic {
+  readonly periodMilliseconds: number;
+  readonly run: (now: Instant) => void;
+  dueAt: Instant;
+}
+
+/** Runs functions when they are due, on the ticks of one timer. */
+export class Ticker {
+  private readonly entries: Periodic[] = [];
+
+  private constructor(private readonly getNow: () => Instant) {}
+
+  /**
+   * Creates a ticker without functions.
+   * @param getNow - Reads the clock.
+   */
+  static create(getNow: () => Instant): Ticker {
+    return new Ticker(getNow);
+  }
+
+  /**
+   * Adds a function.
+   * @param periodMilliseconds - Time between two runs, in milliseconds; 0 for every tick.
+   * @param run - Function to run.
+   */
+  addPeriodic(periodMilliseconds: number, run: (now: Instant) => void): void {
+    this.entries.push({ periodMilliseconds, run, dueAt: 0 });
+  }
+
+  /** Runs the functions that are due, in the order in which they were added. */
+  tick(): void {
+    const now = this.getNow();
+    for (const entry of this.entries) {
+      if (now >= entry.dueAt) {
+        entry.dueAt = now + entry.periodMilliseconds;
+        entry.run(now);
+      }
+    }
+  }
+}
--- a/packages/daemon/src/daemon/ViewUpdater.ts
+++ b/packages/daemon/src/daemon/ViewUpdater.ts
@@ -76,7 +76,7 @@
   }
 
   /** Gets this daemon and those that are neither lost nor stopping. */
-  private getDaemons(): { name: string; zone: string }[] {
+  getDaemons(): { name: string; zone: string }[] {
     const { daemon: name, zone } = this.parts;
     const others = [...this.parts.hosts.getView().daemons.values()].filter(
       (daemon) =>
--- a/packages/daemon/src/digests/PeerLinks.ts
+++ b/packages/daemon/src/digests/PeerLinks.ts
@@ -7,6 +7,7 @@
   HostSign,
   Instant,
   Revision,
+  RevisionDigest,
 } from "@pistachioway/kernel";
 import { ActError, maxConfigurationBytes } from "@pistachioway/kernel";
 import { promisify } from "node:util";
@@ -56,11 +57,13 @@
   private datagrams: Datagrams | undefined;
   private listener: PeerListener | undefined;
   private readonly calls: PeerCalls;
+  private readonly seeds: ReadonlyMap<string, string>;
   private reported = { sent: 0, received: 0 };
 
   private constructor(private readonly parts: LinkParts) {
     const { settings, startedAt, getNow } = parts;
-    const { key } = settings.peers;
+    const { key, seeds } = settings.peers;
+    this.seeds = new Map(seeds.map((seed) => seed.split("@") as [string, string]));
     const daemon = settings.process.name;
     this.calls = PeerCalls.create({ daemon, incarnation: startedAt, key, getNow });
   }
@@ -173,6 +176,25 @@
     return (await this.calls.getHosts(peer, { after }, deadline)).unwrapOr(null);
   }
 
+  /**
+   * Gets what a peer tells of its configuration.
+   * @param from - Name of the daemon.
+   */
+  async getRevisionDigest(from: string): Promise<RevisionDigest | undefined> {
+    const peer = this.getPeer(from);
+    if (peer === undefined) {
+      return undefined;
+    }
+    const deadline = this.parts.getNow() + fetchTimeoutMilliseconds;
+    const answer = await this.calls.getRevisionDigest(peer, deadline);
+    return answer.isOk ? answer.value : undefined;
+  }
+
+  /** Gets the names of the daemons that the settings name as seeds. */
+  getSeeds(): readonly string[] {
+    return [...this.seeds.keys()];
+  }
+
   /**
    * Gets all signs about upstream hosts that a peer holds.
    * @param from - Name of the daemon.
@@ -207,13 +229,17 @@
     await this.datagrams?.close();
   }
 
+  /** Before any host list was read, every daemon that knows the key is a peer. */
   private isPeer(name: string): boolean {
-    return this.parts.getDaemons().get(name)?.isListed === true;
+    const daemons = this.parts.getDaemons();
+    const isAnyListed = [...daemons.values()].some((daemon) => daemon.isListed);
+    return isAnyListed ? daemons.get(name)?.isListed === true : true;
   }
 
   private getPeer(name: string): Peer | undefined {
     const daemon = this.parts.getDaemons().get(name);
-    const peerAddress = daemon?.isListed === true ? daemon.peerAddress : undefined;
+    const listed = daemon?.isListed === true ? daemon.peerAddress : undefined;
+    const peerAddress = listed ?? this.seeds.get(name);
     return peerAddress === undefined ? undefined : { name, peerAddress };
   }
 
--- /dev/null
+++ b/packages/daemon/src/orders/index.ts
@@ -0,0 +1,1 @@
+export { OrderTask } from "./OrderTask.js";
--- a/packages/daemon/src/peers/PeerCalls.ts
+++ b/packages/daemon/src/peers/PeerCalls.ts
@@ -1,4 +1,4 @@
-import type { HostList, HostSign, Instant, Revision } from "@pistachioway/kernel";
+import type { HostList, HostSign, Instant, Revision, RevisionDigest } from "@pistachioway/kernel";
 import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from "@trpc/client";
 import { Result } from "true-myth";
 import { Agent, fetch } from "undici";
@@ -132,6 +132,17 @@
     });
   }
 
+  /**
+   * Gets what a peer tells of its configuration.
+   * @param peer - Daemon to call.
+   * @param deadline - When to stop waiting.
+   */
+  async getRevisionDigest(peer: Peer, deadline: Instant): PeerResult<RevisionDigest> {
+    return await this.call(peer, deadline, (client, signal) => {
+      return client.getRevisionDigest.mutate(undefined, { signal });
+    });
+  }
+
   /**
    * Gets all signs about upstream hosts that a peer holds.
    * @param peer - Daemon to call.
--- a/packages/daemon/src/peers/router.ts
+++ b/packages/daemon/src/peers/router.ts
@@ -2,10 +2,12 @@
 import {
   hostListSchema,
   hostSignSchema,
+  revisionDigestSchema,
   revisionSchema,
   type HostList,
   type HostSign,
   type Revision,
+  type RevisionDigest,
 } from "@pistachioway/kernel";
 import { Packr } from "msgpackr";
 import { z } from "zod";
@@ -36,6 +38,8 @@
   readonly getConfiguration: (revision: Revision, from: string) => Promise<PeerConfiguration>;
   /** Gets the newest host list, for a peer that cannot read the platform. */
   readonly getHosts: (request: RevisionRequest, from: string) => Promise<HostList | null>;
+  /** Gets what this daemon tells of its configuration, for a peer that cannot hear digests yet. */
+  readonly getRevisionDigest: (from: string) => Promise<RevisionDigest>;
   /** Gets all signs that this daemon holds, for a peer that was paused. */
   readonly getSigns: (from: string) => Promise<HostSign[]>;
 }
@@ -76,6 +80,9 @@
       .input(revisionRequestSchema)
       .output(hostListSchema.nullable())
       .mutation(({ input, ctx }) => handlers.getHosts(input, ctx.from)),
+    getRevisionDigest: trpc.procedure
+      .output(revisionDigestSchema)
+      .mutation(({ ctx }) => handlers.getRevisionDigest(ctx.from)),
     getSigns: trpc.procedure
       .output(z.array(hostSignSchema))
       .mutation(({ ctx }) => handlers.getSigns(ctx.from)),
--- a/packages/daemon/src/services/ServiceClient.ts
+++ b/packages/daemon/src/services/ServiceClient.ts
@@ -3,6 +3,7 @@
 import { Problem } from "../errors/index.js";
 import type { HostDirectory } from "../kernel/index.js";
 import {
+  isIntact,
   readWhole,
   sendAttempt,
   type AttemptFailure,
@@ -152,8 +153,8 @@
       return answer;
     }
     const body = await readWhole(answer.body, maxAnswerBytes);
-    if (body === undefined) {
-      const detail = "the answer was cut off";
+    if (body === undefined || !isIntact(answer.headers, body)) {
+      const detail = "the answer was cut off or mixed with another";
       return { kind: "failure", class: "lost", detail, isLeaving: false };
     }
     const kept = getEndToEndHeaders(answer.headers);
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -4,6 +4,13 @@
   .string()
   .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "must be an IPv4 address and a port");
 
+const seed = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9.-]{0,62}@\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
+    "must be the name of a daemon, '@', an IPv4 address and a port",
+  );
+
 const minPeerKeyCharacters = 32;
 
 /** The settings file of one daemon. Port 0 takes a free port, which the ready line reports. */
@@ -26,8 +33,8 @@
   peers: z.strictObject({
     /** Shared secret that authenticates messages between daemons. */
     key: z.string().min(minPeerKeyCharacters),
-    /** Peer listeners to ask when the platform cannot be read at start. */
-    seeds: z.array(listenerAddress).default([]),
+    /** Daemons to ask when the platform cannot be read at start, as `NAME@ADDRESS:PORT`. */
+    seeds: z.array(seed).default([]),
   }),
   limits: z
     .strictObject({
--- a/packages/daemon/src/upstreams/Attempt.ts
+++ b/packages/daemon/src/upstreams/Attempt.ts
@@ -3,6 +3,7 @@
 import type { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import type { Connections } from "./Connections.js";
+import { discardBody } from "./discardBody.js";
 
 /** Why an attempt gave no answer. */
 export type AttemptFailureClass = "neverSent" | "refused" | "lost" | "timeout" | "mismatch";
@@ -83,7 +84,7 @@
 ): Promise<AttemptAnswer | AttemptFailure> {
   const echoed = answer.headers["x-attempt-id"];
   if (echoed !== request.attemptId) {
-    answer.body.destroy();
+    discardBody(answer.body);
     connections.discard(request.address);
     const found = typeof echoed === "string" ? `"${echoed}"` : "none";
     return toFailure("mismatch", `answer carries attempt id ${found}`);
--- a/packages/daemon/src/upstreams/index.ts
+++ b/packages/daemon/src/upstreams/index.ts
@@ -7,3 +7,5 @@
 } from "./Attempt.js";
 export { Connections } from "./Connections.js";
 export { readWhole } from "./readWhole.js";
+export { discardBody } from "./discardBody.js";
+export { isIntact } from "./isIntact.js";
--- /dev/null
+++ b/packages/daemon/src/upstreams/isIntact.ts
@@ -0,0 +1,15 @@
+import { createHash } from "node:crypto";
+import type { IncomingHttpHeaders } from "node:http";
+
+const digestPattern = /(?:^|,)\s*sha-256=:([A-Za-z0-9+/=]+):/;
+
+/**
+ * Tells whether a body is the one that its Content-Digest header (RFC 9530) names; true when the
+ * upstream sends no such header.
+ * @param headers - Headers of the answer.
+ * @param body - Whole body of the answer.
+ */
+export function isIntact(headers: IncomingHttpHeaders, body: Uint8Array): boolean {
+  const expected = digestPattern.exec(String(headers["content-digest"] ?? ""))?.[1];
+  return expected === undefined || createHash("sha256").update(body).digest("base64") === expected;
+}
--- a/packages/daemon/src/upstreams/readWhole.ts
+++ b/packages/daemon/src/upstreams/readWhole.ts
@@ -1,4 +1,5 @@
 import type { Readable } from "node:stream";
+import { discardBody } from "./discardBody.js";
 
 /**
  * Reads a body to its end; undefined when it was cut off or is too large.
@@ -13,7 +14,7 @@
       const octets = part as Buffer;
       bytes += octets.length;
       if (bytes > maxBytes) {
-        body.destroy();
+        discardBody(body);
         return undefined;
       }
       parts.push(octets);
--- a/packages/daemon/tests/peers/PeerCalls.test.ts
+++ b/packages/daemon/tests/peers/PeerCalls.test.ts
@@ -49,6 +49,7 @@
   adoptActs: () => Promise.reject(new RangeError("no room")),
   getConfiguration: ({ revision }) => Promise.resolve(revision === 7 ? { gzip } : null),
   getHosts: () => Promise.resolve(null),
+  getRevisionDigest: (from) => Promise.resolve({ from, zone: "z", isReadFailing: false }),
   getSigns: () => new Promise(() => undefined),
 };
 
--- a/packages/daemon/tests/peers/bytes.test.ts
+++ b/packages/daemon/tests/peers/bytes.test.ts
@@ -44,6 +44,7 @@
       forwardAct: refuse,
       adoptActs: refuse,
       getConfiguration: refuse,
+      getRevisionDigest: () => Promise.reject(new RangeError("not asked")),
       getHosts: refuse,
       getSigns: () => Promise.resolve(digest),
     },
--- a/packages/experiments/src/fleet/DaemonProcess.ts
+++ b/packages/experiments/src/fleet/DaemonProcess.ts
@@ -21,7 +21,7 @@
    * @param layout - Name and zone.
    * @param fleet - Layout of the fleet.
    * @param platform - Address of the platform.
-   * @param seeds - Peer listeners to ask when the platform cannot be read.
+   * @param seeds - Daemons to ask when the platform cannot be read, as `NAME@ADDRESS`.
    */
   static async start(
     layout: DaemonLayout,
--- a/packages/experiments/src/fleet/Fleet.ts
+++ b/packages/experiments/src/fleet/Fleet.ts
@@ -57,7 +57,9 @@
   async startDaemon(name: string): Promise<DaemonProcess> {
     const layout = this.getDaemonLayoutOrThrow(name);
     const platform = await this.addLink(`${name}.platform`, this.getAddressOrThrow("platform"));
-    const seeds = [...this.daemonsByName.values()].flatMap(({ peers }) => peers ?? []);
+    const seeds = [...this.daemonsByName.values()]
+      .filter((daemon) => daemon.layout.name !== name && daemon.process.isRunning())
+      .map((daemon) => `${daemon.layout.name}@${daemon.peers ?? ""}`);
     const daemon = await DaemonProcess.start(layout, this.layout, platform, seeds);
     this.daemonsByName.set(name, daemon);
     await this.listHost(await this.toDaemonHost(daemon));
--- a/packages/standins/src/http/HttpListener.ts
+++ b/packages/standins/src/http/HttpListener.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import { fastify, type FastifyInstance } from "fastify";
 
 const bodyLimitBytes = 4 * 1024 * 1024;
@@ -15,6 +16,12 @@
     server.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => {
       done(null, body);
     });
+    server.addHook("onSend", (_request, reply, payload, done) => {
+      if (typeof payload === "string" || Buffer.isBuffer(payload)) {
+        void reply.header("content-digest", getContentDigest(payload));
+      }
+      done(null, payload);
+    });
     return new HttpListener(server);
   }
 
@@ -38,3 +45,8 @@
     await this.server.close();
   }
 }
+
+/** Gets the value of the Content-Digest header (RFC 9530). */
+function getContentDigest(body: string | Buffer): string {
+  return `sha-256=:${createHash("sha256").update(body).digest("base64")}:`;
+}
