Measure and cut the cost of a placement

Ruled out: sorting all engines; the first candidates were found in one pass already. Change: the numbers that the rendezvous reads lie in typed arrays for each list of engines, engines are indexed by owner; measurePlacementCost for the slopes.

--- /dev/null
+++ b/packages/experiments/src/bench/index.ts
@@ -0,0 +1,2 @@
+export { measurePlacementCost } from "./placementCost.js";
+export type { PlacementCost, PlacementCostSizes } from "./placementCost.js";
--- a/packages/kernel/src/placement/EngineGroup.ts
+++ b/packages/kernel/src/placement/EngineGroup.ts
@@ -1,6 +1,6 @@
 import type { Instant } from "../kernel/Plugin.js";
 import { getCount, type EngineLoad } from "./EngineLoad.js";
-import { getRendezvousScore } from "./hash.js";
+import { getRendezvousScore, mixHashes } from "./hash.js";
 
 /** The engines that serve one model, and the running requests on them. */
 export interface EngineGroup {
@@ -52,17 +52,47 @@
 ): EngineLoad[] {
   const candidates: EngineLoad[] = [];
   const scores: number[] = [];
-  for (const engine of engines) {
-    const score = getRendezvousScore(chat, engine.id, engine.weight);
-    if (candidates.length < count || score > (scores[count - 1] ?? 0)) {
-      insertCandidate(candidates, scores, engine, score);
+  const { ids, weights } = getEngineTable(engines);
+  let leastScore = -1;
+  for (let index = 0; index < ids.length; index += 1) {
+    const id = ids[index] ?? 0;
+    const score =
+      weights === undefined
+        ? mixHashes(chat, id)
+        : getRendezvousScore(chat, id, weights[index] ?? 1);
+    if (score > leastScore) {
+      insertCandidate(candidates, scores, engines[index] as EngineLoad, score);
       candidates.length = Math.min(candidates.length, count);
       scores.length = candidates.length;
+      leastScore = candidates.length < count ? -1 : (scores[count - 1] ?? -1);
     }
   }
   return candidates;
 }
 
+/** The numbers of a list of engines in arrays that are fast to read. */
+interface EngineTable {
+  readonly ids: Uint32Array;
+  /** Undefined when all weights are equal. */
+  readonly weights: Float64Array | undefined;
+}
+
+const tablesByEngines = new WeakMap<readonly EngineLoad[], EngineTable>();
+
+function getEngineTable(engines: readonly EngineLoad[]): EngineTable {
+  const known = tablesByEngines.get(engines);
+  if (known !== undefined) {
+    return known;
+  }
+  const hasEqualWeights = engines.every(({ weight }) => weight === engines[0]?.weight);
+  const table = {
+    ids: Uint32Array.from(engines, ({ id }) => id),
+    weights: hasEqualWeights ? undefined : Float64Array.from(engines, ({ weight }) => weight),
+  };
+  tablesByEngines.set(engines, table);
+  return table;
+}
+
 function insertCandidate(
   candidates: EngineLoad[],
   scores: number[],
@@ -70,7 +100,7 @@
   score: number,
 ): void {
   let index = candidates.length;
-  while (index > 0 && score > (scores[index - 1] ?? 0)) {
+  while (index > 0 && score > (scores[index - 1] ?? -1)) {
     index -= 1;
   }
   candidates.splice(index, 0, engine);
--- a/packages/kernel/src/placement/LoadLedger.ts
+++ b/packages/kernel/src/placement/LoadLedger.ts
@@ -37,7 +37,7 @@
 export class LoadLedger {
   readonly enginesById = new Map<number, EngineLoad>();
   readonly groupsById = new Map<number, EngineGroup>();
-  private ownedEngines: readonly EngineLoad[] = [];
+  private enginesByOwner = new Map<string, EngineLoad[]>();
   private readonly peersByName = new Map<string, PeerRecord>();
 
   private constructor(
@@ -75,7 +75,15 @@
 
   /** Gets the engines that this daemon owns. */
   getOwnedEngines(): readonly EngineLoad[] {
-    return this.ownedEngines;
+    return this.getEnginesOf(this.daemon);
+  }
+
+  /**
+   * Gets the engines that a daemon owns, as far as this one knows.
+   * @param owner - Name of the daemon.
+   */
+  getEnginesOf(owner: string): readonly EngineLoad[] {
+    return this.enginesByOwner.get(owner) ?? [];
   }
 
   /**
@@ -88,7 +96,7 @@
     this.updateEngines(fleet);
     this.updateGroups(fleet.engines);
     this.inheritCounts(before, now);
-    this.ownedEngines = [...this.enginesById.values()].filter((engine) => engine.isOwned);
+    this.enginesByOwner = getEnginesByOwner(this.enginesById.values());
   }
 
   /**
@@ -362,3 +370,13 @@
 function getEligibleCount(entries: readonly PlacementEngine[]): number {
   return entries.filter((entry) => entry.eligible).length;
 }
+
+function getEnginesByOwner(engines: Iterable<EngineLoad>): Map<string, EngineLoad[]> {
+  const enginesByOwner = new Map<string, EngineLoad[]>();
+  for (const engine of engines) {
+    const owned = enginesByOwner.get(engine.owner) ?? [];
+    owned.push(engine);
+    enginesByOwner.set(engine.owner, owned);
+  }
+  return enginesByOwner;
+}
--- a/packages/kernel/src/placement/Outbox.ts
+++ b/packages/kernel/src/placement/Outbox.ts
@@ -147,11 +147,9 @@
 
   private getOwnCounts(owner: string): EngineCount[] {
     const counts: EngineCount[] = [];
-    for (const engine of this.ledger.enginesById.values()) {
-      if (engine.owner === owner) {
-        engine.ownTold = engine.own;
-        addCount(counts, engine);
-      }
+    for (const engine of this.ledger.getEnginesOf(owner)) {
+      engine.ownTold = engine.own;
+      addCount(counts, engine);
     }
     return counts;
   }
--- a/packages/kernel/src/placement/Placer.ts
+++ b/packages/kernel/src/placement/Placer.ts
@@ -3,6 +3,7 @@
 import { minDigestIntervalMilliseconds, type PlacementContext } from "./context.js";
 import { getCount } from "./EngineLoad.js";
 import { explainPlacement } from "./explain.js";
+import { getHash } from "./hash.js";
 import { LoadLedger } from "./LoadLedger.js";
 import type {
   PeerMessage,
@@ -81,6 +82,23 @@
     };
   }
 
+  /**
+   * Gets the hash and the owner of an engine.
+   * @param name - Name of the engine.
+   */
+  getEngine(name: string): { readonly id: number; readonly owner: string } | undefined {
+    const engine = this.context.ledger.getEngineByName(name);
+    return engine === undefined ? undefined : { id: engine.id, owner: engine.owner };
+  }
+
+  /**
+   * Gets the hash of a model.
+   * @param name - Name of the model.
+   */
+  getModelId(name: string): number {
+    return getHash(name);
+  }
+
   /**
    * Gets the running requests of an engine as far as this daemon knows.
    * @param name - Name of the engine.
