--- /dev/null
+++ b/packages/cli/src/commands/Timeline.ts
@@ -0,0 +1,76 @@
+import { Flags } from "@oclif/core";
+import { askDaemons, followEvents, type FollowedEvents } from "../daemons/index.js";
+import { writeTextFile } from "../files/index.js";
+import {
+  formatEvents,
+  mergeEvents,
+  renderPage,
+  type Lane,
+  type MergedEvent,
+} from "../timeline/index.js";
+import { DaemonCommand, type ReportedFailure } from "./DaemonCommand.js";
+
+interface TimelineReport {
+  readonly processes: readonly Lane[];
+  readonly events: readonly MergedEvent[];
+  /** False when more requests and acts belong to the id than were followed. */
+  readonly isWhole: boolean;
+  readonly failures: readonly ReportedFailure[];
+}
+
+/** Merges the events of all daemons into one time line. */
+export class Timeline extends DaemonCommand {
+  static override description =
+    "Merge the events of all daemons into one time line, ordered by their hybrid logical clocks.";
+
+  static override flags = {
+    id: Flags.string({ description: "Follow one request, act, act key or chat." }),
+    html: Flags.string({ description: "Write a self-contained page to this file instead." }),
+  };
+
+  async run(): Promise<TimelineReport> {
+    const { flags } = await this.parse(Timeline);
+    const askedAt = Date.now();
+    const addresses = this.getAddresses(flags.daemon);
+    const { answers, failures, isWhole } = await readEvents(addresses, flags.id, askedAt);
+    const pages = answers.map(({ value }) => value);
+    const processes = pages.map(({ process, incarnation, dropped }) => ({
+      process,
+      incarnation,
+      dropped,
+    }));
+    const events = mergeEvents(pages);
+    if (flags.html === undefined) {
+      this.log(events.length === 0 ? "no events" : formatEvents(events));
+    } else {
+      const title = flags.id === undefined ? "Time line" : `Time line of ${flags.id}`;
+      await writeTextFile(flags.html, renderPage(title, processes, events));
+      this.log(`${flags.html}: ${String(events.length)} events`);
+    }
+    this.warnOfDroppedEvents(processes);
+    if (!isWhole && !this.jsonEnabled()) {
+      this.logToStderr("warning: more requests and acts belong to the id than were followed");
+    }
+    return { processes, events, isWhole, failures: this.reportFailures(failures) };
+  }
+
+  private warnOfDroppedEvents(lanes: readonly Lane[]): void {
+    for (const { process, dropped } of lanes) {
+      if (dropped > 0 && !this.jsonEnabled()) {
+        this.logToStderr(`warning: ${process} no longer holds ${String(dropped)} older events`);
+      }
+    }
+  }
+}
+
+async function readEvents(
+  addresses: readonly string[],
+  id: string | undefined,
+  askedAt: number,
+): Promise<FollowedEvents> {
+  if (id !== undefined) {
+    return followEvents(addresses, id, askedAt);
+  }
+  const all = await askDaemons(addresses, (client) => client.getEvents(undefined, askedAt));
+  return { ...all, isWhole: true };
+}
--- /dev/null
+++ b/packages/daemon/src/kernel/HostDirectory.ts
@@ -0,0 +1,154 @@
+import {
+  getCandidates,
+  getView,
+  membershipPlugin,
+  pauseMilliseconds,
+  type ChangedEffect,
+  type HostSign,
+  type HostView,
+  type Instant,
+  type Kernel,
+  type MembershipEffect,
+  type MembershipMessage,
+  type MembershipView,
+  type Observation,
+  type ProbeEffect,
+} from "@pistachioway/kernel";
+import { setTimeout as delay } from "node:timers/promises";
+import type { AttemptAnswer, AttemptFailure } from "../upstreams/index.js";
+
+/** What the directory works with. */
+export interface DirectoryParts {
+  readonly kernel: Kernel;
+  readonly getNow: () => Instant;
+  readonly onChanged: (effect: ChangedEffect) => void;
+  readonly onSigns: (signs: readonly HostSign[]) => void;
+  readonly onProbe: (probe: ProbeEffect) => void;
+  readonly onRefresh: () => void;
+}
+
+const pollMilliseconds = 20;
+
+/** Owns the membership plug-in: which hosts get new work, and where they are. */
+export class HostDirectory {
+  private constructor(private readonly parts: DirectoryParts) {}
+
+  /**
+   * Creates the directory.
+   * @param parts - What the directory works with.
+   */
+  static create(parts: DirectoryParts): HostDirectory {
+    return new HostDirectory(parts);
+  }
+
+  /** Gets the hosts as this daemon sees them. */
+  getView(): MembershipView {
+    return getView(this.parts.kernel.getStateOrThrow(membershipPlugin));
+  }
+
+  /**
+   * Gets the address of an upstream host.
+   * @param name - Name of the host.
+   */
+  getAddress(name: string): string | undefined {
+    return this.getView().hosts.get(name)?.address;
+  }
+
+  /**
+   * Gets the hosts that may get a new request, and waits while their state is not known.
+   * @param names - Names of the hosts that could serve the request.
+   * @param deadline - When to stop waiting.
+   * @param signal - Aborted when the caller is gone.
+   */
+  async getUsable(
+    names: readonly string[],
+    deadline: Instant,
+    signal?: AbortSignal,
+  ): Promise<readonly HostView[]> {
+    for (;;) {
+      const now = this.parts.getNow();
+      const candidates = getCandidates(this.getView(), names, now);
+      if (candidates.kind === "hosts") {
+        return candidates.hosts;
+      }
+      if (candidates.kind === "none" || now >= deadline || signal?.aborted === true) {
+        return [];
+      }
+      this.send({ kind: "tick", at: now });
+      await delay(pollMilliseconds);
+    }
+  }
+
+  /**
+   * Gets the hosts that may get new requests now.
+   * @param names - Names of hosts.
+   */
+  getUsableNow(names: readonly string[]): readonly HostView[] {
+    const candidates = getCandidates(this.getView(), names, this.parts.getNow());
+    return candidates.kind === "hosts" ? candidates.hosts : [];
+  }
+
+  /** True when this process was paused and has not handled a message since. */
+  isStale(): boolean {
+    return this.parts.getNow() - this.getView().activeAt > pauseMilliseconds;
+  }
+
+  /**
+   * Takes what an attempt showed of an upstream host.
+   * @param host - Name of the host.
+   * @param answer - Answer or failure of the attempt.
+   * @param isCallerGone - True when the attempt ended because the caller went away.
+   */
+  addObservation(
+    host: string,
+    answer: AttemptAnswer | AttemptFailure,
+    isCallerGone: boolean,
+  ): void {
+    const sign = isCallerGone ? undefined : getSign(answer);
+    if (sign !== undefined) {
+      this.send({ kind: "observed", host, sign, at: this.parts.getNow() });
+    }
+  }
+
+  /**
+   * Hands a message to the plug-in and carries out the effects.
+   * @param message - Message to handle.
+   */
+  send(message: MembershipMessage): void {
+    const effects = this.parts.kernel.send(membershipPlugin, message, this.parts.getNow());
+    for (const effect of effects) {
+      this.carryOut(effect);
+    }
+  }
+
+  private carryOut(effect: MembershipEffect): void {
+    switch (effect.kind) {
+      case "changed":
+        this.parts.onChanged(effect);
+        return;
+      case "spread":
+        this.parts.onSigns(effect.signs);
+        return;
+      case "probe":
+        this.parts.onProbe(effect);
+        return;
+      case "refresh":
+        this.parts.onRefresh();
+    }
+  }
+}
+
+/** Gets what an attempt proves of a host; a slow or broken answer alone proves nothing. */
+function getSign(answer: AttemptAnswer | AttemptFailure): Observation | undefined {
+  if (answer.kind === "answer") {
+    return "answered";
+  }
+  switch (answer.class) {
+    case "neverSent":
+      return "connectFailed";
+    case "refused":
+      return answer.isLeaving ? "leaving" : "refused";
+    default:
+      return undefined;
+  }
+}
--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from "./demo/index.js";
+export * from "./errors/index.js";
+export * from "./fleet/index.js";
+export * from "./matrix/index.js";
--- /dev/null
+++ b/packages/kernel/src/acts/forward.ts
@@ -0,0 +1,77 @@
+import type { ActKey } from "./ActKey.js";
+import type { ActPeer, ActsEffect, ActSubmit } from "./messages.js";
+import {
+  getSelfOrThrow,
+  isGuarded,
+  reject,
+  type ActsState,
+  type Forward,
+  type Holding,
+} from "./state.js";
+
+/**
+ * Forwards an act to the daemon that holds its issuer's table.
+ * @param holding - This daemon's former holding of that table, if it had one.
+ */
+export function forwardSubmit(
+  state: ActsState,
+  key: ActKey,
+  submit: ActSubmit,
+  holding: Holding | undefined,
+): ActsEffect {
+  const { requestId, peers } = submit;
+  const successor = holding?.phase === "moved" ? holding.successor?.name : undefined;
+  if (submit.forwardedBy !== undefined && isGuarded(state, "act-single-forward")) {
+    return successor === undefined
+      ? rejectGone(requestId, key)
+      : { kind: "moved", requestId, to: successor };
+  }
+  const to = successor ?? getHolderName(state, key, peers);
+  if (to === undefined) {
+    return rejectGone(requestId, key);
+  }
+  if (!isListed(state, to, peers)) {
+    const message = `daemon "${to}", which holds act "${key.actId}", is not on the host list`;
+    return reject(requestId, "act-issuer-unlisted", "unknown", message);
+  }
+  const forward: Forward = { submit, actId: key.actId, key: key.text, count: 0 };
+  state.forwards.set(requestId, forward);
+  return addForward(forward, key, to);
+}
+
+/** Gets the name of the daemon that holds the table of a key's issuer, as far as it is known. */
+export function getHolderName(
+  state: ActsState,
+  key: ActKey,
+  peers: readonly ActPeer[],
+): string | undefined {
+  const holder = peers.find((peer) => isHolder(peer, key));
+  if (holder !== undefined) {
+    return holder.name;
+  }
+  return key.issuer === getSelfOrThrow(state).name ? undefined : key.issuer;
+}
+
+function isHolder(peer: ActPeer, key: ActKey): boolean {
+  const holdings = peer.holdings ?? [];
+  return holdings.some(
+    ({ name, incarnation }) => name === key.issuer && incarnation === key.incarnation,
+  );
+}
+
+/** Tells whether a daemon is on the host list; nothing else is sent an act. */
+export function isListed(state: ActsState, name: string, peers: readonly ActPeer[]): boolean {
+  return !isGuarded(state, "act-issuer-listed") || peers.some((peer) => peer.name === name);
+}
+
+/** Adds the next forward of a request. */
+export function addForward(forward: Forward, key: ActKey, to: string): ActsEffect {
+  forward.count += 1;
+  const { requestId } = forward.submit;
+  return { kind: "forward", requestId, actId: key.actId, key: key.text, to };
+}
+
+function rejectGone(requestId: string, key: ActKey): ActsEffect {
+  const message = `incarnation "${key.incarnation}" of daemon "${key.issuer}" is gone`;
+  return reject(requestId, "act-issuer-gone", "unknown", message);
+}
