--- a/packages/experiments/src/bench/BenchOptionError.ts
+++ b/packages/experiments/src/bench/BenchOptionError.ts
@@ -1,5 +1,7 @@
+import { ExperimentError } from "../errors/index.js";
+
 /** An option of the bench has a value that is not allowed. */
-export class BenchOptionError extends Error {
+export class BenchOptionError extends ExperimentError {
   readonly code = "invalid-option";
 
   constructor(
@@ -8,6 +10,5 @@
     readonly allowed: readonly string[],
   ) {
     super(`option --${option}: "${value}" is not allowed; use ${allowed.join(", ")}`);
-    this.name = new.target.name;
   }
 }
--- a/packages/experiments/src/bench/index.ts
+++ b/packages/experiments/src/bench/index.ts
@@ -1,2 +1,14 @@
+export { BenchOptionError } from "./BenchOptionError.js";
+export { ballycorrig, callaloo, deployments, scale } from "./deployment.js";
+export type { Deployment } from "./deployment.js";
+export { EngineModel } from "./EngineModel.js";
+export { EventQueue } from "./EventQueue.js";
 export { measurePlacementCost } from "./placementCost.js";
 export type { PlacementCost, PlacementCostSizes } from "./placementCost.js";
+export { policyFactories } from "./policies/index.js";
+export { getTable, toRow } from "./report.js";
+export type { BenchRow } from "./report.js";
+export { scenarios } from "./scenario.js";
+export type { Scenario } from "./scenario.js";
+export { runTrial } from "./trial.js";
+export type { TrialOptions, TrialResult } from "./trial.js";
--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./bench/index.js";
 export * from "./demo/index.js";
 export * from "./errors/index.js";
 export * from "./fleet/index.js";
--- a/packages/kernel/src/placement/EngineChoice.ts
+++ b/packages/kernel/src/placement/EngineChoice.ts
@@ -9,7 +9,7 @@
 import type { Placement } from "./Placement.js";
 
 /** Expected error of a count at the shortest interval of digests, in square roots of the mean. */
-const uncertaintyFactor = 0.6;
+const uncertaintyFactor = 0.8;
 
 /** Chooses the engines to try, by what this daemon knows. */
 export class EngineChoice {
@@ -110,7 +110,8 @@
     }
     const error = uncertaintyFactor * Math.sqrt(getMean(group, now));
     const margin = Math.ceil((error * this.context.digestInterval) / minDigestIntervalMilliseconds);
-    const hasRoom = this.desk.hasRoom(engine, group, false, 1 + margin, now);
+    const unseen = this.getUnseen(engine);
+    const hasRoom = this.desk.hasRoom(engine, group, false, 1 + margin + unseen, now);
     return hasRoom && this.desk.hasRoom(engine, group, isLevel, 1, now);
   }
 
--- a/packages/kernel/src/placement/peerCodec.ts
+++ b/packages/kernel/src/placement/peerCodec.ts
@@ -59,7 +59,7 @@
       engine,
       model,
       chat,
-      level: level === 1,
+      level: getFlag(level),
     })),
     answers: getGroups(answers, 4).map(([id, outcome, engine, count]) => ({
       id,
@@ -80,6 +80,11 @@
     : getGroups(flat, 2).map(([engine, count]) => ({ engine, count }));
 }
 
+/** Reads 0 or 1; anything else stays, so that the schema refuses it. */
+function getFlag(value: unknown): unknown {
+  return value === 0 || value === 1 ? value === 1 : value;
+}
+
 /** Splits a flat list into groups; an incomplete one stays, so that the schema refuses it. */
 function getGroups(flat: unknown, size: number): unknown[][] {
   const list: unknown[] = Array.isArray(flat) ? flat : flat === undefined ? [] : [flat];
