--- a/packages/experiments/src/matrix/acts.ts
+++ b/packages/experiments/src/matrix/acts.ts
@@ -5,8 +5,13 @@
 
 /** How a fault strikes an act. */
 export interface Strike {
-  /** Rule of the links before the service; its text is the act's own path. */
   readonly rule?: Omit<RuleOptions, "text">;
+  /** Links that the rule is for; those before the service when absent. */
+  readonly links?: readonly string[];
+  /** Text that the rule counts from; the start of the act's request when absent. */
+  readonly text?: string;
+  /** Daemons that the act is submitted to at once. */
+  readonly through?: readonly string[];
   /** Done when the rule has fired, while the act is in flight. */
   readonly whenFired?: (fleet: Fleet) => Promise<void>;
   /** Done before the act is submitted. */
@@ -81,31 +86,37 @@
     );
   try {
     const key = await caller.mintKey(fleet.getDaemonOrThrow(issuer).callers);
-    const firedBefore = await getFired(fleet);
-    await setRules(fleet, strike.rule, path);
+    const firedBefore = await getFired(fleet, strike);
+    await setRules(fleet, strike, path);
     await strike.before?.(fleet);
-    const first = [issuer, forwarder, issuer].map((daemon) => submit(daemon, key));
+    const through = strike.through ?? [issuer, forwarder, issuer];
+    const first = through.map((daemon) => submit(daemon, key));
     const hasStruck = await waitForStrike(fleet, strike, firedBefore);
     await strike.whenFired?.(fleet);
-    await Promise.all(serviceHosts.map((host) => fleet.releaseLink(host)));
+    await Promise.all(getLinks(strike).map((link) => fleet.releaseLink(link)));
     const ends = await Promise.all(first);
     await heal(fleet, strike);
     ends.push(await submit(forwarder, key), await submit(issuer, key));
     await settle(fleet);
     return { ends, runs: await getRuns(fleet, path), hasStruck };
   } finally {
-    await setRules(fleet, undefined, path);
+    await setRules(fleet, { links: strike.links }, path);
     await caller.close();
   }
 }
 
-async function setRules(fleet: Fleet, rule: Strike["rule"], path: string): Promise<void> {
-  const rules = rule === undefined ? [] : [{ ...rule, text: `POST ${path}` }];
-  await Promise.all(serviceHosts.map((host) => fleet.setLinkRules(host, rules)));
+function getLinks(strike: Strike): readonly string[] {
+  return strike.links ?? serviceHosts;
 }
 
-async function getFired(fleet: Fleet): Promise<number> {
-  const counts = await Promise.all(serviceHosts.map((host) => fleet.waitUntilFired(host, 0)));
+async function setRules(fleet: Fleet, strike: Strike, path: string): Promise<void> {
+  const text = strike.text ?? `POST ${path}`;
+  const rules = strike.rule === undefined ? [] : [{ ...strike.rule, text }];
+  await Promise.all(getLinks(strike).map((link) => fleet.setLinkRules(link, rules)));
+}
+
+async function getFired(fleet: Fleet, strike: Strike): Promise<number> {
+  const counts = await Promise.all(getLinks(strike).map((link) => fleet.waitUntilFired(link, 0)));
   return counts.reduce((sum, count) => sum + count, 0);
 }
 
@@ -113,7 +124,7 @@
   if (strike.rule === undefined) {
     return true;
   }
-  const hasFired = async () => (await getFired(fleet)) > before;
+  const hasFired = async () => (await getFired(fleet, strike)) > before;
   return await waitForCondition("the rule fired", hasFired, strikeMilliseconds).then(
     () => true,
     () => false,
--- a/packages/experiments/src/matrix/schema.ts
+++ b/packages/experiments/src/matrix/schema.ts
@@ -51,6 +51,7 @@
   seed: z.coerce.number().int().min(0).default(1),
   without: z.string().optional(),
   cell: z.string().optional(),
+  promises: z.array(z.enum(promiseNames)).optional(),
   quick: z.boolean().default(false),
 });
 
