--- a/packages/experiments/src/demo/ChatLoad.ts
+++ b/packages/experiments/src/demo/ChatLoad.ts
@@ -15,6 +15,8 @@
 const turnWords = { min: 8, spread: 16 };
 const answerTokens = { min: 20, spread: 20 };
 const pauseMilliseconds = { min: 100, spread: 400 };
+/** Time over which the first chats arrive. */
+const rampMilliseconds = 2_000;
 const retryMilliseconds = 100;
 const maxTries = 10;
 const maxTurns = 12;
@@ -60,6 +62,7 @@
   }
 
   private async runChats(kind: ChatKind, random: Random, name: string): Promise<void> {
+    await delay(random.getIndex(rampMilliseconds));
     for (let number = 0; !this.isStopped; number++) {
       await this.runChat(kind, random, `${name}-${String(number)}`);
     }
