--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -1,3 +1,4 @@
 export * from "./demo/index.js";
 export * from "./errors/index.js";
 export * from "./fleet/index.js";
+export * from "./matrix/index.js";
