Look for running acts only while a table is being closed

Cause: each concluded act looked through its whole table for running ones before the phase was looked at, so the cost of an act grew with the number of records. Change: the phase is looked at first, and only running acts are looked through.

--- a/packages/kernel/src/acts/handOver.ts
+++ b/packages/kernel/src/acts/handOver.ts
@@ -38,8 +38,7 @@
 /** Gives a closing table up for good, and only then hands it on, once none of its acts runs. */
 export function releaseWhenIdle(state: ActsState, holding: Holding): ActsEffect[] {
   const { successor } = holding;
-  const isRunning = [...holding.acts.values()].some((record) => record.conclusion === undefined);
-  if (holding.phase !== "closing" || successor === undefined || isRunning) {
+  if (holding.phase !== "closing" || successor === undefined || isRunning(state, holding)) {
     return [];
   }
   const table = createTable(state, holding);
@@ -108,6 +107,10 @@
   return hasRoom(state, table) ? undefined : `daemon "${self.name}" has no room for it`;
 }
 
+function isRunning(state: ActsState, holding: Holding): boolean {
+  return [...state.running.values()].some(({ holdingId }) => holdingId === holding.id);
+}
+
 function hasRoom(state: ActsState, table: ActTable): boolean {
   const bytes = table.acts.reduce((sum, act) => sum + getConcludedBytes(act.conclusion), 0);
   const { maxActs, maxBytes } = state.limits;
