Let a starting daemon wait for its peers while the host list is not known

Ruled out: starting the plug-in only after the host list is read; the platform may be unreachable. Change: `peers` of `start` may be absent; a `peers` message names them later; until then, and until all were heard, nothing is in force for at most 2 s. `peers: []` still means that there are none.

--- a/packages/kernel/src/revisions/fetching.ts
+++ b/packages/kernel/src/revisions/fetching.ts
@@ -12,7 +12,7 @@
   const { digest } = message;
   const fetchAfter = state.peers.get(digest.from)?.fetchAfter ?? 0;
   state.peers.set(digest.from, { digest, liveUntil: now + peerLiveMilliseconds, fetchAfter });
-  state.unheardPeers.delete(digest.from);
+  state.unheardPeers?.delete(digest.from);
   raiseRefused(state, digest.refused);
   const inForce = state.newest?.revision;
   if (inForce && digest.inForce && compareRevisions(inForce, digest.inForce) === 0) {
--- a/packages/kernel/src/revisions/judging.ts
+++ b/packages/kernel/src/revisions/judging.ts
@@ -37,7 +37,7 @@
   if (state.settleUntil === undefined) {
     return [];
   }
-  const isHearing = state.unheardPeers.size > 0 && now < state.settleUntil;
+  const isHearing = state.unheardPeers?.size !== 0 && now < state.settleUntil;
   const isFetching = state.fetch !== undefined && now < state.settleUntil + settleFetchMilliseconds;
   if ((isHearing || isFetching) && isGuarded(state, "revision-settle")) {
     return [];
--- a/packages/kernel/src/revisions/messages.ts
+++ b/packages/kernel/src/revisions/messages.ts
@@ -24,13 +24,19 @@
   readonly kind: "start";
   readonly daemon: string;
   readonly zone: string;
-  /** Daemons on the host list, as far as known: their revisions are heard before one is in force. */
-  readonly peers: readonly string[];
+  /** The other daemons, whose revisions are heard first; absent until `peers` names them. */
+  readonly peers?: readonly string[];
   /** Absent: `parseConfiguration`. */
   readonly accept?: Acceptance;
   readonly disabledGuards?: readonly RevisionGuard[];
 }
 
+/** The daemons that this one exchanges digests with, once the host list is known. */
+export interface RevisionPeers {
+  readonly kind: "peers";
+  readonly names: readonly string[];
+}
+
 /** The answer to a `read` or a `fetch`. */
 export interface RevisionPublished {
   readonly kind: "published";
@@ -68,6 +74,7 @@
 
 export type RevisionsMessage =
   | RevisionsStart
+  | RevisionPeers
   | RevisionPublished
   | RevisionUnchanged
   | RevisionReadFailed
--- a/packages/kernel/src/revisions/revisionsPlugin.ts
+++ b/packages/kernel/src/revisions/revisionsPlugin.ts
@@ -101,6 +101,9 @@
     case "start":
       start(state, message, now);
       return [];
+    case "peers":
+      state.unheardPeers = new Set(message.names.filter((name) => !state.peers.has(name)));
+      return [];
     case "published":
       return handlePublished(state, message, now);
     case "unchanged":
@@ -127,7 +130,7 @@
   state.zone = message.zone;
   state.accept = message.accept ?? parseConfiguration;
   state.disabledGuards = new Set(message.disabledGuards);
-  state.unheardPeers = new Set(message.peers);
+  state.unheardPeers = message.peers && new Set(message.peers);
   state.settleUntil = now + settleMilliseconds;
 }
 
--- a/packages/kernel/src/revisions/state.ts
+++ b/packages/kernel/src/revisions/state.ts
@@ -54,7 +54,8 @@
   disabledGuards: ReadonlySet<RevisionGuard>;
   /** Nothing is in force before the peers were heard or this instant has passed. */
   settleUntil?: Instant;
-  unheardPeers: Set<string>;
+  /** Absent while the peers are not known. */
+  unheardPeers?: Set<string>;
   /** The newest accepted value, in force once the daemon has settled. */
   newest?: AcceptedValue;
   refused?: RefusedValue;
@@ -72,7 +73,6 @@
     isStarted: false,
     accept: parseConfiguration,
     disabledGuards: new Set(),
-    unheardPeers: new Set(),
     peers: new Map(),
     reading: { nextAt: 0, failures: 0 },
   };
--- a/packages/kernel/tests/revisions/Fleet.ts
+++ b/packages/kernel/tests/revisions/Fleet.ts
@@ -62,16 +62,25 @@
     return fleet;
   }
 
-  restart(index: number): void {
+  /** Starts a daemon anew; one that does not know its peers hears of them by `tellPeers`. */
+  restart(index: number, knowsPeers = true): void {
     const member = this.getMember(index);
     member.state = revisionsPlugin.createState(1);
     member.pending = [];
-    const peers = this.members.map(({ name }) => name).filter((name) => name !== member.name);
+    const peers = knowsPeers ? this.getPeerNames(index) : undefined;
     const { name: daemon, zone } = member;
     const { disabledGuards } = this;
     this.send(index, { kind: "start", daemon, zone, peers, accept, disabledGuards });
   }
 
+  tellPeers(index: number): void {
+    this.send(index, { kind: "peers", names: this.getPeerNames(index) });
+  }
+
+  private getPeerNames(index: number): string[] {
+    return this.members.flatMap(({ name }, at) => (at === index ? [] : [name]));
+  }
+
   send(index: number, message: RevisionsMessage): void {
     const member = this.getMember(index);
     const { effects } = revisionsPlugin.handle(member.state, message, this.now);
--- a/packages/kernel/tests/revisions/revisionsPlugin.test.ts
+++ b/packages/kernel/tests/revisions/revisionsPlugin.test.ts
@@ -73,6 +73,28 @@
   assert.equal(restartWithStalePlatform(["revision-settle"]), ["d0 inForce 1.3", "d0 inForce 1.5"]);
 });
 
+test("a daemon that does not know its peers yet waits for them, but not for long", () => {
+  const fleet = Fleet.create(3);
+  fleet.platform = { revision: 5, text: createText(1, "fifth") };
+  fleet.exchange(6);
+  fleet.stale = { revision: 3, text: createText(1, "third") };
+  fleet.restart(0, false);
+  fleet.answer(0);
+  const [before] = fleet.describe();
+  fleet.tellPeers(0);
+  fleet.exchange(2);
+  const [after] = fleet.describe();
+  fleet.restart(0, false);
+  fleet.answer(0);
+  fleet.now += 2000;
+  fleet.send(0, { kind: "tick" });
+  const [alone] = fleet.describe();
+  assert.equal(
+    [before, after, alone],
+    ["none refused none", "1.5 refused none", "1.3 refused none"],
+  );
+});
+
 function runStalePlatform(guards: readonly RevisionGuard[]): string[] {
   const fleet = Fleet.create(1, guards);
   fleet.platform = { revision: 5, text: createText(1, "fifth") };
