Mend views that stayed old after a lost sign or a pause

Cause, found by reading: a lost alive sign left a host leaving for good at every daemon that does not probe it; a host that was damped never told its return; the signs fetched after a pause carried the instant of each host's last change, so that all hosts stayed unchecked until probed one by one; a host that left and came back again and again was not damped. Ruled out: repeating alive signs for all hosts (3100 hosts do not fit the digest); letting a peer's view clear a leaving sign. Change: a leaving host of which nothing new was heard for 30 to 60 s is probed; sign current; leaving counts as a flap; fetched signs are packed.

--- a/packages/daemon/src/peers/PeerCalls.ts
+++ b/packages/daemon/src/peers/PeerCalls.ts
@@ -1,4 +1,4 @@
-import type { HostList, HostSign, Instant } from "@pistachioway/kernel";
+import { parseSigns, type HostList, type HostSign, type Instant } from "@pistachioway/kernel";
 import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from "@trpc/client";
 import { Result } from "true-myth";
 import { Agent, fetch } from "undici";
@@ -138,8 +138,8 @@
    * @param deadline - When to stop waiting.
    */
   async getSigns(peer: Peer, deadline: Instant): PeerResult<HostSign[]> {
-    return await this.call(peer, deadline, (client, signal) => {
-      return client.getSigns.mutate(undefined, { signal });
+    return await this.call(peer, deadline, async (client, signal) => {
+      return parseSigns(await client.getSigns.mutate(undefined, { signal }));
     });
   }
 
--- a/packages/daemon/src/peers/router.ts
+++ b/packages/daemon/src/peers/router.ts
@@ -1,5 +1,5 @@
 import { initTRPC } from "@trpc/server";
-import { hostListSchema, hostSignSchema, type HostList, type HostSign } from "@pistachioway/kernel";
+import { hostListSchema, packSigns, type HostList, type HostSign } from "@pistachioway/kernel";
 import { Packr } from "msgpackr";
 import { z } from "zod";
 import {
@@ -69,8 +69,8 @@
       .output(hostListSchema.nullable())
       .mutation(({ input, ctx }) => handlers.getHosts(input, ctx.from)),
     getSigns: trpc.procedure
-      .output(z.array(hostSignSchema))
-      .mutation(({ ctx }) => handlers.getSigns(ctx.from)),
+      .output(z.array(z.union([z.string(), z.number()])))
+      .mutation(async ({ ctx }) => packSigns(await handlers.getSigns(ctx.from))),
   });
 }
 
--- a/packages/kernel/src/membership/constants.ts
+++ b/packages/kernel/src/membership/constants.ts
@@ -25,6 +25,9 @@
 /** Time by which a sign of life must be newer than the sign that the host leaves. */
 export const leavingHoldMilliseconds = 3_000;
 
+/** Time without a new sign after which a daemon asks a leaving host itself, at least. */
+export const leavingRecheckMilliseconds = 30_000;
+
 /** Time for which a host that refused is only used when no other is left. */
 export const refusedHoldMilliseconds = 1_000;
 
--- a/packages/kernel/src/membership/evidence.ts
+++ b/packages/kernel/src/membership/evidence.ts
@@ -1,5 +1,10 @@
 import type { Instant } from "../kernel/index.js";
-import { downFailures, maxClockSkewMilliseconds, probePeriodMilliseconds } from "./constants.js";
+import {
+  downFailures,
+  leavingHoldMilliseconds,
+  maxClockSkewMilliseconds,
+  probePeriodMilliseconds,
+} from "./constants.js";
 import { addFlap } from "./damping.js";
 import type { ObservationMessage, PeerSignMessage } from "./messages.js";
 import type { HostRecord } from "./state.js";
@@ -25,8 +30,7 @@
       return;
     case "leaving":
       addAnswer(record, at);
-      record.checkedAt = Math.max(record.checkedAt, at);
-      record.leavingVersion = Math.max(at, record.leavingVersion + 1, record.aliveVersion + 1);
+      addLeaving(record, at, now);
       return;
     case "healthy":
     case "loadReport":
@@ -60,6 +64,9 @@
     case "listedLeaving":
       addPeerListing(record, message.version, now);
       return;
+    case "current":
+      record.checkedAt = Math.max(record.checkedAt, version);
+      return;
     case "alive":
       addPeerLife(record, version, now);
       return;
@@ -68,6 +75,15 @@
   }
 }
 
+/**
+ * Tells whether a host said that it leaves and has not said the contrary for long enough since.
+ * @param record - Host in question.
+ */
+export function hasSaidLeaving(record: HostRecord): boolean {
+  const aliveFrom = record.leavingVersion + leavingHoldMilliseconds;
+  return record.leavingVersion > 0 && record.aliveVersion < aliveFrom;
+}
+
 /** Returns false when the evidence is about an earlier start of the host. */
 function updateIncarnation(record: HostRecord, incarnation: number, now: Instant): boolean {
   if (incarnation === 0 || incarnation === record.incarnation) {
@@ -113,6 +129,14 @@
   }
 }
 
+function addLeaving(record: HostRecord, at: Instant, now: Instant): void {
+  if (!hasSaidLeaving(record)) {
+    addFlap(record.damping, now);
+  }
+  record.checkedAt = Math.max(record.checkedAt, at);
+  record.leavingVersion = Math.max(at, record.leavingVersion + 1, record.aliveVersion + 1);
+}
+
 function addLife(record: HostRecord, version: number): void {
   record.aliveVersion = Math.max(record.aliveVersion, version);
   record.checkedAt = Math.max(record.checkedAt, version);
--- a/packages/kernel/src/membership/judge.ts
+++ b/packages/kernel/src/membership/judge.ts
@@ -1,10 +1,6 @@
 import type { Instant } from "../kernel/index.js";
-import {
-  downFailures,
-  downReporters,
-  leavingHoldMilliseconds,
-  refusedHoldMilliseconds,
-} from "./constants.js";
+import { downFailures, downReporters, refusedHoldMilliseconds } from "./constants.js";
+import { hasSaidLeaving } from "./evidence.js";
 import type { HostRecord, MembershipState } from "./state.js";
 import type { HostReason, HostState } from "./view.js";
 
@@ -43,10 +39,7 @@
   if (isListedLeaving(state, record)) {
     return { state: "leaving", reason: "listed-leaving" };
   }
-  const isLeaving =
-    record.leavingVersion > 0 &&
-    record.aliveVersion < record.leavingVersion + leavingHoldMilliseconds;
-  return isLeaving ? { state: "leaving", reason: "said-leaving" } : undefined;
+  return hasSaidLeaving(record) ? { state: "leaving", reason: "said-leaving" } : undefined;
 }
 
 /** A list that a peer read counts until this daemon has one as new. */
--- a/packages/kernel/src/membership/probes.ts
+++ b/packages/kernel/src/membership/probes.ts
@@ -1,11 +1,13 @@
 import type { Instant } from "../kernel/index.js";
 import {
   downFailures,
+  leavingRecheckMilliseconds,
   maxExtraProbes,
   maxProbePeriodMilliseconds,
   probePeriodMilliseconds,
 } from "./constants.js";
-import { getHash } from "./hash.js";
+import { getFraction, getHash } from "./hash.js";
+import { hasSaidLeaving } from "./evidence.js";
 import { isUnchecked } from "./judge.js";
 import type { ProbeEffect } from "./messages.js";
 import type { HostRecord, MembershipState } from "./state.js";
@@ -23,7 +25,7 @@
     addProbe(state, name, now, probes);
   }
   const limit = probes.length + maxExtraProbes;
-  for (const name of getExtraHosts(state)) {
+  for (const name of getExtraHosts(state, now)) {
     if (probes.length < limit) {
       addProbe(state, name, now, probes);
     }
@@ -67,19 +69,27 @@
 }
 
 /** Hosts of the own zone come first, since most new work goes there. */
-function getExtraHosts(state: MembershipState): string[] {
+function getExtraHosts(state: MembershipState, now: Instant): string[] {
   const names = [...state.unsettled].filter((name) => {
     const record = state.hostRecords.get(name);
-    return record !== undefined && needsOwnProbe(state, record);
+    return record !== undefined && needsOwnProbe(state, record, now);
   });
   const isNear = (name: string): boolean => state.hostRecords.get(name)?.zone === state.zone;
   return [...names.filter(isNear), ...names.filter((name) => !isNear(name))];
 }
 
-function needsOwnProbe(state: MembershipState, record: HostRecord): boolean {
+function needsOwnProbe(state: MembershipState, record: HostRecord, now: Instant): boolean {
   const isReported = record.downReports.size > 0 && record.zone === state.zone;
   const isDelisted = record.listing === "absent" && record.checkedAt < record.listedAt;
-  return record.failures > 0 || isUnchecked(state, record) || isReported || isDelisted;
+  const isDoubtful = isReported || isDelisted || isLeavingLongAgo(state, record, now);
+  return record.failures > 0 || isUnchecked(state, record) || isDoubtful;
+}
+
+/** The sign of its return may have been lost; daemons ask at different times. */
+function isLeavingLongAgo(state: MembershipState, record: HostRecord, now: Instant): boolean {
+  const spread = 1 + getFraction(`${record.name}/${state.daemon}`);
+  const recheckAt = record.leavingVersion + leavingRecheckMilliseconds * spread;
+  return hasSaidLeaving(record) && now >= recheckAt;
 }
 
 function addProbe(state: MembershipState, name: string, now: Instant, probes: ProbeEffect[]): void {
--- a/packages/kernel/src/membership/signs.ts
+++ b/packages/kernel/src/membership/signs.ts
@@ -1,7 +1,10 @@
 import { z } from "zod";
 
-/** What a sign says about an upstream host. */
-export const signStateSchema = z.enum(["alive", "leaving", "listedLeaving", "down"]);
+/**
+ * What a sign says about an upstream host. `current` says only that the sender, whose view is up to
+ * date, knows nothing against the host.
+ */
+export const signStateSchema = z.enum(["alive", "leaving", "listedLeaving", "down", "current"]);
 
 /** Statement about an upstream host that daemons pass on to each other. */
 export const hostSignSchema = z.strictObject({
--- a/packages/kernel/src/membership/spread.ts
+++ b/packages/kernel/src/membership/spread.ts
@@ -63,9 +63,10 @@
   const signs: HostSign[] = [];
   for (const view of state.hosts.values()) {
     const record = state.hostRecords.get(view.name);
-    const sign = record === undefined ? undefined : createSign(state, record, view);
-    if (record !== undefined && sign !== undefined && !isUnchecked(state, record)) {
-      signs.push(sign);
+    if (record !== undefined && !isUnchecked(state, record)) {
+      const isEligible = view.state === "eligible";
+      const sign = isEligible ? createCurrentSign(state, record) : createSign(state, record, view);
+      signs.push(...(sign === undefined ? [] : [sign]));
     }
   }
   return signs;
@@ -115,10 +116,20 @@
 
 /** Whether peers may hold the host for unusable, so that a sign of life is news to them. */
 function wasExcluded(view: HostView | undefined): boolean {
-  const reasons: (HostReason | undefined)[] = ["said-leaving", "connect-failed", "reported-down"];
+  const reasons: (HostReason | undefined)[] = [
+    "said-leaving",
+    "connect-failed",
+    "reported-down",
+    "flapping",
+  ];
   return reasons.includes(view?.reason);
 }
 
+function createCurrentSign(state: MembershipState, record: HostRecord): HostSign {
+  const { name: host, incarnation } = record;
+  return { host, state: "current", version: state.activeAt, incarnation };
+}
+
 function rank(sign: HostSign): number {
   return ["leaving", "listedLeaving", "alive", "down"].indexOf(sign.state);
 }
--- a/packages/kernel/tests/membership/harness.ts
+++ b/packages/kernel/tests/membership/harness.ts
@@ -79,12 +79,15 @@
     return this;
   }
 
-  /** Lets time pass in ticks of the usual period. */
+  /** Lets time pass in ticks of the usual period, and keeps the effects of all of them. */
   pass(milliseconds: number): this {
-    for (const end = this.now + milliseconds; this.now < end;) {
+    const effects: MembershipEffect[] = [];
+    const end = this.now + milliseconds;
+    while (this.now < end) {
       this.now += 250;
-      this.send({ kind: "tick", at: this.now });
+      effects.push(...this.send({ kind: "tick", at: this.now }).effects);
     }
+    this.effects = effects;
     return this;
   }
 
--- a/packages/kernel/tests/membership/membership.test.ts
+++ b/packages/kernel/tests/membership/membership.test.ts
@@ -2,6 +2,7 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import {
+  getSigns,
   packSigns,
   parseSigns,
   type HostGuard,
@@ -142,6 +143,49 @@
   assert.is(harness.getCandidates(), "e2");
 });
 
+test("asks a leaving host itself when nobody speaks of it any more", () => {
+  const harness = Harness.createChecked();
+  harness.state.probeShare = new Set();
+  const sign = { host: "e1", state: "leaving", version: start, incarnation: 0 } as const;
+  harness.send({ kind: "peerSign", from: "d2", ...sign }).pass(29_750);
+  assert.not(harness.getEffectKinds().includes("probe"));
+  assert.ok(harness.pass(30_250).getEffectKinds().includes("probe"));
+  harness.observe("e1", "healthy");
+  assert.is(harness.getState("e1"), "e1 eligible ok");
+});
+
+test("one peer's signs make all hosts current after a pause, and clear no leaving sign", () => {
+  const peer = Harness.createChecked().pass(30_000);
+  const harness = Harness.createChecked().observe("e1", "leaving").freeze(29_900);
+  harness.send({ kind: "tick", at: harness.now });
+  for (const sign of getSigns(peer.state)) {
+    harness.send({ kind: "peerSign", from: "d2", ...sign });
+  }
+  assert.equal(harness.getStates(), [
+    "e1 leaving said-leaving",
+    "e2 eligible ok",
+    "e3 eligible ok",
+    "e4 eligible ok",
+  ]);
+});
+
+test("tells its peers when a damped host is used again", () => {
+  const harness = Harness.createChecked();
+  for (let flap = 0; flap < 3; flap += 1) {
+    harness.observe("e1", "connectFailed").observe("e1", "connectFailed");
+    harness.observe("e1", "healthy");
+  }
+  const told: string[] = [];
+  for (let tick = 0; tick < 100; tick += 1) {
+    harness.observe("e1", "healthy").pass(250);
+    const signs = harness.effects.flatMap((effect) =>
+      effect.kind === "spread" ? effect.signs : [],
+    );
+    told.push(...signs.map((sign) => `${sign.host} ${sign.state}`));
+  }
+  assert.equal(told.slice(-2), ["e1 alive", "e1 alive"]);
+});
+
 test("each guard can be switched off", () => {
   const off = (guard: HostGuard): Harness => Harness.createChecked(undefined, [guard]);
   const pauses = off("host-pause-check").freeze(30_000);
