--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -63,7 +63,6 @@
     const operations = await listen(this.operations, listeners.operations);
     const callers = await listen(this.callers, listeners.callers);
     this.tasks.platform.start();
-    this.tasks.platform.setReader(true);
     this.ticker = setInterval(() => {
       this.tick();
     }, tickMilliseconds);
@@ -96,11 +95,16 @@
     return isIdle;
   }
 
+  /** Closes the callers' listener and waits for the requests in flight. */
   private async waitUntilIdle(deadline: Instant): Promise<boolean> {
-    const closing = this.callers.close();
-    const idle = Promise.all([closing, this.tasks.gate.waitUntilIdle()]).then(() => true);
+    const closed = this.callers.close();
+    const idle = this.tasks.gate.waitUntilIdle().then(() => true);
     const timeout = delay(Math.max(0, deadline - Date.now()), false, { ref: false });
-    return await Promise.race([idle, timeout]);
+    const isIdle = await Promise.race([idle, timeout]);
+    // A connection that was busy when the listener closed stays open until its caller leaves.
+    this.callers.getHttpServer().closeAllConnections();
+    await closed;
+    return isIdle;
   }
 
   /** Hands the table of acts to a neighbour, and stays until it has announced that. */
