Let a starting daemon read from seeds

Cause: a call authenticates its receiver's name, and a daemon that starts while the platform is down knows only the addresses of its settings' seeds; and it may not be on its peers' host list yet. Ruled out: calls that change something from daemons that are not listed. Change: getConfiguration, getHosts and getSigns may leave the receiver's name empty, and are answered whoever of the key's holders calls. Conclusion: seeds can be wired (Peer with an empty name).

--- a/packages/daemon/src/peers/CallAuthenticator.ts
+++ b/packages/daemon/src/peers/CallAuthenticator.ts
@@ -13,6 +13,9 @@
   mac: "x-peer-mac",
 } as const;
 
+/** Stands for the receiver in a call to a peer whose name the caller does not know yet. */
+export const anyReceiver = "";
+
 /** What a call is authenticated by. */
 export interface CallHeaders {
   /** Name of the caller, a slash, and what makes the call unlike any other. */
@@ -61,12 +64,16 @@
   /**
    * Checks a call that arrived and returns the name of its caller; takes each call only once.
    * @param headers - Header fields of the call; empty when they are missing.
-   * @param to - Name of this daemon.
+   * @param receivers - Names that the call may be meant for.
    * @param call - The call.
    */
-  check(headers: CallHeaders, to: string, call: WireCall): Result<string, DropReason> {
+  check(
+    headers: CallHeaders,
+    receivers: readonly string[],
+    call: WireCall,
+  ): Result<string, DropReason> {
     const { from, at, mac } = headers;
-    if (!isEqual(mac, this.getCallMac(from, at, to, call))) {
+    if (!receivers.some((to) => isEqual(mac, this.getCallMac(from, at, to, call)))) {
       return Result.err("forged");
     }
     const now = this.getNow();
--- a/packages/daemon/src/peers/PeerCalls.ts
+++ b/packages/daemon/src/peers/PeerCalls.ts
@@ -24,6 +24,7 @@
 
 /** A daemon to call. */
 export interface Peer {
+  /** Its name; empty for a seed of the settings, which answers only calls that change nothing. */
   readonly name: string;
   /** Its listener for calls between daemons. */
   readonly peerAddress: string;
--- a/packages/daemon/src/peers/PeerListener.ts
+++ b/packages/daemon/src/peers/PeerListener.ts
@@ -2,7 +2,13 @@
 import type { Instant } from "@pistachioway/kernel";
 import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import { Result } from "true-myth";
-import { CallAuthenticator, peerHeaders, type CallHeaders } from "./CallAuthenticator.js";
+import {
+  anyReceiver,
+  CallAuthenticator,
+  peerHeaders,
+  type CallHeaders,
+  type WireCall,
+} from "./CallAuthenticator.js";
 import { createDropCounts, type DropCounts, type DropReason } from "./drops.js";
 import { createPeerRouter, type PeerHandlers, type PeerRouter } from "./router.js";
 
@@ -25,6 +31,11 @@
 /** Path below which the calls are. */
 export const callPrefix = "/peers";
 
+/** Calls that change nothing. */
+const readingPaths: readonly string[] = ["getConfiguration", "getHosts", "getSigns"].map(
+  (name) => `${callPrefix}/${name}`,
+);
+
 const unauthorizedStatus = 401;
 
 /** Owns the listener for the calls of other daemons. */
@@ -94,22 +105,20 @@
       .send(text);
   }
 
-  private check(
-    headers: CallHeaders,
-    call: Parameters<CallAuthenticator["check"]>[2],
-  ): Result<string, DropReason> {
-    const caller = this.authenticator.check(headers, this.parts.daemon, call);
-    return caller.andThen((name) => this.checkListed(name));
+  private check(headers: CallHeaders, call: WireCall): Result<string, DropReason> {
+    const { daemon } = this.parts;
+    const isReading = readingPaths.includes(call.path);
+    const receivers = isReading ? [daemon, anyReceiver] : [daemon];
+    const caller = this.authenticator.check(headers, receivers, call);
+    return caller.andThen((name) => this.checkListed(name, isReading));
   }
 
-  private checkListed(name: string): Result<string, DropReason> {
-    return this.parts.isPeer(name) ? Result.ok(name) : Result.err("unlisted");
+  /** Who holds the key may read before it is on the host list, as a daemon that just started. */
+  private checkListed(name: string, isReading: boolean): Result<string, DropReason> {
+    return isReading || this.parts.isPeer(name) ? Result.ok(name) : Result.err("unlisted");
   }
 
-  private async handle(
-    call: { readonly method: string; readonly path: string; readonly body: string },
-    from: string,
-  ): Promise<Response> {
+  private async handle(call: WireCall, from: string): Promise<Response> {
     const req = new Request(`http://peer${call.path}`, {
       method: call.method,
       headers: { "content-type": "application/json" },
