--- a/packages/daemon/src/peers/PeerCalls.ts
+++ b/packages/daemon/src/peers/PeerCalls.ts
@@ -1,4 +1,11 @@
-import type { HostList, HostSign, Instant, Revision, RevisionDigest } from "@pistachioway/kernel";
+import {
+  parseSigns,
+  type HostList,
+  type HostSign,
+  type Instant,
+  type Revision,
+  type RevisionDigest,
+} from "@pistachioway/kernel";
 import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from "@trpc/client";
 import { Result } from "true-myth";
 import { Agent, fetch } from "undici";
@@ -18,6 +25,7 @@
 
 /** A daemon to call. */
 export interface Peer {
+  /** Its name; empty for a seed of the settings, which answers only calls that change nothing. */
   readonly name: string;
   /** Its listener for calls between daemons. */
   readonly peerAddress: string;
@@ -149,8 +157,8 @@
    * @param deadline - When to stop waiting.
    */
   async getSigns(peer: Peer, deadline: Instant): PeerResult<HostSign[]> {
-    return await this.call(peer, deadline, (client, signal) => {
-      return client.getSigns.mutate(undefined, { signal });
+    return await this.call(peer, deadline, async (client, signal) => {
+      return parseSigns(await client.getSigns.mutate(undefined, { signal }));
     });
   }
 
--- a/packages/daemon/src/peers/router.ts
+++ b/packages/daemon/src/peers/router.ts
@@ -1,7 +1,7 @@
 import { initTRPC } from "@trpc/server";
 import {
   hostListSchema,
-  hostSignSchema,
+  packSigns,
   revisionDigestSchema,
   revisionSchema,
   type HostList,
@@ -84,8 +84,8 @@
       .output(revisionDigestSchema)
       .mutation(({ ctx }) => handlers.getRevisionDigest(ctx.from)),
     getSigns: trpc.procedure
-      .output(z.array(hostSignSchema))
-      .mutation(({ ctx }) => handlers.getSigns(ctx.from)),
+      .output(z.array(z.union([z.string(), z.number()])))
+      .mutation(async ({ ctx }) => packSigns(await handlers.getSigns(ctx.from))),
   });
 }
 
