--- a/packages/experiments/src/demo/layout.ts
+++ b/packages/experiments/src/demo/layout.ts
@@ -23,8 +23,11 @@
   readonly badText: string;
 }
 
-/** Reads the example of three zones and lays five daemons out over them. */
-export async function createLayout(): Promise<DemoLayout> {
+/**
+ * Reads the example of three zones and lays five daemons out over them.
+ * @param disabledGuards - Guards of the daemons that are switched off, to show what breaks.
+ */
+export async function createLayout(disabledGuards: readonly string[]): Promise<DemoLayout> {
   const text = await readFile(exampleFile, "utf8");
   const configuration = parseConfiguration(text).unwrapOrElse((error) => {
     throw error;
@@ -56,6 +59,7 @@
       teams: configuration.teams.map(({ name }) => name),
       configuration: text,
       extraSettings,
+      disabledGuards,
     },
   };
 }
