Pack signs in digests as the calls do

Cause: signs went out as maps with names. Change: the flat list of the membership plug-in. Conclusion: one format for both channels.

--- a/packages/daemon/src/digests/DigestTask.ts
+++ b/packages/daemon/src/digests/DigestTask.ts
@@ -1,7 +1,8 @@
 import {
-  hostSignSchema,
   packPeerMessage,
+  packSigns,
   parsePeerMessage,
+  parseSigns,
   type ActPeer,
   type DaemonIncarnation,
   type DaemonView,
@@ -45,7 +46,6 @@
 
 const heartbeatPeriodMilliseconds = 1_000;
 const refreshPeers = 2;
-const signsSchema = z.array(hostSignSchema);
 const totalsSchema = z.array(teamTotalSchema);
 
 /** Exchanges digests with the neighbours: heartbeats, placement, signs, totals, revisions. */
@@ -115,7 +115,7 @@
    * @param signs - Signs of the membership plug-in.
    */
   sendSigns(signs: readonly HostSign[]): void {
-    this.broadcast({ topic: "signs", value: signs, split: splitList });
+    this.broadcast({ topic: "signs", value: packSigns(signs) });
   }
 
   /**
@@ -143,9 +143,7 @@
         this.takePlacement(sender, part);
         return;
       case "signs":
-        this.takeChecked(signsSchema, sender, part, (signs) => {
-          this.parts.takeSigns(sender, signs);
-        });
+        this.parts.takeSigns(sender, parseSigns(part.value));
         return;
       case "teamTotals":
         this.takeChecked(totalsSchema, sender, part, (totals) => {
