Measure the slopes behind the capacity page

Cause: docs/CAPACITY.md needs figures at several sizes. Change: npm run slopes measures the placement decision, heap of each kind of state, cost of a configuration, the added time of a hop, and control traffic of real processes. Ruled out: resident memory as the measure of one entry (pages hide it).

--- /dev/null
+++ b/packages/experiments/src/errors/MissingCollectorError.ts
@@ -0,0 +1,10 @@
+import { ExperimentError } from "./ExperimentError.js";
+
+/** The heap cannot be measured without a collection before. */
+export class MissingCollectorError extends ExperimentError {
+  readonly code = "missing-collector";
+
+  constructor() {
+    super('start node with "--expose-gc" to measure memory');
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/slopes/configuration.ts
@@ -0,0 +1,29 @@
+import { parseConfiguration } from "@pistachioway/kernel";
+import { gzipSync } from "node:zlib";
+import type { ConfigurationFigures } from "./schema.js";
+import { createSizedText, type ConfigurationSizes } from "./sizes.js";
+
+const rounds = 5;
+
+/**
+ * Measures what accepting a configuration of a size costs.
+ * @param sizes - Number of engines and teams.
+ */
+export function measureConfiguration(sizes: ConfigurationSizes): ConfigurationFigures {
+  const text = createSizedText(sizes);
+  const times = Array.from({ length: rounds }, () => measureAcceptance(text));
+  return {
+    ...sizes,
+    fileBytes: Buffer.byteLength(text),
+    gzipBytes: gzipSync(text).length,
+    acceptMilliseconds: Math.min(...times),
+  };
+}
+
+function measureAcceptance(text: string): number {
+  const startedAt = performance.now();
+  parseConfiguration(text).unwrapOrElse((error) => {
+    throw error;
+  });
+  return performance.now() - startedAt;
+}
--- /dev/null
+++ b/packages/experiments/src/slopes/main.ts
@@ -0,0 +1,90 @@
+import { spawnSync } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
+import { measurePlacementCost } from "../bench/placementCost.js";
+import { Fleet } from "../fleet/index.js";
+import { measureConfiguration } from "./configuration.js";
+import { measureControl } from "./control.js";
+import { measureHop } from "./hop.js";
+import { measureMemory } from "./memory.js";
+import { formatSlopes } from "./report.js";
+import type { DecisionFigures, HopFigures, Slopes } from "./schema.js";
+
+const team = "routes";
+const placements = 5_000;
+
+/** Measures the slopes behind docs/CAPACITY.md and prints them. */
+async function main(): Promise<void> {
+  const { values } = parseArgs({
+    options: { json: { type: "boolean", default: false }, section: { type: "string" } },
+  });
+  const isAsked = (section: keyof Slopes): boolean =>
+    values.section === undefined || values.section === section;
+  const slopes: Slopes = {
+    decision: isAsked("decision") ? measureDecisions() : [],
+    memory: isAsked("memory") ? measureMemory() : [],
+    configuration: isAsked("configuration") ? measureConfigurations() : [],
+    hop: isAsked("hop") ? await measureHops() : [],
+    control: isAsked("control") ? await measureControls() : [],
+  };
+  const text = values.json ? JSON.stringify(slopes, undefined, 2) : formatSlopes(slopes);
+  process.stdout.write(`${text}\n`);
+}
+
+function measureDecisions(): DecisionFigures[] {
+  return [
+    { engines: 13, daemons: 5 },
+    { engines: 310, daemons: 35 },
+  ].map((sizes) => measurePlacementCost({ ...sizes, placements }));
+}
+
+function measureConfigurations(): Slopes["configuration"] {
+  return [
+    { engines: 13, teams: 10 },
+    { engines: 3_100, teams: 3_000 },
+    { engines: 3_100, teams: 6_000 },
+  ].map(measureConfiguration);
+}
+
+async function measureHops(): Promise<HopFigures[]> {
+  const options = { tokenMilliseconds: 0, slots: 1_024 };
+  const engines = ["e1", "e2", "e3"].map((name) => ({ name, zone: "north", options }));
+  const daemons = [{ name: "d1", zone: "north" }];
+  const fleet = await Fleet.start({ daemons, engines, services: [], teams: [team] });
+  try {
+    const figures: HopFigures[] = [];
+    for (const concurrency of [1, 16, 64]) {
+      figures.push(...(await measureHop(fleet, "d1", team, concurrency)));
+    }
+    return figures;
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function measureControls(): Promise<Slopes["control"]> {
+  const trials = [
+    { daemons: 3, requestsPerSecond: 0 },
+    { daemons: 5, requestsPerSecond: 0 },
+    { daemons: 9, requestsPerSecond: 0 },
+    { daemons: 5, requestsPerSecond: 7 },
+    { daemons: 5, requestsPerSecond: 14 },
+  ];
+  const figures: Slopes["control"][number][] = [];
+  for (const { daemons, requestsPerSecond } of trials) {
+    figures.push(await measureControl(daemons, requestsPerSecond));
+  }
+  return figures;
+}
+
+/** The heap can only be measured right after a collection, which needs a flag of the runtime. */
+function restartWithCollector(): void {
+  const args = ["--expose-gc", fileURLToPath(import.meta.url), ...process.argv.slice(2)];
+  process.exitCode = spawnSync(process.execPath, args, { stdio: "inherit" }).status ?? 1;
+}
+
+if (globalThis.gc === undefined) {
+  restartWithCollector();
+} else {
+  await main();
+}
