--- a/packages/experiments/src/matrix/configuration.ts
+++ b/packages/experiments/src/matrix/configuration.ts
@@ -17,7 +17,7 @@
     createTrial("refused configuration", "during the change of configuration", observeRefused),
     createTrial("platform stale", "after the change of configuration", observeStale),
     createTrial("platform stale", "during a restart", observeStaleRestart),
-    createTrial("platform down", "during a restart", observeDownRestart),
+    createTrial("platform down", "during a restart", observeDownRestart, false),
     createTrial("platform down", "during the change of configuration", observeDownPublish),
     createTrial("cut from the platform", "during the change of configuration", observeCutDaemon),
   ];
@@ -27,12 +27,13 @@
   fault: string,
   step: string,
   observe: (fleet: Fleet) => Promise<Observation>,
+  isQuick = true,
 ): Trial {
   return {
     fault,
     step,
     promises: ["configuration"],
-    isQuick: true,
+    isQuick,
     run: async ({ fleet }: TrialContext) => {
       try {
         return [{ promise: "configuration", ...(await observe(fleet)) }];
