Pass an adopted table on when its adopter is stopping too

Cause: with two hand-overs in a row, as in a rolling replacement, a table sent to a daemon that was stopping was refused, and its acts ended unknown without any fault. Ruled out: the issuer taking a refused table back; a late copy of the transfer could then be adopted after all, unless the refusal were remembered. Change: a stopping daemon adopts and hands the table on to its own successor. The model lets each daemon hand over to the next.

--- a/packages/kernel/src/acts/handOver.ts
+++ b/packages/kernel/src/acts/handOver.ts
@@ -69,7 +69,7 @@
   return queue.flatMap((submit) => handleSubmit(state, submit, now));
 }
 
-/** Adopts a table that names this very incarnation as successor; a repeat changes nothing. */
+/** Adopts a table that names this incarnation as successor, and passes it on when stopping. */
 export function handleAdopt(state: ActsState, message: ActsAdopt): ActsEffect[] {
   const { requestId, successor, table } = message;
   const { issuer, incarnation } = table;
@@ -79,10 +79,9 @@
     const message = `table "${id}" is not adopted: ${refusal}`;
     return [reject(requestId, "act-hand-over", "unknown", message)];
   }
-  if (!state.holdings.has(id) || !isGuarded(state, "hand-over-once")) {
-    addAdopted(state, table);
-  }
-  return [{ kind: "adopted", requestId, issuer, incarnation }];
+  const adopted: ActsEffect = { kind: "adopted", requestId, issuer, incarnation };
+  const isRepeat = state.holdings.has(id) && isGuarded(state, "hand-over-once");
+  return isRepeat ? [adopted] : [adopted, ...passOn(state, addAdopted(state, table))];
 }
 
 function getAdoptionRefusal(
@@ -101,9 +100,6 @@
   if (table.lastExpiresAt <= state.latestTime) {
     return "all its keys have expired";
   }
-  if (state.holdings.get(getHoldingId(self.name, self.incarnation))?.phase !== "held") {
-    return `daemon "${self.name}" is stopping`;
-  }
   return hasRoom(state, table) ? undefined : `daemon "${self.name}" has no room for it`;
 }
 
@@ -117,7 +113,7 @@
   return state.actCount + table.acts.length <= maxActs && state.bytes + bytes <= maxBytes;
 }
 
-function addAdopted(state: ActsState, table: ActTable): void {
+function addAdopted(state: ActsState, table: ActTable): Holding {
   const owner = { name: table.issuer, incarnation: table.incarnation };
   const holding = createHolding(owner, table.secret, table.latestTime, table.lastExpiresAt);
   state.holdings.set(holding.id, holding);
@@ -127,6 +123,19 @@
     state.actCount += 1;
     state.bytes += record.bytes;
   }
+  return holding;
+}
+
+/** Hands an adopted table to the successor that a stopping daemon has named. */
+function passOn(state: ActsState, holding: Holding): ActsEffect[] {
+  const { name, incarnation } = getSelfOrThrow(state);
+  const successor = state.holdings.get(getHoldingId(name, incarnation))?.successor;
+  if (successor === undefined) {
+    return [];
+  }
+  holding.phase = "closing";
+  holding.successor = successor;
+  return releaseWhenIdle(state, holding);
 }
 
 function createTable(state: ActsState, holding: Holding): ActTable {
--- a/packages/kernel/tests/acts/ActWorld.ts
+++ b/packages/kernel/tests/acts/ActWorld.ts
@@ -15,7 +15,7 @@
 export type Fault =
   "lose" | "duplicate" | "refuse" | "kill" | "handOver" | "clockForward" | "clockBack";
 
-/** One case; the first daemon mints the keys and may name the second as its successor. */
+/** One case; the first daemon mints the keys, and each may name the next as its successor. */
 export interface ActCase {
   readonly daemons: readonly string[];
   /** The daemon that each request reaches, and the number of its key. */
--- a/packages/kernel/tests/acts/actExplorer.ts
+++ b/packages/kernel/tests/acts/actExplorer.ts
@@ -206,7 +206,7 @@
 }
 
 function getDaemonActions(world: ActWorld, name: string): Action[] {
-  const [issuer, successor = ""] = world.plan.daemons;
+  const successor = world.plan.daemons[world.plan.daemons.indexOf(name) + 1];
   const daemon = world.daemons[name];
   if (daemon?.state === undefined) {
     return [
@@ -225,8 +225,9 @@
       next.send(name, { kind: "tick" });
     };
   const handOver = (next: ActWorld): void => {
-    const incarnation = `i${String(next.daemons[successor]?.incarnation)}`;
-    next.send(name, { kind: "hand-over", successor: { name: successor, incarnation } });
+    const heir = successor ?? "";
+    const incarnation = `i${String(next.daemons[heir]?.incarnation)}`;
+    next.send(name, { kind: "hand-over", successor: { name: heir, incarnation } });
   };
   const actions: Action[] = [
     {
@@ -242,7 +243,7 @@
     { name: `clock forward ${name}`, fault: "clockForward", run: setClock(2000) },
     { name: `clock back ${name}`, fault: "clockBack", run: setClock(0) },
   ];
-  return name === issuer
-    ? [...actions, { name: "hand over", fault: "handOver", run: handOver }]
+  return successor !== undefined
+    ? [...actions, { name: `hand over ${name}`, fault: "handOver", run: handOver }]
     : actions;
 }
--- a/packages/kernel/tests/acts/interleavings.test.ts
+++ b/packages/kernel/tests/acts/interleavings.test.ts
@@ -26,6 +26,7 @@
   [{ ...pair, faults: { handOver: 1, kill: 1 } }, mixed],
   [{ ...pair, faults: { handOver: 1, clockForward: 1, clockBack: 1 } }, mixed],
   [{ ...trio, faults: { handOver: 1 } }, ["complete,complete,complete"]],
+  [{ ...trio, submits: [{ at: "d3", key: 0 }], faults: { handOver: 2 } }, ["complete"]],
 ];
 
 for (const [plan, endings] of cases) {
