--- a/packages/daemon/src/peers/PeerCalls.ts
+++ b/packages/daemon/src/peers/PeerCalls.ts
@@ -4,6 +4,7 @@
   type HostSign,
   type Instant,
   type Revision,
+  type RevisionDigest,
 } from "@pistachioway/kernel";
 import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from "@trpc/client";
 import { Result } from "true-myth";
@@ -139,6 +140,17 @@
     });
   }
 
+  /**
+   * Gets what a peer tells of its configuration.
+   * @param peer - Daemon to call.
+   * @param deadline - When to stop waiting.
+   */
+  async getRevisionDigest(peer: Peer, deadline: Instant): PeerResult<RevisionDigest> {
+    return await this.call(peer, deadline, (client, signal) => {
+      return client.getRevisionDigest.mutate(undefined, { signal });
+    });
+  }
+
   /**
    * Gets all signs about upstream hosts that a peer holds.
    * @param peer - Daemon to call.
--- a/packages/daemon/src/peers/PeerListener.ts
+++ b/packages/daemon/src/peers/PeerListener.ts
@@ -32,9 +32,12 @@
 export const callPrefix = "/peers";
 
 /** Calls that change nothing. */
-const readingPaths: readonly string[] = ["getConfiguration", "getHosts", "getSigns"].map(
-  (name) => `${callPrefix}/${name}`,
-);
+const readingPaths: readonly string[] = [
+  "getConfiguration",
+  "getHosts",
+  "getRevisionDigest",
+  "getSigns",
+].map((name) => `${callPrefix}/${name}`);
 
 const unauthorizedStatus = 401;
 
--- a/packages/kernel/src/admission/fleetLimit.ts
+++ b/packages/kernel/src/admission/fleetLimit.ts
@@ -4,7 +4,7 @@
 import type { AdmissionState, TeamAccount } from "./state.js";
 
 /** Time between two reports of the totals; each peer's must arrive between two of one's own. */
-export const teamTotalsPeriodMilliseconds = 250;
+export const teamTotalsPeriodMilliseconds = 1_000;
 
 /** Age above which a peer's totals are not counted any more. */
 export const peerTotalsMaxAgeMilliseconds = 10_000;
