Pass guards to every plug-in, hear any datagram, settle with the neighbours

Cause: review by the authors of the plug-ins: guards of membership, admission and retries were not passed on; one lost heartbeat made a daemon suspect; an empty list of totals was never sent; a probe with an unreadable report counted as a failed connection; a restarted daemon settled without peers, so that it would have taken the value of a stale platform; the acts' tick ran 20 times a second, 2.7 ms each with 49,000 acts. Change: each of these; guards of the daemon itself are 'answer-attempt-id' and 'stop-drain'. Conclusion: what the matrix switches off now reaches all plug-ins.

--- a/packages/daemon/src/chat/ChatAttempt.ts
+++ b/packages/daemon/src/chat/ChatAttempt.ts
@@ -35,7 +35,11 @@
     private readonly sink: AnswerSink,
   ) {
     const headers = this.getHeaders();
-    this.relay = StreamRelay.create(attemptId, (text) => sink.writeEvents(text, headers));
+    this.relay = StreamRelay.create({
+      attemptId,
+      isChecked: engines.checksAnswers,
+      write: (text) => sink.writeEvents(text, headers),
+    });
   }
 
   /**
@@ -113,7 +117,8 @@
       return this.fail(toLost("the answer was cut off"));
     }
     const text = body.toString("utf8");
-    if (!isIntact(answer.headers, body) || !isOfAttempt(text, this.attemptId)) {
+    const isOwn = isIntact(answer.headers, body) && isOfAttempt(text, this.attemptId);
+    if (!isOwn && this.engines.checksAnswers) {
       return this.fail(toMismatch("the answer is mixed with another"));
     }
     this.usage = parseUsage(text);
--- a/packages/daemon/src/chat/EngineClient.ts
+++ b/packages/daemon/src/chat/EngineClient.ts
@@ -34,6 +34,11 @@
     return new EngineClient(connections, hosts, getNow);
   }
 
+  /** False only in a test that switches the check of answers off. */
+  get checksAnswers(): boolean {
+    return this.connections.checksAnswers;
+  }
+
   /**
    * Sends a chat completion request.
    * @param run - Chat request.
--- a/packages/daemon/src/chat/StreamRelay.ts
+++ b/packages/daemon/src/chat/StreamRelay.ts
@@ -14,23 +14,29 @@
  */
 export type RelayEnd = "complete" | "interrupted" | "mixed";
 
+/** What a relay works with. */
+export interface RelayParts {
+  /** Id of the attempt, which is the id of every event's completion. */
+  readonly attemptId: string;
+  /** False only in a test that switches the check of answers off. */
+  readonly isChecked: boolean;
+  /** Writes whole events to the caller and resolves when it can take more. */
+  readonly write: (text: string) => Promise<void>;
+}
+
 /** Relays whole events of a stream to the caller, and knows how far it came. */
 export class StreamRelay {
   private lastOffset = 0;
   private lastUsage: Usage | undefined;
 
-  private constructor(
-    private readonly attemptId: string,
-    private readonly write: (text: string) => Promise<void>,
-  ) {}
+  private constructor(private readonly parts: RelayParts) {}
 
   /**
    * Creates a relay at the start of a stream.
-   * @param attemptId - Id of the attempt, which is the id of every event's completion.
-   * @param write - Writes whole events to the caller and resolves when it can take more.
+   * @param parts - What the relay works with.
    */
-  static create(attemptId: string, write: (text: string) => Promise<void>): StreamRelay {
-    return new StreamRelay(attemptId, write);
+  static create(parts: RelayParts): StreamRelay {
+    return new StreamRelay(parts);
   }
 
   /** Gets the number of tokens that were passed on. */
@@ -76,11 +82,11 @@
   /** Takes an event that continues the stream; false when it cannot be of this attempt. */
   private takeOwn(event: ServerSentEvent): boolean {
     if (event.data === terminalData) {
-      return this.lastUsage !== undefined;
+      return this.lastUsage !== undefined || !this.parts.isChecked;
     }
     const offset = Number(event.id);
     const isNext = hasUsage(event) ? offset === this.lastOffset : offset > this.lastOffset;
-    if (!isNext || !isOfAttempt(event.data, this.attemptId)) {
+    if (this.parts.isChecked && (!isNext || !isOfAttempt(event.data, this.parts.attemptId))) {
       return false;
     }
     this.lastOffset = offset;
@@ -90,7 +96,7 @@
 
   private async writeAll(events: readonly ServerSentEvent[]): Promise<void> {
     if (events.length > 0) {
-      await this.write(events.map((event) => event.text).join(""));
+      await this.parts.write(events.map((event) => event.text).join(""));
     }
   }
 
--- a/packages/daemon/src/daemon/Context.ts
+++ b/packages/daemon/src/daemon/Context.ts
@@ -20,8 +20,12 @@
   readonly timeline: Timeline;
   readonly recorder: Recorder;
   readonly connections: Connections;
+  /** Guards that a test switches off; empty in production. */
+  readonly disabledGuards: readonly string[];
 }
 
+/** Guard that an answer is only taken when it is the one to the attempt. */
+const answerGuard = "answer-attempt-id";
 const maxSeed = 2 ** 31;
 const incarnationCharacters = 8;
 
@@ -32,6 +36,7 @@
  */
 export function createContext(settings: Settings, getPhase: () => DaemonPhase): Context {
   const getNow = (): Instant => Date.now();
+  const { disabledGuards } = settings.experiments;
   const timeline = Timeline.create(getNow);
   const log = Log.create(settings.log.level, { process: settings.process.name });
   return {
@@ -44,6 +49,7 @@
     metrics: Metrics.create(),
     timeline,
     recorder: Recorder.create(timeline, log),
-    connections: Connections.create(),
+    connections: Connections.create(!disabledGuards.includes(answerGuard)),
+    disabledGuards,
   };
 }
--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -15,6 +15,8 @@
   readonly datagrams: string;
 }
 
+/** Guard that a stop waits for the requests in flight. */
+const drainGuard = "stop-drain";
 const tickMilliseconds = 50;
 /** Time in which a successor announces to all daemons that it holds a table. */
 const announcementMilliseconds = 1_500;
@@ -88,7 +90,8 @@
     this.tasks.recorder.record("daemon.draining", { deadline }, "info");
     this.tasks.digests.sendHeartbeats();
     await delay(limits.unreadyMilliseconds);
-    const isIdle = await this.waitUntilIdle(deadline);
+    const { disabledGuards } = this.settings.experiments;
+    const isIdle = await this.waitUntilIdle(disabledGuards.includes(drainGuard) ? 0 : deadline);
     await this.handOverActs(deadline);
     await this.close();
     this.tasks.recorder.record("daemon.stopped", { cutOff: !isIdle }, "info");
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -1,12 +1,10 @@
 import {
   tickPeriodMilliseconds,
-  type ActGuard,
+  type AdmissionGuard,
   type ChangedEffect,
   type HostList,
-  type OrderGuard,
-  type RevisionGuard,
+  type RetryGuard,
 } from "@pistachioway/kernel";
-import { randomBytes, randomInt } from "node:crypto";
 import { ActSender, ActTask } from "../acts/index.js";
 import type { CallerGate } from "../callers/index.js";
 import type { ChatTask } from "../chat/index.js";
@@ -24,6 +22,7 @@
 import { createContext, type Context } from "./Context.js";
 import { PeerWiring, type PeerTargets } from "./PeerWiring.js";
 import { probeHost } from "./probeHost.js";
+import { startPlugins } from "./startPlugins.js";
 import { Ticker } from "./Ticker.js";
 import { ViewUpdater } from "./ViewUpdater.js";
 
@@ -44,10 +43,9 @@
 }
 
 const version = "0.1.0";
-const secretBytes = 32;
+const actsTickMilliseconds = 500;
 const revisionsTickMilliseconds = 100;
 const bootstrapMilliseconds = 500;
-const maxSeed = 2 ** 31;
 
 /** Builds the tasks in the order of their needs; later tasks are reached through the graph. */
 export class TaskGraph implements PeerTargets {
@@ -57,7 +55,7 @@
   readonly placement: PlacementTask;
   readonly admission: AdmissionTask;
   readonly retries: RetryTask;
-  private readonly orders: OrderTask;
+  readonly orders: OrderTask;
   readonly configuration: ConfigurationTask;
   private readonly platform: PlatformTask;
   readonly acts: ActTask;
@@ -65,23 +63,23 @@
   private hostList: HostList | undefined;
 
   private constructor(private readonly context: Context) {
-    const { name, zone } = context.settings.process;
     this.peers = this.createPeers();
     this.hosts = this.createHosts();
     this.placement = this.createPlacement();
     this.admission = this.createAdmission();
-    this.retries = RetryTask.create(this.context.kernel, this.context.getNow);
+    this.retries = RetryTask.create(
+      context.kernel,
+      context.getNow,
+      context.disabledGuards as RetryGuard[],
+    );
     this.configuration = this.createConfiguration();
     this.orders = this.createOrders();
     this.platform = this.createPlatform();
     const client = ServiceClient.create(this.context.connections, this.hosts, this.context.getNow);
     this.acts = this.createActs(client);
-    this.hosts.send({ kind: "identity", daemon: name, zone });
-    this.placement.send({ kind: "start", daemon: name, zone, seed: randomInt(maxSeed) });
     this.views = this.createViews();
     this.callers = CallerWiring.create(context, { ...this, client });
-    this.startActs();
-    this.startRevisions();
+    startPlugins(context, this);
   }
 
   /**
@@ -125,6 +123,8 @@
       this.peers.digests.tick();
       this.placement.send({ kind: "tick" });
       this.admission.send({ kind: "tick", at });
+    });
+    ticker.addPeriodic(actsTickMilliseconds, () => {
       this.acts.send({ kind: "tick" });
     });
     ticker.addPeriodic(revisionsTickMilliseconds, () => {
@@ -139,26 +139,6 @@
     return ticker;
   }
 
-  /** Begins to settle the configuration: with peers, when the host list names some. */
-  private startRevisions(): void {
-    const { name: daemon, zone } = this.context.settings.process;
-    const guards = this.context.settings.experiments.disabledGuards;
-    const disabledGuards = guards as RevisionGuard[];
-    const peers = this.peers.digests.getActPeers().map((peer) => peer.name);
-    this.configuration.send({ kind: "start", daemon, zone, peers, disabledGuards });
-    this.orders.send({ kind: "start", daemon, zone, disabledGuards: guards as OrderGuard[] });
-  }
-
-  private startActs(): void {
-    this.acts.send({
-      kind: "start",
-      daemon: this.context.settings.process.name,
-      incarnation: this.context.incarnation,
-      secret: randomBytes(secretBytes),
-      disabledGuards: this.context.settings.experiments.disabledGuards as ActGuard[],
-    });
-  }
-
   private createHosts(): HostDirectory {
     return HostDirectory.create({
       kernel: this.context.kernel,
@@ -217,12 +197,17 @@
   }
 
   private takeHosts(list: HostList): void {
+    const isFirst = this.hostList === undefined;
     if (list.revision > (this.hostList?.revision ?? -1)) {
       this.hostList = list;
-      this.peers.digests.updateNeighbours();
     }
     const { revision, hosts } = list;
     this.hosts.send({ kind: "hostList", revision, hosts, at: this.context.getNow() });
+    if (isFirst) {
+      this.peers.digests.updateNeighbours();
+      this.configuration.send({ kind: "peers", names: this.peers.digests.getNeighbourNames() });
+      this.peers.bootstrap();
+    }
   }
 
   private createPlacement(): PlacementTask {
@@ -354,7 +339,8 @@
   private takeConfiguration({ index }: InForce): void {
     const { engines, services, teams, retries } = index.configuration;
     this.retries.configure(retries.budgetRatio);
-    this.admission.send({ kind: "configure", teams });
+    const disabledGuards = this.context.disabledGuards as AdmissionGuard[];
+    this.admission.send({ kind: "configure", teams, disabledGuards });
     this.hosts.send({ kind: "configured", engines, services });
     this.updateOrders();
     this.views.update();
--- a/packages/daemon/src/daemon/probeHost.ts
+++ b/packages/daemon/src/daemon/probeHost.ts
@@ -11,6 +11,7 @@
 }
 
 const probeTimeoutMilliseconds = 1_000;
+const okStatus = 200;
 const unavailableStatus = 503;
 const probePaths = { engine: "/v1/load", service: "/health" } as const;
 const loadSchema = z.looseObject({ at: z.number(), state: z.enum(["live", "leaving"]) });
@@ -28,8 +29,8 @@
       signal: AbortSignal.timeout(probeTimeoutMilliseconds),
     });
     const text = await answer.body.text();
-    if (role === "engine" && answer.statusCode === 200) {
-      return { host, ...readLoad(text) };
+    if (role === "engine" && answer.statusCode === okStatus) {
+      return { host, ...(readLoad(text) ?? { sign: "answered", at }) };
     }
     return { host, sign: answer.statusCode === unavailableStatus ? "leaving" : "healthy", at };
   } catch {
@@ -37,8 +38,18 @@
   }
 }
 
-/** A report has the age that it states, since engines publish it with a lag. */
-function readLoad(text: string): Pick<Probe, "sign" | "at"> {
-  const report = loadSchema.parse(JSON.parse(text));
-  return { sign: report.state === "leaving" ? "leaving" : "healthy", at: report.at };
+/** Reads a report; it has the age that it states, since engines publish it with a lag. */
+function readLoad(text: string): Pick<Probe, "sign" | "at"> | undefined {
+  const report = loadSchema.safeParse(parseJson(text));
+  return report.success
+    ? { sign: report.data.state === "leaving" ? "leaving" : "healthy", at: report.data.at }
+    : undefined;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
 }
--- a/packages/daemon/src/digests/DigestTask.ts
+++ b/packages/daemon/src/digests/DigestTask.ts
@@ -45,6 +45,7 @@
 }
 
 const heartbeatPeriodMilliseconds = 1_000;
+const heardPeriodMilliseconds = 250;
 const refreshPeers = 2;
 const totalsSchema = z.array(teamTotalSchema);
 
@@ -53,6 +54,8 @@
   private readonly heartbeats = new Map<string, Heartbeat>();
   private readonly pending = new Map<string, DatagramPart[]>();
   private totals: readonly TeamTotal[] = [];
+  private hasSentTotals = false;
+  private readonly heardAt = new Map<string, Instant>();
   private neighbours: readonly Neighbour[] = [];
   private nextHeartbeatAt: Instant = 0;
   private isFlushPlanned = false;
@@ -95,8 +98,14 @@
     this.broadcast({ topic: "heartbeat", value: heartbeat });
     const digest = packRevisionDigest(this.parts.getRevisionDigest());
     this.broadcast({ topic: "configuration", value: digest });
-    if (this.totals.length > 0) {
+    this.sendTotals();
+  }
+
+  /** Sends the totals of large teams, and an empty list once when there are none any more. */
+  private sendTotals(): void {
+    if (this.totals.length > 0 || this.hasSentTotals) {
       this.broadcast({ topic: "teamTotals", value: this.totals, split: splitList });
+      this.hasSentTotals = this.totals.length > 0;
       this.totals = [];
     }
   }
@@ -133,6 +142,7 @@
    */
   takePart(from: DatagramSender, part: ReceivedPart): void {
     const { sender } = from;
+    this.noteHeard(from);
     switch (part.topic) {
       case "heartbeat":
         this.takeChecked(heartbeatSchema, sender, part, (heartbeat) => {
@@ -158,6 +168,17 @@
     }
   }
 
+  /** Every datagram shows that its sender lives, not only a heartbeat, which may be lost. */
+  private noteHeard(from: DatagramSender): void {
+    const now = this.parts.getNow();
+    const heartbeat = this.heartbeats.get(from.sender);
+    const isDue = now >= (this.heardAt.get(from.sender) ?? 0) + heardPeriodMilliseconds;
+    if (heartbeat !== undefined && isDue) {
+      this.heardAt.set(from.sender, now);
+      this.parts.takeHeartbeat(from, heartbeat);
+    }
+  }
+
   /** Gets the listed daemons with the tables that they announce, for the acts plug-in. */
   getActPeers(): readonly ActPeer[] {
     const listed = [...this.parts.getDaemons()].filter((daemon) => daemon.isListed);
@@ -177,6 +198,11 @@
       : { name: first.name, incarnation };
   }
 
+  /** Gets the names of the daemons that digests are exchanged with. */
+  getNeighbourNames(): readonly string[] {
+    return this.neighbours.map(({ name }) => name);
+  }
+
   /** Gets a few neighbours to ask for their signs. */
   getRefreshPeers(): readonly string[] {
     return this.neighbours.slice(0, refreshPeers).map(({ name }) => name);
--- a/packages/daemon/src/kernel/RetryTask.ts
+++ b/packages/daemon/src/kernel/RetryTask.ts
@@ -4,6 +4,7 @@
   type Instant,
   type Kernel,
   type RetriesEffect,
+  type RetryGuard,
 } from "@pistachioway/kernel";
 
 /** A failed attempt. */
@@ -14,15 +15,21 @@
   private constructor(
     private readonly kernel: Kernel,
     private readonly getNow: () => Instant,
+    private readonly disabledGuards: readonly RetryGuard[],
   ) {}
 
   /**
    * Creates the task.
    * @param kernel - Kernel that holds the plug-in's state.
    * @param getNow - Reads the clock.
+   * @param disabledGuards - Guards that a test switches off.
    */
-  static create(kernel: Kernel, getNow: () => Instant): RetryTask {
-    return new RetryTask(kernel, getNow);
+  static create(
+    kernel: Kernel,
+    getNow: () => Instant,
+    disabledGuards: readonly RetryGuard[],
+  ): RetryTask {
+    return new RetryTask(kernel, getNow, disabledGuards);
   }
 
   /**
@@ -30,7 +37,9 @@
    * @param budgetRatio - Retries per request.
    */
   configure(budgetRatio: number): void {
-    this.kernel.send(retriesPlugin, { kind: "configure", budgetRatio }, this.getNow());
+    const { disabledGuards } = this;
+    const message = { kind: "configure" as const, budgetRatio, disabledGuards };
+    this.kernel.send(retriesPlugin, message, this.getNow());
   }
 
   /**
--- a/packages/daemon/src/upstreams/Attempt.ts
+++ b/packages/daemon/src/upstreams/Attempt.ts
@@ -83,7 +83,7 @@
   answer: Dispatcher.ResponseData,
 ): Promise<AttemptAnswer | AttemptFailure> {
   const echoed = answer.headers["x-attempt-id"];
-  if (echoed !== request.attemptId) {
+  if (echoed !== request.attemptId && connections.checksAnswers) {
     discardBody(answer.body);
     connections.discard(request.address);
     const found = typeof echoed === "string" ? `"${echoed}"` : "none";
--- a/packages/daemon/src/upstreams/Connections.ts
+++ b/packages/daemon/src/upstreams/Connections.ts
@@ -8,13 +8,17 @@
 export class Connections {
   private readonly poolsByAddress = new Map<string, Pool>();
 
-  private constructor() {
-    // Created through the static method.
-  }
+  private constructor(
+    /** False only in a test that switches the check of answers off. */
+    readonly checksAnswers: boolean,
+  ) {}
 
-  /** Creates an empty set of pools. */
-  static create(): Connections {
-    return new Connections();
+  /**
+   * Creates an empty set of pools.
+   * @param checksAnswers - False only in a test that switches the check of answers off.
+   */
+  static create(checksAnswers = true): Connections {
+    return new Connections(checksAnswers);
   }
 
   /**
