--- a/packages/experiments/src/bench/policies/KernelPolicy.ts
+++ b/packages/experiments/src/bench/policies/KernelPolicy.ts
@@ -14,8 +14,8 @@
 import type { Policy } from "./Policy.js";
 
 const tickMilliseconds = 50;
-/** IP and UDP headers, and the truncated HMAC. */
-const datagramOverheadBytes = 28 + 16;
+/** IP and UDP headers, the truncated HMAC, and the sender, start, sequence and time (decision 0007). */
+const datagramOverheadBytes = 68;
 
 /** Drives one kernel for each daemon and carries their datagrams with delay and loss. */
 export class KernelPolicy implements Policy {
--- a/packages/kernel/src/placement/Placer.ts
+++ b/packages/kernel/src/placement/Placer.ts
@@ -29,7 +29,7 @@
 
 /** Part of the interval of digests for which a change may wait. */
 const changeDelayShare = 0.4;
-const digestIntervalPerPeerMilliseconds = 30;
+const digestIntervalPerPeerMilliseconds = 45;
 const missedDigests = 6;
 const missedDigestsUnlisted = 3;
 const fleetUpdateMilliseconds = 1000;
--- a/packages/kernel/src/placement/context.ts
+++ b/packages/kernel/src/placement/context.ts
@@ -5,7 +5,7 @@
 import type { PlacementStrategy } from "./strategy.js";
 
 /** Milliseconds between digests of few daemons. */
-export const minDigestIntervalMilliseconds = 250;
+export const minDigestIntervalMilliseconds = 350;
 
 /** What the parts of one daemon's placement share. */
 export interface PlacementContext {
--- a/packages/kernel/src/placement/strategy.ts
+++ b/packages/kernel/src/placement/strategy.ts
@@ -40,7 +40,7 @@
     remembers: false,
     trustsLowCounts: false,
     joiningEngines: 1,
-    fallFactor: 0.15,
+    fallFactor: 0.3,
     candidates: 4,
   },
   owner: {
@@ -50,7 +50,7 @@
     remembers: false,
     trustsLowCounts: false,
     joiningEngines: 1,
-    fallFactor: 0.15,
+    fallFactor: 0.3,
     candidates: 4,
   },
   ours: {
@@ -60,7 +60,7 @@
     remembers: true,
     trustsLowCounts: true,
     joiningEngines: 1,
-    fallFactor: 0.15,
+    fallFactor: 0.3,
     candidates: 4,
   },
 };
