Tell when and how fast the first sample over the bound was read

Cause: the demo's load verdict is broken in some runs; the report did not say whether by the fleet or by readings that are far apart. Ruled out: leaving out samples, or a wider tolerance. Change: samples keep the time between their first and last reading; the evidence shows it and the distance from the kill. Conclusion: load is flaky red in the demo on a busy machine; the placement policy after a lost daemon, whose requests still run at the engines for the 2 s of resume, is the likeliest cause, not proved.

--- a/packages/experiments/src/demo/Observer.ts
+++ b/packages/experiments/src/demo/Observer.ts
@@ -67,7 +67,8 @@
       );
       const at = Date.now();
       const records = await Promise.all(engines.map(({ name }) => this.getEngineRecord(name)));
-      this.loads.push({ at, loads: records.map(({ load }) => load.running + load.waiting) });
+      const loads = records.map(({ load }) => load.running + load.waiting);
+      this.loads.push({ at, spanMilliseconds: Date.now() - at, loads });
       await delay(loadPeriodMilliseconds);
     }
   }
--- a/packages/experiments/src/demo/observations.ts
+++ b/packages/experiments/src/demo/observations.ts
@@ -38,6 +38,8 @@
 /** Load of the engines at about one time. */
 export interface LoadSample {
   readonly at: Instant;
+  /** Time between the first and the last reading. */
+  readonly spanMilliseconds: number;
   readonly loads: readonly number[];
 }
 
--- a/packages/experiments/src/demo/verdicts.ts
+++ b/packages/experiments/src/demo/verdicts.ts
@@ -30,7 +30,7 @@
   ];
 }
 
-function judgeLoad({ loads, bound }: Observations): Verdict {
+function judgeLoad({ loads, bound, kill }: Observations): Verdict {
   const over = loads.filter((sample) => isOverBound(sample, bound));
   return {
     promise: "load",
@@ -38,10 +38,16 @@
     evidence:
       `${String(over.length)} of ${String(loads.length)} samples over ${String(bound)} times the ` +
       `mean, rounded up, and ${String(sampleToleranceRequests)} for the time between readings` +
-      (over[0] === undefined ? "" : ` (first: ${over[0].loads.join(" ")})`),
+      (over[0] === undefined ? "" : ` (first: ${formatSample(over[0], kill.at)})`),
   };
 }
 
+function formatSample(sample: LoadSample, killedAt: number): string {
+  const { at, spanMilliseconds, loads } = sample;
+  const time = `${String(at - killedAt)} ms from the kill`;
+  return `${loads.join(" ")}, read within ${String(spanMilliseconds)} ms, ${time}`;
+}
+
 function isOverBound({ loads }: LoadSample, bound: number): boolean {
   const limit = Math.ceil(bound * getMean(loads)) + sampleToleranceRequests;
   return Math.max(...loads) > limit;
--- a/packages/experiments/tests/demo/verdicts.test.ts
+++ b/packages/experiments/tests/demo/verdicts.test.ts
@@ -23,7 +23,7 @@
   cuts: [{ daemon: "d3", at: 301, detail: "reset" }],
   acts: [{ body: "note", keys: [refusedKey, { key: "k1", outcomes: ["unknown", "complete"] }] }],
   runs: [run],
-  loads: [{ at: 0, loads: [4, 6, 5] }],
+  loads: [{ at: 0, spanMilliseconds: 2, loads: [4, 6, 5] }],
   bound: 1.25,
   leaving: { at: 1_000, requestsBefore: 3, requestTimesAfter: [1_200] },
   stop: { daemon: "d2", inFlight: 4, exitCode: 0 },
@@ -83,7 +83,7 @@
 test("break each by what breaks it", () => {
   const { chats, leaving, stop } = good;
   const untold = { body: "note", keys: [{ key: "k1", outcomes: ["complete"] }] };
-  assert.equal(getBroken({ loads: [{ at: 0, loads: [1, 9, 2] }] }), ["load"]);
+  assert.equal(getBroken({ loads: [{ at: 0, spanMilliseconds: 2, loads: [1, 9, 2] }] }), ["load"]);
   assert.equal(getBroken({ chats: { ...chats, wrong: 1 } }), ["answers"]);
   assert.equal(getBroken({ chats: { ...chats, unanswered: 1 } }), ["answers"]);
   assert.equal(getBroken({ cuts: [{ daemon: "d1", at: 400, detail: "" }] }), ["answers"]);
