--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -154,6 +154,9 @@
           this.hosts.send({ kind: "probed", ...result });
         });
       },
+      onAttempt: (kind, result) => {
+        this.context.metrics.attempts.inc({ kind, result });
+      },
       onRefresh: () => {
         this.context.recorder.record("membership.refresh", {}, "warn");
         this.platform.refresh();
@@ -325,6 +328,7 @@
       updateMetrics: () => {
         this.updateMetrics();
       },
+      getCounters: () => ({ ...this.peers.links.getCounters() }),
     });
   }
 
--- a/packages/daemon/src/digests/PeerLinks.ts
+++ b/packages/daemon/src/digests/PeerLinks.ts
@@ -47,6 +47,14 @@
   readonly datagrams: string;
 }
 
+/** Traffic of the datagram socket; octets include those of the IPv4 and UDP headers. */
+export interface LinkCounters {
+  readonly sentDatagrams: number;
+  readonly sentBytes: number;
+  readonly receivedDatagrams: number;
+  readonly receivedBytes: number;
+}
+
 const fetchTimeoutMilliseconds = 2_000;
 const transferTimeoutMilliseconds = 2_000;
 const transferAttempts = 3;
@@ -208,14 +216,21 @@
     return (await this.calls.getSigns(peer, deadline)).unwrapOr([]);
   }
 
+  /** Gets the datagrams and octets so far, sent and received. */
+  getCounters(): LinkCounters {
+    const counts = this.datagrams?.getCounts();
+    return {
+      sentDatagrams: counts?.sentDatagrams ?? 0,
+      sentBytes: counts?.sentBytes ?? 0,
+      receivedDatagrams: counts?.receivedDatagrams ?? 0,
+      receivedBytes: counts?.receivedBytes ?? 0,
+    };
+  }
+
   /** Brings the metrics of the control traffic up to date. */
   updateMetrics(): void {
-    const counts = this.datagrams?.getCounts();
-    if (counts === undefined) {
-      return;
-    }
     const { controlBytes } = this.parts.metrics;
-    const { sentBytes: sent, receivedBytes: received } = counts;
+    const { sentBytes: sent, receivedBytes: received } = this.getCounters();
     const channel = "datagrams";
     controlBytes.inc({ channel, direction: "sent" }, sent - this.reported.sent);
     controlBytes.inc({ channel, direction: "received" }, received - this.reported.received);
--- a/packages/daemon/src/kernel/HostDirectory.ts
+++ b/packages/daemon/src/kernel/HostDirectory.ts
@@ -25,6 +25,8 @@
   readonly onSigns: (signs: readonly HostSign[]) => void;
   readonly onProbe: (probe: ProbeEffect) => void;
   readonly onRefresh: () => void;
+  /** Counts an attempt by the kind of host and its result. */
+  readonly onAttempt: (kind: HostView["role"], result: string) => void;
 }
 
 const pollMilliseconds = 20;
@@ -104,6 +106,10 @@
     answer: AttemptAnswer | AttemptFailure,
     isCallerGone: boolean,
   ): void {
+    const role = this.getView().hosts.get(host)?.role;
+    if (role !== undefined) {
+      this.parts.onAttempt(role, answer.kind === "answer" ? "answered" : answer.class);
+    }
     const sign = isCallerGone ? undefined : getSign(answer);
     if (sign !== undefined) {
       this.send({ kind: "observed", host, sign, at: this.parts.getNow() });
--- a/packages/daemon/src/operations/OperationsView.ts
+++ b/packages/daemon/src/operations/OperationsView.ts
@@ -35,6 +35,7 @@
   readonly metrics: Metrics;
   readonly timeline: Timeline;
   readonly getPhase: () => DaemonPhase;
+  readonly getCounters: () => Readonly<Record<string, number>>;
   /** Brings metrics that are kept elsewhere up to date. */
   readonly updateMetrics: () => void;
 }
@@ -114,7 +115,7 @@
       teams: this.getTeams(),
       acts: this.getActs(),
       guards: { disabled: [...this.parts.disabledGuards] },
-      counters: {},
+      counters: { ...this.parts.getCounters() },
     };
   }
 
