--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -357,6 +357,9 @@
     this.peers.digests.updateNeighbours();
     for (const { name, state } of effect.daemons) {
       this.context.recorder.record("daemon.changed", { daemon: name, state }, "info");
+      if (state === "lost") {
+        this.placement.send({ kind: "peerLost", daemon: name });
+      }
     }
     this.views.update();
     if (effect.daemons.length > 0) {
--- /dev/null
+++ b/packages/daemon/tests/chat/StreamRelay.test.ts
@@ -0,0 +1,58 @@
+import { Readable } from "node:stream";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { StreamRelay, type RelayEnd } from "../../dist/chat/StreamRelay.js";
+
+interface Relayed {
+  readonly end: RelayEnd;
+  readonly offset: number;
+  readonly text: string;
+}
+
+function createEvent(offset: number, attempt = "a1"): string {
+  return `id: ${String(offset)}\ndata: {"id":"${attempt}","token":${String(offset)}}\n\n`;
+}
+
+const usage = 'id: 2\ndata: {"id":"a1","usage":{"prompt_tokens":3,"cached_tokens":1}}\n\n';
+const done = "data: [DONE]\n\n";
+
+/** Relays a stream that arrives in the given parts. */
+async function relay(parts: readonly string[], isChecked = true): Promise<Relayed> {
+  let text = "";
+  const stream = StreamRelay.create({
+    attemptId: "a1",
+    isChecked,
+    write: (events) => {
+      text += events;
+      return Promise.resolve();
+    },
+  });
+  const end = await stream.relay(Readable.from(parts.map((part) => Buffer.from(part))));
+  return { end, offset: stream.getOffset(), text };
+}
+
+const test = suite("StreamRelay");
+
+test("passes on whole events only, however the octets arrive", async () => {
+  const whole = createEvent(1) + createEvent(2) + usage + done;
+  const octets = [...whole];
+  assert.equal(await relay(octets), { end: "complete", offset: 2, text: whole });
+  const cut = whole.slice(0, createEvent(1).length + 20);
+  assert.equal(await relay([cut]), { end: "interrupted", offset: 1, text: createEvent(1) });
+});
+
+test("stops at an event of another attempt, a repeated one, or an early end", async () => {
+  const first = createEvent(1);
+  const mixed = { end: "mixed", offset: 1, text: first };
+  assert.equal(await relay([first, createEvent(2, "a2"), done]), mixed);
+  assert.equal(await relay([first, createEvent(1), done]), mixed);
+  assert.equal(await relay([first, done]), mixed);
+  assert.equal(await relay([first, "id: 2\ndata: {tok\n\n"]), mixed);
+});
+
+test("without its guard it passes another attempt's events on", async () => {
+  const other = createEvent(1, "a2") + done;
+  assert.equal(await relay([other], false), { end: "complete", offset: 1, text: other });
+});
+
+test.run();
--- /dev/null
+++ b/packages/daemon/tests/digests/revisionCodec.test.ts
@@ -0,0 +1,58 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { getNeighbours } from "../../dist/digests/neighbours.js";
+import { packRevisionDigest, parseRevisionDigest } from "../../dist/digests/revisionCodec.js";
+import type { DaemonView, RevisionDigest } from "@pistachioway/kernel";
+
+const digest: RevisionDigest = {
+  from: "d1",
+  zone: "north",
+  inForce: { generation: 1, revision: 7, digest: "ab".repeat(32) },
+  refused: undefined,
+  confirmedAt: 5,
+  isReadFailing: false,
+};
+
+function createDaemon(index: number, zone: string): DaemonView {
+  return {
+    name: `${zone}-${String(index).padStart(2, "0")}`,
+    zone,
+    incarnation: 1,
+    state: "live",
+    isListed: true,
+    isLeaving: false,
+    peerAddress: "127.0.0.1:1",
+    datagramAddress: "127.0.0.1:2",
+    operationsAddress: undefined,
+  };
+}
+
+function countByZone(names: readonly { readonly zone: string }[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { zone } of names) {
+    counts[zone] = (counts[zone] ?? 0) + 1;
+  }
+  return counts;
+}
+
+const test = suite("digests");
+
+test("a packed digest comes back as it was, and a malformed one not at all", () => {
+  assert.equal(parseRevisionDigest("d1", "north", packRevisionDigest(digest)), digest);
+  assert.is(parseRevisionDigest("d1", "north", "x"), undefined);
+  assert.is(parseRevisionDigest("d1", "north", [[1, 7, "short"], null, 5, false]), undefined);
+});
+
+test("a large fleet is heard by zone, with two daemons of each other zone", () => {
+  const daemons = ["north", "south", "east"].flatMap((zone) =>
+    Array.from({ length: 35 }, (_unused, index) => createDaemon(index, zone)),
+  );
+  const small = getNeighbours(daemons.slice(0, 5), "north-00", "north");
+  const large = getNeighbours(daemons, "north-00", "north");
+  assert.equal(
+    { small: countByZone(small), large: countByZone(large) },
+    { small: { north: 4 }, large: { north: 34, south: 2, east: 2 } },
+  );
+});
+
+test.run();
