Replace a link of the fault proxy without waiting for the old one

Cause: the kill of the issuer during forwarding hung for 300 s, since adding the daemon's new link waited for the old one to close; the cells after it then struck a link that nobody used (hasStruck false). Conclusion: the whole matrix has not been run to its end since.

--- a/packages/standins/src/faults/FaultProxy.ts
+++ b/packages/standins/src/faults/FaultProxy.ts
@@ -59,7 +59,7 @@
    */
   async addLink(options: LinkOptions): Promise<string> {
     const { name, target, kind } = linkSchema.parse(options);
-    await this.linksByName.get(name)?.close();
+    void this.linksByName.get(name)?.close();
     const link = kind === "tcp" ? Link.create(name, target) : DatagramLink.create(name, target);
     this.linksByName.set(name, link);
     return link.listen();
