--- /dev/null
+++ b/packages/experiments/tests/matrix/answersFlapping.test.ts
@@ -0,0 +1,18 @@
+import { matrixOptionsSchema, runMatrix } from "@pistachioway/experiments";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+
+const seed = 1;
+const test = suite("matrix: answersFlapping");
+
+test("gives every caller its own whole answer or a failure when an engine flaps", async () => {
+  const options = matrixOptionsSchema.parse({ seed, cell: "answers-whole/engine flapping" });
+  const cells = await runMatrix(options);
+  assert.ok(cells.length > 0);
+  assert.equal(
+    cells.filter((cell) => !cell.held),
+    [],
+  );
+});
+
+test.run();
