Take over the engines of a daemon that ended within a second

Cause: in the demo the load bound broke 1.5 to 2 s after a kill: the engines whose owner had ended got no new requests (11 running where the others had 22) until the daemon counted as lost after 5 s. Change: neighbours silent for 600 ms are called; one whose listener refuses or breaks the connection is told to placement as gone at once. A slow one is not: it may only be paused.

--- a/packages/daemon/src/daemon/PeerWiring.ts
+++ b/packages/daemon/src/daemon/PeerWiring.ts
@@ -68,6 +68,17 @@
     }
   }
 
+  /** Asks neighbours that fell silent, so that the engines of an ended one get an owner soon. */
+  checkSilentNeighbours(): void {
+    for (const daemon of this.digests.getSilentNeighbours()) {
+      void this.links.isGone(daemon).then((isGone) => {
+        if (isGone) {
+          this.targets.placement.send({ kind: "peerLost", daemon });
+        }
+      });
+    }
+  }
+
   /** Asks a few peers, after a pause, for what changed meanwhile. */
   refresh(): void {
     for (const peer of this.digests.getRefreshPeers()) {
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -44,6 +44,7 @@
 
 const version = "0.1.0";
 const actsTickMilliseconds = 500;
+const silenceCheckMilliseconds = 250;
 const revisionsTickMilliseconds = 100;
 const bootstrapMilliseconds = 500;
 
@@ -127,6 +128,9 @@
     ticker.addPeriodic(actsTickMilliseconds, () => {
       this.acts.send({ kind: "tick" });
     });
+    ticker.addPeriodic(silenceCheckMilliseconds, () => {
+      this.peers.checkSilentNeighbours();
+    });
     ticker.addPeriodic(revisionsTickMilliseconds, () => {
       this.configuration.send({ kind: "tick" });
       this.orders.send({ kind: "tick" });
--- a/packages/daemon/src/daemon/ViewUpdater.ts
+++ b/packages/daemon/src/daemon/ViewUpdater.ts
@@ -75,13 +75,16 @@
     return new Set(usable.map((host) => host.name));
   }
 
-  /** Gets this daemon and those that are neither lost nor stopping. */
+  /**
+   * Gets this daemon and those that were heard lately and are not stopping. A daemon that falls
+   * silent must not go on as the owner of engines: nobody would get room there meanwhile.
+   */
   getDaemons(): { name: string; zone: string }[] {
     const { daemon: name, zone } = this.parts;
     const others = [...this.parts.hosts.getView().daemons.values()].filter(
       (daemon) =>
         daemon.name !== name &&
-        daemon.state !== "lost" &&
+        daemon.state === "live" &&
         !daemon.isLeaving &&
         !this.parts.isDraining(daemon.name),
     );
--- a/packages/daemon/src/digests/DigestTask.ts
+++ b/packages/daemon/src/digests/DigestTask.ts
@@ -45,7 +45,8 @@
 }
 
 const heartbeatPeriodMilliseconds = 1_000;
-const heardPeriodMilliseconds = 250;
+const heardPeriodMilliseconds = 100;
+const silentMilliseconds = 600;
 const refreshPeers = 2;
 const totalsSchema = z.array(teamTotalSchema);
 
@@ -203,6 +204,15 @@
     return this.neighbours.map(({ name }) => name);
   }
 
+  /** Gets the neighbours that sent nothing for longer than several digests take. */
+  getSilentNeighbours(): readonly string[] {
+    const silentSince = this.parts.getNow() - silentMilliseconds;
+    return this.getNeighbourNames().filter((name) => {
+      const heardAt = this.heardAt.get(name);
+      return heardAt !== undefined && heardAt < silentSince;
+    });
+  }
+
   /** Gets a few neighbours to ask for their signs. */
   getRefreshPeers(): readonly string[] {
     return this.neighbours.slice(0, refreshPeers).map(({ name }) => name);
--- a/packages/daemon/src/digests/PeerLinks.ts
+++ b/packages/daemon/src/digests/PeerLinks.ts
@@ -18,6 +18,8 @@
   Datagrams,
   PeerCalls,
   PeerListener,
+  PeerLostError,
+  PeerUnreachableError,
   type DatagramPart,
   type DatagramSender,
   type DropReason,
@@ -55,6 +57,7 @@
   readonly receivedBytes: number;
 }
 
+const checkTimeoutMilliseconds = 300;
 const fetchTimeoutMilliseconds = 2_000;
 const transferTimeoutMilliseconds = 2_000;
 const transferAttempts = 3;
@@ -198,6 +201,23 @@
     return answer.isOk ? answer.value : undefined;
   }
 
+  /**
+   * Tells whether a daemon's listener refuses or breaks connections; a slow one does not count.
+   * @param name - Name of the daemon.
+   */
+  async isGone(name: string): Promise<boolean> {
+    const peer = this.getPeer(name);
+    if (peer === undefined) {
+      return false;
+    }
+    const deadline = this.parts.getNow() + checkTimeoutMilliseconds;
+    const answer = await this.calls.getRevisionDigest(peer, deadline);
+    return (
+      answer.isErr &&
+      (answer.error instanceof PeerUnreachableError || answer.error instanceof PeerLostError)
+    );
+  }
+
   /** Gets the names of the daemons that the settings name as seeds. */
   getSeeds(): readonly string[] {
     return [...this.seeds.keys()];
