Take the caller's placement hint

Change: answers name the engine in x-chat-placement; a request that sends it back is placed there first, if that engine serves the model. Ruled out: trusting more than the engine's name (the length of the cached prefix is estimated from the request itself).

--- a/packages/daemon/src/chat/ChatAttempt.ts
+++ b/packages/daemon/src/chat/ChatAttempt.ts
@@ -5,6 +5,7 @@
 import { isIntact, readWhole } from "../upstreams/index.js";
 import type { ChatRun } from "./ChatRun.js";
 import type { EngineClient } from "./EngineClient.js";
+import { placementHeader } from "./parseChat.js";
 import { isOfAttempt, parseUsage, StreamRelay, type Usage } from "./StreamRelay.js";
 
 /** How one attempt at one engine ended. */
@@ -154,7 +155,7 @@
   }
 
   private getHeaders(): AnswerHeaders {
-    return { "x-chat-id": this.chatRun.chat };
+    return { "x-chat-id": this.chatRun.chat, [placementHeader]: this.placed.engine };
   }
 }
 
--- a/packages/daemon/src/chat/ChatRun.ts
+++ b/packages/daemon/src/chat/ChatRun.ts
@@ -9,6 +9,8 @@
   readonly chat: string;
   /** Id of the chat towards engines, distinct for each team. */
   readonly engineChat: string;
+  /** Engine that served the chat last, as the caller was told; undefined when it does not say. */
+  readonly lastEngine: string | undefined;
   /** Estimated tokens of the prompt. */
   readonly promptTokens: number;
   /** True when the request holds no earlier answer. */
--- a/packages/daemon/src/chat/ChatTask.ts
+++ b/packages/daemon/src/chat/ChatTask.ts
@@ -1,4 +1,4 @@
-import type { GiveUpEffect, Instant, RetryEffect } from "@pistachioway/kernel";
+import type { CachedPrefix, GiveUpEffect, Instant, RetryEffect } from "@pistachioway/kernel";
 import type { AnswerSink } from "../callers/AnswerSink.js";
 import type { CallerRequest } from "../callers/CallerRequest.js";
 import { Problem, type ProblemName } from "../errors/index.js";
@@ -125,7 +125,7 @@
       model: run.body.model,
       promptTokens: run.promptTokens,
       isFirstTurn: run.isFirstTurn,
-      cached: [],
+      cached: getCached(run),
       excluded: run.excluded,
     });
     this.recordPlaced(run, attemptId, placed);
@@ -161,6 +161,11 @@
   }
 }
 
+/** Gets what the caller's hint says of caches: the last engine holds the earlier turns. */
+function getCached({ lastEngine, promptTokens }: ChatRun): readonly CachedPrefix[] {
+  return lastEngine === undefined ? [] : [{ engine: lastEngine, tokens: promptTokens }];
+}
+
 function toFailedAttempt(run: ChatRun, end: FailedEnd): FailedAttempt {
   return {
     requestId: run.request.id,
--- a/packages/daemon/src/chat/parseChat.ts
+++ b/packages/daemon/src/chat/parseChat.ts
@@ -4,6 +4,9 @@
 import type { ChatRun } from "./ChatRun.js";
 import { chatBodySchema, type ChatBody } from "./schema.js";
 
+/** Header that tells a caller which engine served its chat, and that it may send back. */
+export const placementHeader = "x-chat-placement";
+
 const bytesPerToken = 4;
 const engineChatIdCharacters = 22;
 const maxChatIdCharacters = 200;
@@ -25,6 +28,7 @@
     body,
     chat,
     engineChat: getEngineChatId(request.team.name, chat),
+    lastEngine: getLastEngine(request, body.model),
     promptTokens: Math.ceil(request.body.length / bytesPerToken),
     isFirstTurn: !body.messages.some((message) => message.role === "assistant"),
     excluded: [],
@@ -64,6 +68,12 @@
   return id;
 }
 
+/** Gets the engine that the caller was told of, if it still serves the model. */
+function getLastEngine(request: CallerRequest, model: string): string | undefined {
+  const engine = String(request.headers[placementHeader] ?? "");
+  return request.index.getEngines(model).includes(engine) ? engine : undefined;
+}
+
 /**
  * Gets the id under which engines cache a chat, distinct for each team.
  * @param team - Name of the team.
--- a/packages/experiments/src/demo/CallerClient.ts
+++ b/packages/experiments/src/demo/CallerClient.ts
@@ -41,10 +41,18 @@
 const problemSchema = z.object({ type: z.string(), outcome: z.string() });
 const mintedSchema = z.object({ key: z.string() });
 
+/** Header that a caller sends back with the next turn of its chat. */
+interface PlacementHint {
+  readonly "x-chat-placement": string;
+}
+
 /** Sends requests to daemons as callers do. */
 export class CallerClient {
   private readonly agent = new Agent({ connections: null, pipelining: 1 });
 
+  /** Placement hints by chat, as the daemons gave them. */
+  private readonly placements = new Map<string, PlacementHint>();
+
   private constructor() {
     // Created through the static method.
   }
@@ -63,7 +71,11 @@
     const { model, history, message, tokens, isStream } = turn;
     const messages = [...history, { role: "user", content: message }];
     const body = JSON.stringify({ model, messages, max_tokens: tokens, stream: isStream });
-    const headers = { "x-chat-id": turn.chat, "content-type": "application/json" };
+    const headers = {
+      "x-chat-id": turn.chat,
+      "content-type": "application/json",
+      ...this.placements.get(turn.chat),
+    };
     return this.send(address, "/v1/chat/completions", turn.team, body, headers, (text) =>
       readChat(turn, text),
     );
@@ -112,11 +124,19 @@
         body,
         signal: AbortSignal.timeout(timeoutMilliseconds),
       });
+      this.keepPlacement(headers["x-chat-id"], answer);
       return await readAnswer(answer, read);
     } catch (error) {
       return toFailure(error);
     }
   }
+
+  private keepPlacement(chat: string | undefined, answer: Dispatcher.ResponseData): void {
+    const engine = answer.headers["x-chat-placement"];
+    if (chat !== undefined && typeof engine === "string") {
+      this.placements.set(chat, { "x-chat-placement": engine });
+    }
+  }
 }
 
 async function readAnswer(
