--- a/packages/experiments/src/matrix/trials.ts
+++ b/packages/experiments/src/matrix/trials.ts
@@ -24,6 +24,17 @@
   { name: "mid-answer", direction: "response", bytes: 90 },
 ];
 
+/** Guards of whole promises, without which a cell of the fault fails. */
+const guardsByFault: Readonly<Record<string, readonly string[]>> = {
+  "answers crossed": ["answer-attempt-id"],
+  "reset mid-byte, answers crossed": ["answer-attempt-id"],
+  "planned stop": ["stop-drain"],
+  "daemons replaced one after another": ["stop-drain"],
+  "platform stale": ["revision-order"],
+  "platform's list lags": ["host-own-sign", "host-sign-spread"],
+  "cut from the platform": ["host-own-sign"],
+};
+
 /** Every trial of the matrix: faults by steps, with what each must show. */
 export const trials: readonly Trial[] = [
   ...createLinkTrials(),
@@ -34,7 +45,11 @@
   ...createLeavingTrials(),
   ...createStopTrials(),
   ...createConfigurationTrials(),
-];
+].map(addGuards);
+
+function addGuards(trial: Trial): Trial {
+  return { ...trial, guards: [...(trial.guards ?? []), ...(guardsByFault[trial.fault] ?? [])] };
+}
 
 /** Faults of the connection between the issuer and the service. */
 function createLinkTrials(): Trial[] {
--- a/packages/experiments/tests/matrix/guards.test.ts
+++ b/packages/experiments/tests/matrix/guards.test.ts
@@ -7,15 +7,26 @@
 /** Cells that must break without a guard; others of the same run may break with them. */
 const cellsByGuard: Readonly<Record<string, readonly string[]>> = {
   "act-single-send": ["at-most-once/none/no fault", "exactly-once-without-fault/none/no fault"],
+  "answer-attempt-id": ["answers-whole/answers crossed/after the request before the answer"],
+  "host-own-sign": ["leaving/platform's list lags/before connect"],
+  "stop-drain": ["planned-stop/planned stop/mid-answer"],
+  "revision-order": [
+    "configuration/platform stale/after the change of configuration",
+    "configuration/platform stale/during a restart",
+  ],
   "act-lost-unknown": [
     "not-run-true/reset mid-byte/after the request before the answer",
     "not-run-true/reset mid-byte/mid-answer",
   ],
 };
 
+/** Guards whose cells are not in the quick part of the matrix. */
+const guardsOfSlowCells = new Set(["answer-attempt-id", "host-own-sign"]);
+
 /** Runs the cells that need a guard without it and gets those that break. */
 async function getBrokenWithout(guard: string): Promise<string[]> {
-  const cells = await runMatrix(matrixOptionsSchema.parse({ without: guard, quick: true }));
+  const quick = !guardsOfSlowCells.has(guard);
+  const cells = await runMatrix(matrixOptionsSchema.parse({ without: guard, quick }));
   return cells
     .filter((cell) => !cell.held)
     .map(({ promise, fault, step }) => `${promise}/${fault}/${step}`);
