--- a/packages/daemon/tests/chat/StreamRelay.test.ts
+++ b/packages/daemon/tests/chat/StreamRelay.test.ts
@@ -13,6 +13,8 @@
   return `id: ${String(offset)}\ndata: {"id":"${attempt}","token":${String(offset)}}\n\n`;
 }
 
+const manyEvents = 1_000;
+const maxBufferedEvents = 40;
 const usage = 'id: 2\ndata: {"id":"a1","usage":{"prompt_tokens":3,"cached_tokens":1}}\n\n';
 const done = "data: [DONE]\n\n";
 
@@ -50,6 +52,33 @@
   assert.equal(await relay([first, "id: 2\ndata: {tok\n\n"]), mixed);
 });
 
+test("stops reading while the caller reads slowly", async () => {
+  let produced = 0;
+  const events = function* (): Generator<Buffer> {
+    for (let offset = 1; offset <= manyEvents; offset += 1) {
+      produced = offset;
+      yield Buffer.from(createEvent(offset));
+    }
+  };
+  let release: () => void = () => undefined;
+  let writes = 0;
+  const stream = StreamRelay.create({
+    attemptId: "a1",
+    isChecked: true,
+    write: () => {
+      writes += 1;
+      return writes === 1 ? new Promise((resolve) => (release = resolve)) : Promise.resolve();
+    },
+  });
+  const relaying = stream.relay(Readable.from(events()));
+  await new Promise((resolve) => setImmediate(resolve));
+  const producedBefore = produced;
+  release();
+  await relaying;
+  assert.ok(producedBefore <= maxBufferedEvents, `${String(producedBefore)} events were read`);
+  assert.is(produced, manyEvents);
+});
+
 test("without its guard it passes another attempt's events on", async () => {
   const other = createEvent(1, "a2") + done;
   assert.equal(await relay([other], false), { end: "complete", offset: 1, text: other });
