Send to upstream hosts in one place

Cause: the clients of engines and services looked up addresses, sent and reported observations in the same lines; the wiring of the callers' tasks spread a whole object. Change: HostSender; named targets; the interface of the tasks in a file of its own. Ruled out: one client for both (their protocols differ). Conclusion: no change of behaviour.

--- a/packages/daemon/src/chat/EngineClient.ts
+++ b/packages/daemon/src/chat/EngineClient.ts
@@ -1,13 +1,6 @@
 import type { Instant } from "@pistachioway/kernel";
-import type { HostDirectory } from "../kernel/index.js";
-import {
-  discardBody,
-  sendAttempt,
-  type AttemptAnswer,
-  type AttemptFailure,
-  type AttemptRequest,
-  type Connections,
-} from "../upstreams/index.js";
+import type { HostSender } from "../kernel/index.js";
+import { discardBody, type AttemptAnswer, type AttemptFailure } from "../upstreams/index.js";
 import type { ChatRun } from "./ChatRun.js";
 
 const cancelTimeoutMilliseconds = 2_000;
@@ -15,28 +8,22 @@
 /** Speaks the engines' protocol. */
 export class EngineClient {
   private constructor(
-    private readonly connections: Connections,
-    private readonly hosts: HostDirectory,
+    private readonly sender: HostSender,
     private readonly getNow: () => Instant,
   ) {}
 
   /**
    * Creates a client.
-   * @param connections - Connections to the upstreams.
-   * @param hosts - Addresses of the engines; takes what the attempts show of them.
+   * @param sender - Sends to engines by name.
    * @param getNow - Reads the clock.
    */
-  static create(
-    connections: Connections,
-    hosts: HostDirectory,
-    getNow: () => Instant,
-  ): EngineClient {
-    return new EngineClient(connections, hosts, getNow);
+  static create(sender: HostSender, getNow: () => Instant): EngineClient {
+    return new EngineClient(sender, getNow);
   }
 
   /** False only in a test that switches the check of answers off. */
   get checksAnswers(): boolean {
-    return this.connections.checksAnswers;
+    return this.sender.checksAnswers;
   }
 
   /**
@@ -51,7 +38,7 @@
     engine: string,
   ): Promise<AttemptAnswer | AttemptFailure> {
     const { request } = run;
-    return await this.send(engine, {
+    return await this.sender.send(engine, {
       attemptId,
       method: "POST",
       path: "/v1/chat/completions",
@@ -80,7 +67,7 @@
     engine: string,
     offset: number,
   ): Promise<AttemptAnswer | AttemptFailure> {
-    const answer = await this.send(engine, {
+    const answer = await this.sender.send(engine, {
       attemptId,
       method: "GET",
       path: `/v1/streams/${encodeURIComponent(attemptId)}?offset=${String(offset)}`,
@@ -112,24 +99,10 @@
       deadline: this.getNow() + cancelTimeoutMilliseconds,
       signal: undefined,
     };
-    void this.send(engine, request).then((answer) => {
+    void this.sender.send(engine, request).then((answer) => {
       if (answer.kind === "answer") {
         discardBody(answer.body);
       }
     });
   }
-
-  private async send(
-    engine: string,
-    request: Omit<AttemptRequest, "address">,
-  ): Promise<AttemptAnswer | AttemptFailure> {
-    const address = this.hosts.getAddress(engine);
-    if (address === undefined) {
-      const detail = `engine "${engine}" has no address`;
-      return { kind: "failure", class: "neverSent", detail, isLeaving: false };
-    }
-    const answer = await sendAttempt(this.connections, { ...request, address }, this.getNow);
-    this.hosts.addObservation(engine, answer, request.signal?.aborted ?? false);
-    return answer;
-  }
 }
--- a/packages/daemon/src/daemon/CallerWiring.ts
+++ b/packages/daemon/src/daemon/CallerWiring.ts
@@ -4,7 +4,13 @@
 import { CallerGate } from "../callers/index.js";
 import { ChatTask, EngineClient, type Usage } from "../chat/index.js";
 import type { ConfigurationTask } from "../configuration/index.js";
-import type { AdmissionTask, HostDirectory, PlacementTask, RetryTask } from "../kernel/index.js";
+import type {
+  AdmissionTask,
+  HostDirectory,
+  HostSender,
+  PlacementTask,
+  RetryTask,
+} from "../kernel/index.js";
 import { ServiceTask, type ServiceClient } from "../services/index.js";
 import type { Context } from "./Context.js";
 import type { ViewUpdater } from "./ViewUpdater.js";
@@ -19,6 +25,7 @@
   readonly acts: ActTask;
   readonly views: ViewUpdater;
   readonly client: ServiceClient;
+  readonly sender: HostSender;
 }
 
 const configurationRetryMilliseconds = 1_000;
@@ -49,15 +56,15 @@
   }
 
   private createChats(): ChatTask {
-    const { admission, placement, retries, hosts, views } = this.targets;
-    const { connections, recorder, getNow } = this.context;
+    const { admission, placement, retries, hosts, views, sender } = this.targets;
+    const { recorder, getNow } = this.context;
     return ChatTask.create({
       admission,
       placement,
       retries,
       hosts,
       isServed: (model) => views.isServed(model),
-      engines: EngineClient.create(connections, hosts, getNow),
+      engines: EngineClient.create(sender, getNow),
       recorder,
       createAttemptId: () => this.createAttemptId(),
       onUsage: (usage) => {
--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -5,7 +5,8 @@
 import { createCallersApplication } from "../callers/index.js";
 import { createOperationsApplication } from "../operations/index.js";
 import type { Settings } from "../settings/index.js";
-import { TaskGraph, type Tasks } from "./TaskGraph.js";
+import { TaskGraph } from "./TaskGraph.js";
+import type { Tasks } from "./Tasks.js";
 
 /** The addresses that a started daemon listens on. */
 export interface Listening {
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -6,42 +6,28 @@
   type RetryGuard,
 } from "@pistachioway/kernel";
 import { ActSender, ActTask } from "../acts/index.js";
-import type { CallerGate } from "../callers/index.js";
-import type { ChatTask } from "../chat/index.js";
 import { ConfigurationTask, type InForce } from "../configuration/index.js";
-import type { DigestTask, PeerLinks } from "../digests/index.js";
-import { AdmissionTask, HostDirectory, PlacementTask, RetryTask } from "../kernel/index.js";
+import {
+  AdmissionTask,
+  HostDirectory,
+  HostSender,
+  PlacementTask,
+  RetryTask,
+} from "../kernel/index.js";
 import { OperationsView, type DaemonPhase } from "../operations/index.js";
 import { OrderTask } from "../orders/index.js";
 import { PlatformTask } from "../platform/index.js";
-import { ServiceClient, type ServiceTask } from "../services/index.js";
+import { ServiceClient } from "../services/index.js";
 import type { Settings } from "../settings/index.js";
-import type { Recorder } from "../timeline/index.js";
-import type { Connections } from "../upstreams/index.js";
-import { CallerWiring } from "./CallerWiring.js";
+import { CallerWiring, type CallerTargets } from "./CallerWiring.js";
 import { createContext, type Context } from "./Context.js";
 import { PeerWiring, type PeerTargets } from "./PeerWiring.js";
 import { probeHost } from "./probeHost.js";
 import { startPlugins } from "./startPlugins.js";
+import type { Tasks } from "./Tasks.js";
 import { Ticker } from "./Ticker.js";
 import { ViewUpdater } from "./ViewUpdater.js";
 
-/** The tasks of one daemon. */
-export interface Tasks {
-  readonly recorder: Recorder;
-  readonly connections: Connections;
-  readonly platform: PlatformTask;
-  readonly configuration: ConfigurationTask;
-  readonly links: PeerLinks;
-  readonly digests: DigestTask;
-  readonly gate: CallerGate;
-  readonly chats: ChatTask;
-  readonly services: ServiceTask;
-  readonly acts: ActTask;
-  readonly view: OperationsView;
-  readonly ticker: Ticker;
-}
-
 const version = "0.1.0";
 const actsTickMilliseconds = 500;
 const silenceCheckMilliseconds = 250;
@@ -76,10 +62,11 @@
     this.configuration = this.createConfiguration();
     this.orders = this.createOrders();
     this.platform = this.createPlatform();
-    const client = ServiceClient.create(this.context.connections, this.hosts, this.context.getNow);
+    const sender = HostSender.create(context.connections, this.hosts, context.getNow);
+    const client = ServiceClient.create(sender, this.hosts, context.getNow);
     this.acts = this.createActs(client);
     this.views = this.createViews();
-    this.callers = CallerWiring.create(context, { ...this, client });
+    this.callers = CallerWiring.create(context, this.getCallerTargets(client, sender));
     startPlugins(context, this);
   }
 
@@ -143,6 +130,11 @@
     return ticker;
   }
 
+  private getCallerTargets(client: ServiceClient, sender: HostSender): CallerTargets {
+    const { hosts, placement, admission, retries, configuration, acts, views } = this;
+    return { hosts, placement, admission, retries, configuration, acts, views, client, sender };
+  }
+
   private createHosts(): HostDirectory {
     return HostDirectory.create({
       kernel: this.context.kernel,
--- /dev/null
+++ b/packages/daemon/src/daemon/Tasks.ts
@@ -0,0 +1,27 @@
+import type { ActTask } from "../acts/index.js";
+import type { CallerGate } from "../callers/index.js";
+import type { ChatTask } from "../chat/index.js";
+import type { ConfigurationTask } from "../configuration/index.js";
+import type { DigestTask, PeerLinks } from "../digests/index.js";
+import type { OperationsView } from "../operations/index.js";
+import type { PlatformTask } from "../platform/index.js";
+import type { ServiceTask } from "../services/index.js";
+import type { Recorder } from "../timeline/index.js";
+import type { Connections } from "../upstreams/index.js";
+import type { Ticker } from "./Ticker.js";
+
+/** The tasks of one daemon. */
+export interface Tasks {
+  readonly recorder: Recorder;
+  readonly connections: Connections;
+  readonly platform: PlatformTask;
+  readonly configuration: ConfigurationTask;
+  readonly links: PeerLinks;
+  readonly digests: DigestTask;
+  readonly gate: CallerGate;
+  readonly chats: ChatTask;
+  readonly services: ServiceTask;
+  readonly acts: ActTask;
+  readonly view: OperationsView;
+  readonly ticker: Ticker;
+}
--- a/packages/daemon/src/services/ServiceClient.ts
+++ b/packages/daemon/src/services/ServiceClient.ts
@@ -1,14 +1,8 @@
 import type { Instant, Service } from "@pistachioway/kernel";
 import type { Dispatcher } from "undici";
 import { Problem } from "../errors/index.js";
-import type { HostDirectory } from "../kernel/index.js";
-import {
-  isIntact,
-  readWhole,
-  sendAttempt,
-  type AttemptFailure,
-  type Connections,
-} from "../upstreams/index.js";
+import type { HostDirectory, HostSender } from "../kernel/index.js";
+import { isIntact, readWhole, type AttemptFailure } from "../upstreams/index.js";
 import { getEndToEndHeaders } from "./headers.js";
 
 /** A whole answer of a service. */
@@ -40,23 +34,19 @@
   private turn = 0;
 
   private constructor(
-    private readonly connections: Connections,
+    private readonly sender: HostSender,
     private readonly hosts: HostDirectory,
     private readonly getNow: () => Instant,
   ) {}
 
   /**
    * Creates a client.
-   * @param connections - Connections to the upstreams.
-   * @param hosts - Addresses and states of the hosts; takes what the attempts show of them.
+   * @param sender - Sends to hosts by name.
+   * @param hosts - States of the hosts.
    * @param getNow - Reads the clock.
    */
-  static create(
-    connections: Connections,
-    hosts: HostDirectory,
-    getNow: () => Instant,
-  ): ServiceClient {
-    return new ServiceClient(connections, hosts, getNow);
+  static create(sender: HostSender, hosts: HostDirectory, getNow: () => Instant): ServiceClient {
+    return new ServiceClient(sender, hosts, getNow);
   }
 
   /**
@@ -114,7 +104,7 @@
   ): Promise<ServiceAnswer | AttemptFailure> {
     this.runningByHost.set(host, this.getRunning(host) + 1);
     try {
-      return await this.sendToAddress(request, attemptId, host);
+      return await this.sendOnce(request, attemptId, host);
     } finally {
       this.runningByHost.set(host, this.getRunning(host) - 1);
     }
@@ -124,31 +114,20 @@
     return this.runningByHost.get(host) ?? 0;
   }
 
-  private async sendToAddress(
+  private async sendOnce(
     request: ServiceRequest,
     attemptId: string,
     host: string,
   ): Promise<ServiceAnswer | AttemptFailure> {
-    const address = this.hosts.getAddress(host);
-    if (address === undefined) {
-      const detail = `service host "${host}" has no address`;
-      return { kind: "failure", class: "neverSent", detail, isLeaving: false };
-    }
-    const answer = await sendAttempt(
-      this.connections,
-      {
-        attemptId,
-        address,
-        method: request.method as Dispatcher.HttpMethod,
-        path: request.path,
-        headers: request.headers,
-        body: request.body.length === 0 ? undefined : request.body,
-        deadline: request.deadline,
-        signal: request.signal,
-      },
-      this.getNow,
-    );
-    this.hosts.addObservation(host, answer, request.signal?.aborted ?? false);
+    const answer = await this.sender.send(host, {
+      attemptId,
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers,
+      body: request.body.length === 0 ? undefined : request.body,
+      deadline: request.deadline,
+      signal: request.signal,
+    });
     if (answer.kind === "failure") {
       return answer;
     }
