Leave an answer that ends with its connection without a length

Ruled out: a reset taken for the end (the socket saw 'end', then nothing; prints of a debug run). Change: such an answer keeps its form, ended by the caller's connection; broken answers reset it.

--- a/packages/daemon/src/ingress/CallerAnswer.ts
+++ b/packages/daemon/src/ingress/CallerAnswer.ts
@@ -63,7 +63,10 @@
       this.response.end();
       return;
     }
-    headers.push("Content-Length", String(body.length));
+    if (head.isFramed) {
+      headers.push("Content-Length", String(body.length));
+    }
+    this.setFraming(head);
     this.response.writeHead(head.status, this.withConnection(headers));
     this.response.end(body);
   }
@@ -73,6 +76,7 @@
    * @param head - Head of the upstream's answer.
    */
   startStream(head: AnswerHead): void {
+    this.setFraming(head);
     this.response.writeHead(head.status, this.withConnection([...head.passedHeaders]));
     this.response.flushHeaders();
   }
@@ -101,9 +105,21 @@
 
   /** Breaks an answer that cannot be finished, so that it does not look whole. */
   breakOff(): void {
+    this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
 
+  /**
+   * An answer that its connection's end delimits stays so: the upstream may have broken it off, and
+   * a length or a last chunk would vouch for it.
+   */
+  private setFraming(head: AnswerHead): void {
+    if (!head.isFramed) {
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+    }
+  }
+
   private withConnection(headers: string[]): string[] {
     if (this.isLast()) {
       headers.push("Connection", "close");
--- a/packages/kernel/src/forwarding/messages.ts
+++ b/packages/kernel/src/forwarding/messages.ts
@@ -54,6 +54,8 @@
   /** The upstream states that it has not run the request and will not. */
   readonly isRefusal: boolean;
   readonly load: ReportedLoad | undefined;
+  /** False when only the end of the connection tells where the answer ends. */
+  readonly isFramed: boolean;
   /** Names and values, by turns, of the headers that pass to the caller. */
   readonly passedHeaders: readonly string[];
 }
