--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,3 +4,7 @@
 export type { SettingsIssue } from "./errors/index.js";
 export { parseSettings, settingsSchema } from "./settings/index.js";
 export type { Settings } from "./settings/index.js";
+export { EventGate } from "./ingress/EventGate.js";
+export { StreamLog, type LogOutput } from "./log/StreamLog.js";
+export { RegistryTask } from "./registry/index.js";
+export { parseRouterSettings, Router, routerSettingsSchema } from "./router/index.js";
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -118,8 +118,10 @@
     this.record("info", "daemon.reloaded", { seeds: settings.peers.seeds.length });
   }
 
-  private close(): void {
+  /** Closes every listener and connection at once. */
+  close(): void {
     clearInterval(this.housekeeping);
+    this.ingress.close();
     this.registryTask.stop();
     this.fleet.stop();
     this.readiness.close();
--- /dev/null
+++ b/packages/daemon/tests/router/Site.ts
@@ -0,0 +1,227 @@
+import { dialect, StoreClient } from "@pistachioway/platform";
+import { RegistryStore, type ScriptedUpstream } from "@pistachioway/standins";
+import { connect, createServer, type Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { Router, routerSettingsSchema, StreamLog } from "@pistachioway/daemon";
+
+/** What a caller got on one connection. */
+export interface RawAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+  /** How the connection ended, when it did: in order, or broken. */
+  readonly end: "open" | "closed" | "reset";
+}
+
+const service = "records";
+
+/** A router before a store and scripted upstreams, on loopback sockets. */
+export class Site {
+  private constructor(
+    /** Lines of the router's log. */
+    readonly lines: readonly string[],
+    readonly store: RegistryStore,
+    readonly router: Router,
+    private readonly callersPort: number,
+    private readonly storeClient: StoreClient,
+  ) {}
+
+  /** Starts a store and a router with one route of each kind. */
+  static async create(upstreams: readonly ScriptedUpstream[]): Promise<Site> {
+    const store = RegistryStore.create();
+    const address = await store.listen();
+    await Promise.all(upstreams.map((upstream) => upstream.listen()));
+    store.put("op/config", createConfiguration());
+    upstreams.forEach((upstream) => {
+      store.put(`servers/${upstream.id}`, upstream.getEntry(service));
+    });
+    const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = await getFreePorts(4);
+    const at = (port: number) => `127.0.0.1:${String(port)}`;
+    const lines: string[] = [];
+    const write = (text: string) => lines.push(text);
+    const log = StreamLog.create(
+      { write, flush: () => undefined },
+      () => performance.now(),
+      "info",
+      {},
+    );
+    const storeClient = StoreClient.create(address);
+    const router = Router.create({
+      settings: routerSettingsSchema.parse({
+        process: { name: "d-1", zone: "north" },
+        listeners: {
+          callers: at(callers),
+          readiness: at(readiness),
+          operations: at(operations),
+          datagrams: at(datagrams),
+        },
+        registry: { address },
+        retries: { ratio: 0.2, slack: 100 },
+      }),
+      registry: storeClient,
+      dialect,
+      log,
+    });
+    const site = new Site(lines, store, router, callers, storeClient);
+    await router.start();
+    await waitFor(() => lines.some((line) => line.includes("configuration.in-force")));
+    return site;
+  }
+
+  /** Closes the store; the router ends with its process. */
+  async close(upstreams: readonly ScriptedUpstream[]): Promise<void> {
+    this.router.close();
+    this.storeClient.close();
+    await Promise.all([this.store.close(), ...upstreams.map((upstream) => upstream.close())]);
+  }
+
+  /** Opens a connection as a caller. */
+  open(): Socket {
+    const socket = connect(this.callersPort, "127.0.0.1");
+    socket.on("error", () => undefined);
+    return socket;
+  }
+
+  /** Sends a request and reads all that comes until the answer is whole or the connection ends. */
+  async call(
+    path: string,
+    part: { id?: string; method?: string; head?: string; body?: string } = {},
+  ) {
+    const { id = "q-1", method = "GET", head = "", body = "" } = part;
+    const length = body === "" ? "" : `Content-Length: ${String(body.length)}\r\n`;
+    const socket = this.open();
+    socket.write(
+      `${method} ${path} HTTP/1.1\r\nHost: chat.example\r\nRequest-Id: ${id}\r\n` +
+        `Deadline-Ms: 3000\r\nApi-Key: k-1\r\n${length}${head}\r\n${body}`,
+    );
+    return readAnswer(socket);
+  }
+}
+
+/** Reads one answer from a connection. */
+export async function readAnswer(socket: Socket): Promise<RawAnswer> {
+  let text = "";
+  let end: RawAnswer["end"] = "open";
+  await new Promise<void>((resolve) => {
+    socket.on("data", (chunk) => {
+      text += chunk.toString("latin1");
+      if (isWhole(text)) {
+        resolve();
+      }
+    });
+    socket.on("end", () => {
+      end = "closed";
+      resolve();
+    });
+    socket.on("error", () => {
+      end = "reset";
+      resolve();
+    });
+  });
+  socket.destroy();
+  return { ...parseAnswer(text), end };
+}
+
+/** Waits until a condition holds; fails after some seconds. */
+export async function waitFor(isTrue: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 400; tries += 1) {
+    if (isTrue()) {
+      return;
+    }
+    await delay(10);
+  }
+  throw new Error("the condition did not come to hold");
+}
+
+function isWhole(text: string): boolean {
+  const headEnd = text.indexOf("\r\n\r\n");
+  if (headEnd < 0) {
+    return false;
+  }
+  const length = /content-length: (\d+)/i.exec(text.slice(0, headEnd))?.[1];
+  return length === undefined
+    ? text.includes("Transfer-Encoding: chunked") && text.endsWith("\r\n0\r\n\r\n")
+    : text.length >= headEnd + 4 + Number(length);
+}
+
+function parseAnswer(text: string): Omit<RawAnswer, "end"> {
+  const headEnd = text.indexOf("\r\n\r\n");
+  const [first = "", ...lines] = text.slice(0, Math.max(0, headEnd)).split("\r\n");
+  const headers = Object.fromEntries(
+    lines.map((line) => {
+      const at = line.indexOf(":");
+      return [line.slice(0, at).toLowerCase(), line.slice(at + 1).trim()];
+    }),
+  ) as Record<string, string>;
+  const body = text.slice(headEnd + 4);
+  const isChunked = headers["transfer-encoding"] === "chunked";
+  return {
+    status: Number(first.split(" ")[1] ?? 0),
+    headers,
+    body: isChunked ? unchunk(body) : body,
+  };
+}
+
+function unchunk(body: string): string {
+  let text = "";
+  let at = 0;
+  for (;;) {
+    const lineEnd = body.indexOf("\r\n", at);
+    const size = lineEnd < 0 ? 0 : parseInt(body.slice(at, lineEnd), 16);
+    if (!(size > 0)) {
+      return text;
+    }
+    text += body.slice(lineEnd + 2, lineEnd + 2 + size);
+    at = lineEnd + 2 + size + 2;
+  }
+}
+
+async function getFreePorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve) => {
+          server.listen(0, "127.0.0.1", () => {
+            const address = server.address();
+            resolve(typeof address === "object" && address !== null ? address.port : 0);
+          });
+        }),
+    ),
+  );
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
+/** Creates the published configuration of the tests. */
+export function createConfiguration(part: Record<string, unknown> = {}): Record<string, unknown> {
+  const common = {
+    host: "chat.example",
+    timeout_ms: 2_000,
+    goal_ms: 100,
+    priority: 1,
+    service,
+    max_attempts: 2,
+    public: false,
+    sticky: false,
+    resumable: false,
+  };
+  return {
+    version: 1,
+    route_list: [
+      { ...common, name: "read", prefix: "/read/", route_kind: "idempotent" },
+      { ...common, name: "act", prefix: "/act/", route_kind: "non_idempotent", timeout_ms: 500 },
+      { ...common, name: "stream", prefix: "/stream/", route_kind: "streaming", resumable: true },
+      { ...common, name: "once", prefix: "/once/", route_kind: "streaming", max_attempts: 1 },
+    ],
+    services: [{ name: service, health_path: "/healthz", max_conns: 100 }],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 65_536,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: [{ name: "callaloo", api_keys: ["k-1"] }],
+    ...part,
+  };
+}
--- /dev/null
+++ b/packages/kernel/tests/fleet/FleetView.test.ts
@@ -0,0 +1,41 @@
+import { FleetView, type PeerHeartbeat } from "@pistachioway/kernel";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+
+const test = suite("FleetView");
+
+function createHeartbeat(part: Partial<PeerHeartbeat> = {}): PeerHeartbeat {
+  return { name: "d-2", address: "10.0.0.2:9", incarnation: 1, running: {}, ...part };
+}
+
+test("learns addresses from seeds and heartbeats, and leaves its own out", () => {
+  const view = FleetView.create("10.0.0.1:9", ["10.0.0.1:9", "10.0.0.2:9"]);
+  view.hear(createHeartbeat({ address: "10.0.0.3:9" }), 0);
+  view.hear(createHeartbeat({ address: "10.0.0.1:9" }), 0);
+  assert.equal(view.getAddresses(), ["10.0.0.2:9", "10.0.0.3:9"]);
+});
+
+test("adds up the requests of live daemons, by upstream", () => {
+  const view = FleetView.create("10.0.0.1:9", []);
+  view.hear(createHeartbeat({ running: { "e-1": 2 } }), 0);
+  view.hear(createHeartbeat({ address: "10.0.0.3:9", running: { "e-1": 3, "e-2": 1 } }), 2_000);
+  assert.equal(Object.fromEntries(view.getRunning(2_000)), { "e-1": 5, "e-2": 1 });
+  assert.equal(Object.fromEntries(view.getRunning(3_000)), { "e-1": 3, "e-2": 1 });
+});
+
+test("does not go back to an older incarnation", () => {
+  const view = FleetView.create("10.0.0.1:9", []);
+  view.hear(createHeartbeat({ incarnation: 2, running: { "e-1": 1 } }), 0);
+  view.hear(createHeartbeat({ incarnation: 1, running: { "e-1": 9 } }), 1);
+  assert.equal(Object.fromEntries(view.getRunning(2)), { "e-1": 1 });
+});
+
+test("shares the retry budget by the most daemons ever seen, so that a cut does not widen it", () => {
+  const view = FleetView.create("10.0.0.1:9", []);
+  view.hear(createHeartbeat(), 0);
+  view.hear(createHeartbeat({ address: "10.0.0.3:9" }), 0);
+  assert.is(view.getLive(10_000).length, 0);
+  assert.is(view.getDaemonCount(), 3);
+});
+
+test.run();
--- /dev/null
+++ b/packages/kernel/tests/upstreams/chooseUpstream.test.ts
@@ -0,0 +1,115 @@
+import { chooseUpstream, type UpstreamBook, type UpstreamDemand } from "@pistachioway/kernel";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { createBook } from "./samples.js";
+
+const test = suite("chooseUpstream");
+
+function choose(book: UpstreamBook, part: Partial<UpstreamDemand> = {}) {
+  return chooseUpstream(book.getEntries(), {
+    service: "engine",
+    zone: "north",
+    stickyKey: "chat-1",
+    excluded: new Set(),
+    now: 0,
+    ...part,
+  });
+}
+
+test("sends a chat to the same engine on every daemon", () => {
+  const ids = ["chat-1", "chat-2", "chat-3"].map((stickyKey) => [
+    choose(createBook(13), { stickyKey })?.entry.record.id,
+    choose(createBook(13), { stickyKey })?.entry.record.id,
+  ]);
+  ids.forEach(([first, second]) => {
+    assert.is(first, second);
+  });
+});
+
+test("moves only the chats of an engine that leaves", () => {
+  const keys = Array.from({ length: 200 }, (_, index) => `chat-${String(index)}`);
+  const before = keys.map((stickyKey) => choose(createBook(13), { stickyKey })?.entry.record.id);
+  const book = createBook(13);
+  book.removeUpstream("e-4", 0);
+  const moved = keys.filter((stickyKey, index) => {
+    const id = choose(book, { stickyKey })?.entry.record.id;
+    return id !== before[index] && before[index] !== "e-4";
+  });
+  assert.equal(moved, []);
+});
+
+test("a hot key spills to the next engine in order, whose prefix can be fetched from the first", () => {
+  const book = createBook(13);
+  const home = choose(book)?.entry;
+  for (let count = 0; count < 3; count += 1) {
+    home?.start(0);
+  }
+  const choice = choose(book);
+  assert.is(choice?.reason, "spilled");
+  assert.is(choice?.home, home);
+  assert.is.not(choice?.entry, home);
+});
+
+test("a hot key never puts an engine far above the mean", () => {
+  const book = createBook(13);
+  const counts = new Map<string, number>();
+  for (let request = 0; request < 260; request += 1) {
+    // A third of the requests are about one thing.
+    const stickyKey = request % 3 === 0 ? "hot" : `chat-${String(request)}`;
+    const entry = choose(book, { stickyKey })?.entry;
+    entry?.start(0);
+    const id = entry?.record.id ?? "";
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  const most = Math.max(...counts.values());
+  assert.ok(most <= (260 / 13) * 1.4 + 3, `${String(most)} on one engine`);
+});
+
+test("leaves failing engines alone while there are others", () => {
+  const book = createBook(2);
+  const home = choose(book)?.entry;
+  home?.avoid(0);
+  assert.is.not(choose(book, { now: 10 })?.entry, home);
+  assert.is(choose(book, { now: 1_100 })?.entry, home);
+  const [only] = createBook(1).getEntries();
+  only?.avoid(0);
+  assert.is(only && chooseUpstream([only], { ...base, now: 10 })?.entry, only);
+});
+
+const base: UpstreamDemand = {
+  service: "engine",
+  zone: "north",
+  stickyKey: undefined,
+  excluded: new Set(),
+  now: 0,
+};
+
+test("takes an engine with requests and no sign of life as silent", () => {
+  const book = createBook(2);
+  const home = choose(book)?.entry;
+  home?.start(0);
+  assert.is(choose(book, { now: 600 })?.entry, home);
+  assert.is.not(choose(book, { now: 800 })?.entry, home);
+  home?.hear(790);
+  assert.is(choose(book, { now: 800 })?.entry, home);
+});
+
+test("without a key it stays in the zone until the zone's upstreams are nearly full", () => {
+  const book = createBook(2, ["north", "south"]);
+  const near = book.getEntry("e-1");
+  const at = (load: number) => {
+    while ((near?.running ?? load) < load) {
+      near?.start(0);
+    }
+    return choose(book, { stickyKey: undefined })?.entry.record.zone;
+  };
+  assert.equal([at(0), at(20), at(30)], ["north", "north", "south"]);
+});
+
+test("takes none that drains, is excluded, or serves something else", () => {
+  const book = createBook(1);
+  assert.is(choose(book, { service: "other" }), undefined);
+  assert.is(choose(book, { excluded: new Set(["e-1"]) }), undefined);
+});
+
+test.run();
--- /dev/null
+++ b/packages/standins/src/registry/RegistryStore.ts
@@ -0,0 +1,172 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+
+/** What the store does with calls. */
+export type StoreMode = "up" | "busy" | "silent" | "reset";
+
+interface Change {
+  readonly key: string;
+  readonly revision: number;
+  /** Undefined when the item was removed. */
+  readonly text: string | undefined;
+}
+
+interface WaitingWatch {
+  readonly finish: () => void;
+}
+
+const pageItems = 50;
+
+/** Stands in for the platform's key-value store: ranges, watches, revisions and lost history. */
+export class RegistryStore {
+  private readonly items = new Map<string, Change>();
+  private changes: Change[] = [];
+  private revision = 1;
+  private oldestRevision = 1;
+  private mode: StoreMode = "up";
+  private readonly watches = new Set<WaitingWatch>();
+  private readonly server: Server;
+  private calls = 0;
+
+  private constructor() {
+    this.server = createServer((request, response) => {
+      this.serve(request, response);
+    });
+  }
+
+  /** Creates a store that is not listening yet. */
+  static create(): RegistryStore {
+    return new RegistryStore();
+  }
+
+  /** Gets the address in the form `127.0.0.1:PORT`. */
+  get address(): string {
+    const address = this.server.address();
+    return typeof address === "object" && address !== null
+      ? `127.0.0.1:${String(address.port)}`
+      : "";
+  }
+
+  /** Gets the number of calls so far. */
+  getCalls(): number {
+    return this.calls;
+  }
+
+  /** Binds the listener and returns its address. */
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
+    return this.address;
+  }
+
+  /** Closes the listener and every connection. */
+  async close(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+
+  /** Writes an item. */
+  put(key: string, value: unknown): void {
+    const text = typeof value === "string" ? value : JSON.stringify(value);
+    this.add({ key, revision: (this.revision += 1), text });
+  }
+
+  /** Removes an item. */
+  remove(key: string): void {
+    this.add({ key, revision: (this.revision += 1), text: undefined });
+  }
+
+  /** Forgets the history, so that watches from before get 410. */
+  forgetHistory(): void {
+    this.revision += 1;
+    this.changes = [];
+    this.oldestRevision = this.revision;
+    this.wake();
+  }
+
+  /** Sets what happens to calls from now on; watches that wait are ended. */
+  setMode(mode: StoreMode): void {
+    this.mode = mode;
+    this.wake();
+    if (mode === "reset") {
+      this.server.closeAllConnections();
+    }
+  }
+
+  private add(change: Change): void {
+    if (change.text === undefined) {
+      this.items.delete(change.key);
+    } else {
+      this.items.set(change.key, change);
+    }
+    this.changes.push(change);
+    this.wake();
+  }
+
+  private wake(): void {
+    this.watches.forEach(({ finish }) => {
+      finish();
+    });
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    this.calls += 1;
+    const url = new URL(request.url ?? "", "http://store");
+    if (url.pathname === "/v1/kv-watch") {
+      this.waitFor(url, response);
+    } else {
+      this.answer(response, 200, () => this.getPage(url));
+    }
+  }
+
+  private getPage(url: URL): unknown {
+    const prefix = url.searchParams.get("prefix") ?? "";
+    const after = url.searchParams.get("after") ?? "";
+    const matching = [...this.items.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return {
+      entries: matching.slice(0, pageItems).map(toItem),
+      more_pages: matching.length > pageItems,
+      current_rev: this.revision,
+    };
+  }
+
+  private waitFor(url: URL, response: ServerResponse): void {
+    const after = Number(url.searchParams.get("after"));
+    const waitMilliseconds = Number(url.searchParams.get("wait_ms"));
+    const find = (): Change[] => this.changes.filter(({ revision }) => revision > after);
+    const isLost = (): boolean => after < this.oldestRevision - 1;
+    const finish = (): void => {
+      clearTimeout(timer);
+      this.watches.delete(watch);
+      this.answer(response, isLost() ? 410 : 200, () => ({
+        events: find().map(toItem),
+        current_rev: this.revision,
+      }));
+    };
+    const watch = { finish };
+    const timer = setTimeout(finish, waitMilliseconds);
+    this.watches.add(watch);
+    if (isLost() || find().length > 0 || this.mode !== "up") {
+      finish();
+    }
+  }
+
+  private answer(response: ServerResponse, status: number, getBody: () => unknown): void {
+    if (this.mode === "silent") {
+      return;
+    }
+    if (this.mode === "reset") {
+      response.socket?.resetAndDestroy();
+      return;
+    }
+    const code = this.mode === "busy" ? 503 : status;
+    response.writeHead(code, { "content-type": "application/json" });
+    response.end(code === 200 ? JSON.stringify(getBody()) : "");
+  }
+}
+
+function toItem({ key, revision, text }: Change): unknown {
+  return text === undefined
+    ? { key, revision, removed: true }
+    : { key, revision, created: revision, lease: 0, value: Buffer.from(text).toString("base64") };
+}
--- /dev/null
+++ b/packages/standins/src/registry/ScriptedUpstream.ts
@@ -0,0 +1,135 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+
+/** A request as the upstream received it. */
+export interface ReceivedRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+  /** When its connection was closed by the caller before an answer. */
+  readonly isAbandoned: () => boolean;
+}
+
+/** Answers one request, well or badly. */
+export type Script = (request: ReceivedRequest, response: ServerResponse) => void;
+
+/** Stands in for an upstream: records each request that arrives and answers by a script. */
+export class ScriptedUpstream {
+  readonly received: ReceivedRequest[] = [];
+  private readonly server: Server;
+
+  private constructor(
+    readonly id: string,
+    private script: Script,
+  ) {
+    this.server = createServer((request, response) => {
+      this.receive(request, response);
+    });
+  }
+
+  /**
+   * Creates an upstream that is not listening yet.
+   * @param id - Id that it registers with.
+   * @param script - How it answers.
+   */
+  static create(id: string, script: Script = answerWhole("ok")): ScriptedUpstream {
+    return new ScriptedUpstream(id, script);
+  }
+
+  /** Gets the address in the form `127.0.0.1:PORT`. */
+  get address(): string {
+    const address = this.server.address();
+    return typeof address === "object" && address !== null
+      ? `127.0.0.1:${String(address.port)}`
+      : "";
+  }
+
+  /** Binds the listener. */
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
+  }
+
+  /** Closes the listener and every connection. */
+  async close(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+
+  setScript(script: Script): void {
+    this.script = script;
+  }
+
+  /** Gets the entry that the upstream writes to the store. */
+  getEntry(service: string, state = "ready"): Record<string, unknown> {
+    return { service, address: this.address, zone: "north", slots: 8, state, seq_no: 1, born: 1 };
+  }
+
+  private receive(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    let isAbandoned = false;
+    response.on("close", () => {
+      isAbandoned = !response.writableFinished;
+    });
+    request.on("data", (chunk: Buffer) => chunks.push(chunk));
+    request.on("end", () => {
+      const received: ReceivedRequest = {
+        id: String(request.headers["request-id"]),
+        method: request.method ?? "",
+        path: request.url ?? "",
+        headers: request.headers,
+        body: Buffer.concat(chunks).toString("utf8"),
+        isAbandoned: () => isAbandoned,
+      };
+      this.received.push(received);
+      this.script(received, response);
+    });
+  }
+}
+
+/**
+ * Answers with a whole body.
+ * @param body - Text of the body.
+ * @param status - Status of the answer.
+ */
+export function answerWhole(body: string, status = 200): Script {
+  return ({ id }, response) => {
+    response.writeHead(status, {
+      "request-id": id,
+      "response-stamp": `stamp-${id}`,
+      "content-length": Buffer.byteLength(body),
+    });
+    response.end(body);
+  };
+}
+
+/** Says that the request was not run. */
+export const refuseRequest: Script = ({ id }, response) => {
+  response.writeHead(503, { "request-id": id, "not-run": "1", "content-length": 0 });
+  response.end();
+};
+
+/**
+ * Writes events from after the last one that the caller has, up to a number.
+ * @param until - Id of the last event to write.
+ * @param end - What follows: the end of the stream, or its break inside the next event.
+ */
+export function streamEvents(until: number, end: "whole" | "torn"): Script {
+  return ({ id, headers }, response) => {
+    response.writeHead(200, {
+      "request-id": id,
+      "response-stamp": `stamp-${id}`,
+      "content-type": "text/event-stream",
+    });
+    for (let event = Number(headers["last-event-id"] ?? 0) + 1; event <= until; event += 1) {
+      response.write(`id: ${String(event)}\ndata: piece ${String(event)}\n\n`);
+    }
+    if (end === "whole") {
+      response.end();
+      return;
+    }
+    response.write(`id: ${String(until + 1)}\ndata: pie`, () => {
+      setTimeout(() => response.socket?.resetAndDestroy(), 20);
+    });
+  };
+}
--- /dev/null
+++ b/packages/standins/src/registry/index.ts
@@ -0,0 +1,9 @@
+export { RegistryStore, type StoreMode } from "./RegistryStore.js";
+export {
+  answerWhole,
+  refuseRequest,
+  ScriptedUpstream,
+  streamEvents,
+  type ReceivedRequest,
+  type Script,
+} from "./ScriptedUpstream.js";
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -58,8 +58,9 @@
 
 async function main() {
   const filters = process.argv.slice(2);
-  const files = readdirSync(join(root, "packages"))
-    .flatMap((name) => listTestFiles(join(root, "packages", name, "dist-tests")))
+  const workspaces = readdirSync(join(root, "packages")).map((name) => join("packages", name));
+  const files = [...workspaces, "platform"]
+    .flatMap((workspace) => listTestFiles(join(root, workspace, "dist-tests")))
     .filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)))
     .sort();
   const knownRed = readKnownRed();
