Leave silent engines alone and probe them; fetch prefixes from known holders; smaller bundle

Change: silence of an engine with requests in flight counts after 0.4 s (streams) or 0.7 s, closes its idle connections, and a connection that carries nothing tells when it is back; what may be repeated moves away after 0.3 s; connections are given 250 ms. Each daemon remembers which engines read which parts and asks a newly added engine to fetch from the one before.

--- a/packages/daemon/src/exchange/ConnectionPool.ts
+++ b/packages/daemon/src/exchange/ConnectionPool.ts
@@ -50,6 +50,18 @@
     this.idleByAddress.set(address, idle);
   }
 
+  /**
+   * Closes the idle connections to an address, for example because its host seems to be away.
+   * @param address - IPv4 address and port of the upstream.
+   */
+  discard(address: string): void {
+    const idle = this.idleByAddress.get(address) ?? [];
+    this.idleByAddress.delete(address);
+    idle.forEach((connection) => {
+      connection.destroy();
+    });
+  }
+
   /** Closes every idle connection. */
   close(): void {
     for (const idle of this.idleByAddress.values()) {
--- a/packages/daemon/src/exchange/connect.ts
+++ b/packages/daemon/src/exchange/connect.ts
@@ -2,7 +2,7 @@
 import type { buildConnector } from "undici";
 
 /** Time for a connection to an upstream of the region; a dark host never answers. */
-const connectTimeoutMilliseconds = 400;
+const connectTimeoutMilliseconds = 250;
 const keepAliveProbeMilliseconds = 1_000;
 
 /** How the sockets of one connection have ended. */
@@ -44,3 +44,27 @@
     fate.wasBroken = true;
   });
 }
+
+/**
+ * Finds out whether an upstream can be reached, by a connection that carries nothing.
+ * @param address - IPv4 address and port.
+ */
+export async function canConnect(address: string): Promise<boolean> {
+  const [host = "", port = ""] = address.split(":");
+  const socket = openSocket({ host, port: Number(port) });
+  const timer = setTimeout(() => socket.destroy(), connectTimeoutMilliseconds);
+  const isConnected = await new Promise<boolean>((resolve) => {
+    socket.once("connect", () => {
+      resolve(true);
+    });
+    socket.once("error", () => {
+      resolve(false);
+    });
+    socket.once("close", () => {
+      resolve(false);
+    });
+  });
+  clearTimeout(timer);
+  socket.destroy();
+  return isConnected;
+}
--- a/packages/daemon/src/exchange/index.ts
+++ b/packages/daemon/src/exchange/index.ts
@@ -1,2 +1,3 @@
 export { ConnectionPool } from "./ConnectionPool.js";
+export { ReachabilityTask } from "./ReachabilityTask.js";
 export { Exchange, type ExchangeListener, type OutgoingRequest } from "./Exchange.js";
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -1,7 +1,12 @@
-import type { AnswerHead, RequestPass, UpstreamEntry } from "@pistachioway/kernel";
+import {
+  guessFormerUpstream,
+  type AnswerHead,
+  type RequestPass,
+  type UpstreamEntry,
+} from "@pistachioway/kernel";
 import { Exchange, type ExchangeListener } from "../exchange/index.js";
 import type { FlowParts } from "./FlowParts.js";
-import { getStickyKey, type FlowRequest } from "./FlowRequest.js";
+import { getSharedParts, getStickyKey, type FlowRequest } from "./FlowRequest.js";
 
 const leastUrgent = 9;
 
@@ -9,6 +14,9 @@
 export class Attempt {
   /** Head of the answer, once it has come. */
   head: AnswerHead | undefined;
+  /** When the last bytes came, or the request was sent; monotonic milliseconds. */
+  lastHeardAt = 0;
+  private hasBegun = false;
   private readonly chunks: Buffer[] = [];
   private bytes = 0;
   private exchange: Exchange | undefined;
@@ -43,6 +51,7 @@
     const now = parts.getNow();
     const isEngine = parts.getService(record.service)?.engine !== undefined;
     this.entry.start(now);
+    this.lastHeardAt = now;
     const headers = parts.dialect.writeRequest(head, {
       upstream: record,
       team: pass.team,
@@ -85,6 +94,23 @@
     return Buffer.concat(this.chunks);
   }
 
+  /** Notes bytes of the answer. */
+  hear(now: number): void {
+    this.lastHeardAt = now;
+    this.entry.hear(now);
+  }
+
+  /** Notes that the answer is a stream. */
+  beginStream(): void {
+    this.hasBegun = true;
+    this.entry.beginAnswer();
+  }
+
+  /** Counts the end of the attempt. */
+  finish(): void {
+    this.entry.finish(this.hasBegun);
+  }
+
   /** Gives the request up, which tells the upstream. */
   cancel(): void {
     this.exchange?.cancel();
@@ -98,23 +124,44 @@
     this.exchange?.resume();
   }
 
-  /** Gets the engine that holds more of the prompt than the one that was chosen. */
+  /** Gets the address of an engine that likely holds more of the prompt than the chosen one. */
   private getFetchAddress(
     parts: FlowParts,
     request: FlowRequest,
     home: UpstreamEntry | undefined,
     now: number,
   ): string | undefined {
-    const key = getStickyKey(request.head);
-    const { record } = this.entry;
-    if (key === undefined || parts.getService(record.service)?.engine?.canFetch !== true) {
+    const { entry } = this;
+    const shared = getSharedParts(request.head);
+    const [last] = shared.slice(-1);
+    if (last === undefined || parts.getService(request.service)?.engine?.canFetch !== true) {
       return undefined;
     }
-    const last = parts.homes.get(key);
-    parts.homes.set(key, record.id, now);
-    const holder = last === undefined ? home : parts.book.getEntry(last);
-    const isUseful = holder !== undefined && holder !== this.entry && !holder.isAvoided(now);
-    return isUseful ? holder.record.address : undefined;
+    const isUsable = (each: UpstreamEntry): boolean =>
+      each !== entry && !each.isAvoided(now) && parts.book.getEntry(each.record.id) === each;
+    const { prefixes } = parts;
+    const guess = prefixes.isKnown(last)
+      ? undefined
+      : (home ?? this.guessFormer(parts, request, now));
+    const known = prefixes.getBetterHolder(shared, entry, isUsable, now);
+    prefixes.addHolder(shared, entry, now);
+    const holder = guess !== undefined && isUsable(guess) ? guess : known;
+    return holder?.record.address;
+  }
+
+  private guessFormer(
+    parts: FlowParts,
+    { head, service }: FlowRequest,
+    now: number,
+  ): UpstreamEntry | undefined {
+    const demand = {
+      service,
+      zone: parts.zone,
+      stickyKey: getStickyKey(head),
+      excluded: new Set<string>(),
+      now,
+    };
+    return guessFormerUpstream(parts.book.getEntries(), demand, this.entry);
   }
 }
 
--- a/packages/daemon/src/ingress/Flow.ts
+++ b/packages/daemon/src/ingress/Flow.ts
@@ -22,6 +22,11 @@
 const maxWholeBytes = 8_388_608;
 /** Part of its goal after which a repeatable request is better sent elsewhere. */
 const lateGoals = 1.6;
+const watchMilliseconds = 150;
+/** An answer is waited for this long from an upstream that seems not to be there. */
+const lostMilliseconds = 300;
+/** A stream that pauses for longer goes on elsewhere, where it may. */
+const stallMilliseconds = 1_200;
 
 /** Serves one request: places it, sends it, relays its answer, and sends it again where it may. */
 export class Flow {
@@ -33,7 +38,7 @@
   private firstByteAt: number | undefined;
   private isOver = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
-  private lateTimer: NodeJS.Timeout | undefined;
+  private watchTimer: NodeJS.Timeout | undefined;
   private readonly tried = new Set<string>();
   private readonly gate: EventGate | undefined;
   private readonly report: FlowReport;
@@ -85,6 +90,7 @@
   /** The caller has gone: nobody waits for the answer. */
   abandon(): void {
     if (!this.isOver) {
+      this.noteUnheard();
       this.stopAttempt();
       this.finish("abandoned");
     }
@@ -108,7 +114,7 @@
     this.runs += 1;
     const attempt = Attempt.create(entry);
     this.attempt = attempt;
-    this.startLateTimer();
+    this.watch();
     attempt.send(this.parts, this.request, home, this.getLastEventId(), this.listener);
   }
 
@@ -119,20 +125,30 @@
     return relayed ?? this.request.head.lastEventId;
   }
 
-  private startLateTimer(): void {
+  /** Looks now and then whether a request that may be repeated is better sent elsewhere. */
+  private watch(): void {
     const { route } = this.request.pass;
-    if (isRepeatable(route) && this.runs < route.maxAttempts) {
-      this.lateTimer = setTimeout(() => {
-        this.takeLate();
-      }, route.goalMilliseconds * lateGoals);
+    if (!isRepeatable(route) || this.runs >= route.maxAttempts) {
+      return;
     }
+    this.watchTimer = setTimeout(() => {
+      if (this.attempt !== undefined && this.isLate(this.attempt)) {
+        this.takeLate(this.attempt);
+      } else {
+        this.watch();
+      }
+    }, watchMilliseconds);
   }
 
-  private takeLate(): void {
-    const attempt = this.attempt;
-    if (this.isOver || attempt === undefined || attempt.head !== undefined) {
-      return;
-    }
+  private isLate({ entry, head, lastHeardAt }: Attempt): boolean {
+    const now = this.parts.getNow();
+    const waited = now - lastHeardAt;
+    const { goalMilliseconds } = this.request.pass.route;
+    const limit = head === undefined ? goalMilliseconds * lateGoals : stallMilliseconds;
+    return waited > (entry.isAvoided(now) ? Math.min(lostMilliseconds, limit) : limit);
+  }
+
+  private takeLate(attempt: Attempt): void {
     const detail = `upstream "${attempt.entry.record.id}" did not answer in time`;
     if (this.mayRetry("late", detail)) {
       this.noteFailure(attempt.entry);
@@ -148,13 +164,20 @@
     }
     const now = this.parts.getNow();
     attempt.head = head;
-    attempt.entry.hear(now);
+    attempt.hear(now);
     if (head.load !== undefined) {
       attempt.entry.report(head.load.running + head.load.waiting, now);
     }
     if (head.isRefusal) {
       this.noteNotRun();
-    } else if (this.isStream(head) && !this.answer.isStarted()) {
+    } else if (this.isStream(head)) {
+      attempt.beginStream();
+      this.startStream(head, now);
+    }
+  }
+
+  private startStream(head: AnswerHead, now: number): void {
+    if (!this.answer.isStarted()) {
       this.firstByteAt = now;
       this.answer.startStream(head);
     }
@@ -165,7 +188,7 @@
     if (attempt?.head === undefined) {
       return;
     }
-    attempt.entry.hear(this.parts.getNow());
+    attempt.hear(this.parts.getNow());
     if (this.isStream(attempt.head)) {
       this.relay(attempt, this.gate?.pass(chunk) ?? chunk);
     } else if (attempt.keep(chunk) > maxWholeBytes) {
@@ -234,7 +257,7 @@
     const isRefused = attempt.head?.isRefusal === true;
     if (end === "notSent") {
       this.noteNotRun();
-      attempt.entry.avoid(this.parts.getNow());
+      attempt.entry.loseReach(this.parts.getNow());
     } else if (!isRefused) {
       this.noteFailure(attempt.entry);
     }
@@ -277,9 +300,7 @@
     }
     const { attempt } = this;
     const mayHaveRun = this.runs > 1 || (attempt?.mayHaveRun() ?? this.runs > 0);
-    if (attempt !== undefined && attempt.head === undefined) {
-      this.noteFailure(attempt.entry);
-    }
+    this.noteUnheard();
     this.stopAttempt();
     if (this.answer.isStarted()) {
       this.breakOff("cut-at-deadline");
@@ -321,9 +342,18 @@
     entry.fail(this.parts.getNow(), this.parts.book.getUsualFailureRate(entry));
   }
 
+  /** An upstream that has said nothing for as long as a caller waits has failed. */
+  private noteUnheard(): void {
+    const { attempt } = this;
+    const waited = this.parts.getNow() - (attempt?.lastHeardAt ?? Infinity);
+    if (attempt !== undefined && waited > stallMilliseconds) {
+      this.noteFailure(attempt.entry);
+    }
+  }
+
   private endAttempt(): void {
-    clearTimeout(this.lateTimer);
-    this.attempt?.entry.finish();
+    clearTimeout(this.watchTimer);
+    this.attempt?.finish();
     this.attempt = undefined;
   }
 
--- a/packages/daemon/src/ingress/FlowParts.ts
+++ b/packages/daemon/src/ingress/FlowParts.ts
@@ -1,8 +1,7 @@
-import type { Dialect, RoutedService, UpstreamBook } from "@pistachioway/kernel";
+import type { Dialect, PrefixDirectory, RoutedService, UpstreamBook } from "@pistachioway/kernel";
 import type { ConnectionPool } from "../exchange/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
-import type { Homes } from "./Homes.js";
 import type { ServiceBudgets } from "./ServiceBudgets.js";
 
 /** What every flow works with. */
@@ -11,7 +10,7 @@
   readonly pool: ConnectionPool;
   readonly dialect: Dialect;
   readonly budgets: ServiceBudgets;
-  readonly homes: Homes;
+  readonly prefixes: PrefixDirectory;
   readonly metrics: RouterMetrics;
   /** Zone of this daemon. */
   readonly zone: string;
--- a/packages/daemon/src/ingress/FlowRequest.ts
+++ b/packages/daemon/src/ingress/FlowRequest.ts
@@ -22,3 +22,12 @@
 export function getStickyKey({ promptParts }: RequestHead): string | undefined {
   return (promptParts.at(-2) ?? promptParts.at(-1))?.id;
 }
+
+/**
+ * Gets the ids of the parts of the prompt that other requests may share, in order.
+ * @param head - Head of the request.
+ */
+export function getSharedParts({ promptParts }: RequestHead): readonly string[] {
+  const shared = promptParts.length > 1 ? promptParts.slice(0, -1) : promptParts;
+  return shared.map(({ id }) => id);
+}
--- a/packages/daemon/src/ingress/index.ts
+++ b/packages/daemon/src/ingress/index.ts
@@ -1,4 +1,3 @@
 export type { FlowParts } from "./FlowParts.js";
-export { Homes } from "./Homes.js";
 export { IngressServer, type IngressParts } from "./IngressServer.js";
 export { ServiceBudgets } from "./ServiceBudgets.js";
--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -11,7 +11,7 @@
 import type { Fields, LogLevel } from "../log/line.js";
 
 /** Longest wait of one watch: an answer confirms that nothing was missed until it was asked. */
-const watchMilliseconds = 1_000;
+const watchMilliseconds = 1_500;
 /** Time for the answer itself; the registry may be some hundred times slower than usual. */
 const answerMilliseconds = 900;
 const firstRetryMilliseconds = 40;
@@ -151,7 +151,7 @@
         record("error", "configuration.refused", { detail: change.detail });
         break;
       case "upstream":
-        this.book.addUpstream(change.upstream);
+        this.book.addUpstream(change.upstream, now);
         record("info", "upstream.changed", {
           upstream: change.upstream.id,
           service: change.upstream.service,
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -1,4 +1,5 @@
 import {
+  PrefixDirectory,
   RouteTable,
   type ClockReading,
   type Dialect,
@@ -6,9 +7,9 @@
   type Registry,
 } from "@pistachioway/kernel";
 import { setTimeout as delay } from "node:timers/promises";
-import { ConnectionPool } from "../exchange/index.js";
+import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import { FleetTask } from "../fleet/index.js";
-import { Homes, IngressServer, ServiceBudgets, type FlowParts } from "../ingress/index.js";
+import { IngressServer, ServiceBudgets, type FlowParts } from "../ingress/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 import type { StreamLog } from "../log/StreamLog.js";
 import { RouterMetrics } from "../metrics/RouterMetrics.js";
@@ -39,6 +40,7 @@
   private readonly metrics = RouterMetrics.create();
   private readonly pool = ConnectionPool.create();
   private readonly registryTask: RegistryTask;
+  private readonly reachability: ReachabilityTask;
   private readonly fleet: FleetTask;
   private readonly ingress: IngressServer;
   private readonly readiness: OperationsServer;
@@ -49,6 +51,7 @@
 
   private constructor(private readonly parts: RouterParts) {
     this.registryTask = this.createRegistryTask();
+    this.reachability = this.createReachabilityTask();
     this.fleet = this.createFleetTask();
     this.ingress = this.createIngress();
     const onError = (error: Error): void => {
@@ -85,6 +88,7 @@
       this.operations.listen(listeners.operations),
     ]);
     this.fleet.start();
+    this.reachability.start();
     this.housekeeping = setInterval(() => {
       this.keepHouse();
     }, housekeepingMilliseconds);
@@ -124,6 +128,7 @@
     this.ingress.close();
     this.registryTask.stop();
     this.fleet.stop();
+    this.reachability.stop();
     this.readiness.close();
     this.operations.close();
     this.pool.close();
@@ -145,6 +150,17 @@
     });
   }
 
+  private createReachabilityTask(): ReachabilityTask {
+    return ReachabilityTask.create({
+      book: this.registryTask.book,
+      pool: this.pool,
+      getNow: readSteadyClock,
+      record: (level, event, fields) => {
+        this.record(level, event, fields);
+      },
+    });
+  }
+
   private createFleetTask(): FleetTask {
     const { process: self, listeners, peers } = this.parts.settings;
     return FleetTask.create({
@@ -184,7 +200,7 @@
       pool: this.pool,
       dialect,
       budgets: ServiceBudgets.create(settings.retries),
-      homes: Homes.create(readSteadyClock),
+      prefixes: PrefixDirectory.create(),
       metrics: this.metrics,
       zone: settings.process.zone,
       getNow: readSteadyClock,
--- a/packages/kernel/src/upstreams/UpstreamBook.ts
+++ b/packages/kernel/src/upstreams/UpstreamBook.ts
@@ -42,11 +42,12 @@
    * Takes what an upstream says of itself. A new incarnation under a known id starts without
    * history; a record that is older than the known one changes nothing.
    * @param record - What the upstream says.
+   * @param now - Monotonic time.
    */
-  addUpstream(record: Upstream): void {
+  addUpstream(record: Upstream, now: number): void {
     const entry = this.entriesById.get(record.id);
     if (entry === undefined || record.bornAt > entry.record.bornAt) {
-      this.entriesById.set(record.id, UpstreamEntry.create(record));
+      this.entriesById.set(record.id, UpstreamEntry.create(record, now));
       return;
     }
     const isOlder = record.bornAt < entry.record.bornAt || record.sequence < entry.record.sequence;
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -5,8 +5,11 @@
   firstAvoidanceMilliseconds,
   longestAvoidanceMilliseconds,
   outcomeWeight,
+  probeMilliseconds,
   reportedLoadMilliseconds,
-  silenceMilliseconds,
+  startSilenceMilliseconds,
+  streamSilenceMilliseconds,
+  youngMilliseconds,
 } from "./constants.js";
 import type { Upstream } from "./schema.js";
 
@@ -20,6 +23,9 @@
   runningElsewhere = 0;
   /** When the entry lapsed while the registry was disturbed; it is used until then plus a grace. */
   lapsedAt: number | undefined;
+  private answering = 0;
+  private isUnreachable = false;
+  private probedAt = -Infinity;
   private reported = 0;
   private reportedAt = -Infinity;
   private sentSinceReport = 0;
@@ -29,16 +35,25 @@
   private avoidedUntil = -Infinity;
   private avoidanceMilliseconds = firstAvoidanceMilliseconds;
 
-  private constructor(public record: Upstream) {
+  private constructor(
+    public record: Upstream,
+    private readonly addedAt: number,
+  ) {
     this.hash = getHash(record.id);
   }
 
   /**
    * Creates an entry without history.
    * @param record - What the upstream says of itself.
+   * @param now - Monotonic time.
    */
-  static create(record: Upstream): UpstreamEntry {
-    return new UpstreamEntry(record);
+  static create(record: Upstream, now: number): UpstreamEntry {
+    return new UpstreamEntry(record, now);
+  }
+
+  /** Tells whether the upstream was added a short while ago. */
+  isYoung(now: number): boolean {
+    return now - this.addedAt < youngMilliseconds;
   }
 
   /** Gets the best estimate of the requests that the upstream holds, waiting ones included. */
@@ -57,14 +72,57 @@
     this.sentSinceReport += 1;
   }
 
-  /** Counts the end of a request. */
-  finish(): void {
+  /** Counts a stream that the upstream has begun. */
+  beginAnswer(): void {
+    this.answering += 1;
+  }
+
+  /**
+   * Counts the end of a request.
+   * @param hasBegun - Whether its answer had begun as a stream.
+   */
+  finish(hasBegun: boolean): void {
     this.running -= 1;
+    this.answering -= hasBegun ? 1 : 0;
   }
 
-  /** Notes bytes from the upstream. */
+  /** Notes bytes from the upstream, which also show that it can be reached. */
   hear(now: number): void {
     this.lastHeardAt = now;
+    this.isUnreachable = false;
+  }
+
+  /** Notes that no connection could be made; probes tell when one can. */
+  loseReach(now: number): void {
+    this.isUnreachable = true;
+    this.probedAt = now;
+  }
+
+  /** Notes that a probe has connected. */
+  regainReach(): void {
+    this.isUnreachable = false;
+  }
+
+  /** Tells whether it is time to probe an upstream that could not be reached, and notes the probe. */
+  startProbe(now: number): boolean {
+    const isDue = this.isUnreachable && now - this.probedAt >= probeMilliseconds;
+    this.probedAt = isDue ? now : this.probedAt;
+    return isDue;
+  }
+
+  /**
+   * Leaves an upstream alone that holds requests and sends nothing, and tells whether it does so.
+   * @param now - Current time.
+   */
+  judgeSilence(now: number): boolean {
+    const limit = this.answering > 0 ? streamSilenceMilliseconds : startSilenceMilliseconds;
+    const isSilent = this.running > 0 && now - this.lastHeardAt > limit;
+    if (!isSilent || this.isAvoided(now)) {
+      return false;
+    }
+    this.avoid(now);
+    this.loseReach(now);
+    return true;
   }
 
   /** Takes the load that an answer reports. */
@@ -113,13 +171,8 @@
     return this.failureRate;
   }
 
-  /** Tells whether the upstream holds requests and has sent nothing for long. */
-  isSilent(now: number): boolean {
-    return this.running > 0 && now - this.lastHeardAt > silenceMilliseconds;
-  }
-
   /** Tells whether new requests should go elsewhere, if there is an elsewhere. */
   isAvoided(now: number): boolean {
-    return this.avoidedUntil > now || this.isSilent(now);
+    return this.avoidedUntil > now || this.isUnreachable;
   }
 }
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -73,21 +73,49 @@
   key: string,
   now: number,
 ): UpstreamChoice | undefined {
-  const hash = getHash(key);
-  const ordered = candidates
-    .map((entry) => ({
-      entry,
-      score: getRendezvousScore(hash, entry.hash, entry.record.slots),
-    }))
-    .sort((a, b) => b.score - a.score);
-  const home = ordered[0]?.entry;
+  const ordered = orderByKey(candidates, key);
+  const [home] = ordered;
   if (home === undefined) {
     return undefined;
   }
   const total = candidates.reduce((sum, entry) => sum + entry.getLoad(now), 0);
   const limit = (total / candidates.length) * loadFactor + loadAllowance;
-  const roomy = ordered.find(({ entry }) => entry.getLoad(now) < limit)?.entry ?? home;
+  const roomy = ordered.find((entry) => entry.getLoad(now) < limit) ?? home;
   return roomy === home
     ? { entry: home, reason: "first", home: undefined }
     : { entry: roomy, reason: "spilled", home };
 }
+
+/**
+ * Guesses which upstream has served a key before an upstream that was added lately, or instead of
+ * one that leaves.
+ * @param entries - Upstreams that the registry names.
+ * @param demand - What the request asks for.
+ * @param chosen - Upstream that will serve it.
+ */
+export function guessFormerUpstream(
+  entries: readonly UpstreamEntry[],
+  { service, stickyKey, now }: UpstreamDemand,
+  chosen: UpstreamEntry,
+): UpstreamEntry | undefined {
+  if (stickyKey === undefined) {
+    return undefined;
+  }
+  const known = entries.filter(
+    (entry) => entry.record.service === service && (entry === chosen || !entry.isYoung(now)),
+  );
+  const ordered = orderByKey(known, stickyKey);
+  const former = ordered.find((entry) => entry !== chosen);
+  const ranksFirst = former !== undefined && former === ordered[0];
+  const leaves = former?.record.state === "draining" && ranksFirst;
+  return leaves || chosen.isYoung(now) ? former : undefined;
+}
+
+/** Orders upstreams by the rendezvous score of a key, the largest first. */
+function orderByKey(entries: readonly UpstreamEntry[], key: string): readonly UpstreamEntry[] {
+  const hash = getHash(key);
+  return entries
+    .map((entry) => ({ entry, score: getRendezvousScore(hash, entry.hash, entry.record.slots) }))
+    .sort((a, b) => b.score - a.score)
+    .map(({ entry }) => entry);
+}
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -1,8 +1,17 @@
 /** Time for which lapsed entries are still used after the registry is back. */
 export const lapseGraceMilliseconds = 1_800;
 
-/** An upstream with requests in flight that sends nothing for this long is taken as silent. */
-export const silenceMilliseconds = 700;
+/** An upstream in the middle of streams that sends nothing for this long is taken as silent. */
+export const streamSilenceMilliseconds = 400;
+
+/** The same for an upstream that has not begun to answer any of its requests. */
+export const startSilenceMilliseconds = 700;
+
+/** Pause between two probes of an upstream that cannot be reached. */
+export const probeMilliseconds = 300;
+
+/** An upstream that was added this recently has not read what others read for its chats before. */
+export const youngMilliseconds = 30_000;
 
 /** First time for which a failing upstream is left alone; it doubles with each further failure. */
 export const firstAvoidanceMilliseconds = 1_000;
--- a/packages/kernel/src/upstreams/index.ts
+++ b/packages/kernel/src/upstreams/index.ts
@@ -1,5 +1,10 @@
-export { chooseUpstream, type UpstreamChoice, type UpstreamDemand } from "./chooseUpstream.js";
-export { silenceMilliseconds } from "./constants.js";
+export {
+  chooseUpstream,
+  guessFormerUpstream,
+  type UpstreamChoice,
+  type UpstreamDemand,
+} from "./chooseUpstream.js";
+export { PrefixDirectory } from "./PrefixDirectory.js";
 export { upstreamSchema, type Upstream } from "./schema.js";
 export { UpstreamBook } from "./UpstreamBook.js";
 export { UpstreamEntry } from "./UpstreamEntry.js";
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -14,6 +14,8 @@
   format: "esm",
   conditions: ["source"],
   alias: { undici: "./scripts/undici-client.mjs" },
+  minifySyntax: true,
+  minifyWhitespace: true,
   legalComments: "none",
   banner: {
     js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
