Take configuration and upstreams from a peer while the registry is out of reach

Change: heartbeats tell version and age of its confirmation; past 1.9 s a daemon asks the freshest peer for its state. Its age counts from when it was asked, so no delay makes it look younger.

--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -11,7 +11,10 @@
 const datagramSchema = z.object({
   name: z.string(),
   address: z.string(),
+  operations: z.string(),
   incarnation: z.number(),
+  version: z.number(),
+  ageMilliseconds: z.number(),
   running: z.record(z.string(), z.number()),
   /** Addresses of the daemons that the sender knows. */
   peers: z.array(z.string()),
@@ -22,7 +25,11 @@
   readonly name: string;
   /** Address and port of this daemon's datagrams. */
   readonly address: string;
+  /** Address and port of this daemon's pages for operators and peers. */
+  readonly operations: string;
   readonly incarnation: number;
+  /** Gets the version of this daemon's configuration and the age of its confirmation. */
+  readonly getBelief: () => { readonly version: number; readonly ageMilliseconds: number };
   readonly seeds: readonly string[];
   readonly getNow: () => number;
   /** Gets this daemon's requests in flight, by id of the upstream. */
@@ -74,9 +81,16 @@
 
   private beat(): void {
     const addresses = this.view.getAddresses();
-    const { name, address, incarnation, getRunning } = this.parts;
-    const peers = [...addresses.slice(0, maxAddressesTold)];
-    const text = JSON.stringify({ name, address, incarnation, running: getRunning(), peers });
+    const { name, address, operations, incarnation, getBelief, getRunning } = this.parts;
+    const text = JSON.stringify({
+      name,
+      address,
+      operations,
+      incarnation,
+      ...getBelief(),
+      running: getRunning(),
+      peers: addresses.slice(0, maxAddressesTold),
+    });
     const count = Math.min(peersPerHeartbeat, addresses.length);
     for (let step = 0; step < count; step += 1) {
       const target = addresses[(this.turn + step) % addresses.length] ?? "";
--- /dev/null
+++ b/packages/daemon/src/fleet/PeerStateTask.ts
@@ -0,0 +1,67 @@
+import type { ClockReading, FleetView } from "@pistachioway/kernel";
+import type { Fields, LogLevel } from "../log/line.js";
+import { fetchPeerState, type PeerState } from "./peerState.js";
+
+const checkMilliseconds = 300;
+/** A confirmation older than this is renewed by a peer: the registry itself is then out of reach. */
+const renewMilliseconds = 1_900;
+
+/** What the task works with. */
+export interface PeerStateParts {
+  readonly view: FleetView;
+  readonly getClocks: () => ClockReading;
+  readonly getVersion: () => number;
+  readonly getAgeMilliseconds: () => number;
+  /** Takes what a peer knows; `askedAt` is when the peer was asked. */
+  readonly onState: (state: PeerState, askedAt: ClockReading) => void;
+  readonly record: (level: LogLevel, event: string, fields: Fields) => void;
+}
+
+/** Takes configuration and upstreams from a peer while the registry cannot be read. */
+export class PeerStateTask {
+  private timer: NodeJS.Timeout | undefined;
+  private isAsking = false;
+
+  private constructor(private readonly parts: PeerStateParts) {}
+
+  /**
+   * Creates a task that is not started.
+   * @param parts - What the task works with.
+   */
+  static create(parts: PeerStateParts): PeerStateTask {
+    return new PeerStateTask(parts);
+  }
+
+  start(): void {
+    this.timer = setInterval(() => {
+      void this.check();
+    }, checkMilliseconds);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private async check(): Promise<void> {
+    const { view, getClocks, getVersion, getAgeMilliseconds } = this.parts;
+    const askedAt = getClocks();
+    const age = getAgeMilliseconds();
+    const peer = view.getFreshest(askedAt.monotonic, getVersion());
+    if (this.isAsking || age < renewMilliseconds || peer === undefined) {
+      return;
+    }
+    if (peer.ageMilliseconds >= age) {
+      return;
+    }
+    this.isAsking = true;
+    try {
+      this.parts.onState(await fetchPeerState(peer.operations, getVersion()), askedAt);
+      this.parts.record("debug", "peer.state-taken", { peer: peer.name });
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      this.parts.record("info", "peer.state-failed", { peer: peer.name, detail });
+    } finally {
+      this.isAsking = false;
+    }
+  }
+}
--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -8,6 +8,7 @@
   type RegistryNews,
 } from "@pistachioway/kernel";
 import { setTimeout as delay } from "node:timers/promises";
+import type { PeerState } from "../fleet/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 
 /** Longest wait of one watch: an answer confirms that nothing was missed until it was asked. */
@@ -78,10 +79,31 @@
   }
 
   /**
-   * Takes a configuration from a peer.
-   * @param table - Its configuration.
+   * Takes what a peer knows, while the registry itself cannot be read. A peer with an older
+   * configuration changes nothing.
+   * @param state - What the peer knows.
+   * @param askedAt - When the peer was asked.
    */
-  takeTable(table: RouteTable): void {
+  takePeerState(state: PeerState, askedAt: ClockReading): void {
+    const now = this.parts.getClocks();
+    const isFresher = state.ageMilliseconds < this.confirmation.getAgeMilliseconds(askedAt);
+    if (!isFresher || state.version < (this.table?.version ?? 0)) {
+      return;
+    }
+    if (state.routing !== undefined) {
+      this.takeTable(RouteTable.create(state.routing));
+    }
+    if (this.table?.version !== state.version || this.isTableUnknown) {
+      return;
+    }
+    this.confirmation.confirm(askedAt, now, state.ageMilliseconds);
+    state.upstreams.forEach((upstream) => {
+      this.book.addUpstream(upstream, now.monotonic);
+    });
+    this.removeMissing(new Set(state.upstreams.map(({ id }) => id)));
+  }
+
+  private takeTable(table: RouteTable): void {
     if (this.table !== undefined && table.version <= this.table.version) {
       return;
     }
@@ -127,7 +149,10 @@
       this.apply(change);
     });
     if (isWhole) {
-      this.removeMissing(news.changes);
+      const upstreams = news.changes.flatMap((change) =>
+        change.kind === "upstream" ? [change.upstream.id] : [],
+      );
+      this.removeMissing(new Set(upstreams));
     }
     this.position = news.position;
     if (this.table !== undefined && !this.isTableUnknown) {
@@ -171,10 +196,7 @@
   }
 
   /** Removes the upstreams that a whole reading does not name. */
-  private removeMissing(changes: readonly RegistryChange[]): void {
-    const named = new Set(
-      changes.map((change) => (change.kind === "upstream" ? change.upstream.id : "")),
-    );
+  private removeMissing(named: ReadonlySet<string>): void {
     const now = this.parts.getClocks().monotonic;
     for (const { record } of this.book.getEntries()) {
       if (!named.has(record.id)) {
--- a/packages/daemon/src/router/OperationsServer.ts
+++ b/packages/daemon/src/router/OperationsServer.ts
@@ -7,8 +7,8 @@
   readonly text: string;
 }
 
-/** Gets a page; may be slow. */
-export type PageSource = () => OperationsPage | Promise<OperationsPage>;
+/** Gets a page, by the query of its request; may be slow. */
+export type PageSource = (query: URLSearchParams) => OperationsPage | Promise<OperationsPage>;
 
 /** Serves small pages by path: readiness, status, metrics. */
 export class OperationsServer {
@@ -19,8 +19,8 @@
     private readonly onError: (error: Error) => void,
   ) {
     this.server = createServer((request, response) => {
-      const path = (request.url ?? "").split("?")[0] ?? "";
-      this.answer(path, response).catch((error: unknown) => {
+      const [path = "", query] = (request.url ?? "").split("?");
+      this.answer(path, new URLSearchParams(query), response).catch((error: unknown) => {
         this.fail(response, error);
       });
     });
@@ -52,9 +52,17 @@
     this.server.closeAllConnections();
   }
 
-  private async answer(path: string, response: ServerResponse): Promise<void> {
+  private async answer(
+    path: string,
+    query: URLSearchParams,
+    response: ServerResponse,
+  ): Promise<void> {
     const source = this.pages[path];
-    const page = await (source?.() ?? { status: 404, type: "text/plain", text: "unknown page\n" });
+    const page = await (source?.(query) ?? {
+      status: 404,
+      type: "text/plain",
+      text: "unknown page\n",
+    });
     const { status, type, text } = page;
     response.writeHead(status, { "content-type": type, "content-length": Buffer.byteLength(text) });
     response.end(text);
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -8,19 +8,20 @@
 } from "@pistachioway/kernel";
 import { setTimeout as delay } from "node:timers/promises";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
-import { FleetTask } from "../fleet/index.js";
+import { FleetTask, PeerStateTask } from "../fleet/index.js";
 import { IngressServer, ServiceBudgets, type FlowParts } from "../ingress/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 import type { StreamLog } from "../log/StreamLog.js";
 import { RouterMetrics } from "../metrics/RouterMetrics.js";
 import { RegistryTask } from "../registry/index.js";
-import { OperationsServer, type OperationsPage } from "./OperationsServer.js";
+import { OperationsServer } from "./OperationsServer.js";
+import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
 
 /** Time that clocks may err while a key's revocation is waited for. */
 const clockMarginMilliseconds = 200;
-/** A daemon that has not heard the registry for this part of a revocation's time sends callers away. */
-const unreadyPart = 0.75;
+/** Age that heartbeats tell of a configuration that was never confirmed; JSON has no infinity. */
+const unknownAge = Number.MAX_SAFE_INTEGER;
 /** Time after the signal to stop in which the balancer may still send new connections. */
 const unreadyMilliseconds = 2_500;
 /** Part of the grace that is left for the end of the process itself. */
@@ -42,6 +43,7 @@
   private readonly registryTask: RegistryTask;
   private readonly reachability: ReachabilityTask;
   private readonly fleet: FleetTask;
+  private readonly peerStates: PeerStateTask;
   private readonly ingress: IngressServer;
   private readonly readiness: OperationsServer;
   private readonly operations: OperationsServer;
@@ -53,20 +55,14 @@
     this.registryTask = this.createRegistryTask();
     this.reachability = this.createReachabilityTask();
     this.fleet = this.createFleetTask();
+    this.peerStates = this.createPeerStateTask();
     this.ingress = this.createIngress();
     const onError = (error: Error): void => {
       this.record("error", "operations.failed", { detail: error.message });
     };
-    const ready = (): OperationsPage => this.getReadinessPage();
-    this.readiness = OperationsServer.create({ "/readyz": ready }, onError);
-    this.operations = OperationsServer.create(
-      {
-        "/readyz": ready,
-        "/status": () => this.getStatusPage(),
-        "/metrics": () => this.getMetricsPage(),
-      },
-      onError,
-    );
+    const pages = this.createPages();
+    this.readiness = OperationsServer.create(pages.getReadiness(), onError);
+    this.operations = OperationsServer.create(pages.getAll(), onError);
   }
 
   /**
@@ -88,6 +84,7 @@
       this.operations.listen(listeners.operations),
     ]);
     this.fleet.start();
+    this.peerStates.start();
     this.reachability.start();
     this.housekeeping = setInterval(() => {
       this.keepHouse();
@@ -128,6 +125,7 @@
     this.ingress.close();
     this.registryTask.stop();
     this.fleet.stop();
+    this.peerStates.stop();
     this.reachability.stop();
     this.readiness.close();
     this.operations.close();
@@ -166,7 +164,12 @@
     return FleetTask.create({
       name: self.name,
       address: listeners.datagrams,
+      operations: listeners.operations,
       incarnation: this.incarnation,
+      getBelief: () => {
+        const age = this.registryTask.getAgeMilliseconds();
+        return { version: this.getVersion(), ageMilliseconds: Math.min(age, unknownAge) };
+      },
       seeds: peers.seeds.map((seed) => this.toDatagramAddress(seed)),
       getNow: readSteadyClock,
       getRunning: () => this.getRunning(),
@@ -183,6 +186,40 @@
     return `${host}:${port}`;
   }
 
+  private createPeerStateTask(): PeerStateTask {
+    const task = this.registryTask;
+    return PeerStateTask.create({
+      view: this.fleet.view,
+      getClocks: readClocks,
+      getVersion: () => this.getVersion(),
+      getAgeMilliseconds: () => task.getAgeMilliseconds(),
+      onState: (state, askedAt) => {
+        task.takePeerState(state, askedAt);
+      },
+      record: (level, event, fields) => {
+        this.record(level, event, fields);
+      },
+    });
+  }
+
+  private createPages(): RouterPages {
+    return RouterPages.create({
+      settings: this.parts.settings,
+      incarnation: this.incarnation,
+      registry: this.registryTask,
+      view: this.fleet.view,
+      ingress: this.ingress,
+      pool: this.pool,
+      metrics: this.metrics,
+      getNow: readSteadyClock,
+      isStopping: () => this.isStopping,
+    });
+  }
+
+  private getVersion(): number {
+    return this.registryTask.getTable()?.version ?? -1;
+  }
+
   private createIngress(): IngressServer {
     return IngressServer.create({
       flow: this.createFlowParts(),
@@ -206,7 +243,7 @@
       getNow: readSteadyClock,
       getService: (name) => this.registryTask.getTable()?.getService(name),
       getDaemonCount: () => this.fleet.view.getDaemonCount(),
-      getVersion: () => this.registryTask.getTable()?.version ?? -1,
+      getVersion: () => this.getVersion(),
       getAgeMilliseconds: () => this.registryTask.getAgeMilliseconds(),
       record: (level, event, fields) => {
         this.record(level, event, fields);
@@ -247,50 +284,6 @@
     return Object.fromEntries(entries.map(({ record, running }) => [record.id, running]));
   }
 
-  private isReady(): boolean {
-    const { revokeMilliseconds } = this.parts.settings.configuration;
-    const isFresh = this.registryTask.getAgeMilliseconds() < revokeMilliseconds * unreadyPart;
-    return !this.isStopping && isFresh;
-  }
-
-  private getReadinessPage(): OperationsPage {
-    const isReady = this.isReady();
-    const text = isReady ? "ready\n" : "not ready\n";
-    return { status: isReady ? 200 : 503, type: "text/plain", text };
-  }
-
-  private getStatusPage(): OperationsPage {
-    const now = readSteadyClock();
-    const age = this.registryTask.getAgeMilliseconds();
-    const upstreams = this.registryTask.book.getEntries().map((entry) => ({
-      ...entry.record,
-      running: entry.running,
-      load: entry.getLoad(now),
-      isAvoided: entry.isAvoided(now),
-    }));
-    const document = {
-      name: this.parts.settings.process.name,
-      zone: this.parts.settings.process.zone,
-      incarnation: this.incarnation,
-      isReady: this.isReady(),
-      version: this.registryTask.getTable()?.version ?? null,
-      ageMilliseconds: Number.isFinite(age) ? Math.round(age) : null,
-      running: this.ingress.getRunningCount(),
-      peers: this.fleet.view.getLive(now).map(({ name }) => name),
-      upstreams,
-    };
-    const text = `${JSON.stringify(document, undefined, 2)}\n`;
-    return { status: 200, type: "application/json", text };
-  }
-
-  private async getMetricsPage(): Promise<OperationsPage> {
-    const age = this.registryTask.getAgeMilliseconds();
-    this.metrics.configurationAge.set(Number.isFinite(age) ? age / 1000 : -1);
-    this.metrics.connections.set(this.pool.getOpenedCount());
-    const { registry } = this.metrics;
-    return { status: 200, type: registry.contentType, text: await registry.metrics() };
-  }
-
   private record(level: LogLevel, event: string, fields: Fields): void {
     this.parts.log.write(level, event, fields);
   }
--- /dev/null
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -0,0 +1,117 @@
+import type { FleetView } from "@pistachioway/kernel";
+import type { ConnectionPool } from "../exchange/index.js";
+import { peerStatePath, type PeerState } from "../fleet/index.js";
+import type { IngressServer } from "../ingress/index.js";
+import type { RouterMetrics } from "../metrics/RouterMetrics.js";
+import type { RegistryTask } from "../registry/index.js";
+import type { OperationsPage, PageSource } from "./OperationsServer.js";
+import type { RouterSettings } from "./settings.js";
+
+/** A daemon whose configuration is older than this part of a revocation's time sends callers away. */
+const unreadyPart = 0.75;
+const millisecondsPerSecond = 1_000;
+
+/** What the pages show. */
+export interface RouterPagesParts {
+  readonly settings: RouterSettings;
+  readonly incarnation: number;
+  readonly registry: RegistryTask;
+  readonly view: FleetView;
+  readonly ingress: IngressServer;
+  readonly pool: ConnectionPool;
+  readonly metrics: RouterMetrics;
+  readonly getNow: () => number;
+  readonly isStopping: () => boolean;
+}
+
+/** The pages of a router: readiness, status, metrics, and its state for peers. */
+export class RouterPages {
+  private constructor(private readonly parts: RouterPagesParts) {}
+
+  /**
+   * Creates the pages.
+   * @param parts - What they show.
+   */
+  static create(parts: RouterPagesParts): RouterPages {
+    return new RouterPages(parts);
+  }
+
+  /** Gets the page for the balancer, by path. */
+  getReadiness(): Readonly<Record<string, PageSource>> {
+    return { "/readyz": () => this.getReadinessPage() };
+  }
+
+  /** Gets every page by path. */
+  getAll(): Readonly<Record<string, PageSource>> {
+    return {
+      ...this.getReadiness(),
+      "/status": () => this.getStatusPage(),
+      "/metrics": () => this.getMetricsPage(),
+      [peerStatePath]: (query) => this.getPeerStatePage(Number(query.get("known") ?? -1)),
+    };
+  }
+
+  private isReady(): boolean {
+    const { revokeMilliseconds } = this.parts.settings.configuration;
+    const isFresh = this.parts.registry.getAgeMilliseconds() < revokeMilliseconds * unreadyPart;
+    return !this.parts.isStopping() && isFresh;
+  }
+
+  private getReadinessPage(): OperationsPage {
+    const isReady = this.isReady();
+    const text = isReady ? "ready\n" : "not ready\n";
+    return { status: isReady ? 200 : 503, type: "text/plain", text };
+  }
+
+  private getStatusPage(): OperationsPage {
+    const { settings, registry, view, ingress, getNow, incarnation } = this.parts;
+    const now = getNow();
+    const age = registry.getAgeMilliseconds();
+    const upstreams = registry.book.getEntries().map((entry) => ({
+      ...entry.record,
+      running: entry.running,
+      load: entry.getLoad(now),
+      isAvoided: entry.isAvoided(now),
+    }));
+    return toJsonPage({
+      name: settings.process.name,
+      zone: settings.process.zone,
+      incarnation,
+      isReady: this.isReady(),
+      version: registry.getTable()?.version ?? null,
+      ageMilliseconds: Number.isFinite(age) ? Math.round(age) : null,
+      running: ingress.getRunningCount(),
+      peers: view.getLive(now).map(({ name, version }) => ({ name, version })),
+      upstreams,
+    });
+  }
+
+  private async getMetricsPage(): Promise<OperationsPage> {
+    const { registry, metrics, pool } = this.parts;
+    const age = registry.getAgeMilliseconds();
+    metrics.configurationAge.set(Number.isFinite(age) ? age / millisecondsPerSecond : -1);
+    metrics.connections.set(pool.getOpenedCount());
+    const text = await metrics.registry.metrics();
+    return { status: 200, type: metrics.registry.contentType, text };
+  }
+
+  private getPeerStatePage(knownVersion: number): OperationsPage {
+    const { registry } = this.parts;
+    const table = registry.getTable();
+    const ageMilliseconds = registry.getAgeMilliseconds();
+    if (table === undefined || !Number.isFinite(ageMilliseconds)) {
+      return { status: 503, type: "text/plain", text: "no configuration\n" };
+    }
+    const state: PeerState = {
+      version: table.version,
+      ageMilliseconds,
+      routing: table.version === knownVersion ? undefined : table.getRouting(),
+      upstreams: registry.book.getEntries().map(({ record }) => record),
+    };
+    return toJsonPage(state);
+  }
+}
+
+function toJsonPage(document: unknown): OperationsPage {
+  return { status: 200, type: "application/json", text: `${JSON.stringify(document)}\n` };
+}
--- a/packages/daemon/tests/router/Router.test.ts
+++ b/packages/daemon/tests/router/Router.test.ts
@@ -247,6 +247,21 @@
   assert.is((await site.call("/read/1")).status, 200);
 });
 
+test("a daemon that starts cut off from the registry serves by what a peer knows", async (context) => {
+  const cutOff = await context.site.createCutOff();
+  assert.is((await cutOff.call("/read/1")).status, 200);
+  context.site.store.put("op/config", createConfiguration({ version: 8, tenants: [] }));
+  await waitFor(() => cutOff.lines.some((line) => line.includes("in-force version=8")));
+  // While the peer's own confirmation is old, a key that is unknown here may be new.
+  let status = 503;
+  for (let tries = 0; tries < 50 && status === 503; tries += 1) {
+    status = (await cutOff.call("/read/1")).status;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  assert.is(status, 401);
+  await cutOff.close([]);
+});
+
 test("follows changes after the registry lost its history", async (context) => {
   const { site, upstreams } = context;
   site.store.put("op/config", createConfiguration({ version: 5 }));
--- a/packages/daemon/tests/router/Site.ts
+++ b/packages/daemon/tests/router/Site.ts
@@ -22,47 +22,60 @@
     readonly lines: readonly string[],
     readonly store: RegistryStore,
     readonly router: Router,
-    private readonly callersPort: number,
+    private readonly host: string,
+    private readonly ports: readonly number[],
     private readonly storeClient: StoreClient,
   ) {}
 
   /** Starts a store and a router with one route of each kind. */
   static async create(upstreams: readonly ScriptedUpstream[]): Promise<Site> {
     const store = RegistryStore.create();
-    const address = await store.listen();
+    await store.listen();
     await Promise.all(upstreams.map((upstream) => upstream.listen()));
     store.put("op/config", createConfiguration());
     upstreams.forEach((upstream) => {
       store.put(`servers/${upstream.id}`, upstream.getEntry(service));
     });
-    const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = await getFreePorts(4);
-    const at = (port: number) => `127.0.0.1:${String(port)}`;
+    return Site.start("127.0.0.1", await getFreePorts(4), store);
+  }
+
+  /** Starts a second router, on another loopback address, that cannot reach the store. */
+  async createCutOff(): Promise<Site> {
+    const store = RegistryStore.create();
+    await store.listen();
+    store.setMode("reset");
+    return Site.start("127.0.0.2", this.ports, store);
+  }
+
+  private static async start(
+    host: string,
+    ports: readonly number[],
+    store: RegistryStore,
+  ): Promise<Site> {
+    const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = ports;
+    const at = (port: number) => `${host}:${String(port)}`;
     const lines: string[] = [];
     const write = (text: string) => lines.push(text);
-    const log = StreamLog.create(
-      { write, flush: () => undefined },
-      () => performance.now(),
-      "info",
-      {},
-    );
-    const storeClient = StoreClient.create(address);
+    const output = { write, flush: () => undefined };
+    const storeClient = StoreClient.create(store.address);
     const router = Router.create({
       settings: routerSettingsSchema.parse({
-        process: { name: "d-1", zone: "north" },
+        process: { name: `d-${host}`, zone: "north" },
         listeners: {
           callers: at(callers),
           readiness: at(readiness),
           operations: at(operations),
           datagrams: at(datagrams),
         },
-        registry: { address },
+        registry: { address: store.address },
+        peers: { seeds: ["127.0.0.1:1"] },
         retries: { ratio: 0.2, slack: 100 },
       }),
       registry: storeClient,
       dialect,
-      log,
+      log: StreamLog.create(output, () => performance.now(), "info", {}),
     });
-    const site = new Site(lines, store, router, callers, storeClient);
+    const site = new Site(lines, store, router, host, ports, storeClient);
     await router.start();
     await waitFor(() => lines.some((line) => line.includes("configuration.in-force")));
     return site;
@@ -77,7 +90,7 @@
 
   /** Opens a connection as a caller. */
   open(): Socket {
-    const socket = connect(this.callersPort, "127.0.0.1");
+    const socket = connect(this.ports[0] ?? 0, this.host);
     socket.on("error", () => undefined);
     return socket;
   }
--- a/packages/kernel/src/fleet/FleetView.ts
+++ b/packages/kernel/src/fleet/FleetView.ts
@@ -5,6 +5,12 @@
   readonly address: string;
   /** Grows with every start of the daemon. */
   readonly incarnation: number;
+  /** Address from which the daemon hands on what it knows. */
+  readonly operations: string;
+  /** Version of its configuration; -1 without one. */
+  readonly version: number;
+  /** Time since that version was last known to be the newest. */
+  readonly ageMilliseconds: number;
   /** Requests in flight by id of the upstream; upstreams without any are left out. */
   readonly running: Readonly<Record<string, number>>;
 }
@@ -76,6 +82,17 @@
       .map(({ heartbeat }) => heartbeat);
   }
 
+  /**
+   * Gets the live daemon whose configuration was confirmed last, if one has a version to offer.
+   * @param now - Current time.
+   * @param version - Version that this daemon has.
+   */
+  getFreshest(now: number, version: number): PeerHeartbeat | undefined {
+    return this.getLive(now)
+      .filter((peer) => peer.version >= Math.max(0, version))
+      .sort((a, b) => a.ageMilliseconds - b.ageMilliseconds)[0];
+  }
+
   /** Gets the largest number of daemons seen alive at once, this one included. */
   getDaemonCount(): number {
     return this.mostSeen;
--- a/packages/kernel/tests/fleet/FleetView.test.ts
+++ b/packages/kernel/tests/fleet/FleetView.test.ts
@@ -5,7 +5,16 @@
 const test = suite("FleetView");
 
 function createHeartbeat(part: Partial<PeerHeartbeat> = {}): PeerHeartbeat {
-  return { name: "d-2", address: "10.0.0.2:9", incarnation: 1, running: {}, ...part };
+  return {
+    name: "d-2",
+    address: "10.0.0.2:9",
+    operations: "10.0.0.2:8",
+    incarnation: 1,
+    version: 4,
+    ageMilliseconds: 500,
+    running: {},
+    ...part,
+  };
 }
 
 test("learns addresses from seeds and heartbeats, and leaves its own out", () => {
@@ -38,4 +47,18 @@
   assert.is(view.getDaemonCount(), 3);
 });
 
+test("names the live daemon whose configuration was confirmed last", () => {
+  const view = FleetView.create("10.0.0.1:9", []);
+  view.hear(createHeartbeat({ name: "late", address: "a", ageMilliseconds: 900 }), 2_000);
+  view.hear(createHeartbeat({ name: "fresh", address: "b" }), 2_000);
+  view.hear(createHeartbeat({ name: "old", address: "c", version: 3, ageMilliseconds: 1 }), 2_000);
+  view.hear(createHeartbeat({ name: "lost", address: "d", ageMilliseconds: 1 }), 0);
+  view.hear(
+    createHeartbeat({ name: "empty", address: "e", version: -1, ageMilliseconds: 1 }),
+    2_000,
+  );
+  const names = [4, -1, 5].map((version) => view.getFreshest(3_000, version)?.name);
+  assert.equal(names, ["fresh", "old", undefined]);
+});
+
 test.run();
