Confirm by the end of an empty watch; ask peers only while the registry is away; router status

Cause: ages of up to 2.8 s were seen in the log lines of quiet seconds: a confirmation counted from when the last watch was sent, so its age reached twice the watch. Peers would have been asked all the time. Change: an empty watch that lasted its time confirms a second before its end (a store may withhold changes for that long); peers are asked only after a failed call; unknown keys and routes get 503 from 2.6 s on. The metrics get a port of their own in the deploy file; settings check and router status serve routers; Flow gives its watch to LateWatch.

--- a/packages/cli/src/commands/SettingsCheck.ts
+++ b/packages/cli/src/commands/SettingsCheck.ts
@@ -1,5 +1,5 @@
 import { Args } from "@oclif/core";
-import type { Settings, SettingsIssue } from "@pistachioway/daemon";
+import type { RouterSettings, Settings, SettingsIssue } from "@pistachioway/daemon";
 import { exitCodes } from "../exitCodes.js";
 import { readTextFile } from "../files/index.js";
 import { toPrintable } from "../text/index.js";
@@ -24,10 +24,13 @@
     const { args } = await this.parse(SettingsCheck);
     const text = await readTextFile(args.file);
     // Loaded here, so that the other commands start without the daemon's libraries.
-    const { parseSettings } = await import("@pistachioway/daemon");
-    const result = parseSettings(text, args.file);
+    const { namesRegistry, parseRouterSettings, parseSettings } =
+      await import("@pistachioway/daemon");
+    const result = namesRegistry(text)
+      ? parseRouterSettings(text, args.file).map(getRouterSummary)
+      : parseSettings(text, args.file).map(getSummary);
     if (result.isOk) {
-      this.log(`${args.file}: accepted, ${getSummary(result.value)}`);
+      this.log(`${args.file}: accepted, ${result.value}`);
       return { file: args.file, accepted: true, issues: [] };
     }
     this.raiseExitCode(exitCodes.findings);
@@ -38,6 +41,10 @@
   }
 }
 
+function getRouterSummary({ process: { name, zone }, registry }: RouterSettings): string {
+  return `router ${name} in zone ${zone}, registry at ${registry.address}`;
+}
+
 function getSummary({ process: { name, zone }, platform }: Settings): string {
   return `host ${name} in zone ${zone}, platform at ${platform.address}`;
 }
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,6 +1,7 @@
 import { ConfigCheck } from "./ConfigCheck.js";
 import { ConfigDiff } from "./ConfigDiff.js";
 import { Explain } from "./Explain.js";
+import { RouterStatus } from "./RouterStatus.js";
 import { SettingsCheck } from "./SettingsCheck.js";
 import { Status } from "./Status.js";
 import { Timeline } from "./Timeline.js";
@@ -10,6 +11,7 @@
   "config:check": ConfigCheck,
   "config:diff": ConfigDiff,
   explain: Explain,
+  "router:status": RouterStatus,
   "settings:check": SettingsCheck,
   status: Status,
   timeline: Timeline,
--- a/packages/cli/src/daemons/OperationsClient.ts
+++ b/packages/cli/src/daemons/OperationsClient.ts
@@ -1,8 +1,10 @@
 import {
   eventPageSchema,
   explanationSchema,
+  routerStatusSchema,
   statusSchema,
   type DaemonStatus,
+  type RouterStatus,
   type EventPage,
   type Explanation,
   type Instant,
@@ -35,6 +37,11 @@
     return this.get("/v1/status", statusSchema);
   }
 
+  /** Gets the view of a router. */
+  getRouterStatus(): Promise<Result<RouterStatus, DaemonFailure>> {
+    return this.get("/status", routerStatusSchema);
+  }
+
   /**
    * Gets where a chat would go and why.
    * @param chat - Id of the chat.
--- a/packages/cli/src/status/index.ts
+++ b/packages/cli/src/status/index.ts
@@ -1,2 +1,3 @@
 export { getConcerns } from "./getConcerns.js";
 export { formatDaemons, formatEngines, formatServices, formatTeams } from "./tables.js";
+export { formatRouters, formatUpstreams, getRouterConcerns } from "./routers.js";
--- /dev/null
+++ b/packages/cli/tests/commands/router.test.ts
@@ -0,0 +1,89 @@
+import type { RouterStatus } from "@pistachioway/kernel";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { runTool } from "../runTool.js";
+import { StubDaemon } from "../StubDaemon.js";
+
+const test = suite("router status");
+
+function createStatus(part: Partial<RouterStatus> = {}): RouterStatus {
+  return {
+    name: "entry-north",
+    zone: "north",
+    incarnation: 1,
+    isReady: true,
+    version: 7,
+    ageMilliseconds: 900,
+    running: 3,
+    peers: [{ name: "entry-south", version: 7 }],
+    upstreams: [
+      {
+        id: "i-1",
+        service: "records",
+        address: "10.0.0.1:80",
+        zone: "north",
+        slots: 6,
+        state: "ready",
+        bornAt: 1,
+        sequence: 1,
+        running: 2,
+        load: 4,
+        isAvoided: false,
+      },
+    ],
+    ...part,
+  };
+}
+
+async function runStatus(...statuses: readonly RouterStatus[]) {
+  const stubs = await Promise.all(
+    statuses.map((status) => StubDaemon.create({ "/status": status })),
+  );
+  const addresses = stubs.map((stub) => stub.getAddress()).join(",");
+  const run = await runTool("router", "status", "--daemon", addresses);
+  stubs.forEach((stub) => {
+    stub.close();
+  });
+  return run;
+}
+
+test("shows routers and what they make of the upstreams", async () => {
+  const run = await runStatus(createStatus(), createStatus({ name: "entry-south", zone: "south" }));
+  assert.equal(run, {
+    code: 0,
+    errors: "",
+    output: [
+      "Routers",
+      "router       zone   state  version  age ms  running  peers",
+      "entry-north  north  ready        7     900        3      1",
+      "entry-south  south  ready        7     900        3      1",
+      "",
+      "Upstreams",
+      "upstream  service  zone   state  running  avoided by  known to",
+      "i-1       records  north  ready        4           0         2",
+      "",
+      "",
+    ].join("\n"),
+  });
+});
+
+test("names what needs attention, and says so by its exit code", async () => {
+  const lost = createStatus({
+    name: "entry-south",
+    isReady: false,
+    version: null,
+    ageMilliseconds: null,
+    peers: [],
+  });
+  const run = await runStatus(createStatus(), lost);
+  const concerns = run.output.split("\n").filter((line) => line.startsWith("!"));
+  assert.is(run.code, 1);
+  assert.equal(concerns, [
+    "! entry-south is not ready",
+    "! entry-south has no configuration",
+    "! configurations differ",
+    "! entry-south does not hear every router asked here",
+  ]);
+});
+
+test.run();
--- a/packages/cli/tests/commands/settings.test.ts
+++ b/packages/cli/tests/commands/settings.test.ts
@@ -8,6 +8,8 @@
 
 const example = fileURLToPath(new URL("../../../../examples/daemon.toml", import.meta.url));
 
+const routerExample = example.replace("daemon.toml", "router.toml");
+
 const test = suite("settings check");
 
 test("accepts the example", async () => {
@@ -18,6 +20,32 @@
   });
 });
 
+test("accepts a router's example, and names what a router's file lacks", async () => {
+  assert.equal(await runTool("settings", "check", routerExample), {
+    code: 0,
+    errors: "",
+    output: `${routerExample}: accepted, router entry-north in zone north, registry at 127.0.0.1:7100\n`,
+  });
+  const folder = await mkdtemp(join(tmpdir(), "pistachioway-"));
+  try {
+    const file = join(folder, "bad.toml");
+    const text = await readFile(routerExample, "utf8");
+    await writeFile(file, text.replace(/slack = 56/, "slack = -1").replace(/zone = .*/, ""));
+    const run = await runTool("settings", "check", file, "--json");
+    const report = JSON.parse(run.output) as { issues: { path: string; line: number }[] };
+    assert.is(run.code, 1);
+    assert.equal(
+      report.issues.map(({ path, line }) => [path, line]),
+      [
+        ["process.zone", 3],
+        ["retries.slack", 26],
+      ],
+    );
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+});
+
 test("lists every fault at once and hides the key between daemons", async () => {
   const folder = await mkdtemp(join(tmpdir(), "pistachioway-"));
   try {
--- a/packages/daemon/src/fleet/PeerStateTask.ts
+++ b/packages/daemon/src/fleet/PeerStateTask.ts
@@ -3,13 +3,13 @@
 import { fetchPeerState, type PeerState } from "./peerState.js";
 
 const checkMilliseconds = 300;
-/** A confirmation older than this is renewed by a peer: the registry itself is then out of reach. */
-const renewMilliseconds = 1_900;
 
 /** What the task works with. */
 export interface PeerStateParts {
   readonly view: FleetView;
   readonly getClocks: () => ClockReading;
+  /** Tells whether the registry itself is out of reach. */
+  readonly isRegistryAway: () => boolean;
   readonly getVersion: () => number;
   readonly getAgeMilliseconds: () => number;
   /** Takes what a peer knows; `askedAt` is when the peer was asked. */
@@ -43,14 +43,13 @@
   }
 
   private async check(): Promise<void> {
-    const { view, getClocks, getVersion, getAgeMilliseconds } = this.parts;
-    const askedAt = getClocks();
-    const age = getAgeMilliseconds();
-    const peer = view.getFreshest(askedAt.monotonic, getVersion());
-    if (this.isAsking || age < renewMilliseconds || peer === undefined) {
+    const { view, getClocks, getVersion, getAgeMilliseconds, isRegistryAway } = this.parts;
+    if (this.isAsking || !isRegistryAway()) {
       return;
     }
-    if (peer.ageMilliseconds >= age) {
+    const askedAt = getClocks();
+    const peer = view.getFreshest(askedAt.monotonic, getVersion());
+    if (peer === undefined || peer.ageMilliseconds >= getAgeMilliseconds()) {
       return;
     }
     this.isAsking = true;
--- a/packages/daemon/src/ingress/Flow.ts
+++ b/packages/daemon/src/ingress/Flow.ts
@@ -1,7 +1,6 @@
 import {
   chooseUpstream,
   decideAttempt,
-  isRepeatable,
   type AnswerHead,
   type AttemptEnd,
   type RequestProgress,
@@ -15,19 +14,12 @@
 import type { FlowParts } from "./FlowParts.js";
 import { FlowReport } from "./FlowReport.js";
 import { getStickyKey, type FlowRequest } from "./FlowRequest.js";
+import { LateWatch } from "./LateWatch.js";
 import type { RefusalName } from "./refusals.js";
 
 const firstErrorStatus = 300;
 const serverErrorStatus = 500;
 const maxWholeBytes = 8_388_608;
-/** Part of its goal after which a repeatable request is better sent elsewhere. */
-const lateGoals = 1.6;
-const watchMilliseconds = 150;
-/** An answer is waited for this long from an upstream that seems not to be there. */
-const lostMilliseconds = 300;
-/** A stream that pauses for longer goes on elsewhere, where it may. */
-const stallMilliseconds = 1_200;
-
 /** Serves one request: places it, sends it, relays its answer, and sends it again where it may. */
 export class Flow {
   private attempt: Attempt | undefined;
@@ -38,10 +30,10 @@
   private firstByteAt: number | undefined;
   private isOver = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
-  private watchTimer: NodeJS.Timeout | undefined;
   private readonly tried = new Set<string>();
   private readonly gate: EventGate | undefined;
   private readonly report: FlowReport;
+  private readonly lateWatch: LateWatch;
   private readonly listener: ExchangeListener = {
     onHead: (head) => {
       this.takeHead(head);
@@ -65,6 +57,7 @@
     const { kind, isResumable } = request.pass.route;
     this.gate = kind === "stream" && isResumable ? EventGate.create() : undefined;
     this.report = FlowReport.create(parts, request);
+    this.lateWatch = LateWatch.create(request.pass.route, parts.getNow);
   }
 
   /**
@@ -114,7 +107,9 @@
     this.runs += 1;
     const attempt = Attempt.create(entry);
     this.attempt = attempt;
-    this.watch();
+    this.lateWatch.start(attempt, this.runs, (late) => {
+      this.takeLate(late);
+    });
     attempt.send(this.parts, this.request, home, this.getLastEventId(), this.listener);
   }
 
@@ -125,29 +120,6 @@
     return relayed ?? this.request.head.lastEventId;
   }
 
-  /** Looks now and then whether a request that may be repeated is better sent elsewhere. */
-  private watch(): void {
-    const { route } = this.request.pass;
-    if (!isRepeatable(route) || this.runs >= route.maxAttempts) {
-      return;
-    }
-    this.watchTimer = setTimeout(() => {
-      if (this.attempt !== undefined && this.isLate(this.attempt)) {
-        this.takeLate(this.attempt);
-      } else {
-        this.watch();
-      }
-    }, watchMilliseconds);
-  }
-
-  private isLate({ entry, head, lastHeardAt }: Attempt): boolean {
-    const now = this.parts.getNow();
-    const waited = now - lastHeardAt;
-    const { goalMilliseconds } = this.request.pass.route;
-    const limit = head === undefined ? goalMilliseconds * lateGoals : stallMilliseconds;
-    return waited > (entry.isAvoided(now) ? Math.min(lostMilliseconds, limit) : limit);
-  }
-
   private takeLate(attempt: Attempt): void {
     const detail = `upstream "${attempt.entry.record.id}" did not answer in time`;
     if (this.mayRetry("late", detail)) {
@@ -345,14 +317,13 @@
   /** An upstream that has said nothing for as long as a caller waits has failed. */
   private noteUnheard(): void {
     const { attempt } = this;
-    const waited = this.parts.getNow() - (attempt?.lastHeardAt ?? Infinity);
-    if (attempt !== undefined && waited > stallMilliseconds) {
+    if (attempt !== undefined && this.lateWatch.isUnheard(attempt)) {
       this.noteFailure(attempt.entry);
     }
   }
 
   private endAttempt(): void {
-    clearTimeout(this.watchTimer);
+    this.lateWatch.stop();
     this.attempt?.finish();
     this.attempt = undefined;
   }
--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -11,8 +11,10 @@
 import type { PeerState } from "../fleet/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 
-/** Longest wait of one watch: an answer confirms that nothing was missed until it was asked. */
+/** Longest wait of one watch. */
 const watchMilliseconds = 1_500;
+/** A watch may miss changes for this long before the registry ends it. */
+const unheardMilliseconds = 1_000;
 /** Time for the answer itself; the registry may be some hundred times slower than usual. */
 const answerMilliseconds = 900;
 const firstRetryMilliseconds = 40;
@@ -73,6 +75,11 @@
     }
   }
 
+  /** Tells whether the last call failed, or nothing has been read yet. */
+  isAway(): boolean {
+    return this.failures > 0 || this.table === undefined;
+  }
+
   /** Stops following. */
   stop(): void {
     this.stopped.abort();
@@ -156,10 +163,23 @@
     }
     this.position = news.position;
     if (this.table !== undefined && !this.isTableUnknown) {
-      this.confirmation.confirm(askedAt, this.parts.getClocks());
+      this.confirm(news, isWhole, askedAt);
     }
   }
 
+  /**
+   * A watch that ends without changes has heard of none until shortly before its end; any other
+   * answer tells of the time when it was asked for.
+   */
+  private confirm(news: RegistryNews, isWhole: boolean, askedAt: ClockReading): void {
+    const now = this.parts.getClocks();
+    const wasWaiting = !isWhole && news.changes.length === 0;
+    const waited = now.monotonic - askedAt.monotonic;
+    const heard =
+      wasWaiting && waited >= watchMilliseconds ? watchMilliseconds - unheardMilliseconds : 0;
+    this.confirmation.confirm(askedAt, now, -heard);
+  }
+
   private apply(change: RegistryChange): void {
     const { record } = this.parts;
     const now = this.parts.getClocks().monotonic;
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -47,6 +47,7 @@
   private readonly ingress: IngressServer;
   private readonly readiness: OperationsServer;
   private readonly operations: OperationsServer;
+  private readonly metricsServer: OperationsServer;
   private readonly incarnation = Date.now();
   private housekeeping: NodeJS.Timeout | undefined;
   private isStopping = false;
@@ -63,6 +64,7 @@
     const pages = this.createPages();
     this.readiness = OperationsServer.create(pages.getReadiness(), onError);
     this.operations = OperationsServer.create(pages.getAll(), onError);
+    this.metricsServer = OperationsServer.create(pages.getMetrics(), onError);
   }
 
   /**
@@ -82,6 +84,7 @@
       this.ingress.listen(listeners.callers),
       this.readiness.listen(listeners.readiness),
       this.operations.listen(listeners.operations),
+      listeners.metrics === undefined || this.metricsServer.listen(listeners.metrics),
     ]);
     this.fleet.start();
     this.peerStates.start();
@@ -129,6 +132,7 @@
     this.reachability.stop();
     this.readiness.close();
     this.operations.close();
+    this.metricsServer.close();
     this.pool.close();
   }
 
@@ -191,6 +195,7 @@
     return PeerStateTask.create({
       view: this.fleet.view,
       getClocks: readClocks,
+      isRegistryAway: () => task.isAway(),
       getVersion: () => this.getVersion(),
       getAgeMilliseconds: () => task.getAgeMilliseconds(),
       onState: (state, askedAt) => {
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -1,4 +1,4 @@
-import type { FleetView } from "@pistachioway/kernel";
+import type { FleetView, RouterStatus } from "@pistachioway/kernel";
 import type { ConnectionPool } from "../exchange/index.js";
 import { peerStatePath, type PeerState } from "../fleet/index.js";
 import type { IngressServer } from "../ingress/index.js";
@@ -41,12 +41,17 @@
     return { "/readyz": () => this.getReadinessPage() };
   }
 
+  /** Gets the page for metrics, by path. */
+  getMetrics(): Readonly<Record<string, PageSource>> {
+    return { "/metrics": () => this.getMetricsPage() };
+  }
+
   /** Gets every page by path. */
   getAll(): Readonly<Record<string, PageSource>> {
     return {
       ...this.getReadiness(),
       "/status": () => this.getStatusPage(),
-      "/metrics": () => this.getMetricsPage(),
+      ...this.getMetrics(),
       [peerStatePath]: (query) => this.getPeerStatePage(Number(query.get("known") ?? -1)),
     };
   }
@@ -73,7 +78,7 @@
       load: entry.getLoad(now),
       isAvoided: entry.isAvoided(now),
     }));
-    return toJsonPage({
+    const status: RouterStatus = {
       name: settings.process.name,
       zone: settings.process.zone,
       incarnation,
@@ -83,7 +88,8 @@
       running: ingress.getRunningCount(),
       peers: view.getLive(now).map(({ name, version }) => ({ name, version })),
       upstreams,
-    });
+    };
+    return toJsonPage(status);
   }
 
   private async getMetricsPage(): Promise<OperationsPage> {
--- a/packages/daemon/src/router/settings.ts
+++ b/packages/daemon/src/router/settings.ts
@@ -15,8 +15,10 @@
     callers: address,
     /** For the balancer's readiness checks. */
     readiness: address,
-    /** For operators and metrics. */
+    /** For operators and peers. */
     operations: address,
+    /** For metrics alone; they are on the listener for operators too. */
+    metrics: address.optional(),
     /** For heartbeats between daemons (UDP). */
     datagrams: address,
   }),
@@ -30,7 +32,7 @@
   configuration: z
     .strictObject({
       /** Age beyond which an unknown route or key may be new, in milliseconds. */
-      staleMilliseconds: z.int().min(100).max(60_000).default(2_000),
+      staleMilliseconds: z.int().min(100).max(60_000).default(2_600),
       /** Time within which a revoked key must not run any more, in milliseconds. */
       revokeMilliseconds: z.int().min(1_000).max(600_000).default(5_000),
     })
--- a/packages/daemon/src/settings/parseDocument.ts
+++ b/packages/daemon/src/settings/parseDocument.ts
@@ -26,6 +26,17 @@
   return Result.err(SettingsError.create(file, issues));
 }
 
+/**
+ * Tells whether a settings file is a router's: it names a registry.
+ * @param text - Text of the TOML file.
+ */
+export function namesRegistry(text: string): boolean {
+  return parseToml(text).match({
+    Ok: (document) => typeof document === "object" && document !== null && "registry" in document,
+    Err: () => false,
+  });
+}
+
 function parseToml(text: string): Result<unknown, SettingsIssue> {
   try {
     return Result.ok(parse(text));
--- a/packages/kernel/src/freshness/Confirmation.ts
+++ b/packages/kernel/src/freshness/Confirmation.ts
@@ -29,7 +29,8 @@
    * Confirms the belief; an older confirmation than the last one changes nothing.
    * @param askedAt - When the confirming question was sent.
    * @param now - Current clocks.
-   * @param knownAgeMilliseconds - Age that the one who answered gave its own confirmation.
+   * @param knownAgeMilliseconds - Age that the one who answered gave its own confirmation; negative
+   *   when the answer tells of a time after the question.
    */
   confirm(askedAt: ClockReading, now: ClockReading, knownAgeMilliseconds = 0): void {
     const confirmedAt = {
