--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -154,13 +154,7 @@
     { head, service }: FlowRequest,
     now: number,
   ): UpstreamEntry | undefined {
-    const demand = {
-      service,
-      zone: parts.zone,
-      stickyKey: getStickyKey(head),
-      excluded: new Set<string>(),
-      now,
-    };
+    const demand = { service, stickyKey: getStickyKey(head), now };
     return guessFormerUpstream(parts.book.getEntries(), demand, this.entry);
   }
 }
--- a/packages/daemon/src/ingress/Flow.ts
+++ b/packages/daemon/src/ingress/Flow.ts
@@ -96,6 +96,7 @@
       zone: this.parts.zone,
       stickyKey: pass.route.isSticky ? getStickyKey(head) : undefined,
       excluded: this.tried,
+      maxRunning: this.getMaxRunning(),
       now: this.parts.getNow(),
     });
     if (this.choice === undefined) {
@@ -113,6 +114,13 @@
     attempt.send(this.parts, this.request, home, this.getLastEventId(), this.listener);
   }
 
+  /** Gets this daemon's part of the connections that one upstream accepts. */
+  private getMaxRunning(): number {
+    const { getService, getDaemonCount } = this.parts;
+    const all = getService(this.request.service)?.maxConnections ?? Infinity;
+    return Math.max(1, Math.floor(all / getDaemonCount()));
+  }
+
   private getLastEventId(): string | undefined {
     const relayed = this.answer.isStarted() ? this.gate?.getLastId() : undefined;
     // The event in which the stream broke comes again, whole.
--- a/packages/daemon/src/ingress/IngressServer.ts
+++ b/packages/daemon/src/ingress/IngressServer.ts
@@ -114,6 +114,13 @@
       this.leave();
     });
     const path = request.url ?? "";
+    const headerBytes = getHeaderBytes(request);
+    const maxBytes = this.parts.getTable()?.limits.headerBytes ?? maxHeaderBytes;
+    if (headerBytes > maxBytes) {
+      request.resume();
+      this.refuse(answer, head, "headers-too-large", `more than ${String(maxBytes)} bytes`);
+      return;
+    }
     const identity = { authority: head.authority, path, key: head.key };
     const { getTable, bounds, flow } = this.parts;
     const age = flow.getAgeMilliseconds();
@@ -225,3 +232,10 @@
     }
   }
 }
+
+/** Gets the size of a request's line and headers, separators included. */
+function getHeaderBytes({ method, url, rawHeaders }: IncomingMessage): number {
+  const separatorBytes = 2;
+  const texts = [method ?? "", url ?? "", ...rawHeaders];
+  return texts.reduce((sum, text) => sum + text.length + separatorBytes, 0);
+}
--- a/packages/daemon/src/ingress/refusals.ts
+++ b/packages/daemon/src/ingress/refusals.ts
@@ -5,6 +5,7 @@
   | "unknown-route"
   | "unknown-key"
   | "invalid-request"
+  | "headers-too-large"
   | "body-too-large"
   | "no-upstream"
   | "upstream-refused"
@@ -26,6 +27,7 @@
   "unknown-route": { status: 404 },
   "unknown-key": { status: 401 },
   "invalid-request": { status: 400 },
+  "headers-too-large": { status: 431 },
   "body-too-large": { status: 413 },
   "no-upstream": { status: 503, retryAfterSeconds: 0.5 },
   "upstream-refused": { status: 503, retryAfterSeconds: 0.2 },
--- a/packages/daemon/tests/router/Router.test.ts
+++ b/packages/daemon/tests/router/Router.test.ts
@@ -313,8 +313,11 @@
 });
 
 test("answers a head that is too large with a type and goes on", async (context) => {
-  const answer = await context.site.call("/read/1", { head: `X-Large: ${"x".repeat(70_000)}\r\n` });
-  assert.is(answer.status, 431);
+  for (const bytes of [17_000, 70_000]) {
+    const head = `X-Large: ${"x".repeat(bytes)}\r\n`;
+    assert.is((await context.site.call("/read/1", { head })).status, 431);
+  }
+  assert.is(getArrivals(context), 0);
   assert.is((await context.site.call("/read/1")).status, 200);
 });
 
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -11,6 +11,8 @@
   readonly stickyKey: string | undefined;
   /** Ids of upstreams that the request was sent to before. */
   readonly excluded: ReadonlySet<string>;
+  /** Requests of this daemon that one upstream may hold: its part of the upstream's connections. */
+  readonly maxRunning: number;
   /** Monotonic time in milliseconds. */
   readonly now: number;
 }
@@ -44,8 +46,12 @@
   return chooseByKey(candidates, demand.stickyKey, demand.now);
 }
 
-function isEligible({ record }: UpstreamEntry, { service, excluded }: UpstreamDemand): boolean {
-  return record.service === service && record.state === "ready" && !excluded.has(record.id);
+function isEligible(
+  { record, running }: UpstreamEntry,
+  { service, excluded, maxRunning }: UpstreamDemand,
+): boolean {
+  const isOffered = record.service === service && record.state === "ready";
+  return isOffered && running < maxRunning && !excluded.has(record.id);
 }
 
 function chooseLeastLoaded(
@@ -95,7 +101,7 @@
  */
 export function guessFormerUpstream(
   entries: readonly UpstreamEntry[],
-  { service, stickyKey, now }: UpstreamDemand,
+  { service, stickyKey, now }: Pick<UpstreamDemand, "service" | "stickyKey" | "now">,
   chosen: UpstreamEntry,
 ): UpstreamEntry | undefined {
   if (stickyKey === undefined) {
--- a/packages/kernel/tests/upstreams/chooseUpstream.test.ts
+++ b/packages/kernel/tests/upstreams/chooseUpstream.test.ts
@@ -16,6 +16,7 @@
     zone: "north",
     stickyKey: "chat-1",
     excluded: new Set(),
+    maxRunning: 100,
     now: 0,
     ...part,
   });
@@ -86,6 +87,7 @@
   zone: "north",
   stickyKey: undefined,
   excluded: new Set(),
+  maxRunning: 100,
   now: 0,
 };
 
@@ -129,6 +131,23 @@
   assert.equal([at(0), at(20), at(30)], ["north", "north", "south"]);
 });
 
+test("a daemon keeps to its part of an upstream's connections, and then refuses at once", () => {
+  const book = createBook(2);
+  const taken = Array.from({ length: 5 }, () => {
+    const entry = choose(book, { maxRunning: 2 })?.entry;
+    entry?.start(0);
+    return entry?.record.id;
+  });
+  assert.equal(
+    taken.map((id) => id !== undefined),
+    [true, true, true, true, false],
+  );
+  assert.equal(
+    book.getEntries().map(({ running }) => running),
+    [2, 2],
+  );
+});
+
 test("takes none that drains, is excluded, or serves something else", () => {
   const book = createBook(1);
   assert.is(choose(book, { service: "other" }), undefined);
