--- a/packages/daemon/src/ingress/CallerAnswer.ts
+++ b/packages/daemon/src/ingress/CallerAnswer.ts
@@ -28,6 +28,11 @@
     return this.response.headersSent;
   }
 
+  /** Gets the status that was written; 0 before. */
+  getStatus(): number {
+    return this.response.headersSent ? this.response.statusCode : 0;
+  }
+
   /**
    * Answers that the request is not served.
    * @param name - Why.
--- a/packages/daemon/src/ingress/Flow.ts
+++ b/packages/daemon/src/ingress/Flow.ts
@@ -11,7 +11,7 @@
 import { Attempt } from "./Attempt.js";
 import type { CallerAnswer } from "./CallerAnswer.js";
 import { EventGate } from "./EventGate.js";
-import type { FlowParts } from "./FlowParts.js";
+import { getMaxRunning, type FlowParts } from "./FlowParts.js";
 import { FlowReport } from "./FlowReport.js";
 import { getStickyKey, type FlowRequest } from "./FlowRequest.js";
 import { LateWatch } from "./LateWatch.js";
@@ -80,6 +80,11 @@
     return flow;
   }
 
+  /** Gets the status of the answer; 0 when there is none yet. */
+  get status(): number {
+    return this.answer.getStatus();
+  }
+
   /** The caller has gone: nobody waits for the answer. */
   abandon(): void {
     if (!this.isOver) {
@@ -96,7 +101,7 @@
       zone: this.parts.zone,
       stickyKey: pass.route.isSticky ? getStickyKey(head) : undefined,
       excluded: this.tried,
-      maxRunning: this.getMaxRunning(),
+      maxRunning: getMaxRunning(this.parts, service),
       now: this.parts.getNow(),
     });
     if (this.choice === undefined) {
@@ -114,13 +119,6 @@
     attempt.send(this.parts, this.request, home, this.getLastEventId(), this.listener);
   }
 
-  /** Gets this daemon's part of the connections that one upstream accepts. */
-  private getMaxRunning(): number {
-    const { getService, getDaemonCount } = this.parts;
-    const all = getService(this.request.service)?.maxConnections ?? Infinity;
-    return Math.max(1, Math.floor(all / getDaemonCount()));
-  }
-
   private getLastEventId(): string | undefined {
     const relayed = this.answer.isStarted() ? this.gate?.getLastId() : undefined;
     // The event in which the stream broke comes again, whole.
--- a/packages/daemon/src/ingress/FlowParts.ts
+++ b/packages/daemon/src/ingress/FlowParts.ts
@@ -25,3 +25,13 @@
   readonly getAgeMilliseconds: () => number;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
+
+/**
+ * Gets this daemon's part of the connections that one upstream of a service accepts.
+ * @param parts - What the flow works with.
+ * @param service - Name of the service.
+ */
+export function getMaxRunning({ getService, getDaemonCount }: FlowParts, service: string): number {
+  const maxConnections = getService(service)?.maxConnections ?? Infinity;
+  return Math.max(1, Math.floor(maxConnections / getDaemonCount()));
+}
--- a/packages/daemon/src/ingress/FlowReport.ts
+++ b/packages/daemon/src/ingress/FlowReport.ts
@@ -10,6 +10,8 @@
   readonly runs: number;
   /** Attempts that surely did not run. */
   readonly refusals: number;
+  /** Status of the answer; 0 when the caller got none. */
+  readonly status: number;
   /** What went wrong last; empty when nothing did. */
   readonly lastFailure: string;
 }
@@ -51,7 +53,7 @@
    */
   finish(
     outcome: string,
-    { runs, refusals, lastFailure }: FlowStand,
+    { runs, refusals, status, lastFailure }: FlowStand,
     choice: UpstreamChoice | undefined,
     firstByteAt: number | undefined,
   ): void {
@@ -61,6 +63,7 @@
     this.parts.record("info", "request.finished", {
       request: head.id,
       outcome,
+      status,
       route: pass.route.name,
       team: pass.team?.name ?? "-",
       service,
--- a/packages/daemon/src/ingress/IngressServer.ts
+++ b/packages/daemon/src/ingress/IngressServer.ts
@@ -12,6 +12,8 @@
 import { CallerAnswer } from "./CallerAnswer.js";
 import { Flow } from "./Flow.js";
 import type { FlowParts } from "./FlowParts.js";
+import type { FlowRequest } from "./FlowRequest.js";
+import { readBody } from "./readBody.js";
 import type { RefusalName } from "./refusals.js";
 
 /** What the server works with. */
@@ -113,90 +115,70 @@
     response.once("close", () => {
       this.leave();
     });
-    const path = request.url ?? "";
-    const headerBytes = getHeaderBytes(request);
-    const maxBytes = this.parts.getTable()?.limits.headerBytes ?? maxHeaderBytes;
-    if (headerBytes > maxBytes) {
-      request.resume();
-      this.refuse(answer, head, "headers-too-large", `more than ${String(maxBytes)} bytes`);
-      return;
-    }
-    const identity = { authority: head.authority, path, key: head.key };
-    const { getTable, bounds, flow } = this.parts;
-    const age = flow.getAgeMilliseconds();
-    const verdict = checkRequest(getTable(), age, identity, bounds);
+    const verdict = this.check(request, head);
     if (verdict.kind === "refusal") {
       request.resume();
-      this.refuse(answer, head, verdict.reason, `${identity.authority}${path}`);
+      this.refuse(answer, head, verdict.reason, `${head.authority}${request.url ?? ""}`);
       return;
     }
-    this.readBody(request, answer, head, (body) => {
-      this.start(request, response, answer, { head, body, pass: verdict, arrivedAt });
+    const maxBytes = this.parts.getTable()?.limits.bodyBytes ?? 0;
+    readBody(request, maxBytes, {
+      onWhole: (body) => {
+        const flowRequest = this.createFlowRequest(request, head, verdict, body, arrivedAt);
+        this.start(flowRequest, response, answer);
+      },
+      onTooLarge: () => {
+        this.refuse(answer, head, "body-too-large", `more than ${String(maxBytes)} bytes`);
+      },
+      onTorn: ({ message }) => {
+        this.parts.flow.record("info", "request.incomplete", { request: head.id, detail: message });
+      },
     });
   }
 
-  private start(
+  private check(
     request: IncomingMessage,
-    response: ServerResponse,
-    answer: CallerAnswer,
-    parts: { head: RequestHead; body: Buffer; pass: RequestPass; arrivedAt: number },
-  ): void {
-    const { head, body, pass, arrivedAt } = parts;
-    const patience =
-      (head.patienceMilliseconds ?? defaultPatienceMilliseconds) - answerMarginMilliseconds;
-    const { headers } = request;
-    const flow = Flow.start(
-      this.parts.flow,
-      {
-        head,
-        method: request.method ?? "GET",
-        path: request.url ?? "/",
-        body,
-        hasBody:
-          headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined,
-        pass,
-        service: getTargetService(pass.route, this.parts.pickUnit()),
-        arrivedAt,
-        deadline: arrivedAt + Math.min(patience, pass.route.timeoutMilliseconds),
-      },
-      answer,
-    );
-    response.once("close", () => {
-      if (!response.writableFinished) {
-        flow.abandon();
-      }
-    });
+    head: RequestHead,
+  ): RequestPass | { readonly kind: "refusal"; readonly reason: RefusalName } {
+    const { getTable, bounds, flow } = this.parts;
+    const table = getTable();
+    if (getHeaderBytes(request) > (table?.limits.headerBytes ?? maxHeaderBytes)) {
+      return { kind: "refusal", reason: "headers-too-large" };
+    }
+    const identity = { authority: head.authority, path: request.url ?? "", key: head.key };
+    return checkRequest(table, flow.getAgeMilliseconds(), identity, bounds);
   }
 
-  /** Reads the whole body; a caller that leaves meanwhile is forgotten. */
-  private readBody(
-    request: IncomingMessage,
-    answer: CallerAnswer,
+  private createFlowRequest(
+    { method, url, headers }: IncomingMessage,
     head: RequestHead,
-    onWhole: (body: Buffer) => void,
-  ): void {
-    const maxBytes = this.parts.getTable()?.limits.bodyBytes ?? 0;
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    let isRefused = false;
-    request.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= maxBytes) {
-        chunks.push(chunk);
-      } else if (!isRefused) {
-        isRefused = true;
-        this.refuse(answer, head, "body-too-large", `more than ${String(maxBytes)} bytes`);
-      }
-    });
-    request.on("end", () => {
-      if (!isRefused) {
-        onWhole(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
+    pass: RequestPass,
+    body: Buffer,
+    arrivedAt: number,
+  ): FlowRequest {
+    const asked = head.patienceMilliseconds ?? defaultPatienceMilliseconds;
+    const patience = Math.min(asked - answerMarginMilliseconds, pass.route.timeoutMilliseconds);
+    return {
+      head,
+      method: method ?? "GET",
+      path: url ?? "/",
+      body,
+      hasBody:
+        headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined,
+      pass,
+      service: getTargetService(pass.route, this.parts.pickUnit()),
+      arrivedAt,
+      deadline: arrivedAt + patience,
+    };
+  }
+
+  private start(request: FlowRequest, response: ServerResponse, answer: CallerAnswer): void {
+    const flow = Flow.start(this.parts.flow, request, answer);
+    response.once("close", () => {
+      if (!response.writableFinished) {
+        flow.abandon();
       }
     });
-    request.on("error", (error) => {
-      const fields = { request: head.id, detail: error.message };
-      this.parts.flow.record("info", "request.incomplete", fields);
-    });
   }
 
   private refuse(answer: CallerAnswer, head: RequestHead, name: RefusalName, detail: string): void {
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -51,6 +51,7 @@
   private readonly incarnation = Date.now();
   private housekeeping: NodeJS.Timeout | undefined;
   private isStopping = false;
+  private isClosed = false;
 
   private constructor(private readonly parts: RouterParts) {
     this.registryTask = this.createRegistryTask();
@@ -122,8 +123,12 @@
     this.record("info", "daemon.reloaded", { seeds: settings.peers.seeds.length });
   }
 
-  /** Closes every listener and connection at once. */
+  /** Closes every listener and connection at once; closing twice does nothing more. */
   close(): void {
+    if (this.isClosed) {
+      return;
+    }
+    this.isClosed = true;
     clearInterval(this.housekeeping);
     this.ingress.close();
     this.registryTask.stop();
