End a connection whose answer began before a planned stop

Ruled out: the listener (closed after 2.5 s), idle connections (closed with it). Change: while the daemon stops, a connection ends after its answer; a request that crosses that end is not read.

--- a/packages/daemon/src/ingress/IngressServer.ts
+++ b/packages/daemon/src/ingress/IngressServer.ts
@@ -30,6 +30,8 @@
 const maxHeaderBytes = 65_536;
 const connectionCheckMilliseconds = 1_000;
 const bodyTimeoutMilliseconds = 30_000;
+/** Time for a caller to see the end of its connection before it is destroyed. */
+const connectionEndMilliseconds = 500;
 /** Answers go out this much before the caller's time is over. */
 const answerMarginMilliseconds = 25;
 const defaultPatienceMilliseconds = 30_000;
@@ -108,10 +110,17 @@
   }
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
+    if (request.socket.writableEnded) {
+      // It crossed the end of its connection; the caller sees that it was not read.
+      return;
+    }
     const arrivedAt = this.parts.flow.getNow();
     const head = this.parts.flow.dialect.readRequest(request.rawHeaders);
     const answer = CallerAnswer.create(response, head.id, this.parts.isDraining);
     this.runningCount += 1;
+    response.once("finish", () => {
+      this.endConnectionOnStop(request.socket);
+    });
     response.once("close", () => {
       this.leave();
     });
@@ -136,6 +145,14 @@
     });
   }
 
+  /** An answer that had begun before a planned stop could not say that it is the last one. */
+  private endConnectionOnStop(socket: Socket): void {
+    if (this.parts.isDraining()) {
+      socket.end();
+      setTimeout(() => socket.destroy(), connectionEndMilliseconds).unref();
+    }
+  }
+
   private check(
     request: IncomingMessage,
     head: RequestHead,
