--- a/packages/daemon/tests/router/Router.test.ts
+++ b/packages/daemon/tests/router/Router.test.ts
@@ -16,7 +16,7 @@
   stayMute,
   type Context,
 } from "./scripts.js";
-import { createConfiguration, readAnswer, Site, waitFor } from "./Site.js";
+import { readAnswer, Site, waitFor } from "./Site.js";
 
 const test = suite<Context>("Router");
 
@@ -39,13 +39,7 @@
   );
   const [received] = upstreams.flatMap((upstream) => upstream.received);
   assert.equal(
-    [
-      received?.method,
-      received?.path,
-      received?.body,
-      received?.headers["tenant"],
-      received?.headers["api-key"],
-    ],
+    [received?.method, received?.path, received?.body, received?.team, received?.key],
     ["PUT", "/act/1?a=b%20c", "x=1", "callaloo", undefined],
   );
 });
@@ -146,7 +140,7 @@
   const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
   const resumed = context.upstreams
     .flatMap(({ received }) => received)
-    .map(({ headers }) => headers["last-event-id"]);
+    .map(({ lastEventId }) => lastEventId);
   assert.equal([status, ids, resumed.sort()], [200, [1, 2, 3, 4, 5, 6], ["3", undefined]]);
 });
 
@@ -182,7 +176,7 @@
 test("sends nothing more to an upstream that says that it drains", async (context) => {
   const { site, upstreams } = context;
   const [first, second] = upstreams;
-  site.store.put("servers/i-1", { ...first.getEntry("records", "draining"), seq_no: 2 });
+  site.store.publishUpstream(first, "draining", 2);
   await waitFor(() => site.lines.some((line) => line.includes("state=draining")));
   for (let request = 0; request < 8; request += 1) {
     await site.call("/read/1");
@@ -193,20 +187,17 @@
 test("a revoked key is refused as soon as the configuration says so", async (context) => {
   const { site } = context;
   assert.is((await site.call("/read/1")).status, 200);
-  site.store.put(
-    "op/config",
-    createConfiguration({ version: 3, tenants: [{ name: "callaloo", api_keys: ["k-2"] }] }),
-  );
+  site.store.publishConfiguration({ version: 3, keys: ["k-2"] });
   await waitFor(() => site.lines.some((line) => line.includes("configuration.in-force version=3")));
   assert.is((await site.call("/read/1")).status, 401);
 });
 
 test("never goes back to an older version", async (context) => {
   const { site } = context;
-  site.store.put("op/config", createConfiguration({ version: 9, route_list: [] }));
+  site.store.publishConfiguration({ version: 9, hasRoutes: false });
   await waitFor(() => site.lines.some((line) => line.includes("configuration.in-force version=9")));
-  site.store.put("op/config", createConfiguration({ version: 2 }));
-  site.store.put("servers/i-3", "{");
+  site.store.publishConfiguration({ version: 2 });
+  site.store.publishTornUpstream("i-3");
   await waitFor(() => site.lines.some((line) => line.includes("upstream.refused")));
   assert.is((await site.call("/read/1")).status, 404);
 });
@@ -227,7 +218,7 @@
 test("a daemon that starts cut off from the registry serves by what a peer knows", async (context) => {
   const cutOff = await context.site.createCutOff();
   assert.is((await cutOff.call("/read/1")).status, 200);
-  context.site.store.put("op/config", createConfiguration({ version: 8, tenants: [] }));
+  context.site.store.publishConfiguration({ version: 8, keys: [] });
   await waitFor(() => cutOff.lines.some((line) => line.includes("in-force version=8")));
   // While the peer's own confirmation is old, a key that is unknown here may be new.
   let status = 503;
@@ -241,8 +232,8 @@
 
 test("follows changes after the registry lost its history", async (context) => {
   const { site, upstreams } = context;
-  site.store.put("op/config", createConfiguration({ version: 5 }));
-  site.store.remove("servers/i-1");
+  site.store.publishConfiguration({ version: 5 });
+  site.store.removeUpstream("i-1");
   site.store.forgetHistory();
   await waitFor(() => site.lines.some((line) => line.includes("upstream.gone upstream=i-1")));
   for (let request = 0; request < 4; request += 1) {
--- a/packages/daemon/tests/router/Site.ts
+++ b/packages/daemon/tests/router/Site.ts
@@ -13,8 +13,6 @@
   readonly end: "open" | "closed" | "reset";
 }
 
-const service = "records";
-
 /** A router before a store and scripted upstreams, on loopback sockets. */
 export class Site {
   private constructor(
@@ -32,9 +30,9 @@
     const store = RegistryStore.create();
     await store.listen();
     await Promise.all(upstreams.map((upstream) => upstream.listen()));
-    store.put("op/config", createConfiguration());
+    store.publishConfiguration();
     upstreams.forEach((upstream) => {
-      store.put(`servers/${upstream.id}`, upstream.getEntry(service));
+      store.publishUpstream(upstream);
     });
     return Site.start("127.0.0.1", await getFreePorts(4), store);
   }
@@ -205,36 +203,3 @@
   await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
   return ports;
 }
-
-/** Creates the published configuration of the tests. */
-export function createConfiguration(part: Record<string, unknown> = {}): Record<string, unknown> {
-  const common = {
-    host: "chat.example",
-    timeout_ms: 2_000,
-    goal_ms: 100,
-    priority: 1,
-    service,
-    max_attempts: 2,
-    public: false,
-    sticky: false,
-    resumable: false,
-  };
-  return {
-    version: 1,
-    route_list: [
-      { ...common, name: "read", prefix: "/read/", route_kind: "idempotent" },
-      { ...common, name: "act", prefix: "/act/", route_kind: "non_idempotent", timeout_ms: 500 },
-      { ...common, name: "stream", prefix: "/stream/", route_kind: "streaming", resumable: true },
-      { ...common, name: "once", prefix: "/once/", route_kind: "streaming", max_attempts: 1 },
-    ],
-    services: [{ name: service, health_path: "/healthz", max_conns: 100 }],
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 65_536,
-      header_timeout_ms: 3_000,
-      idle_timeout_ms: 15_000,
-    },
-    tenants: [{ name: "callaloo", api_keys: ["k-1"] }],
-    ...part,
-  };
-}
--- a/packages/daemon/tests/router/stop.test.ts
+++ b/packages/daemon/tests/router/stop.test.ts
@@ -2,14 +2,10 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import { getArrivals, setScripts, type Context } from "./scripts.js";
-import { createConfiguration, Site, waitFor } from "./Site.js";
+import { Site, waitFor } from "./Site.js";
 
 const test = suite<Context>("planned stop of a router");
 
-const longRoutes = (createConfiguration()["route_list"] as Record<string, unknown>[]).map(
-  (route) => ({ ...route, timeout_ms: 60_000 }),
-);
-
 test.before.each(async (context) => {
   context.upstreams = [ScriptedUpstream.create("i-1"), ScriptedUpstream.create("i-2")];
   context.site = await Site.create(context.upstreams);
@@ -63,7 +59,7 @@
 });
 
 test("a planned stop ends within its grace, whatever hangs", async (context) => {
-  context.site.store.put("op/config", createConfiguration({ version: 2, route_list: longRoutes }));
+  context.site.store.publishConfiguration({ version: 2, timeoutMilliseconds: 60_000 });
   await waitFor(() => context.site.lines.some((line) => line.includes("in-force version=2")));
   setScripts(context, (request, response) => {
     response.writeHead(200, { "request-id": request.id, "content-type": "text/event-stream" });
--- a/packages/standins/src/registry/RegistryStore.ts
+++ b/packages/standins/src/registry/RegistryStore.ts
@@ -1,4 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import {
+  createPublishedConfiguration,
+  publishedService,
+  type PublishedOptions,
+} from "./configuration.js";
+import type { ScriptedUpstream } from "./ScriptedUpstream.js";
 
 /** What the store does with calls. */
 export type StoreMode = "up" | "busy" | "silent" | "reset";
@@ -74,6 +80,26 @@
     this.add({ key, revision: (this.revision += 1), text: undefined });
   }
 
+  /** Publishes a configuration of the stand-in. */
+  publishConfiguration(options: PublishedOptions = {}): void {
+    this.put("op/config", createPublishedConfiguration(options));
+  }
+
+  /** Publishes what an upstream says of itself. */
+  publishUpstream(upstream: ScriptedUpstream, state = "ready", sequence = 1): void {
+    this.put(`servers/${upstream.id}`, upstream.getEntry(publishedService, state, sequence));
+  }
+
+  /** Publishes an upstream's entry that cannot be read. */
+  publishTornUpstream(id: string): void {
+    this.put(`servers/${id}`, "{");
+  }
+
+  /** Removes an upstream's entry. */
+  removeUpstream(id: string): void {
+    this.remove(`servers/${id}`);
+  }
+
   /** Forgets the history, so that watches from before get 410. */
   forgetHistory(): void {
     this.revision += 1;
--- a/packages/standins/src/registry/ScriptedUpstream.ts
+++ b/packages/standins/src/registry/ScriptedUpstream.ts
@@ -6,6 +6,10 @@
   readonly method: string;
   readonly path: string;
   readonly headers: IncomingMessage["headers"];
+  /** Team that the request is said to be of, and the key, which must not pass. */
+  readonly team: string | undefined;
+  readonly key: string | undefined;
+  readonly lastEventId: string | undefined;
   readonly body: string;
   /** When its connection was closed by the caller before an answer. */
   readonly isAbandoned: () => boolean;
@@ -61,8 +65,9 @@
   }
 
   /** Gets the entry that the upstream writes to the store. */
-  getEntry(service: string, state = "ready"): Record<string, unknown> {
-    return { service, address: this.address, zone: "north", slots: 8, state, seq_no: 1, born: 1 };
+  getEntry(service: string, state: string, sequence: number): Record<string, unknown> {
+    const { address } = this;
+    return { service, address, zone: "north", slots: 8, state, seq_no: sequence, born: 1 };
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
@@ -78,6 +83,9 @@
         method: request.method ?? "",
         path: request.url ?? "",
         headers: request.headers,
+        team: getText(request.headers["tenant"]),
+        key: getText(request.headers["api-key"]),
+        lastEventId: getText(request.headers["last-event-id"]),
         body: Buffer.concat(chunks).toString("utf8"),
         isAbandoned: () => isAbandoned,
       };
@@ -87,6 +95,10 @@
   }
 }
 
+function getText(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
+
 /**
  * Answers with a whole body.
  * @param body - Text of the body.
@@ -115,13 +127,13 @@
  * @param end - What follows: the end of the stream, or its break inside the next event.
  */
 export function streamEvents(until: number, end: "whole" | "torn"): Script {
-  return ({ id, headers }, response) => {
+  return ({ id, lastEventId }, response) => {
     response.writeHead(200, {
       "request-id": id,
       "response-stamp": `stamp-${id}`,
       "content-type": "text/event-stream",
     });
-    for (let event = Number(headers["last-event-id"] ?? 0) + 1; event <= until; event += 1) {
+    for (let event = Number(lastEventId ?? 0) + 1; event <= until; event += 1) {
       response.write(`id: ${String(event)}\ndata: piece ${String(event)}\n\n`);
     }
     if (end === "whole") {
--- a/packages/standins/src/registry/index.ts
+++ b/packages/standins/src/registry/index.ts
@@ -1,3 +1,4 @@
+export { createPublishedConfiguration, type PublishedOptions } from "./configuration.js";
 export { RegistryStore, type StoreMode } from "./RegistryStore.js";
 export {
   answerWhole,
