--- a/packages/daemon/src/exchange/Exchange.ts
+++ b/packages/daemon/src/exchange/Exchange.ts
@@ -80,6 +80,7 @@
     this.controller?.pause();
   }
 
+  /** Reads on. */
   resume(): void {
     this.controller?.resume();
   }
--- a/packages/daemon/src/exchange/ReachabilityTask.ts
+++ b/packages/daemon/src/exchange/ReachabilityTask.ts
@@ -30,6 +30,7 @@
     return new ReachabilityTask(parts);
   }
 
+  /** Starts the checks. */
   start(): void {
     this.checkedAt = this.parts.getNow();
     this.timer = setInterval(() => {
@@ -37,6 +38,7 @@
     }, checkMilliseconds);
   }
 
+  /** Ends the checks. */
   stop(): void {
     clearInterval(this.timer);
   }
--- a/packages/daemon/src/fleet/PeerStateTask.ts
+++ b/packages/daemon/src/fleet/PeerStateTask.ts
@@ -32,12 +32,14 @@
     return new PeerStateTask(parts);
   }
 
+  /** Starts to look whether a peer must be asked. */
   start(): void {
     this.timer = setInterval(() => {
       void this.check();
     }, checkMilliseconds);
   }
 
+  /** Ends it. */
   stop(): void {
     clearInterval(this.timer);
   }
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -116,10 +116,12 @@
     this.exchange?.cancel();
   }
 
+  /** Stops reading the answer until resumed. */
   pause(): void {
     this.exchange?.pause();
   }
 
+  /** Reads on. */
   resume(): void {
     this.exchange?.resume();
   }
--- a/packages/daemon/src/ingress/IngressServer.ts
+++ b/packages/daemon/src/ingress/IngressServer.ts
@@ -90,6 +90,7 @@
     this.server.headersTimeout = limits.headerTimeoutMilliseconds;
   }
 
+  /** Gets the number of requests in flight. */
   getRunningCount(): number {
     return this.runningCount;
   }
--- a/packages/daemon/src/ingress/LateWatch.ts
+++ b/packages/daemon/src/ingress/LateWatch.ts
@@ -46,6 +46,7 @@
     }, watchMilliseconds);
   }
 
+  /** Ends the watch. */
   stop(): void {
     clearTimeout(this.timer);
   }
--- a/packages/daemon/src/router/OperationsServer.ts
+++ b/packages/daemon/src/router/OperationsServer.ts
@@ -47,6 +47,7 @@
     });
   }
 
+  /** Closes the listener and every connection. */
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -167,6 +167,7 @@
     );
   }
 
+  /** Gets the moving share of requests that failed, from 0 to 1. */
   getFailureRate(): number {
     return this.failureRate;
   }
