Matrix: read from daemons' events whether an older value was taken

Cause: the proof "platform stale/after the change of configuration" waited until any daemon had read the platform again, by `lastReadAt`. A second hole: the comparison was one sample, and peers bring a daemon that took the older value back within a moment.

Ruled out: the guard itself.

Change: the proof waits until a daemon has judged the older revision, and takes the lowest revision in force from the events since. A trial in which no daemon met the older value no longer holds. `Fleet.getEvents` is new.

--- a/packages/experiments/src/fleet/Fleet.ts
+++ b/packages/experiments/src/fleet/Fleet.ts
@@ -1,4 +1,4 @@
-import type { DaemonStatus, Host } from "@pistachioway/kernel";
+import { eventPageSchema, type DaemonStatus, type EventPage, type Host } from "@pistachioway/kernel";
 import type { DatagramRuleOptions, LinkMode, RuleOptions, RunRecord } from "@pistachioway/standins";
 import { fileURLToPath } from "node:url";
 import { UnknownProcessError } from "../errors/index.js";
@@ -123,6 +123,17 @@
     return (await callControl("GET", `${operations}/v1/status`)) as DaemonStatus;
   }
 
+  /**
+   * Gets the events that a daemon recorded since one of them.
+   * @param name - Name of the daemon.
+   * @param after - Sequence from which to read; 0 for all that it keeps.
+   */
+  async getEvents(name: string, after: number): Promise<EventPage> {
+    const { operations } = this.getDaemonOrThrow(name);
+    const page = await callControl("GET", `${operations}/v1/events?after=${String(after)}`);
+    return eventPageSchema.parse(page);
+  }
+
   /**
    * Publishes a configuration and returns its revision.
    * @param text - Text of the TOML file.
--- a/packages/experiments/src/matrix/configuration.ts
+++ b/packages/experiments/src/matrix/configuration.ts
@@ -1,4 +1,4 @@
-import type { DaemonStatus } from "@pistachioway/kernel";
+import type { DaemonStatus, TimelineEvent } from "@pistachioway/kernel";
 import { createConfigurationText, waitForCondition, type Fleet } from "../fleet/index.js";
 import type { Trial, TrialContext, Verdict } from "./schema.js";
 
@@ -9,6 +9,9 @@
 
 type Observation = Omit<Verdict, "promise">;
 
+/** Sequence of the next event of each daemon, in the order of `daemons`. */
+type Positions = readonly number[];
+
 /** Makes the trials of the configuration. */
 export function createConfigurationTrials(): Trial[] {
   return [
@@ -83,14 +86,23 @@
   return { held: isReported && isKept && reasons.size === 1, figures };
 }
 
+/**
+ * The platform serves an older value. What each daemon did with it is read from its events: the
+ * peers of a daemon that takes the older value bring it back to the newer one within a moment.
+ */
 async function observeStale(fleet: Fleet): Promise<Observation> {
   const older = await publishValid(fleet);
   const newer = await publishValid(fleet);
   await waitUntilInForce(fleet, newer);
+  const positions = await getEventPositions(fleet);
   await fleet.callStandin("platform", "POST", "stale", { configurationRevision: older });
-  await waitUntilReadAgain(fleet);
-  const lowest = Math.min(...(await getRevisions(fleet)));
-  return { held: lowest === newer, figures: { older, newer, lowest } };
+  const isJudged = await waitUntilJudged(fleet, positions, older);
+  const events = await getEventsSince(fleet, positions);
+  const taken = events
+    .filter(({ name }) => name === "configuration.in-force")
+    .map(({ fields }) => Number(fields.revision));
+  const lowest = Math.min(...(await getRevisions(fleet)), ...taken);
+  return { held: isJudged && lowest === newer, figures: { older, newer, lowest, isJudged } };
 }
 
 async function observeStaleRestart(fleet: Fleet): Promise<Observation> {
@@ -144,15 +156,30 @@
   });
 }
 
-/** Waits until the platform has answered a read of each daemon since now. */
-async function waitUntilReadAgain(fleet: Fleet): Promise<void> {
-  const now = Date.now();
-  await isMet("the platform was read again", async () => {
-    const statuses = await getStatuses(fleet);
-    return statuses.some(({ platform }) => (platform.lastReadAt ?? 0) > now);
+/** Waits until a daemon has judged a revision, whether it took it or not. */
+function waitUntilJudged(fleet: Fleet, positions: Positions, revision: number): Promise<boolean> {
+  return isMet(`revision ${String(revision)} was judged again`, async () => {
+    const events = await getEventsSince(fleet, positions);
+    return events.some(
+      ({ name, fields }) =>
+        ["configuration.in-force", "configuration.stale"].includes(name) &&
+        fields.revision === revision,
+    );
   });
 }
 
+async function getEventPositions(fleet: Fleet): Promise<Positions> {
+  const pages = await Promise.all(daemons.map((name) => fleet.getEvents(name, 0)));
+  return pages.map(({ next }) => next);
+}
+
+async function getEventsSince(fleet: Fleet, positions: Positions): Promise<TimelineEvent[]> {
+  const pages = await Promise.all(
+    daemons.map((name, index) => fleet.getEvents(name, positions[index] ?? 0)),
+  );
+  return pages.flatMap(({ events }) => events);
+}
+
 function isMet(name: string, condition: () => Promise<boolean>): Promise<boolean> {
   return waitForCondition(name, condition, limitMilliseconds).then(
     () => true,
