Break the three import circles; split LoadLedger, PlacementFlow and TaskGraph

Change: PeerCounts (what peers report) and LoadTable (engines and groups by hash) leave LoadLedger; Reservations (waits for owners) and Occupancy (counts of this daemon's placements) leave PlacementFlow; createTicker leaves TaskGraph. An engine no longer lists its groups, the ledger knows them. TrafficRequest and Conditions have files of their own. No behaviour changes.

--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -1,5 +1,4 @@
 import {
-  tickPeriodMilliseconds,
   type AdmissionGuard,
   type ChangedEffect,
   type HostList,
@@ -20,23 +19,19 @@
 import { ServiceClient } from "../services/index.js";
 import type { Settings } from "../settings/index.js";
 import { CallerWiring, type CallerTargets } from "./CallerWiring.js";
+import { createTicker, type TickTargets } from "./createTicker.js";
 import { createContext, type Context } from "./Context.js";
 import { PeerWiring, type PeerTargets } from "./PeerWiring.js";
 import { probeHost } from "./probeHost.js";
 import { startPlugins } from "./startPlugins.js";
 import type { Tasks } from "./Tasks.js";
-import { Ticker } from "./Ticker.js";
 import { ViewUpdater } from "./ViewUpdater.js";
 
 const version = "0.1.0";
-const actsTickMilliseconds = 500;
-const silenceCheckMilliseconds = 250;
-const revisionsTickMilliseconds = 100;
-const bootstrapMilliseconds = 500;
 
 /** Builds the tasks in the order of their needs; later tasks are reached through the graph. */
-export class TaskGraph implements PeerTargets {
-  private readonly peers: PeerWiring;
+export class TaskGraph implements PeerTargets, TickTargets {
+  readonly peers: PeerWiring;
   readonly views: ViewUpdater;
   readonly hosts: HostDirectory;
   readonly placement: PlacementTask;
@@ -81,7 +76,7 @@
 
   /** Gets the tasks that the daemon runs. */
   toTasks(): Tasks {
-    const { recorder, connections } = this.context;
+    const { recorder, connections, getNow } = this.context;
     const { platform, configuration, acts } = this;
     const { links, digests } = this.peers;
     const { chats, services, gate } = this.callers;
@@ -97,39 +92,10 @@
       acts,
       gate,
       view: this.createView(),
-      ticker: this.createTicker(),
+      ticker: createTicker(this, getNow),
     };
   }
 
-  /** Lets time pass in every plug-in, at the pace that each one asks for. */
-  private createTicker(): Ticker {
-    const ticker = Ticker.create(this.context.getNow);
-    ticker.addPeriodic(tickPeriodMilliseconds, (at) => {
-      this.hosts.send({ kind: "tick", at });
-    });
-    ticker.addPeriodic(0, (at) => {
-      this.peers.digests.tick();
-      this.placement.send({ kind: "tick" });
-      this.admission.send({ kind: "tick", at });
-    });
-    ticker.addPeriodic(actsTickMilliseconds, () => {
-      this.acts.send({ kind: "tick" });
-    });
-    ticker.addPeriodic(silenceCheckMilliseconds, () => {
-      this.peers.checkSilentNeighbours();
-    });
-    ticker.addPeriodic(revisionsTickMilliseconds, () => {
-      this.configuration.send({ kind: "tick" });
-      this.orders.send({ kind: "tick" });
-    });
-    ticker.addPeriodic(bootstrapMilliseconds, () => {
-      if (this.configuration.getInForce() === undefined) {
-        this.peers.bootstrap();
-      }
-    });
-    return ticker;
-  }
-
   private getCallerTargets(client: ServiceClient, sender: HostSender): CallerTargets {
     const { hosts, placement, admission, retries, configuration, acts, views } = this;
     return { hosts, placement, admission, retries, configuration, acts, views, client, sender };
--- /dev/null
+++ b/packages/daemon/src/daemon/createTicker.ts
@@ -0,0 +1,56 @@
+import { tickPeriodMilliseconds, type Instant } from "@pistachioway/kernel";
+import type { ActTask } from "../acts/index.js";
+import type { ConfigurationTask } from "../configuration/index.js";
+import type { AdmissionTask, HostDirectory, PlacementTask } from "../kernel/index.js";
+import type { OrderTask } from "../orders/index.js";
+import type { PeerWiring } from "./PeerWiring.js";
+import { Ticker } from "./Ticker.js";
+
+const actsTickMilliseconds = 500;
+const silenceCheckMilliseconds = 250;
+const revisionsTickMilliseconds = 100;
+const bootstrapMilliseconds = 500;
+
+/** The tasks that time passes in. */
+export interface TickTargets {
+  readonly hosts: HostDirectory;
+  readonly peers: PeerWiring;
+  readonly placement: PlacementTask;
+  readonly admission: AdmissionTask;
+  readonly acts: ActTask;
+  readonly configuration: ConfigurationTask;
+  readonly orders: OrderTask;
+}
+
+/**
+ * Creates a ticker that lets time pass in every plug-in, at the pace that each one asks for.
+ * @param targets - Tasks of the daemon.
+ * @param getNow - Reads the clock.
+ */
+export function createTicker(targets: TickTargets, getNow: () => Instant): Ticker {
+  const ticker = Ticker.create(getNow);
+  ticker.addPeriodic(tickPeriodMilliseconds, (at) => {
+    targets.hosts.send({ kind: "tick", at });
+  });
+  ticker.addPeriodic(0, (at) => {
+    targets.peers.digests.tick();
+    targets.placement.send({ kind: "tick" });
+    targets.admission.send({ kind: "tick", at });
+  });
+  ticker.addPeriodic(actsTickMilliseconds, () => {
+    targets.acts.send({ kind: "tick" });
+  });
+  ticker.addPeriodic(silenceCheckMilliseconds, () => {
+    targets.peers.checkSilentNeighbours();
+  });
+  ticker.addPeriodic(revisionsTickMilliseconds, () => {
+    targets.configuration.send({ kind: "tick" });
+    targets.orders.send({ kind: "tick" });
+  });
+  ticker.addPeriodic(bootstrapMilliseconds, () => {
+    if (targets.configuration.getInForce() === undefined) {
+      targets.peers.bootstrap();
+    }
+  });
+  return ticker;
+}
--- a/packages/experiments/src/bench/Fleet.ts
+++ b/packages/experiments/src/bench/Fleet.ts
@@ -1,9 +1,9 @@
 import type { ViewMessage } from "@pistachioway/kernel";
+import type { Conditions } from "./conditions.js";
 import type { Deployment } from "./deployment.js";
 import { EngineModel } from "./EngineModel.js";
 import { EventQueue } from "./EventQueue.js";
 import { Random } from "./Random.js";
-import type { Scenario } from "./scenario.js";
 
 /** One daemon, with its own view of the engines and the other daemons. */
 export interface DaemonModel {
@@ -48,7 +48,7 @@
 
   private constructor(
     readonly deployment: Deployment,
-    readonly scenario: Scenario,
+    readonly conditions: Conditions,
     readonly seed: number,
   ) {
     this.random = Random.create(seed, 1);
@@ -74,11 +74,11 @@
   /**
    * Creates a fleet in which everything is live.
    * @param deployment - Sizes and distances.
-   * @param scenario - Delays and faults.
+   * @param conditions - Delays and losses.
    * @param seed - Seed of the run.
    */
-  static create(deployment: Deployment, scenario: Scenario, seed: number): Fleet {
-    return new Fleet(deployment, scenario, seed);
+  static create(deployment: Deployment, conditions: Conditions, seed: number): Fleet {
+    return new Fleet(deployment, conditions, seed);
   }
 
   /**
@@ -90,7 +90,7 @@
   }
 
   /**
-   * Gets the one-way delay between two daemons, without the scenario's extra delay.
+   * Gets the one-way delay between two daemons, without any extra delay.
    * @param from - Sending daemon.
    * @param to - Receiving daemon.
    */
@@ -245,7 +245,7 @@
   }
 
   private getViewInstant(): number {
-    const delay = this.random.getUniform() * this.scenario.viewDelayMilliseconds;
+    const delay = this.random.getUniform() * this.conditions.viewDelayMilliseconds;
     return this.events.getNow() + delay;
   }
 
--- a/packages/experiments/src/bench/Traffic.ts
+++ b/packages/experiments/src/bench/Traffic.ts
@@ -2,22 +2,9 @@
 import type { EngineModel } from "./EngineModel.js";
 import type { Policy } from "./policies/Policy.js";
 import { Random } from "./Random.js";
+import type { TrafficRequest } from "./TrafficRequest.js";
 import { createChat, teamPrefixTokens, type Chat } from "./workload.js";
 
-/** One attempt of a chat's request. */
-export interface TrafficRequest {
-  readonly id: string;
-  readonly chat: Chat;
-  readonly daemon: number;
-  readonly promptTokens: number;
-  readonly isFirstTurn: boolean;
-  /** Engines that were tried already. */
-  readonly exclude: readonly number[];
-  /** Engine that runs the request. */
-  engine: number | undefined;
-  isOver: boolean;
-}
-
 /** Tokens that could have been reused, and those that were. */
 export interface ReuseTotals {
   reusableTokens: number;
--- a/packages/experiments/src/bench/policies/BaselinePolicy.ts
+++ b/packages/experiments/src/bench/policies/BaselinePolicy.ts
@@ -1,5 +1,5 @@
 import type { Fleet } from "../Fleet.js";
-import type { TrafficRequest } from "../Traffic.js";
+import type { TrafficRequest } from "../TrafficRequest.js";
 import type { Policy } from "./Policy.js";
 
 /** Chooses an engine for a request, in the same instant. */
--- a/packages/experiments/src/bench/policies/KernelPolicy.ts
+++ b/packages/experiments/src/bench/policies/KernelPolicy.ts
@@ -10,7 +10,7 @@
 import { pack } from "msgpackr";
 import type { Fleet } from "../Fleet.js";
 import { Random } from "../Random.js";
-import type { TrafficRequest } from "../Traffic.js";
+import type { TrafficRequest } from "../TrafficRequest.js";
 import type { Policy } from "./Policy.js";
 
 const tickMilliseconds = 50;
@@ -136,14 +136,14 @@
   }
 
   private deliver(from: number, { to, message }: SendEffect): void {
-    const { scenario, events } = this.fleet;
+    const { conditions, events } = this.fleet;
     const target = this.daemonsByName.get(to);
     const size = datagramOverheadBytes + pack(packPeerMessage(message)).length;
     this.sentBytes[from] = (this.sentBytes[from] ?? 0) + size;
-    if (target === undefined || this.random.getUniform() < scenario.lossShare) {
+    if (target === undefined || this.random.getUniform() < conditions.lossShare) {
       return;
     }
-    const extra = this.random.getUniform() * scenario.extraDelayMilliseconds;
+    const extra = this.random.getUniform() * conditions.extraDelayMilliseconds;
     const name = this.fleet.daemons[from]?.name ?? "";
     events.addEvent(events.getNow() + this.fleet.getDelay(from, target) + extra, () => {
       this.send(target, { kind: "peer", from: name, message });
--- a/packages/experiments/src/bench/policies/Policy.ts
+++ b/packages/experiments/src/bench/policies/Policy.ts
@@ -1,5 +1,5 @@
 import type { Fleet, FleetListener } from "../Fleet.js";
-import type { TrafficRequest } from "../Traffic.js";
+import type { TrafficRequest } from "../TrafficRequest.js";
 
 /** A way to place requests, as the bench drives it. */
 export interface Policy extends FleetListener {
--- a/packages/experiments/src/bench/policies/baselines.ts
+++ b/packages/experiments/src/bench/policies/baselines.ts
@@ -1,6 +1,6 @@
 import { loadBound, type Fleet } from "../Fleet.js";
 import { Random } from "../Random.js";
-import type { TrafficRequest } from "../Traffic.js";
+import type { TrafficRequest } from "../TrafficRequest.js";
 import { BaselinePolicy } from "./BaselinePolicy.js";
 import type { Policy } from "./Policy.js";
 import { getRendezvousOrder } from "./rendezvous.js";
@@ -85,7 +85,7 @@
 }
 
 function planReports(fleet: Fleet, tell: (loads: readonly number[]) => void): void {
-  const delay = fleet.scenario.reportDelayMilliseconds;
+  const delay = fleet.conditions.reportDelayMilliseconds;
   for (let at = 0; at < fleet.measuredUntil; at += reportIntervalMilliseconds) {
     fleet.events.addEvent(at, () => {
       const loads = fleet.engines.map((engine) => engine.getLoad());
--- a/packages/experiments/src/bench/scenario.ts
+++ b/packages/experiments/src/bench/scenario.ts
@@ -1,16 +1,9 @@
+import type { Conditions } from "./conditions.js";
 import type { Fleet } from "./Fleet.js";
 
 /** A fault or a change that a run is put through. */
-export interface Scenario {
+export interface Scenario extends Conditions {
   readonly name: string;
-  /** How long a daemon takes to learn of a change of an engine or a daemon, at most. */
-  readonly viewDelayMilliseconds: number;
-  /** Age of the engines' load reports. */
-  readonly reportDelayMilliseconds: number;
-  /** Delay of a datagram beyond the distance, at most. */
-  readonly extraDelayMilliseconds: number;
-  /** Share of datagrams that are lost. */
-  readonly lossShare: number;
   /**
    * Plans the events of the scenario.
    * @param fleet - Fleet to put through them.
@@ -18,7 +11,7 @@
   readonly plan: (fleet: Fleet) => void;
 }
 
-const calm = {
+const calm: Conditions = {
   viewDelayMilliseconds: 1000,
   reportDelayMilliseconds: 1000,
   extraDelayMilliseconds: 0.2,
--- a/packages/kernel/src/placement/EngineLoad.ts
+++ b/packages/kernel/src/placement/EngineLoad.ts
@@ -1,5 +1,4 @@
 import type { Instant } from "../kernel/Plugin.js";
-import type { EngineGroup } from "./EngineGroup.js";
 
 /** What this daemon knows of one engine: its place in the view and its running requests. */
 export interface EngineLoad {
@@ -17,8 +16,6 @@
   isOwned: boolean;
   /** Hashes of the models that the engine serves. */
   modelIds: readonly number[];
-  /** Groups whose mean counts the engine. */
-  groups: readonly EngineGroup[];
   /** This daemon's running requests, reservations under way included. */
   own: number;
   /** Sum of the running requests that other daemons report to this one. */
@@ -51,7 +48,6 @@
     owner: "",
     isOwned: false,
     modelIds: [],
-    groups: [],
     own: 0,
     reported: 0,
     claimed: 0,
--- a/packages/kernel/src/placement/OwnerDesk.ts
+++ b/packages/kernel/src/placement/OwnerDesk.ts
@@ -37,12 +37,12 @@
     if (this.canGrant(engine, group, reservation.level, 0, now)) {
       return createAnswer(reservation.id, "granted", engine);
     }
-    ledger.addReported(from, engine, -1);
+    ledger.peers.addReported(from, engine, -1);
     const other = this.getOtherEngine(engine, group, now);
     if (other === undefined) {
       return createAnswer(reservation.id, "refused", engine);
     }
-    ledger.addReported(from, other, 1);
+    ledger.peers.addReported(from, other, 1);
     return createAnswer(reservation.id, "granted", other);
   }
 
@@ -60,7 +60,11 @@
     let leastLoad = Infinity;
     for (const other of this.context.ledger.getOwnedEngines()) {
       const load = getCount(other, now) / other.weight;
-      if (other !== engine && load < leastLoad && other.groups.includes(group)) {
+      if (
+        other !== engine &&
+        load < leastLoad &&
+        this.context.ledger.getGroupsOf(other).includes(group)
+      ) {
         least = other;
         leastLoad = load;
       }
@@ -133,11 +137,11 @@
   ): ReservationAnswer {
     const { ledger } = this.context;
     const group = ledger.groupsById.get(reservation.model);
-    ledger.addReported(from, engine, -1);
+    ledger.peers.addReported(from, engine, -1);
     const isGranted =
       moved.isOwned && group !== undefined && this.canGrant(moved, group, false, 1, now);
     if (isGranted) {
-      ledger.addReported(from, moved, 1);
+      ledger.peers.addReported(from, moved, 1);
     }
     const outcome = isGranted ? "granted" : "redirected";
     return createAnswer(reservation.id, outcome, moved);
--- a/packages/kernel/src/placement/PlacementFlow.ts
+++ b/packages/kernel/src/placement/PlacementFlow.ts
@@ -5,10 +5,12 @@
 import type { EngineLoad } from "./EngineLoad.js";
 import { getHash } from "./hash.js";
 import type { FinishedMessage, PlaceMessage, PlacementReason } from "./messages.js";
+import { Occupancy } from "./Occupancy.js";
 import { OwnerContacts } from "./OwnerContacts.js";
 import type { OwnerDesk } from "./OwnerDesk.js";
 import type { ChatMove, ReservationAnswer } from "./peerMessage.js";
 import { createPlacement, getAllowedEngines, type Placement } from "./Placement.js";
+import { Reservations } from "./Reservations.js";
 
 /** Digests within which an owner must have been heard to be asked again. */
 const heardDigests = 2;
@@ -20,16 +22,17 @@
 /** Takes each request to an engine: chooses, reserves, tries the next one, decides when none answers. */
 export class PlacementFlow {
   private readonly placementsById = new Map<string, Placement>();
-  private readonly placementsByReservation = new Map<number, Placement>();
+  private readonly reservations = Reservations.create();
+  private readonly occupancy: Occupancy;
   private readonly contacts = OwnerContacts.create();
   private readonly choice: EngineChoice;
-  private nextReservation = 0;
 
   private constructor(
     private readonly context: PlacementContext,
     private readonly desk: OwnerDesk,
   ) {
     this.choice = EngineChoice.create(context, desk, this.contacts);
+    this.occupancy = Occupancy.create(context);
   }
 
   /**
@@ -48,7 +51,7 @@
 
   /** Gets the number of reservations that wait for an answer. */
   getReservationCount(): number {
-    return this.placementsByReservation.size;
+    return this.reservations.getSize();
   }
 
   /**
@@ -80,8 +83,8 @@
       return;
     }
     this.placementsById.delete(message.requestId);
-    this.endReservation(placement);
-    this.leaveEngine(placement, now);
+    this.reservations.end(placement);
+    this.occupancy.leave(placement, now);
   }
 
   /**
@@ -92,13 +95,13 @@
    */
   receiveAnswer(from: string, answer: ReservationAnswer, now: Instant): void {
     const engine = this.context.ledger.enginesById.get(answer.engine);
-    const placement = this.getAskedPlacement(from, answer.id);
+    const placement = this.reservations.getAsked(from, answer.id);
     if (placement !== undefined) {
       this.contacts.addRoundTrip(from, now - (placement.reservation?.sentAt ?? now));
-      this.correctTold(placement, engine, answer);
+      this.occupancy.correctTold(placement, engine, answer);
     }
     if (engine?.owner === from && answer.outcome !== "unknown") {
-      this.context.ledger.setClaim(from, engine, answer.count);
+      this.context.ledger.peers.setClaim(from, engine, answer.count);
     }
     if (engine !== undefined && placement !== undefined) {
       this.followAnswer(placement, engine, answer, now);
@@ -110,10 +113,8 @@
    * @param now - Current time.
    */
   endOverdueReservations(now: Instant): void {
-    for (const placement of [...this.placementsByReservation.values()]) {
-      if ((placement.reservation?.deadline ?? now) <= now) {
-        this.endSilentReservation(placement, now);
-      }
+    for (const placement of this.reservations.getOverdue(now)) {
+      this.endSilentReservation(placement, now);
     }
   }
 
@@ -123,10 +124,8 @@
    * @param now - Current time.
    */
   endReservationsAt(owner: string, now: Instant): void {
-    for (const placement of [...this.placementsByReservation.values()]) {
-      if (placement.reservation?.owner === owner) {
-        this.endSilentReservation(placement, now);
-      }
+    for (const placement of this.reservations.getAt(owner)) {
+      this.endSilentReservation(placement, now);
     }
     this.contacts.removeOwner(owner);
   }
@@ -146,7 +145,7 @@
       return;
     }
     if (this.contacts.isSilent(engine.owner, now)) {
-      this.enterEngine(placement, engine, now);
+      this.occupancy.enter(placement, engine, now);
       this.decideAlone(placement, now);
       return;
     }
@@ -159,9 +158,9 @@
 
   /** Decides by the counts at hand, which are exact for the daemon's own engines. */
   private decide(placement: Placement, engine: EngineLoad, now: Instant): void {
-    this.endReservation(placement);
+    this.reservations.end(placement);
     if (this.desk.hasRoom(engine, placement.group, placement.isLevel, 1, now)) {
-      this.enterEngine(placement, engine, now);
+      this.occupancy.enter(placement, engine, now);
       this.confirm(placement, now);
       return;
     }
@@ -172,7 +171,7 @@
       this.followGrant(placement, other, now);
       return;
     }
-    this.leaveEngine(placement, now);
+    this.occupancy.leave(placement, now);
     placement.refused.add(engine);
     this.tryNext(placement, now);
   }
@@ -183,13 +182,10 @@
     now: Instant,
     isRepeated = false,
   ): void {
-    this.enterEngine(placement, engine, now);
-    this.endReservation(placement);
-    const id = this.nextReservation;
-    this.nextReservation = (id + 1) >>> 0;
+    this.occupancy.enter(placement, engine, now);
     const deadline = this.contacts.getDeadline(engine.owner, now);
-    placement.reservation = { id, owner: engine.owner, sentAt: now, deadline, isRepeated };
-    this.placementsByReservation.set(id, placement);
+    const term = { owner: engine.owner, sentAt: now, deadline, isRepeated };
+    const id = this.reservations.begin(placement, term);
     const isLookup = placement.isLookup && placement.known === undefined;
     const reservation = {
       id,
@@ -202,32 +198,6 @@
     this.context.effects.push(effect);
   }
 
-  /** Gets the placement that waits for an answer of an owner. */
-  private getAskedPlacement(owner: string, reservation: number): Placement | undefined {
-    const placement = this.placementsByReservation.get(reservation);
-    return placement?.reservation?.owner === owner ? placement : undefined;
-  }
-
-  /** Keeps what the owner knows of this daemon's requests: it counts the one that it answers. */
-  private correctTold(
-    placement: Placement,
-    engine: EngineLoad | undefined,
-    { outcome }: ReservationAnswer,
-  ): void {
-    const tried = placement.engine;
-    if (
-      outcome === "unknown" ||
-      tried === undefined ||
-      (outcome === "granted" && tried === engine)
-    ) {
-      return;
-    }
-    tried.ownTold -= 1;
-    if (outcome === "granted" && engine !== undefined) {
-      engine.ownTold += 1;
-    }
-  }
-
   private followAnswer(
     placement: Placement,
     engine: EngineLoad,
@@ -247,14 +217,14 @@
 
   /** An owner without room at the engine that was asked for may grant another one. */
   private followGrant(placement: Placement, engine: EngineLoad, now: Instant): void {
-    this.endReservation(placement);
+    this.reservations.end(placement);
     if (!placement.engines.includes(engine)) {
-      this.addChange(engine, now);
+      this.occupancy.addChange(engine, now);
       this.tryNext(placement, now);
       return;
     }
     placement.reason = this.getGrantReason(placement, engine);
-    this.enterEngine(placement, engine, now);
+    this.occupancy.enter(placement, engine, now);
     this.confirm(placement, now);
   }
 
@@ -299,12 +269,12 @@
 
   private takeLeastLoaded(placement: Placement, now: Instant): void {
     const { engines, chat, candidates } = placement;
-    this.endReservation(placement);
-    this.leaveEngine(placement, now);
+    this.reservations.end(placement);
+    this.occupancy.leave(placement, now);
     placement.reason = "all-above-limit";
     const lastResort = getCandidates(engines, chat, lastResortCandidates);
     const engine = this.choice.getLeastLoaded(placement, lastResort, now) ?? candidates[0];
-    this.enterEngine(placement, engine as EngineLoad, now);
+    this.occupancy.enter(placement, engine as EngineLoad, now);
     this.confirm(placement, now);
   }
 
@@ -324,14 +294,14 @@
   }
 
   private isHeardOfLate(owner: string, now: Instant): boolean {
-    const heardAt = this.context.ledger.getHeardAt(owner) ?? -Infinity;
+    const heardAt = this.context.ledger.peers.getHeardAt(owner) ?? -Infinity;
     return heardAt >= now - heardDigests * this.context.digestInterval;
   }
 
   /** Decides without the owner: each daemon takes its share of the room that the last claim left. */
   private decideAlone(placement: Placement, now: Instant): void {
     const engine = placement.engine as EngineLoad;
-    this.endReservation(placement);
+    this.reservations.end(placement);
     placement.reason = "owner-silent";
     placement.refused.add(engine);
     if (
@@ -349,38 +319,6 @@
     this.takeLeastLoaded(placement, now);
   }
 
-  private endReservation(placement: Placement): void {
-    if (placement.reservation !== undefined) {
-      this.placementsByReservation.delete(placement.reservation.id);
-      placement.reservation = undefined;
-    }
-  }
-
-  private enterEngine(placement: Placement, engine: EngineLoad, now: Instant): void {
-    if (placement.engine === engine) {
-      return;
-    }
-    this.leaveEngine(placement, now);
-    placement.engine = engine;
-    this.context.ledger.addOwn(engine, 1);
-    this.addChange(engine, now);
-  }
-
-  private leaveEngine(placement: Placement, now: Instant): void {
-    if (placement.engine === undefined) {
-      return;
-    }
-    this.context.ledger.addOwn(placement.engine, -1);
-    this.addChange(placement.engine, now);
-    placement.engine = undefined;
-  }
-
-  private addChange(engine: EngineLoad, now: Instant): void {
-    if (!engine.isOwned && engine.owner !== "") {
-      this.context.outbox.addChange(engine.owner, now);
-    }
-  }
-
   private confirm(placement: Placement, now: Instant): void {
     const { requestId, reason, engine } = placement;
     if (engine === undefined) {
--- a/packages/kernel/src/placement/Placer.ts
+++ b/packages/kernel/src/placement/Placer.ts
@@ -173,7 +173,7 @@
 
   private getLiveDaemons(now: Instant): PlacementDaemon[] {
     const interval = this.getDigestInterval();
-    return this.roster.getLiveDaemons((name) => this.context.ledger.getHeardAt(name), {
+    return this.roster.getLiveDaemons((name) => this.context.ledger.peers.getHeardAt(name), {
       listedBefore: now - missedDigests * interval,
       unlistedBefore: now - missedDigestsUnlisted * interval,
     });
@@ -182,7 +182,7 @@
   private receive({ from, message }: PeerMessage, now: Instant): void {
     const { ledger, directory, outbox, effects } = this.context;
     this.flow.setHeard(from);
-    ledger.setPeerCounts(from, message, now);
+    ledger.peers.setPeerCounts(from, message, now);
     for (const move of message.moves) {
       directory.addChat(move.chat, move.engine, now);
     }
@@ -198,7 +198,7 @@
   private tick(now: Instant): void {
     const { ledger, outbox, effects, strategy } = this.context;
     this.flow.endOverdueReservations(now);
-    ledger.removeSilentPeers(now - missedDigests * this.getDigestInterval());
+    ledger.peers.removeSilentPeers(now - missedDigests * this.getDigestInterval());
     const isFleetOld = getNames(this.getLiveDaemons(now)) !== this.liveDaemons;
     if (isFleetOld || now >= this.nextFleetUpdateAt) {
       this.updateFleet(now);
@@ -216,7 +216,7 @@
   }
 
   private removePeer(daemon: string, now: Instant): void {
-    this.context.ledger.removePeer(daemon);
+    this.context.ledger.peers.removePeer(daemon);
     this.roster.removeDaemon(daemon);
     this.updateFleet(now);
     this.flow.endReservationsAt(daemon, now);
