--- a/packages/experiments/src/fleet/Fleet.ts
+++ b/packages/experiments/src/fleet/Fleet.ts
@@ -1,4 +1,9 @@
-import { eventPageSchema, type DaemonStatus, type EventPage, type Host } from "@pistachioway/kernel";
+import {
+  eventPageSchema,
+  type DaemonStatus,
+  type EventPage,
+  type Host,
+} from "@pistachioway/kernel";
 import type { DatagramRuleOptions, LinkMode, RuleOptions, RunRecord } from "@pistachioway/standins";
 import { fileURLToPath } from "node:url";
 import { UnknownProcessError } from "../errors/index.js";
