Registry: start calls of the store at least 700 ms apart

A store that loses its history again and again was read without any pause.

Change: a call begins 700 ms after the one before at the earliest; a watch after a pause waits that much less, so that the configuration's age grows no further than before. News is at most 0.7 s later, within the bounds of 2 s for changes and leaving upstreams.

--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -7,12 +7,13 @@
   type RegistryChange,
   type RegistryNews,
 } from "@pistachioway/kernel";
-import { setTimeout as delay } from "node:timers/promises";
 import type { PeerState } from "../fleet/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 
 /** Longest wait of one watch. */
 const watchMilliseconds = 1_500;
+/** Least time between the starts of two calls, so that close changes are read together. */
+const paceMilliseconds = 700;
 /** A watch may miss changes for this long before the registry ends it. */
 const unheardMilliseconds = 1_000;
 /** Time for the answer itself; the registry may be some hundred times slower than usual. */
@@ -26,6 +27,8 @@
 export interface RegistryParts {
   readonly registry: Registry;
   readonly getClocks: () => ClockReading;
+  /** Waits for a time, or until the signal is aborted. */
+  readonly pause: (milliseconds: number, signal: AbortSignal) => Promise<void>;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
   /** Called with each newer configuration. */
   readonly onTable: (table: RouteTable) => void;
@@ -41,6 +44,8 @@
   private isTableUnknown = false;
   private position: number | undefined;
   private failures = 0;
+  /** Wait of the next watch: a pause before it is part of the time without news. */
+  private waitMilliseconds = watchMilliseconds;
   private readonly stopped = new AbortController();
 
   private constructor(private readonly parts: RegistryParts) {}
@@ -65,12 +70,14 @@
 
   /** Follows the registry until the task is stopped. */
   async run(): Promise<void> {
-    while (!this.stopped.signal.aborted) {
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      const startedAt = this.parts.getClocks().monotonic;
       const isOk = await this.step();
-      if (!isOk) {
-        await delay(this.getRetryMilliseconds(), undefined, { signal: this.stopped.signal }).catch(
-          () => undefined,
-        );
+      const pause = isOk ? this.getPaceMilliseconds(startedAt) : this.getRetryMilliseconds();
+      this.waitMilliseconds = watchMilliseconds - pause;
+      if (pause > 0 && !signal.aborted) {
+        await this.parts.pause(pause, signal);
       }
     }
   }
@@ -143,7 +150,7 @@
 
   private async ask(): Promise<RegistryNews | { readonly kind: "historyLost" }> {
     const { registry } = this.parts;
-    const wait = this.position === undefined ? 0 : watchMilliseconds;
+    const wait = this.position === undefined ? 0 : this.waitMilliseconds;
     const timeout = AbortSignal.timeout(wait + answerMilliseconds);
     const signal = AbortSignal.any([timeout, this.stopped.signal]);
     return this.position === undefined
@@ -175,8 +182,8 @@
     const now = this.parts.getClocks();
     const wasWaiting = !isWhole && news.changes.length === 0;
     const waited = now.monotonic - askedAt.monotonic;
-    const heard =
-      wasWaiting && waited >= watchMilliseconds ? watchMilliseconds - unheardMilliseconds : 0;
+    const isFull = wasWaiting && waited >= this.waitMilliseconds;
+    const heard = isFull ? Math.max(0, this.waitMilliseconds - unheardMilliseconds) : 0;
     this.confirmation.confirm(askedAt, now, -heard);
   }
 
@@ -249,6 +256,10 @@
     }
   }
 
+  private getPaceMilliseconds(startedAt: number): number {
+    return Math.max(0, startedAt + paceMilliseconds - this.parts.getClocks().monotonic);
+  }
+
   private getRetryMilliseconds(): number {
     const doubled = firstRetryMilliseconds * 2 ** Math.min(this.failures - 1, 5);
     return Math.min(doubled, longestRetryMilliseconds);
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -145,6 +145,8 @@
     return RegistryTask.create({
       registry: this.parts.registry,
       getClocks: readClocks,
+      pause: (milliseconds, signal) =>
+        delay(milliseconds, undefined, { signal }).catch(() => undefined),
       record: (level, event, fields) => {
         this.record(level, event, fields);
       },
