CLI: explain a request and draw the time line from routers' logs

Cause: `explain` and `timeline` ask daemons of the product's first composition; a router keeps no events, and on-call engineers have its logs.

--- /dev/null
+++ b/packages/cli/src/commands/RouterTimeline.ts
@@ -0,0 +1,44 @@
+import { Flags } from "@oclif/core";
+import { writeTextFile } from "../files/index.js";
+import { toEvents, type LogLine } from "../logs/index.js";
+import { formatEvents, renderPage, type MergedEvent } from "../timeline/index.js";
+import { LogCommand } from "./LogCommand.js";
+
+interface TimelineReport {
+  readonly events: readonly MergedEvent[];
+}
+
+/** Merges the logs of routers into one time line. */
+export class RouterTimeline extends LogCommand {
+  static override description = "Merge the logs of routers into one time line.";
+
+  static override flags = {
+    id: Flags.string({ description: "Keep only lines that name this request or upstream." }),
+    html: Flags.string({ description: "Write a self-contained page to this file instead." }),
+  };
+
+  async run(): Promise<TimelineReport> {
+    const { flags } = await this.parse(RouterTimeline);
+    const { id, html } = flags;
+    const lines = await this.readLines(flags.log);
+    const kept = id === undefined ? lines : lines.filter((line) => names(line, id));
+    const events = toEvents(kept);
+    if (html === undefined) {
+      this.log(events.length === 0 ? "no events" : formatEvents(events));
+    } else {
+      const title = id === undefined ? "Time line" : `Time line of ${id}`;
+      await writeTextFile(html, renderPage(title, getLanes(kept), events));
+      this.log(`${html}: ${String(events.length)} events`);
+    }
+    return { events };
+  }
+}
+
+function names({ fields }: LogLine, id: string): boolean {
+  return Object.values(fields).some((value) => String(value) === id);
+}
+
+function getLanes(lines: readonly LogLine[]) {
+  const daemons = [...new Set(lines.map(({ daemon }) => daemon))];
+  return daemons.map((process) => ({ process, incarnation: "", dropped: 0 }));
+}
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,7 +1,9 @@
 import { ConfigCheck } from "./ConfigCheck.js";
 import { ConfigDiff } from "./ConfigDiff.js";
 import { Explain } from "./Explain.js";
+import { RouterExplain } from "./RouterExplain.js";
 import { RouterStatus } from "./RouterStatus.js";
+import { RouterTimeline } from "./RouterTimeline.js";
 import { SettingsCheck } from "./SettingsCheck.js";
 import { Status } from "./Status.js";
 import { Timeline } from "./Timeline.js";
@@ -11,7 +13,9 @@
   "config:check": ConfigCheck,
   "config:diff": ConfigDiff,
   explain: Explain,
+  "router:explain": RouterExplain,
   "router:status": RouterStatus,
+  "router:timeline": RouterTimeline,
   "settings:check": SettingsCheck,
   status: Status,
   timeline: Timeline,
--- /dev/null
+++ b/packages/cli/src/errors/UnknownRequestError.ts
@@ -0,0 +1,10 @@
+import { ToolError } from "./ToolError.js";
+
+/** A request that no line of the logs names. */
+export class UnknownRequestError extends ToolError {
+  readonly code = "unknown-request";
+
+  constructor(readonly request: string) {
+    super(`request "${request}" is in none of the logs`);
+  }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -19,6 +19,7 @@
     },
     topics: {
       config: { description: "Check and compare configuration files." },
+      router: { description: "Show what routers report, and explain requests from their logs." },
       settings: { description: "Check the settings of a daemon." },
     },
   },
