Registry: wait whole milliseconds after a paced call

Change: the pause is rounded up.

Figures: the new test with fractional readings fails before (waits are missing) and passes after.

--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -44,7 +44,7 @@
   private isTableUnknown = false;
   private position: number | undefined;
   private failures = 0;
-  /** Wait of the next watch: a pause before it is part of the time without news. */
+  /** Wait of the next watch, a whole number: a pause before it is part of the time without news. */
   private waitMilliseconds = watchMilliseconds;
   private readonly stopped = new AbortController();
 
@@ -257,7 +257,8 @@
   }
 
   private getPaceMilliseconds(startedAt: number): number {
-    return Math.max(0, startedAt + paceMilliseconds - this.parts.getClocks().monotonic);
+    const left = startedAt + paceMilliseconds - this.parts.getClocks().monotonic;
+    return Math.ceil(Math.max(0, left));
   }
 
   private getRetryMilliseconds(): number {
--- a/packages/daemon/tests/registry/RegistryTask.test.ts
+++ b/packages/daemon/tests/registry/RegistryTask.test.ts
@@ -110,6 +110,13 @@
   assert.equal(waits, [810, 805, 805, 805, 1_500, 1_500]);
 });
 
+test("asks for whole milliseconds, whatever the clock reads", async () => {
+  const waits: number[] = [];
+  const odd = after(0.3, { changes: [{ kind: "upstreamGone", id: "e-1" }] });
+  await follow([first, odd, odd], (wait) => waits.push(wait));
+  assert.equal(waits, [810, 800, 800]);
+});
+
 test("a registry that forgets its history again and again is read every 1.4 s", async () => {
   const lost: Call = () => {
     advance(5);
