Soak of the routers: first version

Change: `ScriptedCaller` in the stand-ins; `packages/experiments/src/soak` with routers as processes, links of the fault proxy before the store and the upstreams, twelve kinds of disturbance in overlapping series, and a judgement of what callers and upstreams saw.

--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -3,3 +3,4 @@
 export * from "./errors/index.js";
 export * from "./fleet/index.js";
 export * from "./matrix/index.js";
+export * from "./soak/index.js";
--- /dev/null
+++ b/packages/experiments/src/soak/Installation.ts
@@ -0,0 +1,118 @@
+import { FaultProxy, RegistryStore, type LinkMode } from "@pistachioway/standins";
+import { createServer, type AddressInfo } from "node:net";
+import type { Random } from "../bench/Random.js";
+import { RouterProcess, type RouterPorts } from "./RouterProcess.js";
+import type { Acknowledgement, RunRecord, SoakOptions } from "./schema.js";
+import { SoakUpstream } from "./SoakUpstream.js";
+
+const upstreamCount = 4;
+const keyCount = 6;
+const portCount = 4;
+
+/** Routers as processes before a store and upstreams; links stand before the store and upstreams. */
+export class Installation {
+  readonly store = RegistryStore.create();
+  readonly routers: RouterProcess[] = [];
+  readonly upstreams: SoakUpstream[] = [];
+  readonly upstreamNames: string[] = [];
+  readonly runs: RunRecord[] = [];
+  readonly acknowledgements: Acknowledgement[] = [];
+  keys: readonly string[] = Array.from({ length: keyCount }, (_, index) => `k-${String(index)}`);
+  private readonly faults = FaultProxy.create();
+  private version = 0;
+  private sequence = 1;
+
+  private constructor(private readonly random: Random) {}
+
+  /**
+   * Starts everything, and resolves when every router listens.
+   * @param options - Options of the soak.
+   * @param random - Draws what is left open.
+   */
+  static async start(options: SoakOptions, random: Random): Promise<Installation> {
+    const installation = new Installation(random);
+    await installation.store.listen();
+    installation.publish();
+    for (let index = 0; index < upstreamCount; index += 1) {
+      await installation.addUpstream();
+    }
+    await installation.startRouters(options.routers);
+    return installation;
+  }
+
+  /** Ends every process and closes every listener. */
+  async stop(): Promise<void> {
+    await Promise.all(this.routers.map((router) => router.end("SIGKILL")));
+    await Promise.all(this.upstreams.map(({ server }) => server.close()));
+    await Promise.all([this.faults.close(), this.store.close()]);
+  }
+
+  /** Publishes the configuration once more, under the next version. */
+  publish(): void {
+    this.version += 1;
+    this.store.publishConfiguration({ version: this.version, keys: this.keys });
+  }
+
+  /** Takes a key away. */
+  revokeKey(key: string): void {
+    this.keys = this.keys.filter((one) => one !== key);
+    this.publish();
+    this.acknowledgements.push({ kind: "key-revoked", name: key, at: performance.now() });
+  }
+
+  /** Adds an upstream that takes requests at once. */
+  async addUpstream(): Promise<void> {
+    const id = `u-${String(this.upstreamNames.length)}`;
+    const upstream = SoakUpstream.create(id, this.random, (run) => this.runs.push(run));
+    this.upstreamNames.push(id);
+    await upstream.server.listen();
+    await this.faults.addLink({ name: id, target: upstream.server.address });
+    this.upstreams.push(upstream);
+    this.publishUpstream(upstream, "ready");
+  }
+
+  /** Says of an upstream that it leaves. */
+  drainUpstream(upstream: SoakUpstream): void {
+    this.publishUpstream(upstream, "draining");
+    const at = performance.now();
+    this.acknowledgements.push({ kind: "upstream-draining", name: upstream.id, at });
+  }
+
+  /** Takes an upstream off the list; it goes on with what it has. */
+  removeUpstream(upstream: SoakUpstream): void {
+    this.upstreams.splice(this.upstreams.indexOf(upstream), 1);
+    this.store.removeUpstream(upstream.id);
+  }
+
+  /** Sets what the link before an upstream, or between a router and the store, does. */
+  setLinkMode(name: string, mode: LinkMode): void {
+    this.faults.getLinkOrThrow(name).setMode(mode);
+  }
+
+  private publishUpstream({ id, server }: SoakUpstream, state: string): void {
+    this.sequence += 1;
+    const { address } = this.faults.getLinkOrThrow(id);
+    this.store.publishUpstream(server, state, this.sequence, address);
+  }
+
+  private async startRouters(count: number): Promise<void> {
+    const ports = await getFreePorts();
+    for (let index = 1; index <= count; index += 1) {
+      const name = `r-${String(index)}`;
+      const registry = await this.faults.addLink({ name, target: this.store.address });
+      this.routers.push(RouterProcess.create(name, `127.0.0.${String(index)}`, ports, registry));
+    }
+    await Promise.all(this.routers.map((router) => router.start()));
+  }
+}
+
+async function getFreePorts(): Promise<RouterPorts> {
+  const servers = Array.from({ length: portCount }, () => createServer());
+  await Promise.all(
+    servers.map((server) => new Promise<void>((done) => server.listen(0, "127.0.0.1", done))),
+  );
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
+  const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = ports;
+  return { callers, readiness, operations, datagrams };
+}
--- /dev/null
+++ b/packages/experiments/src/soak/Soak.ts
@@ -0,0 +1,145 @@
+import { ScriptedCaller } from "@pistachioway/standins";
+import { setTimeout as delay } from "node:timers/promises";
+import { Random } from "../bench/Random.js";
+import { disturbanceKinds } from "./disturbances.js";
+import { Installation } from "./Installation.js";
+import { judge } from "./judge.js";
+import type { RouterProcess } from "./RouterProcess.js";
+import type { CallKind, CallRecord, Disturbance, SoakOptions, Violation } from "./schema.js";
+
+/** What one run has shown. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly calls: number;
+  readonly runs: number;
+  readonly disturbances: readonly Disturbance[];
+  readonly violations: readonly Violation[];
+  /** Last lines of each router's log, by name. */
+  readonly logs: Readonly<Record<string, string>>;
+}
+
+const meanPauseMilliseconds = 600;
+/** Time for the routers to recover once nothing disturbs any more. */
+const recoverMilliseconds = 12_000;
+const calmMilliseconds = 3_000;
+const callerPauseMilliseconds = 30;
+const patienceMilliseconds = 4_000;
+const kinds: readonly CallKind[] = ["read", "act", "stream", "once"];
+
+/** One run: callers without end, disturbances in series, a calm end, and the judgement. */
+export class Soak {
+  private readonly random: Random;
+  private readonly calls: CallRecord[] = [];
+  private readonly disturbances: Disturbance[] = [];
+  private isOver = false;
+  private nextCall = 0;
+
+  private constructor(
+    private readonly options: SoakOptions,
+    private readonly installation: Installation,
+  ) {
+    this.random = Random.create(options.seed, 1);
+  }
+
+  /**
+   * Runs the soak with one seed.
+   * @param options - Options; the number of runs is not used.
+   */
+  static async run(options: SoakOptions): Promise<SoakResult> {
+    const installation = await Installation.start(options, Random.create(options.seed, 2));
+    try {
+      return await new Soak(options, installation).run();
+    } finally {
+      await installation.stop();
+    }
+  }
+
+  private async run(): Promise<SoakResult> {
+    const { installation, options } = this;
+    const callers = installation.routers.flatMap((router, index) =>
+      Array.from({ length: options.callersPerRouter }, (_, caller) =>
+        this.keepCalling(router, index * options.callersPerRouter + caller),
+      ),
+    );
+    await this.disturb();
+    await delay(recoverMilliseconds);
+    const calmFrom = performance.now();
+    await delay(calmMilliseconds);
+    this.isOver = true;
+    await Promise.all(callers);
+    return this.createResult(calmFrom);
+  }
+
+  private createResult(calmFrom: number): SoakResult {
+    const { calls, disturbances, options } = this;
+    const { runs, routers, acknowledgements, upstreamNames: upstreams } = this.installation;
+    const ownEnds = routers.filter((router) => router.hasEndedByItself()).map(({ name }) => name);
+    const seen = { calls, runs, disturbances, acknowledgements, upstreams, ownEnds, calmFrom };
+    return {
+      seed: options.seed,
+      calls: calls.length,
+      runs: runs.length,
+      disturbances,
+      violations: judge(seen),
+      logs: Object.fromEntries(routers.map((router) => [router.name, router.getOutput()])),
+    };
+  }
+
+  /** Begins one disturbance after the other, and resolves when all are over. */
+  private async disturb(): Promise<void> {
+    const until = performance.now() + this.options.seconds * 1_000;
+    const running: Promise<void>[] = [];
+    while (performance.now() < until) {
+      await delay(this.random.getExponential(meanPauseMilliseconds));
+      const kind = disturbanceKinds[this.random.getIndex(disturbanceKinds.length)];
+      const drawn = kind?.draw({ installation: this.installation, random: this.random });
+      if (kind !== undefined && drawn !== undefined) {
+        const { name, isPlanned } = kind;
+        const { target } = drawn;
+        const from = performance.now();
+        const disturbance = { name, target, isPlanned, from, until: Infinity };
+        this.disturbances.push(disturbance);
+        running.push(
+          drawn.run().then(() => {
+            disturbance.until = performance.now();
+          }),
+        );
+      }
+    }
+    await Promise.all(running);
+  }
+
+  /** Sends one request after the other to a router, until the run is over. */
+  private async keepCalling(router: RouterProcess, number: number): Promise<void> {
+    const caller = ScriptedCaller.create(router.callers);
+    const random = Random.create(this.options.seed, 100 + number);
+    const key = this.installation.keys[number % this.installation.keys.length] ?? "";
+    while (!this.isOver) {
+      const kind = kinds[random.getIndex(kinds.length)] ?? "read";
+      await this.call(caller, router.name, kind, key);
+      await delay(random.getExponential(callerPauseMilliseconds));
+    }
+    await caller.close();
+  }
+
+  private async call(
+    caller: ScriptedCaller,
+    router: string,
+    kind: CallKind,
+    key: string,
+  ): Promise<void> {
+    this.nextCall += 1;
+    const id = `q-${String(this.nextCall)}`;
+    const sentAt = performance.now();
+    const method = kind === "act" ? "POST" : "GET";
+    const body = kind === "act" ? { body: `act ${id}` } : {};
+    const path = `/${kind}/${id}`;
+    const outcome = await Promise.race([
+      caller.call({ id, method, path, key, ...body }),
+      delay(patienceMilliseconds).then(() => undefined),
+    ]);
+    const none = { status: 0, stamp: "", body: "", isWhole: false, wasConnected: true };
+    const endedAt = performance.now();
+    this.calls.push({ id, kind, key, router, sentAt, endedAt, ...(outcome ?? none) });
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/soak/SoakUpstream.ts
@@ -0,0 +1,108 @@
+import { refuseRequest, ScriptedUpstream, type ReceivedRequest } from "@pistachioway/standins";
+import type { ServerResponse } from "node:http";
+import type { Random } from "../bench/Random.js";
+import { getBody, getEvent, streamLength } from "./bodies.js";
+import type { RunRecord } from "./schema.js";
+
+/** How an upstream answers. */
+export type UpstreamMode = "well" | "refusing" | "mute" | "failing" | "torn" | "extra";
+
+const eventMilliseconds = 25;
+const maxWorkMilliseconds = 60;
+
+/** An upstream that records its runs and answers them well or badly. */
+export class SoakUpstream {
+  mode: UpstreamMode = "well";
+  /** Whether it was told to leave. */
+  isLeaving = false;
+  readonly server: ScriptedUpstream;
+
+  private constructor(
+    readonly id: string,
+    private readonly random: Random,
+    private readonly onRun: (run: RunRecord) => void,
+  ) {
+    this.server = ScriptedUpstream.create(id, (request, response) => {
+      this.serve(request, response);
+    });
+  }
+
+  /**
+   * Creates an upstream that is not listening yet.
+   * @param id - Id that it registers with.
+   * @param random - Draws the time of its work.
+   * @param onRun - Hears of each run.
+   */
+  static create(id: string, random: Random, onRun: (run: RunRecord) => void): SoakUpstream {
+    return new SoakUpstream(id, random, onRun);
+  }
+
+  private serve(request: ReceivedRequest, response: ServerResponse): void {
+    if (request.path === "/healthz") {
+      response.writeHead(200, { instance: this.id, "content-length": 0 }).end();
+      return;
+    }
+    const isOther = request.expectedUpstream !== this.id;
+    if (isOther || this.mode === "refusing") {
+      refuseRequest(request, response);
+      return;
+    }
+    const { id, team, key } = request;
+    this.onRun({ id, upstream: this.id, team, key, startedAt: performance.now() });
+    const isStream = request.path.startsWith("/stream/") || request.path.startsWith("/once/");
+    setTimeout(() => {
+      if (isStream) {
+        this.stream(request, response);
+      } else {
+        this.answer(request, response);
+      }
+    }, this.random.getIndex(maxWorkMilliseconds));
+  }
+
+  private answer({ id }: ReceivedRequest, response: ServerResponse): void {
+    const body = getBody(id);
+    const headers = { "request-id": id, "response-stamp": `stamp-${id}` };
+    switch (this.mode) {
+      case "mute":
+        return;
+      case "failing":
+        response.writeHead(500, { ...headers, "content-length": 0 }).end();
+        return;
+      case "torn":
+        response.writeHead(200, { ...headers, "content-length": body.length });
+        response.write(body.slice(0, body.length / 2), () => response.socket?.destroy());
+        return;
+      case "extra":
+        response.writeHead(200, { ...headers, "content-length": body.length }).end(body);
+        response.socket?.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+        return;
+      default:
+        response.writeHead(200, { ...headers, "content-length": body.length }).end(body);
+    }
+  }
+
+  private stream({ id, lastEventId }: ReceivedRequest, response: ServerResponse): void {
+    if (this.mode === "mute") {
+      return;
+    }
+    const headers = { "request-id": id, "response-stamp": `stamp-${id}` };
+    response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+    let event = Number(lastEventId ?? 0);
+    const timer = setInterval(() => {
+      event += 1;
+      const text = event <= streamLength ? getEvent(id, event) : "";
+      if (this.mode === "torn" && event > streamLength / 2) {
+        clearInterval(timer);
+        response.write(text.slice(0, text.length / 2), () => response.socket?.destroy());
+      } else if (event >= streamLength) {
+        clearInterval(timer);
+        response.end(text);
+      } else {
+        response.write(text);
+      }
+    }, eventMilliseconds);
+    response.once("close", () => {
+      clearInterval(timer);
+    });
+  }
+}
--- /dev/null
+++ b/packages/experiments/src/soak/index.ts
@@ -0,0 +1,10 @@
+export { getBody, getStream } from "./bodies.js";
+export { judge } from "./judge.js";
+export {
+  soakOptionsSchema,
+  type CallRecord,
+  type Evidence,
+  type SoakOptions,
+  type Violation,
+} from "./schema.js";
+export { Soak, type SoakResult } from "./Soak.js";
--- /dev/null
+++ b/packages/experiments/src/soak/judge.ts
@@ -0,0 +1,157 @@
+import { getBody, getStream } from "./bodies.js";
+import {
+  storeName,
+  type CallRecord,
+  type Evidence,
+  type RunRecord,
+  type Violation,
+} from "./schema.js";
+
+/** Time within which a revoked key must not run any more, anywhere. */
+const revokeMilliseconds = 5_000;
+/** Time within which an upstream that leaves gets no new request from a calm router. */
+const drainMilliseconds = 2_000;
+/** A router is calm when nothing has disturbed it or the store for this long. */
+const calmMilliseconds = 3_000;
+/** A request that crosses the close of its connection is not lost within this time. */
+const crossingMilliseconds = 200;
+/** Share of calls that are answered once nothing disturbs any more. */
+const recoveredShare = 0.9;
+const mayNotRunAgain = new Set(["act", "once"]);
+const promisesNotRun = new Set([408, 421, 429, 503]);
+const team = "callaloo";
+
+/** Finds the promises that a run broke. */
+export function judge(evidence: Evidence): Violation[] {
+  const runsById = groupById(evidence.runs);
+  const perCall = evidence.calls.flatMap((call) =>
+    judgeCall(call, runsById.get(call.id) ?? [], evidence),
+  );
+  const unasked = evidence.runs.flatMap(judgeRun);
+  const ends = evidence.ownEnds.map((name) => ({
+    promise: "own-ends",
+    detail: `router "${name}" ended by itself`,
+  }));
+  return [...perCall, ...unasked, ...ends, ...judgeRecovery(evidence)];
+}
+
+function groupById(runs: readonly RunRecord[]): ReadonlyMap<string, readonly RunRecord[]> {
+  const runsById = new Map<string, RunRecord[]>();
+  for (const run of runs) {
+    const known = runsById.get(run.id) ?? [];
+    known.push(run);
+    runsById.set(run.id, known);
+  }
+  return runsById;
+}
+
+function judgeCall(call: CallRecord, runs: readonly RunRecord[], evidence: Evidence): Violation[] {
+  const checks: readonly (readonly [string, boolean])[] = [
+    ["at-most-once", mayNotRunAgain.has(call.kind) && runs.length > 1],
+    ["not-run-true", isFalseRefusal(call, runs)],
+    ["answers-whole", isWrongSuccess(call)],
+    ["streams-in-order", isWrongStream(call)],
+    ["revoked-keys", runsRevoked(call, runs, evidence)],
+    ["draining", runsAtLeaving(call, runs, evidence)],
+    ["planned-stop", isLostToStop(call, runs, evidence)],
+  ];
+  const detail =
+    `${call.kind} "${call.id}" at router "${call.router}": status ${String(call.status)}, ` +
+    `whole ${String(call.isWhole)}, sent at ${call.sentAt.toFixed(0)}, ended at ` +
+    `${call.endedAt.toFixed(0)}, runs [${runs.map(toText).join(", ")}]`;
+  return checks.filter(([, isBroken]) => isBroken).map(([promise]) => ({ promise, detail }));
+}
+
+function toText({ upstream, startedAt }: RunRecord): string {
+  return `${upstream} at ${startedAt.toFixed(0)}`;
+}
+
+/** Reads and streams may be refused after a run that failed. */
+function isFalseRefusal(call: CallRecord, runs: readonly RunRecord[]): boolean {
+  return mayNotRunAgain.has(call.kind) && promisesNotRun.has(call.status) && runs.length > 0;
+}
+
+function isWrongSuccess({ kind, id, status, stamp, body, isWhole }: CallRecord): boolean {
+  const isPlain = kind === "read" || kind === "act";
+  return isPlain && isWhole && status === 200 && (stamp !== `stamp-${id}` || body !== getBody(id));
+}
+
+/** A stream holds the events from the first one on, and all of them when it ends in order. */
+function isWrongStream({ kind, id, status, body, isWhole }: CallRecord): boolean {
+  if (status !== 200 || kind === "read" || kind === "act") {
+    return false;
+  }
+  const whole = getStream(id);
+  return isWhole ? body !== whole : !whole.startsWith(body);
+}
+
+function runsRevoked(
+  { key, sentAt }: CallRecord,
+  runs: readonly RunRecord[],
+  { acknowledgements }: Evidence,
+): boolean {
+  return (
+    runs.length > 0 &&
+    acknowledgements.some(
+      ({ kind, name, at }) =>
+        kind === "key-revoked" && name === key && sentAt > at + revokeMilliseconds,
+    )
+  );
+}
+
+function runsAtLeaving(call: CallRecord, runs: readonly RunRecord[], evidence: Evidence): boolean {
+  return evidence.acknowledgements.some(
+    ({ kind, name, at }) =>
+      kind === "upstream-draining" &&
+      call.sentAt > at + drainMilliseconds &&
+      runs.some(({ upstream }) => upstream === name) &&
+      isCalm([call.router, storeName], at - calmMilliseconds, call.endedAt, evidence),
+  );
+}
+
+/** A stop cuts nothing off that its router has read, unless something unplanned happens too. */
+function isLostToStop(call: CallRecord, runs: readonly RunRecord[], evidence: Evidence): boolean {
+  const isCut = !call.isWhole && call.wasConnected;
+  const isRead = runs.length > 0 || call.endedAt - call.sentAt > crossingMilliseconds;
+  const isStopping = evidence.disturbances.some(
+    ({ isPlanned, target, from, until }) =>
+      isPlanned && target === call.router && call.endedAt >= from && call.sentAt <= until,
+  );
+  const targets = [call.router, storeName, ...evidence.upstreams];
+  return (
+    isCut &&
+    isRead &&
+    isStopping &&
+    isCalm(targets, call.sentAt - calmMilliseconds, call.endedAt, evidence)
+  );
+}
+
+/** Tells whether nothing unplanned befell any of the targets in a span of time. */
+function isCalm(
+  targets: readonly string[],
+  from: number,
+  until: number,
+  { disturbances }: Evidence,
+): boolean {
+  return !disturbances.some(
+    (one) =>
+      !one.isPlanned && targets.includes(one.target) && one.from <= until && one.until >= from,
+  );
+}
+
+function judgeRun(run: RunRecord): Violation[] {
+  const isRight = run.team === team && run.key === undefined;
+  const detail = `run of "${run.id}" at "${run.upstream}" has team "${String(run.team)}"`;
+  return isRight ? [] : [{ promise: "teams", detail }];
+}
+
+function judgeRecovery({ calls, acknowledgements, calmFrom }: Evidence): Violation[] {
+  const revoked = new Set(
+    acknowledgements.filter(({ kind }) => kind === "key-revoked").map(({ name }) => name),
+  );
+  const owed = calls.filter(({ sentAt, key }) => sentAt >= calmFrom && !revoked.has(key));
+  const served = owed.filter(({ status, isWhole }) => status === 200 && isWhole);
+  const isRecovered = owed.length > 0 && served.length >= owed.length * recoveredShare;
+  const detail = `${String(served.length)} of ${String(owed.length)} calls served after the end`;
+  return isRecovered ? [] : [{ promise: "recovery", detail }];
+}
--- /dev/null
+++ b/packages/experiments/src/soak/main.ts
@@ -0,0 +1,76 @@
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { parseArgs } from "node:util";
+import { soakOptionsSchema, type SoakOptions } from "./schema.js";
+import { Soak, type SoakResult } from "./Soak.js";
+
+const failedExitCode = 1;
+const usageExitCode = 2;
+const interruptedExitCode = 130;
+
+/** Runs the soak with one seed after the other; exits with 1 when a promise broke. */
+async function main(): Promise<void> {
+  const options = soakOptionsSchema.safeParse(readArguments());
+  if (!options.success) {
+    process.stderr.write(`${options.error.message}\n`);
+    process.exit(usageExitCode);
+  }
+  for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => process.exit(interruptedExitCode));
+  }
+  const broken: number[] = [];
+  for (let run = 0; run < options.data.runs; run += 1) {
+    const result = await Soak.run({ ...options.data, seed: options.data.seed + run });
+    await report(result, options.data);
+    if (result.violations.length > 0) {
+      broken.push(result.seed);
+    }
+  }
+  process.stdout.write(
+    `${String(options.data.runs - broken.length)} of ${String(options.data.runs)} runs held; ` +
+      `broken seeds: ${broken.join(", ") || "none"}\n`,
+  );
+  process.exit(broken.length === 0 ? 0 : failedExitCode);
+}
+
+function readArguments(): object {
+  const { values } = parseArgs({
+    options: {
+      seed: { type: "string" },
+      runs: { type: "string" },
+      seconds: { type: "string" },
+      routers: { type: "string" },
+      callersPerRouter: { type: "string" },
+      logs: { type: "string" },
+      json: { type: "boolean" },
+    },
+  });
+  return values;
+}
+
+async function report(result: SoakResult, { json, logs }: SoakOptions): Promise<void> {
+  const { seed, calls, runs, disturbances, violations } = result;
+  if (json) {
+    process.stdout.write(`${JSON.stringify({ seed, calls, runs, disturbances, violations })}\n`);
+  } else {
+    const counts = `${String(calls)} calls, ${String(runs)} runs, ${String(disturbances.length)} disturbances`;
+    const verdict = violations.length === 0 ? "held  " : "BROKEN";
+    process.stdout.write(`${verdict} seed ${String(seed)}: ${counts}\n`);
+    for (const { promise, detail } of violations.slice(0, 10)) {
+      process.stdout.write(`  ${promise}: ${detail}\n`);
+    }
+  }
+  if (logs !== undefined && violations.length > 0) {
+    const folder = join(logs, `seed-${String(seed)}`);
+    await mkdir(folder, { recursive: true });
+    await writeFile(join(folder, "disturbances.json"), JSON.stringify(disturbances, null, 1));
+    await writeFile(join(folder, "violations.json"), JSON.stringify(violations, null, 1));
+    await Promise.all(
+      Object.entries(result.logs).map(([name, text]) =>
+        writeFile(join(folder, `${name}.log`), text),
+      ),
+    );
+  }
+}
+
+await main();
--- a/packages/standins/src/registry/RegistryStore.ts
+++ b/packages/standins/src/registry/RegistryStore.ts
@@ -85,9 +85,18 @@
     this.put("op/config", createPublishedConfiguration(options));
   }
 
-  /** Publishes what an upstream says of itself. */
-  publishUpstream(upstream: ScriptedUpstream, state = "ready", sequence = 1): void {
-    this.put(`servers/${upstream.id}`, upstream.getEntry(publishedService, state, sequence));
+  /**
+   * Publishes what an upstream says of itself.
+   * @param address - Where it is reached, if not at its own address.
+   */
+  publishUpstream(
+    upstream: ScriptedUpstream,
+    state = "ready",
+    sequence = 1,
+    address?: string,
+  ): void {
+    const entry = upstream.getEntry(publishedService, state, sequence, address);
+    this.put(`servers/${upstream.id}`, entry);
   }
 
   /** Publishes an upstream's entry that cannot be read. */
--- a/packages/standins/src/registry/ScriptedUpstream.ts
+++ b/packages/standins/src/registry/ScriptedUpstream.ts
@@ -10,6 +10,8 @@
   readonly team: string | undefined;
   readonly key: string | undefined;
   readonly lastEventId: string | undefined;
+  /** Upstream that the request is meant for. */
+  readonly expectedUpstream: string | undefined;
   readonly body: string;
   /** When its connection was closed by the caller before an answer. */
   readonly isAbandoned: () => boolean;
@@ -64,9 +66,16 @@
     this.script = script;
   }
 
-  /** Gets the entry that the upstream writes to the store. */
-  getEntry(service: string, state: string, sequence: number): Record<string, unknown> {
-    const { address } = this;
+  /**
+   * Gets the entry that the upstream writes to the store.
+   * @param address - Where it is reached: its own address, or that of a link before it.
+   */
+  getEntry(
+    service: string,
+    state: string,
+    sequence: number,
+    address = this.address,
+  ): Record<string, unknown> {
     return { service, address, zone: "north", slots: 8, state, seq_no: sequence, born: 1 };
   }
 
@@ -86,6 +95,7 @@
         team: getText(request.headers["tenant"]),
         key: getText(request.headers["api-key"]),
         lastEventId: getText(request.headers["last-event-id"]),
+        expectedUpstream: getText(request.headers["expect-instance"]),
         body: Buffer.concat(chunks).toString("utf8"),
         isAbandoned: () => isAbandoned,
       };
--- a/packages/standins/src/registry/index.ts
+++ b/packages/standins/src/registry/index.ts
@@ -1,5 +1,6 @@
 export { createPublishedConfiguration, type PublishedOptions } from "./configuration.js";
 export { RegistryStore, type StoreMode } from "./RegistryStore.js";
+export { ScriptedCaller, type CallerOutcome, type CallerRequest } from "./ScriptedCaller.js";
 export {
   answerWhole,
   refuseRequest,
