--- a/packages/experiments/src/soak/Soak.ts
+++ b/packages/experiments/src/soak/Soak.ts
@@ -119,7 +119,7 @@
       await this.call(caller, router.name, kind, key);
       await delay(random.getExponential(callerPauseMilliseconds));
     }
-    await caller.close();
+    caller.close();
   }
 
   private async call(
--- a/packages/standins/src/faults/Connection.ts
+++ b/packages/standins/src/faults/Connection.ts
@@ -132,7 +132,10 @@
       this.reset();
     });
     socket.on("close", () => {
-      this.events.onClose(this);
+      // One side may be closed long before the other, which a cut keeps open.
+      if (this.client.closed && this.target.closed) {
+        this.events.onClose(this);
+      }
     });
   }
 
--- a/packages/standins/src/registry/ScriptedCaller.ts
+++ b/packages/standins/src/registry/ScriptedCaller.ts
@@ -1,4 +1,4 @@
-import { Client } from "undici";
+import { Agent, request, type IncomingMessage } from "node:http";
 
 /** A request that a caller sends. */
 export interface CallerRequest {
@@ -18,7 +18,7 @@
   readonly body: string;
   /** Whether the answer came to its end in order. */
   readonly isWhole: boolean;
-  /** Whether a connection stood when the request was sent. */
+  /** Whether the request went to a connection that stood. */
   readonly wasConnected: boolean;
 }
 
@@ -27,57 +27,69 @@
 
 /** Stands in for a caller: keeps one connection and sends one request after the other on it. */
 export class ScriptedCaller {
-  private isConnected = false;
+  private readonly agent = new Agent({ keepAlive: true, maxSockets: 1 });
 
-  private constructor(private readonly client: Client) {
-    client.on("connect", () => {
-      this.isConnected = true;
-    });
-    client.on("disconnect", () => {
-      this.isConnected = false;
-    });
-  }
+  private constructor(private readonly address: URL) {}
 
   /**
    * Creates a caller that is not connected yet.
    * @param address - Address of a router, in the form `HOST:PORT`.
    */
   static create(address: string): ScriptedCaller {
-    const client = new Client(`http://${address}`, { pipelining: 1 });
-    return new ScriptedCaller(client);
+    return new ScriptedCaller(new URL(`http://${address}`));
   }
 
   /** Closes the connection. */
-  async close(): Promise<void> {
-    await this.client.destroy();
+  close(): void {
+    this.agent.destroy();
   }
 
   /** Sends a request and resolves when its answer is whole, or there will be none. */
-  async call({ id, method, path, key, body }: CallerRequest): Promise<CallerOutcome> {
-    const seen = { status: 0, stamp: "", body: "", isWhole: false };
-    const wasConnected = this.isConnected;
-    try {
-      const answer = await this.client.request({
-        method,
-        path,
-        body: body ?? null,
-        headers: {
-          host,
-          "request-id": id,
-          "deadline-ms": String(patienceMilliseconds),
-          "api-key": key,
-        },
-        signal: AbortSignal.timeout(patienceMilliseconds),
+  call({ id, method, path, key, body = "" }: CallerRequest): Promise<CallerOutcome> {
+    const sent = request({
+      agent: this.agent,
+      host: this.address.hostname,
+      port: this.address.port,
+      method,
+      path,
+      headers: {
+        host,
+        "request-id": id,
+        "deadline-ms": String(patienceMilliseconds),
+        "api-key": key,
+        ...(body === "" ? {} : { "content-length": Buffer.byteLength(body) }),
+      },
+    });
+    const ended = new Promise<CallerOutcome>((resolve) => {
+      const finish = (part: Partial<CallerOutcome>): void => {
+        clearTimeout(timer);
+        const none = { status: 0, stamp: "", body: "", isWhole: false };
+        resolve({ ...none, wasConnected: sent.reusedSocket, ...part });
+      };
+      const timer = setTimeout(() => sent.destroy(), patienceMilliseconds);
+      sent.on("error", () => {
+        finish({});
       });
-      seen.status = answer.statusCode;
-      seen.stamp = String(answer.headers["response-stamp"] ?? "");
-      for await (const chunk of answer.body) {
-        seen.body += String(chunk);
-      }
-      seen.isWhole = true;
-    } catch {
-      // What was seen until then tells how the answer ended.
-    }
-    return { ...seen, wasConnected };
+      sent.on("response", (answer) => {
+        readAnswer(answer, finish);
+      });
+    });
+    sent.end(body);
+    return ended;
   }
 }
+
+function readAnswer(answer: IncomingMessage, finish: (part: Partial<CallerOutcome>) => void): void {
+  const status = answer.statusCode ?? 0;
+  const stamp = String(answer.headers["response-stamp"] ?? "");
+  let body = "";
+  answer.setEncoding("utf8");
+  answer.on("data", (chunk: string) => {
+    body += chunk;
+  });
+  // Its end tells through `close` whether it came in order.
+  answer.on("error", () => undefined);
+  answer.on("close", () => {
+    finish({ status, stamp, body, isWhole: answer.complete });
+  });
+}
--- a/packages/standins/tests/faults/Link.test.ts
+++ b/packages/standins/tests/faults/Link.test.ts
@@ -1,4 +1,7 @@
-import { FaultProxy, Service, type LinkMode, type RuleOptions } from "@pistachioway/standins";
+import { FaultProxy, Link, Service, type LinkMode, type RuleOptions } from "@pistachioway/standins";
+import { once } from "node:events";
+import { connect, createServer, type AddressInfo, type Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import { Agent, request } from "undici";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
@@ -127,4 +130,24 @@
   await bench.close();
 });
 
+test("closes while a cut keeps one side of a connection open whose other side is gone", async () => {
+  const upstream = createServer();
+  await new Promise<void>((resolve) => upstream.listen(0, "127.0.0.1", resolve));
+  const { port } = upstream.address() as AddressInfo;
+  const link = Link.create("s", `127.0.0.1:${String(port)}`);
+  const accepted = once(upstream, "connection") as Promise<[Socket]>;
+  const client = connect(Number((await link.listen()).split(":")[1]), "127.0.0.1");
+  client.on("error", () => undefined);
+  const [target] = await accepted;
+  link.setMode("cut-response");
+  target.resume();
+  client.end();
+  await once(target, "close");
+  await delay(silenceMilliseconds);
+  const closed = link.close().then(() => "closed");
+  assert.is(await Promise.race([closed, delay(1_000, "open")]), "closed");
+  client.destroy();
+  upstream.close();
+});
+
 test.run();
