CLI: check and diff configurations that are published for routers

Change: `router check FILE` prints what routers would refuse, leave out or could not serve (`getRoutingFaults`: services not listed, no weight, two routes in one place, one key in two teams); `router diff A B` compares by name and shows keys as digests. The platform's decoder is loaded by these two only.

--- a/packages/cli/src/commands/ConfigDiff.ts
+++ b/packages/cli/src/commands/ConfigDiff.ts
@@ -9,7 +9,7 @@
 } from "@pistachioway/kernel";
 import { exitCodes } from "../exitCodes.js";
 import { readTextFile } from "../files/index.js";
-import { toPrintable } from "../text/index.js";
+import { formatChange } from "../text/index.js";
 import { ToolCommand } from "./ToolCommand.js";
 
 interface RefusedFile {
@@ -69,16 +69,3 @@
     return undefined;
   }
 }
-
-function formatChange(change: ConfigurationChange): string {
-  const before = JSON.stringify(change.before);
-  const after = JSON.stringify(change.after);
-  switch (change.kind) {
-    case "added":
-      return toPrintable(`+ ${change.path} = ${after}`);
-    case "removed":
-      return toPrintable(`- ${change.path} = ${before}`);
-    case "changed":
-      return toPrintable(`~ ${change.path}: ${before} -> ${after}`);
-  }
-}
--- /dev/null
+++ b/packages/cli/src/commands/RouterCheck.ts
@@ -0,0 +1,44 @@
+import { Args } from "@oclif/core";
+import { exitCodes } from "../exitCodes.js";
+import { readPublished } from "../files/index.js";
+import { toPrintable } from "../text/index.js";
+import { ToolCommand } from "./ToolCommand.js";
+
+interface CheckReport {
+  readonly file: string;
+  /** False when routers would take nothing of the file. */
+  readonly isReadable: boolean;
+  readonly version: number | null;
+  readonly faults: readonly string[];
+}
+
+/** Checks a published configuration as routers read it. */
+export class RouterCheck extends ToolCommand {
+  static override description =
+    "Check a configuration as it is published for routers, and list what they would leave out.";
+
+  static override args = {
+    file: Args.string({ description: "Published configuration in JSON.", required: true }),
+  };
+
+  async run(): Promise<CheckReport> {
+    const { file } = (await this.parse(RouterCheck)).args;
+    const { routing, faults } = await readPublished(file);
+    for (const fault of faults) {
+      this.log(toPrintable(`${file}: ${fault}`));
+    }
+    if (faults.length > 0) {
+      this.raiseExitCode(exitCodes.findings);
+    }
+    if (routing === undefined) {
+      this.log(`${file}: refused`);
+      return { file, isReadable: false, version: null, faults };
+    }
+    const { version, routes, services, teams } = routing;
+    const sizes =
+      `version ${String(version)}, ${String(routes.length)} routes, ` +
+      `${String(services.length)} services, ${String(teams?.length ?? 0)} teams`;
+    this.log(`${file}: accepted, ${sizes}, ${String(faults.length)} fault(s)`);
+    return { file, isReadable: true, version, faults };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/RouterDiff.ts
@@ -0,0 +1,62 @@
+import { Args, Flags } from "@oclif/core";
+import { diffConfigurations, type ConfigurationChange, type Routing } from "@pistachioway/kernel";
+import { createHash } from "node:crypto";
+import { exitCodes } from "../exitCodes.js";
+import { readPublished } from "../files/index.js";
+import { formatChange, toPrintable } from "../text/index.js";
+import { ToolCommand } from "./ToolCommand.js";
+
+interface DiffReport {
+  readonly changes: readonly ConfigurationChange[];
+  readonly faults: readonly string[];
+}
+
+const digestCharacters = 12;
+
+/** Shows what differs between two published configurations. */
+export class RouterDiff extends ToolCommand {
+  static override description =
+    "Show what differs between two configurations published for routers; keys are shown as digests.";
+
+  static override args = {
+    before: Args.string({
+      description: "Published configuration to compare with.",
+      required: true,
+    }),
+    after: Args.string({ description: "Published configuration to compare.", required: true }),
+  };
+
+  static override flags = {
+    "exit-code": Flags.boolean({ description: "Exit with 1 when there are differences." }),
+  };
+
+  async run(): Promise<DiffReport> {
+    const { args, flags } = await this.parse(RouterDiff);
+    const before = await readPublished(args.before);
+    const after = await readPublished(args.after);
+    const faults = [...before.faults, ...after.faults];
+    for (const fault of faults) {
+      this.log(toPrintable(fault));
+    }
+    if (before.routing === undefined || after.routing === undefined) {
+      this.raiseExitCode(exitCodes.findings);
+      return { changes: [], faults };
+    }
+    const changes = diffConfigurations(hideKeys(before.routing), hideKeys(after.routing));
+    if (flags["exit-code"] && changes.length > 0) {
+      this.raiseExitCode(exitCodes.findings);
+    }
+    this.log(changes.length === 0 ? "no differences" : changes.map(formatChange).join("\n"));
+    return { changes, faults };
+  }
+}
+
+function hideKeys(routing: Routing): Routing {
+  const teams = routing.teams?.map((team) => ({ ...team, keys: team.keys.map(toDigest) }));
+  return { ...routing, teams };
+}
+
+function toDigest(key: string): string {
+  const digest = createHash("sha256").update(key).digest("hex");
+  return `sha256:${digest.slice(0, digestCharacters)}`;
+}
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,6 +1,8 @@
 import { ConfigCheck } from "./ConfigCheck.js";
 import { ConfigDiff } from "./ConfigDiff.js";
 import { Explain } from "./Explain.js";
+import { RouterCheck } from "./RouterCheck.js";
+import { RouterDiff } from "./RouterDiff.js";
 import { RouterExplain } from "./RouterExplain.js";
 import { RouterStatus } from "./RouterStatus.js";
 import { RouterTimeline } from "./RouterTimeline.js";
@@ -13,6 +15,8 @@
   "config:check": ConfigCheck,
   "config:diff": ConfigDiff,
   explain: Explain,
+  "router:check": RouterCheck,
+  "router:diff": RouterDiff,
   "router:explain": RouterExplain,
   "router:status": RouterStatus,
   "router:timeline": RouterTimeline,
--- /dev/null
+++ b/packages/cli/src/files/textFiles.ts
@@ -0,0 +1,40 @@
+import { readFile, stat, writeFile } from "node:fs/promises";
+import { FileError } from "../errors/index.js";
+
+/**
+ * Reads a text file.
+ * @param path - File to read.
+ * @throws FileError when it cannot be read or is far too large.
+ */
+export async function readTextFile(path: string): Promise<string> {
+  return useFile(path, async () => {
+    const { size } = await stat(path);
+    if (size > maxFileBytes) {
+      throw new FileError(path, `it has ${String(size)} bytes, over ${String(maxFileBytes)}`);
+    }
+    return readFile(path, "utf8");
+  });
+}
+
+/**
+ * Writes a text file.
+ * @param path - File to write.
+ * @param text - What to write.
+ * @throws FileError when it cannot be written.
+ */
+export async function writeTextFile(path: string, text: string): Promise<void> {
+  await useFile(path, () => writeFile(path, text, "utf8"));
+}
+
+const maxFileBytes = 64 * 1_048_576;
+
+async function useFile<Value>(path: string, use: () => Promise<Value>): Promise<Value> {
+  try {
+    return await use();
+  } catch (error) {
+    if (error instanceof FileError) {
+      throw error;
+    }
+    throw new FileError(path, error instanceof Error ? error.message : String(error));
+  }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -19,7 +19,10 @@
     },
     topics: {
       config: { description: "Check and compare configuration files." },
-      router: { description: "Show what routers report, and explain requests from their logs." },
+      router: {
+        description:
+          "Check published configurations, show what routers report, explain requests from their logs.",
+      },
       settings: { description: "Check the settings of a daemon." },
     },
   },
--- a/packages/cli/src/text/index.ts
+++ b/packages/cli/src/text/index.ts
@@ -1,2 +1,3 @@
+export { formatChange } from "./formatChange.js";
 export { Palette } from "./Palette.js";
 export { formatNumber, formatTable, toPrintable } from "./table.js";
--- /dev/null
+++ b/packages/cli/tests/commands/routerFiles.test.ts
@@ -0,0 +1,70 @@
+import { createPublishedConfiguration } from "@pistachioway/standins";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { runTool } from "../runTool.js";
+
+const test = suite("router check, router diff");
+
+let folder = "";
+
+test.before(async () => {
+  folder = await mkdtemp(join(tmpdir(), "pistachioway-published-"));
+});
+
+test.after(async () => {
+  await rm(folder, { recursive: true });
+});
+
+async function write(name: string, value: unknown): Promise<string> {
+  const file = join(folder, name);
+  await writeFile(file, typeof value === "string" ? value : JSON.stringify(value));
+  return file;
+}
+
+test("accepts a published configuration", async () => {
+  const file = await write("whole.json", createPublishedConfiguration({ version: 7 }));
+  assert.equal(await runTool("router", "check", file), {
+    code: 0,
+    errors: "",
+    output: `${file}: accepted, version 7, 4 routes, 1 services, 1 teams, 0 fault(s)\n`,
+  });
+});
+
+test("lists what routers would leave out, or refuse", async () => {
+  const whole = JSON.stringify(createPublishedConfiguration());
+  const torn = whole.replace('"/read/"', '"read"').replace('"name":"records"', '"name":"x"');
+  const faulty = await write("faulty.json", torn);
+  const refused = await write("refused.json", "{");
+  const runs = [
+    await runTool("router", "check", faulty),
+    await runTool("router", "check", refused),
+  ];
+  assert.equal(
+    runs.map(({ code }) => code),
+    [1, 1],
+  );
+  assert.match(runs[0]?.output ?? "", 'route 0: "prefix" must start and end with a slash');
+  assert.match(
+    runs[0]?.output ?? "",
+    'route "act" sends to service "records", which is not listed',
+  );
+  assert.match(runs[1]?.output ?? "", `${refused}: refused`);
+});
+
+test("shows differences by name, and no key in clear", async () => {
+  const before = await write("before.json", createPublishedConfiguration({ version: 7 }));
+  const changed = createPublishedConfiguration({ version: 9, keys: ["k-2"] });
+  const after = await write("after.json", changed);
+  const run = await runTool("router", "diff", before, after, "--exit-code");
+  assert.is(run.code, 1);
+  assert.equal(run.output.split("\n"), [
+    "~ version: 7 -> 9",
+    '~ teams.callaloo.keys: ["sha256:7c35c5a1785d"] -> ["sha256:ab8460920d12"]',
+    "",
+  ]);
+});
+
+test.run();
--- a/packages/kernel/src/configuration/diffConfigurations.ts
+++ b/packages/kernel/src/configuration/diffConfigurations.ts
@@ -1,5 +1,3 @@
-import type { Configuration } from "./schema.js";
-
 /** One difference between two configurations; `before` and `after` are plain JSON values. */
 export interface ConfigurationChange {
   readonly kind: "added" | "removed" | "changed";
@@ -17,10 +15,7 @@
  * @param before - Configuration to compare with.
  * @param after - Configuration to compare.
  */
-export function diffConfigurations(
-  before: Configuration,
-  after: Configuration,
-): ConfigurationChange[] {
+export function diffConfigurations(before: object, after: object): ConfigurationChange[] {
   return diffValues("", before, after);
 }
 
--- a/packages/kernel/src/routing/index.ts
+++ b/packages/kernel/src/routing/index.ts
@@ -1,3 +1,4 @@
+export { getRoutingFaults } from "./getRoutingFaults.js";
 export { getTargetService, RouteTable } from "./RouteTable.js";
 export {
   requestKindSchema,
