--- a/packages/experiments/src/index.ts
+++ b/packages/experiments/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./fleet/index.js";
 export * from "./matrix/index.js";
 export * from "./soak/index.js";
+export * from "./site/index.js";
--- /dev/null
+++ b/packages/experiments/src/site/KernelSitePolicy.ts
@@ -0,0 +1,130 @@
+import {
+  chooseUpstream,
+  FleetView,
+  guessFormerUpstream,
+  PrefixDirectory,
+  UpstreamBook,
+  type UpstreamEntry,
+} from "@pistachioway/kernel";
+import type { SiteChoice, SitePolicy } from "./SitePolicy.js";
+import type { SiteRequest } from "./SiteRequest.js";
+import type { SiteUpstream } from "./SiteUpstream.js";
+
+/** The decisions of the real router. */
+export class KernelSitePolicy implements SitePolicy {
+  private readonly book = UpstreamBook.create();
+  private readonly prefixes = PrefixDirectory.create();
+  private readonly view: FleetView;
+  private upstreamsById = new Map<string, SiteUpstream>();
+
+  private constructor(
+    router: number,
+    private readonly zone: string,
+    private readonly getNow: () => number,
+  ) {
+    this.view = FleetView.create(getAddress(router), []);
+  }
+
+  /**
+   * Creates the policy of one router, which knows no upstream yet.
+   * @param router - Number of the router.
+   * @param zone - Its zone.
+   * @param getNow - Reads the clock.
+   */
+  static create(router: number, zone: string, getNow: () => number): KernelSitePolicy {
+    return new KernelSitePolicy(router, zone, getNow);
+  }
+
+  choose(request: SiteRequest, tried: ReadonlySet<string>): SiteChoice | undefined {
+    const now = this.getNow();
+    const { stickyKey, kind } = request;
+    const demand = { service: kind.service, zone: this.zone, stickyKey, now };
+    const choice = chooseUpstream(this.book.getEntries(), {
+      ...demand,
+      excluded: tried,
+      maxRunning: Infinity,
+    });
+    const upstream = choice && this.upstreamsById.get(choice.entry.record.id);
+    if (choice === undefined || upstream === undefined) {
+      return undefined;
+    }
+    const guess = choice.home ?? guessFormerUpstream(this.book.getEntries(), demand, choice.entry);
+    return { upstream, fetchFrom: this.getHolder(request, choice.entry, guess, now) };
+  }
+
+  started({ record }: SiteUpstream): void {
+    this.book.getEntry(record.id)?.start(this.getNow());
+  }
+
+  reported({ record }: SiteUpstream, load: number): void {
+    const entry = this.book.getEntry(record.id);
+    entry?.hear(this.getNow());
+    entry?.report(load, this.getNow());
+  }
+
+  ended({ record }: SiteUpstream, outcome: "whole" | "left" | "lost" | "unreached"): void {
+    const entry = this.book.getEntry(record.id);
+    if (entry === undefined) {
+      return;
+    }
+    entry.finish(false);
+    if (outcome === "whole") {
+      entry.succeed();
+    } else if (outcome === "lost") {
+      entry.fail(this.getNow(), this.book.getUsualFailureRate(entry));
+    } else if (outcome === "unreached") {
+      entry.loseReach(this.getNow());
+    }
+  }
+
+  listed(upstreams: readonly SiteUpstream[]): void {
+    this.upstreamsById = new Map(upstreams.map((upstream) => [upstream.record.id, upstream]));
+    upstreams.forEach(({ record }) => {
+      this.book.addUpstream(record, this.getNow());
+    });
+    for (const { record } of this.book.getEntries()) {
+      if (!this.upstreamsById.has(record.id)) {
+        this.book.removeUpstream(record.id, this.getNow());
+      }
+    }
+  }
+
+  heard(router: number, running: Readonly<Record<string, number>>): void {
+    const address = getAddress(router);
+    const belief = { name: address, incarnation: 1, operations: address };
+    const fresh = { version: 1, ageMilliseconds: 0 };
+    this.view.hear({ ...belief, ...fresh, address, running }, this.getNow());
+    const totals = this.view.getRunning(this.getNow());
+    for (const entry of this.book.getEntries()) {
+      entry.runningElsewhere = totals.get(entry.record.id) ?? 0;
+    }
+  }
+
+  getRunning(): Readonly<Record<string, number>> {
+    const counts = this.book.getEntries().map(({ record, running }) => [record.id, running]);
+    return Object.fromEntries(counts) as Record<string, number>;
+  }
+
+  private getHolder(
+    { parts }: SiteRequest,
+    chosen: UpstreamEntry,
+    guess: UpstreamEntry | undefined,
+    now: number,
+  ): SiteUpstream | undefined {
+    const shared = parts.slice(0, -1).map(({ id }) => id);
+    const last = shared.at(-1);
+    if (last === undefined) {
+      return undefined;
+    }
+    const isUsable = (entry: UpstreamEntry): boolean => entry !== chosen && !entry.isAvoided(now);
+    const isKnown = this.prefixes.isKnown(last);
+    const known = this.prefixes.getBetterHolder(shared, chosen, isUsable, now);
+    this.prefixes.addHolder(shared, chosen, now);
+    const holder = !isKnown && guess !== undefined && isUsable(guess) ? guess : known;
+    return holder && this.upstreamsById.get(holder.record.id);
+  }
+}
+
+function getAddress(router: number): string {
+  return `127.0.0.${String(router + 1)}:1`;
+}
--- /dev/null
+++ b/packages/experiments/tests/site/PromptCache.test.ts
@@ -0,0 +1,25 @@
+import { PromptCache } from "@pistachioway/experiments";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+
+const test = suite("PromptCache");
+const team = { id: "team", tokens: 40 };
+const chat = { id: "chat", tokens: 50 };
+const other = { id: "other", tokens: 50 };
+
+test("counts a part only if all before it are kept", () => {
+  const cache = PromptCache.create(100);
+  cache.addParts([chat]);
+  assert.is(cache.getKeptTokens([team, chat]), 0);
+  cache.addParts([team]);
+  assert.is(cache.getKeptTokens([team, chat]), 90);
+});
+
+test("lets the least recently used part yield", () => {
+  const cache = PromptCache.create(100);
+  cache.addParts([team, chat]);
+  cache.addParts([team, other]);
+  assert.equal([cache.getKeptTokens([team, chat]), cache.getKeptTokens([team, other])], [40, 90]);
+});
+
+test.run();
