--- a/packages/experiments/src/soak/Soak.ts
+++ b/packages/experiments/src/soak/Soak.ts
@@ -1,7 +1,7 @@
 import { ScriptedCaller } from "@pistachioway/standins";
 import { setTimeout as delay } from "node:timers/promises";
 import { Random } from "../bench/Random.js";
-import { disturbanceKinds } from "./disturbances.js";
+import { drawKinds } from "./disturbances.js";
 import { Installation } from "./Installation.js";
 import { judge } from "./judge.js";
 import type { RouterProcess } from "./RouterProcess.js";
@@ -89,9 +89,10 @@
   private async disturb(): Promise<void> {
     const until = performance.now() + this.options.seconds * 1_000;
     const running: Promise<void>[] = [];
+    const used = drawKinds(this.random);
     while (performance.now() < until) {
       await delay(this.random.getExponential(meanPauseMilliseconds));
-      const kind = disturbanceKinds[this.random.getIndex(disturbanceKinds.length)];
+      const kind = used[this.random.getIndex(used.length)];
       const drawn = kind?.draw({ installation: this.installation, random: this.random });
       if (kind !== undefined && drawn !== undefined) {
         const { name, isPlanned } = kind;
--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -31,17 +31,29 @@
 const storeModes: readonly StoreMode[] = ["busy", "silent", "reset"];
 const badModes: readonly UpstreamMode[] = ["refusing", "mute", "failing", "torn", "extra"];
 const shortestMilliseconds = 200;
-const longestMilliseconds = 6_000;
+const longestMilliseconds = 8_000;
 const longestRestartMilliseconds = 1_500;
 /** Time from the word that an upstream leaves until it is off the list. */
-const drainMilliseconds = 2_500;
+const drainMilliseconds = 5_000;
 /** Time for which an upstream goes on after it is off the list. */
 const lingerMilliseconds = 2_500;
 const leastUpstreams = 2;
 const leastKeys = 3;
 
-/** All kinds; each is as likely as any other. */
-export const disturbanceKinds: readonly DisturbanceKind[] = [
+/** Share of the kinds that one run uses, so that some runs leave routers or store alone. */
+const usedShare = 0.5;
+
+/**
+ * Draws the kinds of a run; each is as likely as any other.
+ * @param random - Stream of the run.
+ */
+export function drawKinds(random: Random): readonly DisturbanceKind[] {
+  const drawn = disturbanceKinds.filter(() => random.getUniform() < usedShare);
+  return drawn.length === 0 ? disturbanceKinds : drawn;
+}
+
+/** All kinds. */
+const disturbanceKinds: readonly DisturbanceKind[] = [
   createRouterKind("kill", false, (router, random) => restart(router, "SIGKILL", random)),
   createRouterKind("stop", true, (router, random) => restart(router, "SIGTERM", random)),
   createRouterKind("pause", false, pause),
