--- a/packages/experiments/src/soak/Installation.ts
+++ b/packages/experiments/src/soak/Installation.ts
@@ -22,7 +22,15 @@
   private version = 0;
   private sequence = 1;
 
-  private constructor(private readonly random: Random) {}
+  private readonly killAll = (): void => {
+    this.routers.forEach((router) => {
+      router.signal("SIGKILL");
+    });
+  };
+
+  private constructor(private readonly random: Random) {
+    process.once("exit", this.killAll);
+  }
 
   /**
    * Starts everything, and resolves when every router listens.
@@ -42,6 +50,7 @@
 
   /** Ends every process and closes every listener. */
   async stop(): Promise<void> {
+    process.off("exit", this.killAll);
     await Promise.all(this.routers.map((router) => router.end("SIGKILL")));
     await Promise.all(this.upstreams.map(({ server }) => server.close()));
     await Promise.all([this.faults.close(), this.store.close()]);
--- a/packages/experiments/src/soak/Soak.ts
+++ b/packages/experiments/src/soak/Soak.ts
@@ -61,13 +61,16 @@
         this.keepCalling(router, index * options.callersPerRouter + caller),
       ),
     );
-    await this.disturb();
-    await delay(recoverMilliseconds);
-    const calmFrom = performance.now();
-    await delay(calmMilliseconds);
-    this.isOver = true;
-    await Promise.all(callers);
-    return this.createResult(calmFrom);
+    try {
+      await this.disturb();
+      await delay(recoverMilliseconds);
+      const calmFrom = performance.now();
+      await delay(calmMilliseconds);
+      return this.createResult(calmFrom);
+    } finally {
+      this.isOver = true;
+      await Promise.all(callers);
+    }
   }
 
   private createResult(calmFrom: number): SoakResult {
--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -177,10 +177,11 @@
 
 /** An upstream says that it leaves, goes off the list, ends later; another one takes its place. */
 function drawReplacement({ installation, random }: DisturbanceScene): DrawnDisturbance | undefined {
-  if (installation.upstreams.length <= leastUpstreams) {
+  const upstream = pick(installation.upstreams, random);
+  if (installation.upstreams.length <= leastUpstreams || upstream.isLeaving) {
     return undefined;
   }
-  const upstream = pick(installation.upstreams, random);
+  upstream.isLeaving = true;
   const run = async (): Promise<void> => {
     installation.drainUpstream(upstream);
     await installation.addUpstream();
@@ -189,12 +190,7 @@
     await delay(lingerMilliseconds);
     await upstream.server.close();
   };
-  return upstream.isLeaving ? undefined : { target: upstream.id, run: leave(upstream, run) };
-}
-
-function leave(upstream: SoakUpstream, run: () => Promise<void>): () => Promise<void> {
-  upstream.isLeaving = true;
-  return run;
+  return { target: upstream.id, run };
 }
 
 function drawRevocation({ installation, random }: DisturbanceScene): DrawnDisturbance | undefined {
