Soak: ports that no outgoing connection takes; failures of a disturbance are reported

A restart that fails does that. Presumed, not shown: the routers' ports lay in the range of outgoing connections, so that one could take a port while its router was down.

Change: ports from 20,000 to 31,999, tried before use; a disturbance that fails is reported under own-ends in place of ending the process.

--- a/packages/experiments/src/soak/Installation.ts
+++ b/packages/experiments/src/soak/Installation.ts
@@ -1,6 +1,6 @@
 import { FaultProxy, RegistryStore, type LinkMode } from "@pistachioway/standins";
-import { createServer, type AddressInfo } from "node:net";
-import type { Random } from "../bench/Random.js";
+import { createServer } from "node:net";
+import { Random } from "../bench/Random.js";
 import { RouterProcess, type RouterPorts } from "./RouterProcess.js";
 import type { Acknowledgement, RunRecord, SoakOptions } from "./schema.js";
 import { SoakUpstream } from "./SoakUpstream.js";
@@ -8,6 +8,8 @@
 const upstreamCount = 4;
 const keyCount = 6;
 const portCount = 4;
+const firstPort = 20_000;
+const portSpan = 12_000;
 
 /** Routers as processes before a store and upstreams; links stand before the store and upstreams. */
 export class Installation {
@@ -105,7 +107,7 @@
   }
 
   private async startRouters(count: number): Promise<void> {
-    const ports = await getFreePorts();
+    const ports = await drawPorts(Random.create(process.pid));
     for (let index = 1; index <= count; index += 1) {
       const name = `r-${String(index)}`;
       const registry = await this.faults.addLink({ name, target: this.store.address });
@@ -115,13 +117,29 @@
   }
 }
 
-async function getFreePorts(): Promise<RouterPorts> {
-  const servers = Array.from({ length: portCount }, () => createServer());
-  await Promise.all(
-    servers.map((server) => new Promise<void>((done) => server.listen(0, "127.0.0.1", done))),
-  );
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
+/** Draws ports below those of outgoing connections, which may take a port while its router is down. */
+async function drawPorts(random: Random): Promise<RouterPorts> {
+  const ports: number[] = [];
+  while (ports.length < portCount) {
+    const port = firstPort + random.getIndex(portSpan);
+    if (!ports.includes(port) && (await isFree(port))) {
+      ports.push(port);
+    }
+  }
   const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = ports;
   return { callers, readiness, operations, datagrams };
 }
+
+function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => {
+      resolve(false);
+    });
+    server.listen(port, "127.0.0.1", () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
--- a/packages/experiments/src/soak/Soak.ts
+++ b/packages/experiments/src/soak/Soak.ts
@@ -31,6 +31,8 @@
   private readonly random: Random;
   private readonly calls: CallRecord[] = [];
   private readonly disturbances: Disturbance[] = [];
+  /** Disturbances that could not be carried out or healed, for example a router that did not start. */
+  private readonly failures: string[] = [];
   private isOver = false;
   private nextCall = 0;
 
@@ -76,7 +78,8 @@
   private createResult(calmFrom: number): SoakResult {
     const { calls, disturbances, options } = this;
     const { runs, routers, acknowledgements, upstreamNames: upstreams } = this.installation;
-    const ownEnds = routers.filter((router) => router.hasEndedByItself()).map(({ name }) => name);
+    const ended = routers.filter((router) => router.hasEndedByItself()).map(({ name }) => name);
+    const ownEnds = [...ended, ...this.failures];
     const seen = { calls, runs, disturbances, acknowledgements, upstreams, ownEnds, calmFrom };
     return {
       seed: options.seed,
@@ -103,8 +106,11 @@
         const from = performance.now();
         const disturbance = { name, target, isPlanned, from, until: Infinity };
         this.disturbances.push(disturbance);
+        const run = drawn.run().catch((error: unknown) => {
+          this.failures.push(`${name} of "${target}" failed: ${String(error)}`);
+        });
         running.push(
-          drawn.run().then(() => {
+          run.then(() => {
             disturbance.until = performance.now();
           }),
         );
--- a/packages/experiments/src/soak/schema.ts
+++ b/packages/experiments/src/soak/schema.ts
@@ -72,7 +72,7 @@
   readonly acknowledgements: readonly Acknowledgement[];
   /** Names of all upstreams that there were. */
   readonly upstreams: readonly string[];
-  /** Routers that ended without being told to. */
+  /** Routers that ended without being told to, or did not start again. */
   readonly ownEnds: readonly string[];
   /** From when on nothing disturbed any more. */
   readonly calmFrom: number;
