Router: end in time although nobody reads the log

Cause: at a planned stop the log was flushed synchronously, which tries again without end when the reader of standard output is gone: routers whose soak had been killed were still there ten minutes after their SIGTERM, asleep in a futex. The platform would have to kill such a router at the end of its grace.

Ruled out: requests in flight; the router had none, and had written that it stopped.

Change: the log is flushed asynchronously and waited for 200 ms at most, at a planned and at a forced stop.

--- a/packages/daemon/src/log/StreamLog.ts
+++ b/packages/daemon/src/log/StreamLog.ts
@@ -9,12 +9,15 @@
 const maxWaitingBytes = 1_048_576;
 const flushMilliseconds = 200;
 const minWriteBytes = 8_192;
+/** Longest wait for the reader of the log at the end of the process. */
+const closeMilliseconds = 200;
 const millisecondsPerSecond = 1_000;
 
 /** Takes the text of a log; never blocks. */
 export interface LogOutput {
   readonly write: (text: string) => void;
-  readonly flush: () => void;
+  /** Resolves when what waits is written, or its reader was given up on. */
+  readonly flush: () => Promise<void>;
 }
 
 /** Writes one line of key=value pairs for each event, without ever waiting for the reader. */
@@ -70,9 +73,9 @@
     this.append(level, event, fields);
   }
 
-  /** Writes what still waits. */
-  close(): void {
-    this.output.flush();
+  /** Writes what still waits; a reader that is gone or stuck is not waited for. */
+  close(): Promise<void> {
+    return this.output.flush();
   }
 
   private startSecond(): void {
@@ -110,8 +113,13 @@
     write: (text) => {
       stream.write(text);
     },
-    flush: () => {
-      stream.flushSync();
-    },
+    // Not flushSync, which tries again without end when the reader is gone.
+    flush: () =>
+      new Promise((resolve) => {
+        setTimeout(resolve, closeMilliseconds);
+        stream.flush(() => {
+          resolve();
+        });
+      }),
   };
 }
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -110,7 +110,7 @@
     const isIdle = await Promise.race([this.ingress.waitUntilIdle().then(() => true), grace]);
     this.close();
     this.record("info", "daemon.stopped", { idle: isIdle });
-    this.parts.log.close();
+    await this.parts.log.close();
     return isIdle;
   }
 
--- a/packages/daemon/src/router/runRouter.ts
+++ b/packages/daemon/src/router/runRouter.ts
@@ -43,8 +43,8 @@
   const stop = (signal: NodeJS.Signals): void => {
     if (isStopping) {
       log.write("error", "daemon.forced-stop", { signal });
-      log.close();
-      process.exit(forcedExitCode);
+      void log.close().then(() => process.exit(forcedExitCode));
+      return;
     }
     isStopping = true;
     void router.stop().then((isIdle) => process.exit(isIdle ? 0 : cutOffExitCode));
--- a/packages/daemon/tests/router/Site.ts
+++ b/packages/daemon/tests/router/Site.ts
@@ -54,7 +54,7 @@
     const at = (port: number) => `${host}:${String(port)}`;
     const lines: string[] = [];
     const write = (text: string) => lines.push(text);
-    const output = { write, flush: () => undefined };
+    const output = { write, flush: () => Promise.resolve() };
     const storeClient = StoreClient.create(store.address);
     const router = Router.create({
       settings: routerSettingsSchema.parse({
@@ -187,7 +187,8 @@
   }
 }
 
-async function getFreePorts(count: number): Promise<readonly number[]> {
+/** Gets ports of 127.0.0.1 that nothing listens on. */
+export async function getFreePorts(count: number): Promise<readonly number[]> {
   const servers = Array.from({ length: count }, () => createServer());
   const ports = await Promise.all(
     servers.map(
--- /dev/null
+++ b/packages/daemon/tests/router/processStop.test.ts
@@ -0,0 +1,97 @@
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { request } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { getFreePorts } from "./Site.js";
+
+const test = suite("log of a router at its planned stop");
+const main = fileURLToPath(new URL("routerMain.js", import.meta.resolve("@pistachioway/daemon")));
+/** Longest time that the platform grants a stop. */
+const graceMilliseconds = 8_000;
+/** Lines long and many enough to fill the pipe of the log. */
+const requests = 900;
+const path = `/${"p".repeat(1_000)}`;
+
+interface RunningRouter {
+  readonly child: ChildProcess;
+  readonly callers: number;
+  readonly folder: string;
+}
+
+async function start(): Promise<RunningRouter> {
+  const folder = await mkdtemp(join(tmpdir(), "pistachioway-stop-"));
+  const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = await getFreePorts(4);
+  const at = (port: number): string => `"127.0.0.1:${String(port)}"`;
+  const file = join(folder, "router.toml");
+  await writeFile(
+    file,
+    `[process]\nname = "r"\nzone = "north"\n[listeners]\ncallers = ${at(callers)}\n` +
+      `readiness = ${at(readiness)}\noperations = ${at(operations)}\ndatagrams = ${at(datagrams)}\n` +
+      `[registry]\naddress = "127.0.0.1:1"\n`,
+  );
+  const child = spawn(process.execPath, [main, "--settings", file], {
+    stdio: ["ignore", "pipe", 2],
+  });
+  let output = "";
+  const read = (chunk: Buffer): void => {
+    output += chunk.toString();
+  };
+  child.stdout?.on("data", read);
+  while (!output.includes("daemon.listening")) {
+    await delay(20);
+  }
+  child.stdout?.off("data", read);
+  child.stdout?.pause();
+  return { child, callers, folder };
+}
+
+/** Sends a request that is refused, which writes a line to the log. */
+async function beRefused(port: number, id: string): Promise<void> {
+  const sent = request({ port, path, host: "127.0.0.1", headers: { "request-id": id } });
+  sent.end();
+  const [answer] = (await once(sent, "response")) as [NodeJS.ReadableStream];
+  answer.resume();
+}
+
+/** Stops the router and gets its exit code; undefined when it is still there after its grace. */
+async function stop({ child, folder }: RunningRouter): Promise<number | null | undefined> {
+  const exit = once(child, "exit") as Promise<[number | null]>;
+  child.kill("SIGTERM");
+  const code = await Promise.race([exit.then(([one]) => one), delay(graceMilliseconds, undefined)]);
+  child.kill("SIGKILL");
+  child.stdout?.destroy();
+  await rm(folder, { recursive: true });
+  return code;
+}
+
+test("has its last line when it is read", async () => {
+  const router = await start();
+  let output = "";
+  router.child.stdout?.on("data", (chunk: Buffer) => (output += chunk.toString()));
+  assert.is(await stop(router), 0);
+  assert.match(output, "event=daemon.stopped");
+});
+
+test("ends in time when the reader has gone", async () => {
+  const router = await start();
+  router.child.stdout?.destroy();
+  await beRefused(router.callers, "q-1");
+  assert.is(await stop(router), 0);
+});
+
+test("ends in time when the reader has stopped reading", async () => {
+  const router = await start();
+  for (let index = 0; index < requests; index += 1) {
+    await beRefused(router.callers, `q-${String(index)}`);
+    await delay(index % 300 === 0 ? 1_000 : 0);
+  }
+  assert.is(await stop(router), 0);
+});
+
+test.run();
