Fault proxy: close, not reset, a socket that is sending its end

Cause: Node.js 20 fails to reset a socket whose end is being sent (reset EINVAL) and does not close it either, so that its handle stays: the soak's processes then spun in the cleanup of handles at their exit. This is what hung soak.test.js and, before, the soak itself; found with the seven sockets that were left at the exit and a reproduction of ten lines.

Change: resetSocket, used by the proxy's connections.

--- a/packages/standins/src/faults/Connection.ts
+++ b/packages/standins/src/faults/Connection.ts
@@ -1,5 +1,6 @@
 import { connect, type Socket } from "node:net";
 import { Pipe } from "./Pipe.js";
+import { resetSocket } from "./resetSocket.js";
 import type { Direction, LinkMode, Rule } from "./schema.js";
 import { Trigger } from "./Trigger.js";
 
@@ -112,8 +113,8 @@
 
   /** Resets both sides. */
   reset(): void {
-    this.client.resetAndDestroy();
-    this.target.resetAndDestroy();
+    resetSocket(this.client);
+    resetSocket(this.target);
   }
 
   private hasLostBytes(): boolean {
