Kernel: one findHolder for the router and the emulator

Cause: which engine hands a prompt's prefix over was decided in the daemon's Attempt and written a second time in the emulator, which so played a copy of the router's decision and not the decision itself.

Change: findHolder in the kernel, with tests of its own; Attempt and KernelSitePolicy call it. No behaviour changes but that the emulator now also passes over engines that the registry no longer names.

--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -1,5 +1,5 @@
 import {
-  guessFormerUpstream,
+  findHolder,
   type AnswerHead,
   type RequestPass,
   type UpstreamEntry,
@@ -133,32 +133,16 @@
     home: UpstreamEntry | undefined,
     now: number,
   ): string | undefined {
-    const { entry } = this;
-    const shared = getSharedParts(request.head);
-    const [last] = shared.slice(-1);
-    if (last === undefined || parts.getService(request.service)?.engine?.canFetch !== true) {
+    const { head, service } = request;
+    const sharedParts = getSharedParts(head);
+    if (sharedParts.length === 0 || parts.getService(service)?.engine?.canFetch !== true) {
       return undefined;
     }
-    const isUsable = (each: UpstreamEntry): boolean =>
-      each !== entry && !each.isAvoided(now) && parts.book.getEntry(each.record.id) === each;
-    const { prefixes } = parts;
-    const guess = prefixes.isKnown(last)
-      ? undefined
-      : (home ?? this.guessFormer(parts, request, now));
-    const known = prefixes.getBetterHolder(shared, entry, isUsable, now);
-    prefixes.addHolder(shared, entry, now);
-    const holder = guess !== undefined && isUsable(guess) ? guess : known;
+    const demand = { service, stickyKey: getStickyKey(head), sharedParts, now };
+    const holder = findHolder(parts, demand, this.entry, home);
+    parts.prefixes.addHolder(sharedParts, this.entry, now);
     return holder?.record.address;
   }
-
-  private guessFormer(
-    parts: FlowParts,
-    { head, service }: FlowRequest,
-    now: number,
-  ): UpstreamEntry | undefined {
-    const demand = { service, stickyKey: getStickyKey(head), now };
-    return guessFormerUpstream(parts.book.getEntries(), demand, this.entry);
-  }
 }
 
 function getPriority({ route, team }: RequestPass): number {
--- a/packages/experiments/src/site/KernelSitePolicy.ts
+++ b/packages/experiments/src/site/KernelSitePolicy.ts
@@ -1,10 +1,9 @@
 import {
   chooseUpstream,
+  findHolder,
   FleetView,
-  guessFormerUpstream,
   PrefixDirectory,
   UpstreamBook,
-  type UpstreamEntry,
 } from "@pistachioway/kernel";
 import type { SiteChoice, SitePolicy } from "./SitePolicy.js";
 import type { SiteRequest } from "./SiteRequest.js";
@@ -12,8 +11,8 @@
 
 /** The decisions of the real router. */
 export class KernelSitePolicy implements SitePolicy {
-  private readonly book = UpstreamBook.create();
-  private readonly prefixes = PrefixDirectory.create();
+  readonly book = UpstreamBook.create();
+  readonly prefixes = PrefixDirectory.create();
   private readonly view: FleetView;
   private upstreamsById = new Map<string, SiteUpstream>();
 
@@ -38,9 +37,11 @@
   choose(request: SiteRequest, tried: ReadonlySet<string>): SiteChoice | undefined {
     const now = this.getNow();
     const { stickyKey, kind } = request;
-    const demand = { service: kind.service, zone: this.zone, stickyKey, now };
     const choice = chooseUpstream(this.book.getEntries(), {
-      ...demand,
+      service: kind.service,
+      zone: this.zone,
+      stickyKey,
+      now,
       excluded: tried,
       maxRunning: Infinity,
     });
@@ -48,8 +49,11 @@
     if (choice === undefined || upstream === undefined) {
       return undefined;
     }
-    const guess = choice.home ?? guessFormerUpstream(this.book.getEntries(), demand, choice.entry);
-    return { upstream, fetchFrom: this.getHolder(request, choice.entry, guess, now) };
+    const sharedParts = request.parts.slice(0, -1).map(({ id }) => id);
+    const prompt = { service: kind.service, stickyKey, sharedParts, now };
+    const holder = findHolder(this, prompt, choice.entry, choice.home);
+    this.prefixes.addHolder(sharedParts, choice.entry, now);
+    return { upstream, fetchFrom: holder && this.upstreamsById.get(holder.record.id) };
   }
 
   started({ record }: SiteUpstream): void {
@@ -104,25 +108,6 @@
     const counts = this.book.getEntries().map(({ record, running }) => [record.id, running]);
     return Object.fromEntries(counts) as Record<string, number>;
   }
-
-  private getHolder(
-    { parts }: SiteRequest,
-    chosen: UpstreamEntry,
-    guess: UpstreamEntry | undefined,
-    now: number,
-  ): SiteUpstream | undefined {
-    const shared = parts.slice(0, -1).map(({ id }) => id);
-    const last = shared.at(-1);
-    if (last === undefined) {
-      return undefined;
-    }
-    const isUsable = (entry: UpstreamEntry): boolean => entry !== chosen && !entry.isAvoided(now);
-    const isKnown = this.prefixes.isKnown(last);
-    const known = this.prefixes.getBetterHolder(shared, chosen, isUsable, now);
-    this.prefixes.addHolder(shared, chosen, now);
-    const holder = !isKnown && guess !== undefined && isUsable(guess) ? guess : known;
-    return holder && this.upstreamsById.get(holder.record.id);
-  }
 }
 
 function getAddress(router: number): string {
--- /dev/null
+++ b/packages/kernel/src/upstreams/findHolder.ts
@@ -0,0 +1,49 @@
+import { guessFormerUpstream } from "./chooseUpstream.js";
+import type { PrefixDirectory } from "./PrefixDirectory.js";
+import type { UpstreamBook } from "./UpstreamBook.js";
+import type { UpstreamEntry } from "./UpstreamEntry.js";
+
+/** A request whose prompt some engine may hold already. */
+export interface PromptDemand {
+  readonly service: string;
+  /** What the request's cached prefix hangs on. */
+  readonly stickyKey: string | undefined;
+  /** Ids of the parts of the prompt that other requests share, in order. */
+  readonly sharedParts: readonly string[];
+  /** Monotonic time in milliseconds. */
+  readonly now: number;
+}
+
+/** What a daemon knows of the engines and of the prompts that they have read. */
+export interface PromptKnowledge {
+  readonly book: UpstreamBook;
+  readonly prefixes: PrefixDirectory;
+}
+
+/**
+ * Finds an engine that likely holds more of a prompt than the chosen one: where this daemon has not
+ * seen the prompt's last shared part, the engine that is first in the key's order or was before.
+ * @param knowledge - What the daemon knows.
+ * @param demand - The request.
+ * @param chosen - Engine that will serve it.
+ * @param home - Engine that is first in the key's order, when another one was chosen.
+ */
+export function findHolder(
+  { book, prefixes }: PromptKnowledge,
+  { service, stickyKey, sharedParts, now }: PromptDemand,
+  chosen: UpstreamEntry,
+  home: UpstreamEntry | undefined,
+): UpstreamEntry | undefined {
+  const last = sharedParts.at(-1);
+  if (last === undefined) {
+    return undefined;
+  }
+  const isUsable = (entry: UpstreamEntry): boolean =>
+    entry !== chosen && !entry.isAvoided(now) && book.getEntry(entry.record.id) === entry;
+  const guess = prefixes.isKnown(last)
+    ? undefined
+    : (home ?? guessFormerUpstream(book.getEntries(), { service, stickyKey, now }, chosen));
+  return guess !== undefined && isUsable(guess)
+    ? guess
+    : prefixes.getBetterHolder(sharedParts, chosen, isUsable, now);
+}
