--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -2,7 +2,6 @@
   applyResponseHead,
   chooseUpstream,
   decideRetry,
-  getRetryAfterSeconds,
   type ResponseHead,
   type AttemptEnd,
   type RequestProgress,
@@ -13,6 +12,7 @@
 import { Attempt } from "./Attempt.js";
 import type { CallerResponse } from "./CallerResponse.js";
 import { CompleteEventBuffer } from "./CompleteEventBuffer.js";
+import { findRestRetryAfter } from "./findRestRetryAfter.js";
 import { getMaxRunning, type ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { ActiveRequestReport, type ActiveRequestOutcome } from "./ActiveRequestReport.js";
 import { getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
@@ -282,21 +282,14 @@
 
   /** Ends the request because no upstream takes it now; an upstream that rests may take it later. */
   private failWithoutUpstream(): void {
-    const { upstreams, getNow, getRandom } = this.dependencies;
-    const { service, approval } = this.request;
-    const now = getNow();
-    const restEndsAt = upstreams.getEarliestRestEnd(service, now);
-    if (restEndsAt === undefined) {
+    const { service } = this.request;
+    const retryAfterSeconds = findRestRetryAfter(this.dependencies, this.request);
+    if (retryAfterSeconds === undefined) {
       this.fail("no-upstream", `no upstream of service "${service}" can be used`);
-      return;
+    } else {
+      const detail = `the upstreams of service "${service}" asked for no requests`;
+      this.fail("upstreams-resting", detail, retryAfterSeconds);
     }
-    const priority = approval.team?.priority ?? approval.route.priority;
-    const retryAfterSeconds = getRetryAfterSeconds(restEndsAt, now, priority, getRandom());
-    this.fail(
-      "upstreams-resting",
-      `the upstreams of service "${service}" asked for no requests`,
-      retryAfterSeconds,
-    );
   }
 
   /** Ends the request with a refusal that says whether the request may have run. */
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -1,5 +1,4 @@
 import {
-  applyFleetNotices,
   PrefixDirectory,
   RouteTable,
   type ClockReading,
@@ -11,7 +10,7 @@
 } from "@pistachioway/kernel";
 import { setTimeout as delay } from "node:timers/promises";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
-import { FleetTask, PeerStateTask } from "../fleet/index.js";
+import { PeerStateTask, type FleetTask } from "../fleet/index.js";
 import {
   IngressServer,
   RetryBudgets,
@@ -22,6 +21,7 @@
 import type { StreamLog } from "../log/StreamLog.js";
 import { RouterMetrics } from "../metrics/RouterMetrics.js";
 import { RegistryTask } from "../registry/index.js";
+import { createFleetTask, toDatagramAddress } from "./createFleetTask.js";
 import { NoticeLog } from "./NoticeLog.js";
 import { OperationsServer } from "./OperationsServer.js";
 import { RouterPages } from "./RouterPages.js";
@@ -134,7 +134,7 @@
   reload(settings: RouterSettings): void {
     this.dependencies.log.setLevel(settings.log.level);
     settings.peers.seeds.forEach((seed) => {
-      this.fleet.view.addAddress(this.toDatagramAddress(seed));
+      this.fleet.view.addAddress(toDatagramAddress(this.dependencies.settings, seed));
     });
     this.record("info", "daemon.reloaded", { seeds: settings.peers.seeds.length });
   }
@@ -185,41 +185,20 @@
   }
 
   private createFleetTask(): FleetTask {
-    const { process: self, listeners, peers } = this.dependencies.settings;
-    return FleetTask.create({
-      name: self.name,
-      address: listeners.datagrams,
-      operations: listeners.operations,
-      zone: self.zone,
+    const record = (level: LogLevel, event: string, fields: Fields): void => {
+      this.record(level, event, fields);
+    };
+    return createFleetTask(this.dependencies.settings, {
       incarnation: this.incarnation,
-      getRandom: Math.random,
-      getOwnState: () => ({
-        version: this.getVersion(),
-        confirmedAt: readMonotonicClock() - this.registryTask.getAgeMilliseconds(),
-        running: this.getRunning(),
-      }),
-      seeds: peers.seeds.map((seed) => this.toDatagramAddress(seed)),
+      registry: this.registryTask,
+      prefixes: this.prefixes,
+      notices: this.notices,
+      metrics: this.metrics,
       getNow: readMonotonicClock,
-      onNotices: (notices, sender) => {
-        const target = { upstreams: this.registryTask.upstreams, prefixes: this.prefixes };
-        this.notices.record(applyFleetNotices(target, notices, readMonotonicClock()), sender);
-      },
-      onRefused: () => {
-        this.metrics.refusedDatagrams.inc();
-      },
-      record: (level, event, fields) => {
-        this.record(level, event, fields);
-      },
+      record,
     });
   }
 
-  /** Gets the datagram address of a seed's host; all daemons use the same datagram port. */
-  private toDatagramAddress(seed: string): string {
-    const [host = ""] = seed.split(":");
-    const [, port = ""] = this.dependencies.settings.listeners.datagrams.split(":");
-    return `${host}:${port}`;
-  }
-
   private createPeerStateTask(): PeerStateTask {
     const task = this.registryTask;
     return PeerStateTask.create({
@@ -341,11 +320,6 @@
     }
   }
 
-  private getRunning(): ReadonlyMap<number, number> {
-    const entries = this.registryTask.upstreams.getEntries().filter(({ running }) => running > 0);
-    return new Map(entries.map(({ hash, running }) => [hash, running]));
-  }
-
   private tellFleet(notices: readonly UpstreamNotice[]): void {
     for (const notice of notices) {
       const fleetNotice = toFleetNotice(this.registryTask.upstreams, notice);
--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -218,14 +218,16 @@
     return undefined;
   }
   upstream.isLeaving = true;
-  const run = async (): Promise<void> => {
-    await installation.addUpstream();
-    await delay(drainMilliseconds);
-    installation.removeUpstream(upstream);
-    await delay(lingerMilliseconds);
-    await upstream.server.close();
-  };
-  return { target: upstream.id, run };
+  return { target: upstream.id, run: () => replaceUpstream(installation, upstream) };
+}
+
+/** Adds an upstream, and removes and closes the one that it replaces later. */
+async function replaceUpstream(installation: Installation, upstream: SoakUpstream): Promise<void> {
+  await installation.addUpstream();
+  await delay(drainMilliseconds);
+  installation.removeUpstream(upstream);
+  await delay(lingerMilliseconds);
+  await upstream.server.close();
 }
 
 /** Drains an upstream, adds a new one, and removes and closes the drained one later. */
@@ -240,11 +242,7 @@
   upstream.isDraining = true;
   const run = async (): Promise<void> => {
     installation.drainUpstream(upstream);
-    await installation.addUpstream();
-    await delay(drainMilliseconds);
-    installation.removeUpstream(upstream);
-    await delay(lingerMilliseconds);
-    await upstream.server.close();
+    await replaceUpstream(installation, upstream);
   };
   return { target: upstream.id, run };
 }
