--- a/packages/daemon/tests/registry/restoredRegistry.test.ts
+++ b/packages/daemon/tests/registry/restoredRegistry.test.ts
@@ -42,8 +42,8 @@
 
 const events = fc
   .tuple(
-    fc.array(drill, { minLength: 1, maxLength: 1 }),
-    fc.array(revocation, { minLength: 1, maxLength: 5 }),
+    fc.array(drill, { minLength: 1, maxLength: 2 }),
+    fc.array(revocation, { minLength: 1, maxLength: 8 }),
     fc.array(cut, { maxLength: 2 }),
   )
   .map((parts) => parts.flat(2));
