--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -26,10 +26,18 @@
 }
 
 /**
- * Gets the hashes of the ids of the prompt blocks that other requests may share, in order.
+ * Gets the ids of the prompt blocks that other requests may share, in order.
  * @param head - Head of the request.
  */
-export function getSharedBlocks({ promptBlocks }: RequestHead): readonly number[] {
+export function getSharedBlockIds({ promptBlocks }: RequestHead): readonly string[] {
   const shared = promptBlocks.length > 1 ? promptBlocks.slice(0, -1) : promptBlocks;
-  return shared.map(({ id }) => getHash(id));
+  return shared.map(({ id }) => id);
+}
+
+/**
+ * Gets the hashes of the ids of the prompt blocks that other requests may share, in order.
+ * @param head - Head of the request.
+ */
+export function getSharedBlocks(head: RequestHead): readonly number[] {
+  return getSharedBlockIds(head).map(getHash);
 }
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -179,7 +179,7 @@
     if (attempt?.head === undefined) {
       return;
     }
-    attempt.recordReceivedBytes(this.dependencies.getNow());
+    attempt.recordBody(this.dependencies.getNow());
     if (this.isStream(attempt.head)) {
       this.relay(attempt, this.eventBuffer?.push(chunk) ?? chunk);
     } else if (attempt.keepChunk(chunk) > maxKeptBytes) {
@@ -254,6 +254,7 @@
       attempt.entry.markUnreachable(this.dependencies.getNow());
     } else if (!isRefused) {
       this.recordFailure(attempt.entry);
+      this.report.recordLoss(attempt, detail);
     }
     this.endAttempt();
     this.retryOrFail(
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -1,9 +1,12 @@
 import type { AttemptEnd, UpstreamChoice } from "@pistachioway/kernel";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
-import type { AcceptedRequest } from "./AcceptedRequest.js";
+import { getSharedBlockIds, type AcceptedRequest } from "./AcceptedRequest.js";
+import type { Attempt } from "./Attempt.js";
 import type { RefusalName } from "./refusals.js";
 
 const millisecondsPerSecond = 1_000;
+/** Length of the list of prompt blocks in a log line, in characters. */
+const maxBlocksLength = 200;
 
 /**
  * How a request ended: answered by an upstream, abandoned by its caller, with an incomplete response,
@@ -55,6 +58,25 @@
     this.dependencies.metrics.retries.inc({ after });
   }
 
+  /**
+   * Records that an attempt may have run and was lost with its connection.
+   * @param attempt - The attempt.
+   * @param detail - How the connection ended.
+   */
+  recordLoss({ entry, head, firstBodyByteAt }: Attempt, detail: string): void {
+    const now = this.dependencies.getNow();
+    this.dependencies.record("info", "attempt.lost", {
+      request: this.request.head.id,
+      upstream: entry.record.id,
+      status: head?.status ?? 0,
+      // Time since the upstream began to write its answer; -1 when it had not.
+      written: firstBodyByteAt === undefined ? -1 : Math.round(now - firstBodyByteAt),
+      blocks: getSharedBlockIds(this.request.head).join(",").slice(0, maxBlocksLength),
+      detail,
+    });
+    this.dependencies.metrics.lostAttempts.inc({ service: this.request.service });
+  }
+
   /**
    * Records the end of the request.
    * @param outcome - How it ended.
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -16,6 +16,8 @@
   head: ResponseHead | undefined;
   /** When bytes were last received, or else when the request was sent; monotonic milliseconds. */
   lastReceivedAt = 0;
+  /** When the first byte of the body was received; monotonic milliseconds. */
+  firstBodyByteAt: number | undefined;
   private isStreaming = false;
   private readonly chunks: Buffer[] = [];
   private keptBytes = 0;
@@ -102,6 +104,12 @@
     this.entry.recordReceivedBytes(now);
   }
 
+  /** Records that bytes of the response's body were received. */
+  recordBody(now: number): void {
+    this.firstBodyByteAt ??= now;
+    this.recordReceivedBytes(now);
+  }
+
   /** Records that the response is a stream. */
   startStream(): void {
     this.isStreaming = true;
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -28,6 +28,13 @@
     registers: [this.registry],
   });
 
+  readonly lostAttempts = new Counter({
+    name: "pistachioway_lost_attempts_total",
+    help: "Attempts that may have run and whose connection ended before the answer did, by service.",
+    labelNames: ["service"],
+    registers: [this.registry],
+  });
+
   readonly registryCalls = new Counter({
     name: "pistachioway_registry_calls_total",
     help: "Calls of the registry by call and result.",
--- a/packages/daemon/tests/router/Router.test.ts
+++ b/packages/daemon/tests/router/Router.test.ts
@@ -160,6 +160,15 @@
   assert.equal([body.includes("piece 3"), end], [true, "reset"]);
 });
 
+test("an attempt that is lost is logged with the shared blocks of its prompt and how far its answer was", async (context) => {
+  const { fixture } = context;
+  setScripts(context, streamEvents(1, "broken"));
+  const head = "Prompt-Prefix: a1:80,b2:40,c3:9\r\n";
+  await fixture.call("/once/1", { method: "POST", body: "x", head });
+  const line = fixture.logLines.find((each) => each.includes("event=attempt.lost")) ?? "";
+  assert.match(line, /request=q-1 upstream=i-[12] status=200 written=\d+ blocks="?a1,b2"? detail=/);
+});
+
 test("cancels a request at the timeout of its route, and closes its connection to the upstream", async (context) => {
   setScripts(context, neverRespond);
   const startedAt = performance.now();
