--- a/packages/daemon/tests/router/RouterFixture.ts
+++ b/packages/daemon/tests/router/RouterFixture.ts
@@ -19,10 +19,11 @@
     /** Lines of the router's log. */
     readonly logLines: readonly string[],
     readonly store: RegistryStore,
-    readonly router: Router,
+    public router: Router,
     private readonly host: string,
     private readonly ports: readonly number[],
-    private readonly storeClient: StoreClient,
+    private storeClient: StoreClient,
+    private readonly seeds: readonly string[],
   ) {}
 
   /** Starts a store and a router with one route of each kind. */
@@ -37,6 +38,34 @@
     return RouterFixture.start("127.0.0.1", await getFreePorts(4), store);
   }
 
+  /** Starts several routers, each on a loopback address of its own, that share a store and find each other. */
+  static async createFleet(count: number): Promise<RouterFixture[]> {
+    const store = RegistryStore.create();
+    await store.listen();
+    store.publishConfiguration();
+    const ports = await getFreePorts(4);
+    const seeds = ["127.0.0.1:1", "127.0.0.2:1"];
+    return Promise.all(
+      Array.from({ length: count }, (_, index) =>
+        RouterFixture.start(`127.0.0.${String(index + 1)}`, ports, store, seeds),
+      ),
+    );
+  }
+
+  /** Closes the router at once and starts another one in its place, which remembers nothing. */
+  async restart(): Promise<void> {
+    this.router.close();
+    this.storeClient.close();
+    const { router, storeClient } = await RouterFixture.start(
+      this.host,
+      this.ports,
+      this.store,
+      this.seeds,
+    );
+    this.router = router;
+    this.storeClient = storeClient;
+  }
+
   /** Starts a second router, on another loopback address, that cannot reach the store. */
   async createIsolated(): Promise<RouterFixture> {
     const store = RegistryStore.create();
@@ -49,6 +78,7 @@
     host: string,
     ports: readonly number[],
     store: RegistryStore,
+    seeds: readonly string[] = ["127.0.0.1:1"],
   ): Promise<RouterFixture> {
     const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = ports;
     const at = (port: number) => `${host}:${String(port)}`;
@@ -66,14 +96,14 @@
           datagrams: at(datagrams),
         },
         registry: { address: store.address },
-        peers: { seeds: ["127.0.0.1:1"] },
+        peers: { seeds },
         retries: { ratio: 0.2, slack: 100 },
       }),
       registry: storeClient,
       codec: headerCodec,
       log: StreamLog.create(output, () => performance.now(), "info", {}),
     });
-    const fixture = new RouterFixture(logLines, store, router, host, ports, storeClient);
+    const fixture = new RouterFixture(logLines, store, router, host, ports, storeClient, seeds);
     await router.start();
     await waitFor(() => logLines.some((line) => line.includes("configuration.in-force")));
     return fixture;
