Streams without framing that end inside an event are broken off

Callers saw: half an event as the end of a complete answer, when an upstream ended the connection of a stream that has neither a length nor chunks. Cause: the end of the connection counted as the end of the answer, whatever stood before it. Change: such a stream is complete only at the end of an event; else the attempt is lost, resumed where the route allows it, and counts as a loss of the prompt's blocks.

--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -188,7 +188,7 @@
     if (attempt?.head === undefined) {
       return;
     }
-    attempt.recordBody(this.dependencies.getNow());
+    attempt.recordBody(chunk, this.dependencies.getNow());
     if (this.isStream(attempt.head)) {
       this.relay(attempt, this.eventBuffer?.push(chunk) ?? chunk);
     } else if (attempt.keepChunk(chunk) > maxKeptBytes) {
@@ -212,6 +212,11 @@
     if (attempt?.head === undefined) {
       return;
     }
+    if (attempt.isBrokenOff()) {
+      const detail = "the stream ended inside an event";
+      this.handleFailure({ end: "lost", detail, wasClosedByUpstream: true });
+      return;
+    }
     const { head, entry } = attempt;
     this.endAttempt();
     this.prompt.recordAnswer(head, this.dependencies.getNow());
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -6,6 +6,7 @@
 } from "@pistachioway/kernel";
 import { Exchange, type ExchangeListener } from "../exchange/index.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
+import { EventBoundary } from "./EventBoundary.js";
 import { getSharedBlocks, getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
 
 const maxPriority = 9;
@@ -19,6 +20,7 @@
   /** When the first byte of the body was received; monotonic milliseconds. */
   firstBodyByteAt: number | undefined;
   private isStreaming = false;
+  private readonly boundary = EventBoundary.create();
   private readonly chunks: Buffer[] = [];
   private keptBytes = 0;
   private exchange: Exchange | undefined;
@@ -104,12 +106,25 @@
     this.entry.recordReceivedBytes(now);
   }
 
-  /** Records that bytes of the response's body were received. */
-  recordBody(now: number): void {
+  /**
+   * Records that bytes of the response's body were received.
+   * @param chunk - The bytes.
+   * @param now - Time of their arrival.
+   */
+  recordBody(chunk: Buffer, now: number): void {
     this.firstBodyByteAt ??= now;
+    this.boundary.push(chunk);
     this.recordReceivedBytes(now);
   }
 
+  /**
+   * Checks whether a stream was broken off although its connection was closed in order: without
+   * framing only an incomplete event shows it.
+   */
+  isBrokenOff(): boolean {
+    return this.isStreaming && this.head?.isFramed === false && !this.boundary.isAtEnd();
+  }
+
   /** Records that the response is a stream. */
   startStream(): void {
     this.isStreaming = true;
--- a/packages/daemon/tests/router/scripts.ts
+++ b/packages/daemon/tests/router/scripts.ts
@@ -38,3 +38,16 @@
 export const answerOtherRequest: Script = (request, response) => {
   respondWith("stray")({ ...request, id: "q-other" }, response);
 };
+
+/**
+ * Creates a script that streams a text with neither a length nor chunks and ends with its connection.
+ * @param text - Events, the last one possibly incomplete.
+ */
+export function streamWithoutFraming(text: string): Script {
+  return ({ id }, response) => {
+    response.socket?.end(
+      `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Stamp: stamp-${id}\r\n` +
+        `Content-Type: text/event-stream\r\nConnection: close\r\n\r\n${text}`,
+    );
+  };
+}
