--- a/packages/daemon/tests/router/scripts.ts
+++ b/packages/daemon/tests/router/scripts.ts
@@ -51,3 +51,18 @@
     );
   };
 }
+
+/**
+ * Creates a script that responds like another one and names a limit on the requests of all routers.
+ * @param script - Script to respond by.
+ * @param getLimit - Gets the text of the limit in requests a second; undefined for none.
+ */
+export function nameLimit(script: Script, getLimit: () => string | undefined): Script {
+  return (request, response) => {
+    const limit = getLimit();
+    if (limit !== undefined) {
+      response.setHeader("server-limit", limit);
+    }
+    script(request, response);
+  };
+}
