--- a/packages/standins/src/engine/Engine.ts
+++ b/packages/standins/src/engine/Engine.ts
@@ -50,6 +50,7 @@
     frozen: false,
     loadReports: "fresh",
     flapEveryRequests: 0,
+    crashText: "",
   };
 
   private constructor(private readonly settings: EngineSettings) {
@@ -132,6 +133,10 @@
     if (outcome !== "accepted") {
       return this.refuse(reply, outcome);
     }
+    if (this.isCrashedBy(completion)) {
+      await this.close();
+      return reply;
+    }
     const tokens = completion.max_tokens ?? defaultAnswerTokens;
     const generation = Generation.create({ attempt, chat, priority, tokens, completion });
     this.generationsByAttempt.set(attempt, generation);
@@ -171,6 +176,11 @@
       .send(body);
   }
 
+  private isCrashedBy({ messages }: Completion): boolean {
+    const { crashText } = this.faults;
+    return crashText !== "" && messages.some(({ content }) => content.includes(crashText));
+  }
+
   /** Toggles `leaving` on every n-th chat request. */
   private flap(): void {
     const { flapEveryRequests, leaving } = this.faults;
--- a/packages/standins/src/engine/schema.ts
+++ b/packages/standins/src/engine/schema.ts
@@ -69,6 +69,8 @@
   loadReports: z.enum(["fresh", "stuck", "missing"]).optional(),
   /** Toggles `leaving` after every n-th chat request; 0 disables it. */
   flapEveryRequests: z.int().min(0).optional(),
+  /** Closes the listener and every connection on a chat with this text in a message; empty for none. */
+  crashText: z.string().optional(),
 });
 
 export type EngineOptions = z.input<typeof engineOptionsSchema>;
