Chats that crash engines are quarantined in the product's own interface as well

One chat, sent twelve times to two daemons, ended 11 of 12 engines. A request excludes the engines that failed it, and nothing keeps longer under which chat they ended. Change: ChatQuarantine uses the kernel's PromptQuarantine; a chat's blocks are the chat and its messages but the last, by model. The daemons' gossip carries the notices (topic prompts, at once and with each heartbeat). Refusal prompt-quarantined (503, not-run, time of return).

--- a/packages/daemon/src/chat/ChatTask.ts
+++ b/packages/daemon/src/chat/ChatTask.ts
@@ -12,6 +12,7 @@
 } from "../kernel/index.js";
 import type { Recorder } from "../timeline/index.js";
 import { ChatAttempt, type FailedChatAttempt } from "./ChatAttempt.js";
+import type { ChatQuarantine } from "./ChatQuarantine.js";
 import type { ChatRequest } from "./ChatRequest.js";
 import type { EngineClient } from "./EngineClient.js";
 import { parseChatOrThrow } from "./parseChat.js";
@@ -24,6 +25,7 @@
   readonly retries: RetryTask;
   readonly engines: EngineClient;
   readonly hosts: HostDirectory;
+  readonly quarantine: ChatQuarantine;
   /** Checks whether any engine of a model is known to accept requests. */
   readonly isServed: (model: string) => boolean;
   readonly recorder: Recorder;
@@ -107,6 +109,7 @@
     let result = await attempt.run();
     while (result.kind === "failed") {
       this.recordFailure(chat, result);
+      this.dependencies.quarantine.recordFailure(chat, result);
       const decision = this.dependencies.retries.decide(toFailedAttempt(chat, result));
       if (decision.kind === "giveUp") {
         attempt.cancel();
@@ -118,10 +121,14 @@
       await this.dependencies.wait(decision.at, chat.request.signal);
       result = await attempt.resume();
     }
+    if (result.kind === "complete") {
+      this.dependencies.quarantine.recordAnswer(chat);
+    }
     return undefined;
   }
 
   private async place(chat: ChatRequest, attemptId: string): Promise<EnginePlacement> {
+    this.dependencies.quarantine.checkOrThrow(chat);
     await this.waitForEngines(chat);
     const placed = await this.dependencies.placement.place({
       attemptId,
--- a/packages/daemon/src/chat/EngineClient.ts
+++ b/packages/daemon/src/chat/EngineClient.ts
@@ -79,7 +79,8 @@
     if (response.kind === "answer" && response.status !== 200) {
       discardBody(response.body);
       const detail = `the stream cannot be resumed: status ${String(response.status)}`;
-      return { kind: "failure", class: "lost", detail, isLeaving: false };
+      const { status } = response;
+      return { kind: "failure", class: "lost", detail, status, isLeaving: false };
     }
     return response;
   }
--- a/packages/daemon/src/chat/index.ts
+++ b/packages/daemon/src/chat/index.ts
@@ -1,3 +1,4 @@
+export { ChatQuarantine } from "./ChatQuarantine.js";
 export { ChatTask } from "./ChatTask.js";
 export type { ChatRequest } from "./ChatRequest.js";
 export { EngineClient } from "./EngineClient.js";
--- a/packages/daemon/src/daemon/CallerTasks.ts
+++ b/packages/daemon/src/daemon/CallerTasks.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { ActTask } from "../acts/index.js";
 import { CallerRequestPipeline } from "../callers/index.js";
-import { ChatTask, EngineClient, type Usage } from "../chat/index.js";
+import { ChatTask, EngineClient, type ChatQuarantine, type Usage } from "../chat/index.js";
 import type { ConfigurationTask } from "../configuration/index.js";
 import type {
   AdmissionTask,
@@ -26,6 +26,7 @@
   readonly viewUpdater: ViewUpdater;
   readonly client: ServiceClient;
   readonly sender: HostSender;
+  readonly quarantine: ChatQuarantine;
 }
 
 const configurationRetryDelayMilliseconds = 1_000;
@@ -57,12 +58,14 @@
 
   private createChats(): ChatTask {
     const { admission, placement, retries, hosts, viewUpdater, sender } = this.dependencies;
+    const { quarantine } = this.dependencies;
     const { recorder, getNow } = this.context;
     return ChatTask.create({
       admission,
       placement,
       retries,
       hosts,
+      quarantine,
       isServed: (model) => viewUpdater.isServed(model),
       engines: EngineClient.create(sender, getNow),
       recorder,
--- a/packages/daemon/src/daemon/PeerTasks.ts
+++ b/packages/daemon/src/daemon/PeerTasks.ts
@@ -10,6 +10,7 @@
 import { promisify } from "node:util";
 import { gzip } from "node:zlib";
 import type { ActTask } from "../acts/index.js";
+import type { ChatQuarantine } from "../chat/index.js";
 import type { ConfigurationTask } from "../configuration/index.js";
 import { GossipTask, PeerLinks, type Heartbeat } from "../gossip/index.js";
 import type { AdmissionTask, HostDirectory, PlacementTask } from "../kernel/index.js";
@@ -23,6 +24,7 @@
   readonly admission: AdmissionTask;
   readonly configuration: ConfigurationTask;
   readonly acts: ActTask;
+  readonly quarantine: ChatQuarantine;
 }
 
 /** What the links and the gossip between daemons depend on. */
@@ -192,6 +194,10 @@
       onRevisionAnnouncement: (announcement) => {
         this.targets.configuration.receiveRevisionAnnouncement(announcement);
       },
+      takePromptNotices: () => this.targets.quarantine.takeNotices(),
+      onPromptNotices: (notices) => {
+        this.targets.quarantine.receive(notices);
+      },
       onMalformed: (from, topic) => {
         this.dependencies.context.metrics.droppedMessages.inc({ reason: "malformed" });
         this.dependencies.context.recorder.record("peer.message-dropped", {
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -5,6 +5,7 @@
   type RetryGuard,
 } from "@pistachioway/kernel";
 import { ActSender, ActTask } from "../acts/index.js";
+import { ChatQuarantine } from "../chat/index.js";
 import { ConfigurationTask, type ActiveConfiguration } from "../configuration/index.js";
 import {
   AdmissionTask,
@@ -13,6 +14,7 @@
   PlacementTask,
   RetryTask,
 } from "../kernel/index.js";
+import { toHex } from "../log/toHex.js";
 import { OperationsView, type DaemonPhase } from "../operations/index.js";
 import { OrderTask } from "../orders/index.js";
 import { PlatformTask } from "../platform/index.js";
@@ -35,6 +37,7 @@
  */
 export class TaskGraph implements PeerTargets, TickTargets {
   readonly peers: PeerTasks;
+  readonly quarantine: ChatQuarantine;
   readonly viewUpdater: ViewUpdater;
   readonly hosts: HostDirectory;
   readonly placement: PlacementTask;
@@ -49,6 +52,7 @@
 
   private constructor(private readonly context: Context) {
     this.peers = this.createPeers();
+    this.quarantine = this.createQuarantine();
     this.hosts = this.createHosts();
     this.placement = this.createPlacement();
     this.admission = this.createAdmission();
@@ -114,9 +118,24 @@
       viewUpdater,
       client,
       sender,
+      quarantine: this.quarantine,
     };
   }
 
+  private createQuarantine(): ChatQuarantine {
+    return ChatQuarantine.create({
+      getNow: this.context.getNow,
+      onNotice: () => {
+        this.peers.gossip.sendPromptNotices();
+      },
+      onChange: ({ kind, block, source, quarantine }) => {
+        const { endsAt, count } = quarantine;
+        const fields = { block: toHex(block), source, endsAt, count };
+        this.context.recorder.record(`prompt.quarantine-${kind}`, fields, "warn");
+      },
+    });
+  }
+
   private createHosts(): HostDirectory {
     return HostDirectory.create({
       kernel: this.context.kernel,
--- a/packages/daemon/src/fleet/datagramCodec.ts
+++ b/packages/daemon/src/fleet/datagramCodec.ts
@@ -71,6 +71,26 @@
 type EncodedState = z.infer<typeof stateSchema>;
 type EncodedNotice = z.infer<typeof noticeSchema>;
 
+/**
+ * Encodes notices with ages in place of instants.
+ * @param notices - The notices.
+ * @param now - Local time of sending.
+ */
+export function encodeNotices(notices: readonly FleetNotice[], now: number): unknown {
+  return notices.map((notice) => encodeNotice(notice, now));
+}
+
+/**
+ * Decodes notices that `encodeNotices` encoded.
+ * @param encoded - Encoded notices.
+ * @param now - Local time of arrival.
+ * @returns Undefined when they are malformed.
+ */
+export function decodeNotices(encoded: unknown, now: number): readonly FleetNotice[] | undefined {
+  const notices = z.array(noticeSchema).max(maxNotices).safeParse(encoded).data;
+  return notices?.map((notice) => decodeNotice(notice, now));
+}
+
 /**
  * Encodes a message as one datagram.
  * @param message - Message to send.
--- a/packages/daemon/src/gossip/GossipTask.ts
+++ b/packages/daemon/src/gossip/GossipTask.ts
@@ -6,6 +6,7 @@
   type ActPeer,
   type DaemonIncarnation,
   type DaemonView,
+  type FleetNotice,
   type HealthReport,
   type Instant,
   type PlacementPeerMessage,
@@ -14,6 +15,7 @@
   teamTotalSchema,
 } from "@pistachioway/kernel";
 import { z } from "zod";
+import { decodeNotices, encodeNotices } from "../fleet/index.js";
 import type { DatagramPart, DatagramSender, ReceivedPart } from "../peers/index.js";
 import { splitList } from "../peers/index.js";
 import type { Timeline } from "../timeline/index.js";
@@ -41,6 +43,9 @@
   readonly onHealthReports: (from: string, reports: readonly HealthReport[]) => void;
   readonly onTeamTotals: (from: string, totals: readonly TeamTotal[]) => void;
   readonly onRevisionAnnouncement: (announcement: RevisionAnnouncement) => void;
+  /** Takes what this daemon tells of chats that crash engines. */
+  readonly takePromptNotices: () => readonly FleetNotice[];
+  readonly onPromptNotices: (notices: readonly FleetNotice[]) => void;
   readonly onMalformed: (from: string, topic: string) => void;
 }
 
@@ -103,6 +108,16 @@
     const announcement = packRevisionAnnouncement(this.dependencies.getRevisionAnnouncement());
     this.broadcast({ topic: "configuration", value: announcement });
     this.sendTeamTotals();
+    this.sendPromptNotices();
+  }
+
+  /** Sends what is known of chats that crash engines to every neighbour. */
+  sendPromptNotices(): void {
+    const notices = this.dependencies.takePromptNotices();
+    if (notices.length > 0) {
+      const value = encodeNotices(notices, this.dependencies.getNow());
+      this.broadcast({ topic: "prompts", value, split: splitList });
+    }
   }
 
   /** Sends the totals of large teams, and one empty list after the last of them. */
@@ -167,6 +182,9 @@
       case "configuration":
         this.receiveRevisionAnnouncement(sender, part);
         return;
+      case "prompts":
+        this.receivePromptNotices(sender, part);
+        return;
       case "holdings":
         this.dependencies.onMalformed(sender, part.topic);
     }
@@ -257,6 +275,15 @@
     });
   }
 
+  private receivePromptNotices(sender: string, part: ReceivedPart): void {
+    const notices = decodeNotices(part.value, this.dependencies.getNow());
+    if (notices === undefined) {
+      this.dependencies.onMalformed(sender, part.topic);
+    } else {
+      this.dependencies.onPromptNotices(notices);
+    }
+  }
+
   private receiveRevisionAnnouncement(sender: string, part: ReceivedPart): void {
     const zone = this.heartbeats.get(sender)?.zone;
     const announcement = parseRevisionAnnouncement(sender, zone ?? "", part.value);
--- a/packages/daemon/src/peers/topics.ts
+++ b/packages/daemon/src/peers/topics.ts
@@ -6,6 +6,7 @@
   "teamTotals",
   "configuration",
   "holdings",
+  "prompts",
 ] as const;
 
 export type DatagramTopic = (typeof datagramTopics)[number];
--- a/packages/daemon/src/upstreams/sendAttempt.ts
+++ b/packages/daemon/src/upstreams/sendAttempt.ts
@@ -36,6 +36,8 @@
   readonly kind: "failure";
   readonly class: AttemptFailureClass;
   readonly detail: string;
+  /** Status of the answer; undefined when there was none. */
+  readonly status?: number;
   /** True when the upstream stated in its refusal that it is leaving the fleet. */
   readonly isLeaving: boolean;
 }
