--- a/packages/daemon/src/fleet/datagramCodec.ts
+++ b/packages/daemon/src/fleet/datagramCodec.ts
@@ -42,7 +42,7 @@
   leaving: 1,
   resting: 2,
   loss: 3,
-  sound: 4,
+  served: 4,
   quarantine: 5,
   limit: 6,
   noLimit: 7,
@@ -57,7 +57,7 @@
   z.tuple([z.literal(noticeCodes.noLimit), text, age]),
   /** Block, upstream and request. */
   z.tuple([z.literal(noticeCodes.loss), uint32, uint32, uint32, age]),
-  z.tuple([z.literal(noticeCodes.sound), uint32, age]),
+  z.tuple([z.literal(noticeCodes.served), uint32, age]),
   /** Block, age of its first loss, remaining time and count of its quarantines. */
   z.tuple([z.literal(noticeCodes.quarantine), uint32, age, z.int().min(0), z.int().min(1)]),
 ]);
@@ -209,8 +209,8 @@
       const { block, upstream, request, at } = notice;
       return [noticeCodes.loss, block, upstream, request, toAge(at, now)];
     }
-    case "sound":
-      return [noticeCodes.sound, notice.block, toAge(notice.at, now)];
+    case "served":
+      return [noticeCodes.served, notice.block, toAge(notice.at, now)];
     case "quarantine": {
       const { block, lostSince, endsAt, count } = notice;
       return [noticeCodes.quarantine, block, toAge(lostSince, now), toAge(now, endsAt), count];
@@ -236,8 +236,8 @@
       const [, block, upstream, request, lossAge] = encoded;
       return { kind: "loss", block, upstream, request, at: now - lossAge };
     }
-    case noticeCodes.sound:
-      return { kind: "sound", block: encoded[1], at: now - encoded[2] };
+    case noticeCodes.served:
+      return { kind: "served", block: encoded[1], at: now - encoded[2] };
     case noticeCodes.quarantine: {
       const [, block, lossAge, remaining, count] = encoded;
       return {
--- a/packages/daemon/tests/fleet/datagramCodec.test.ts
+++ b/packages/daemon/tests/fleet/datagramCodec.test.ts
@@ -43,7 +43,7 @@
     { kind: "loss", block: 1, upstream: 4_000_000_000, request: 3, at: 4_000 },
     { kind: "limit", id: "i-2", perSecond: 4.5, at: 4_000 },
     { kind: "limit", id: "i-1", perSecond: undefined, at: 4_500 },
-    { kind: "sound", block: 1, at: 4_500 },
+    { kind: "served", block: 1, at: 4_500 },
     { kind: "quarantine", block: 1, lostSince: 3_000, endsAt: 305_000, count: 2 },
   ],
 };
--- a/packages/kernel/src/fleet/FleetGossip.ts
+++ b/packages/kernel/src/fleet/FleetGossip.ts
@@ -242,6 +242,6 @@
   resting: upstreamNoticeBytes,
   limit: upstreamNoticeBytes,
   loss: blockNoticeBytes,
-  sound: blockNoticeBytes,
+  served: blockNoticeBytes,
   quarantine: blockNoticeBytes,
 };
--- a/packages/kernel/src/fleet/NoticeQueue.ts
+++ b/packages/kernel/src/fleet/NoticeQueue.ts
@@ -83,7 +83,7 @@
       return `limit ${notice.id}`;
     case "loss":
       return `loss ${String(notice.block)} ${String(notice.upstream)}`;
-    case "sound":
+    case "served":
     case "quarantine":
       return `${notice.kind} ${String(notice.block)}`;
   }
@@ -93,7 +93,7 @@
   if (notice.kind === "prefix" && known.kind === "prefix") {
     return notice.at > known.at + minAdvanceMilliseconds;
   }
-  if (notice.kind === "sound" && known.kind === "sound") {
+  if (notice.kind === "served" && known.kind === "served") {
     return notice.at > known.at + minAdvanceMilliseconds;
   }
   if (notice.kind === "limit" && known.kind === "limit") {
--- a/packages/kernel/src/fleet/messages.ts
+++ b/packages/kernel/src/fleet/messages.ts
@@ -56,7 +56,7 @@
       readonly at: number;
     }
   /** A request with a prompt block was served. */
-  | { readonly kind: "sound"; readonly block: number; readonly at: number }
+  | { readonly kind: "served"; readonly block: number; readonly at: number }
   /** Requests with a prompt block are refused; told again and again until it ends. */
   | {
       readonly kind: "quarantine";
--- a/packages/kernel/src/forwarding/notices.ts
+++ b/packages/kernel/src/forwarding/notices.ts
@@ -75,7 +75,7 @@
     return [];
   }
   const perSecond = statedLimit?.perSecond;
-  return limit.state(perSecond, now) ? [{ kind: "limited", upstream, perSecond }] : [];
+  return limit.update(perSecond, now) ? [{ kind: "limited", upstream, perSecond }] : [];
 }
 
 function startRest(entry: UpstreamEntry, asked: number, now: number): UpstreamNotice {
@@ -126,11 +126,11 @@
       upstreams.getEntry(notice.id)?.avoidUntil(Math.min(notice.endsAt, now + maxRestMilliseconds));
       return [];
     case "limit":
-      return upstreams.getEntry(notice.id)?.limit.state(notice.perSecond, notice.at) === true
+      return upstreams.getEntry(notice.id)?.limit.update(notice.perSecond, notice.at) === true
         ? [{ kind: "limited", upstream: notice.id, perSecond: notice.perSecond }]
         : [];
     case "loss":
-    case "sound":
+    case "served":
     case "quarantine":
       quarantine.applyNotice(notice, now);
       return [];
--- a/packages/kernel/src/quarantine/PromptQuarantine.ts
+++ b/packages/kernel/src/quarantine/PromptQuarantine.ts
@@ -1,7 +1,7 @@
 import type { FleetNotice } from "../fleet/index.js";
 import {
   longestQuarantineMilliseconds,
-  maxSoundBlocks,
+  maxServedBlocks,
   maxSuspectBlocks,
   recentSuccessMilliseconds,
 } from "./constants.js";
@@ -80,9 +80,9 @@
   recordSuccess(blocks: readonly number[], now: number): void {
     this.hasServedSinceLoss = true;
     blocks.forEach((block) => {
-      this.recordSound(block, now);
+      this.recordServed(block, now);
       if (this.suspectsByBlock.has(block)) {
-        this.options.addFleetNotice({ kind: "sound", block, at: now });
+        this.options.addFleetNotice({ kind: "served", block, at: now });
         this.removeSuspect(block, "evidence", now);
       }
     });
@@ -102,7 +102,7 @@
     this.hasServedSinceLoss = false;
     for (const block of blocks) {
       const loss: Loss = { kind: "loss", block, upstream, request, at: now };
-      if (now > this.getSoundUntil(block) && this.addSuspect(block).addLoss(loss)) {
+      if (now > this.getTrustedUntil(block) && this.addSuspect(block).addLoss(loss)) {
         this.options.addFleetNotice(loss);
       }
     }
@@ -122,8 +122,8 @@
           this.startQuarantines([notice.block], now);
         }
         break;
-      case "sound":
-        this.applySound(notice.block, notice.at, now);
+      case "served":
+        this.applyServed(notice.block, notice.at, now);
         break;
       case "quarantine":
         this.applyQuarantine(notice.block, notice, now);
@@ -195,7 +195,7 @@
   }
 
   private getLosses(block: number, now: number): readonly Loss[] {
-    return this.suspectsByBlock.get(block)?.getLosses(now, this.getSoundUntil(block)) ?? [];
+    return this.suspectsByBlock.get(block)?.getLosses(now, this.getTrustedUntil(block)) ?? [];
   }
 
   /** Leaves out the losses at upstreams at which a quarantined block was lost as well. */
@@ -208,10 +208,10 @@
     );
   }
 
-  private applySound(block: number, at: number, now: number): void {
-    this.recordSound(block, at);
+  private applyServed(block: number, at: number, now: number): void {
+    this.recordServed(block, at);
     const quarantine = this.suspectsByBlock.get(block)?.getQuarantine(now);
-    if (quarantine !== undefined && quarantine.lostSince <= this.getSoundUntil(block)) {
+    if (quarantine !== undefined && quarantine.lostSince <= this.getTrustedUntil(block)) {
       this.removeSuspect(block, "peer", now);
     }
   }
@@ -247,20 +247,20 @@
     if (succeededAt === undefined || lostAt > succeededAt + recentSuccessMilliseconds) {
       return false;
     }
-    this.options.addFleetNotice({ kind: "sound", block, at: succeededAt });
+    this.options.addFleetNotice({ kind: "served", block, at: succeededAt });
     return true;
   }
 
   /** Gets the time up to which losses with a block do not count. */
-  private getSoundUntil(block: number): number {
+  private getTrustedUntil(block: number): number {
     return (this.succeededAtByBlock.get(block) ?? -Infinity) + recentSuccessMilliseconds;
   }
 
-  private recordSound(block: number, at: number): void {
+  private recordServed(block: number, at: number): void {
     const known = this.succeededAtByBlock.get(block) ?? -Infinity;
     this.succeededAtByBlock.delete(block);
     this.succeededAtByBlock.set(block, Math.max(known, at));
-    dropOldest(this.succeededAtByBlock, maxSoundBlocks);
+    dropOldest(this.succeededAtByBlock, maxServedBlocks);
   }
 
   private addSuspect(block: number): SuspectBlock {
--- a/packages/kernel/src/quarantine/SuspectBlock.ts
+++ b/packages/kernel/src/quarantine/SuspectBlock.ts
@@ -58,11 +58,11 @@
   /**
    * Gets the losses that count: those after the last quarantine and the last success.
    * @param now - Current time.
-   * @param soundUntil - Losses up to this time are disproved by a success.
+   * @param trustedUntil - Losses up to this time are disproved by a success.
    */
-  getLosses(now: number, soundUntil: number): readonly Loss[] {
+  getLosses(now: number, trustedUntil: number): readonly Loss[] {
     const quarantinedUntil = this.quarantine?.endsAt ?? -Infinity;
-    const since = Math.max(now - lossWindowMilliseconds, soundUntil, quarantinedUntil);
+    const since = Math.max(now - lossWindowMilliseconds, trustedUntil, quarantinedUntil);
     return [...this.lossesByUpstream.values()].filter(({ at }) => at > since);
   }
 
--- a/packages/kernel/src/quarantine/constants.ts
+++ b/packages/kernel/src/quarantine/constants.ts
@@ -4,7 +4,7 @@
 export const minLostRequests = 2;
 /** Time over which losses are counted together. */
 export const lossWindowMilliseconds = 600_000;
-/** Losses this soon after a success are not counted: the block was sound a moment before. */
+/** Losses this soon after a success are not counted: the block was served a moment before. */
 export const recentSuccessMilliseconds = 10_000;
 /** Time from the first byte of an answer after which the upstream has withstood the prompt. */
 export const withstoodMilliseconds = 1_000;
@@ -13,5 +13,5 @@
 export const longestQuarantineMilliseconds = 3_600_000;
 /** Bounds on what a daemon remembers. */
 export const maxSuspectBlocks = 4_096;
-export const maxSoundBlocks = 16_384;
+export const maxServedBlocks = 16_384;
 export const maxLossesPerBlock = 16;
--- a/packages/kernel/src/upstreams/UpstreamLimit.ts
+++ b/packages/kernel/src/upstreams/UpstreamLimit.ts
@@ -34,7 +34,7 @@
    * @param statedAt - When it said so; what it said earlier than the last known time is ignored.
    * @returns Whether the limit changed.
    */
-  state(perSecond: number | undefined, statedAt: number): boolean {
+  update(perSecond: number | undefined, statedAt: number): boolean {
     if (statedAt < this.statedAt) {
       return false;
     }
--- a/packages/kernel/tests/quarantine/PromptQuarantine.test.ts
+++ b/packages/kernel/tests/quarantine/PromptQuarantine.test.ts
@@ -107,7 +107,7 @@
   quarantineBlock(context);
   context.quarantine.recordSuccess([block], 4_000);
   assert.not(isRefused(context, 4_000));
-  assert.equal(context.told.at(-1), { kind: "sound", block, at: 4_000 });
+  assert.equal(context.told.at(-1), { kind: "served", block, at: 4_000 });
   const [standing] = [
     { kind: "quarantine", block, lostSince: 1_000, endsAt: 9e9, count: 1 } as const,
   ];
--- a/packages/kernel/tests/upstreams/UpstreamLimit.test.ts
+++ b/packages/kernel/tests/upstreams/UpstreamLimit.test.ts
@@ -23,7 +23,7 @@
 
 test("a daemon sends its share of the limit, evenly", () => {
   const limit = UpstreamLimit.create(0.5);
-  limit.state(8, 0);
+  limit.update(8, 0);
   assert.equal(
     [0, 10_000, 20_000].map((from) => countSent(limit, from, from + 10_000, 0.25)),
     [20, 20, 20],
@@ -32,7 +32,7 @@
 
 test("slots that were not used are lost", () => {
   const limit = UpstreamLimit.create(0.5);
-  limit.state(8, 0);
+  limit.update(8, 0);
   countSent(limit, 0, 1_000, 0.25);
   assert.ok(countSent(limit, 60_000, 60_010 + 10, 0.25) <= 2);
   assert.ok(countSent(limit, 60_020, 61_020, 0.25) <= 4);
@@ -40,20 +40,20 @@
 
 test("a daemon that does not know its share sends nothing", () => {
   const limit = UpstreamLimit.create(0);
-  limit.state(8, 0);
+  limit.update(8, 0);
   assert.equal([countSent(limit, 0, 10_000, 0), limit.getNextSlot(0, 0)], [0, Infinity]);
 });
 
 test("an upstream that takes nothing is asked now and then", () => {
   const limit = UpstreamLimit.create(0.5);
-  limit.state(0, 0);
+  limit.update(0, 0);
   assert.is(countSent(limit, 0, 100_000, 1), 10);
 });
 
 test("an older word of the upstream does not replace a newer one", () => {
   const limit = UpstreamLimit.create(0.5);
   assert.equal(
-    [limit.state(4, 100), limit.state(undefined, 50), limit.state(4, 200), limit.getPerSecond()],
+    [limit.update(4, 100), limit.update(undefined, 50), limit.update(4, 200), limit.getPerSecond()],
     [true, false, false, 4],
   );
 });
