--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -12,6 +12,8 @@
   readonly service: string;
   /** Monotonic time of arrival, in milliseconds. */
   readonly arrivedAt: number;
+  /** Hash of all of it that comes again when its caller sends it again. */
+  readonly contentHash: number;
   /** Monotonic time by which the caller must have its complete response or a refusal. */
   readonly deadline: number;
 }
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -1,5 +1,6 @@
 import type { AttemptEnd, UpstreamChoice } from "@pistachioway/kernel";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
+import { toHex } from "../log/toHex.js";
 import { getSharedBlockIds, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { Attempt } from "./Attempt.js";
 import type { RefusalName } from "./refusals.js";
@@ -71,6 +72,8 @@
       status: head?.status ?? 0,
       // Time since the upstream began to write its answer; -1 when it had not.
       written: firstBodyByteAt === undefined ? -1 : Math.round(now - firstBodyByteAt),
+      // The same for requests that come again whole.
+      content: toHex(this.request.contentHash),
       blocks: getSharedBlockIds(this.request.head).join(",").slice(0, maxBlocksLength),
       detail,
     });
--- a/packages/daemon/src/ingress/IngressServer.ts
+++ b/packages/daemon/src/ingress/IngressServer.ts
@@ -13,6 +13,7 @@
 import { ActiveRequest } from "./ActiveRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AcceptedRequest } from "./AcceptedRequest.js";
+import { getContentHash } from "./getContentHash.js";
 import { readBody } from "./readBody.js";
 import type { RefusalName } from "./refusals.js";
 
@@ -193,7 +194,7 @@
       callerTimeoutMilliseconds - responseMarginMilliseconds,
       approval.route.timeoutMilliseconds,
     );
-    return {
+    const request = {
       head,
       method: method ?? "GET",
       path: url ?? "/",
@@ -205,6 +206,7 @@
       arrivedAt,
       deadline: arrivedAt + timeoutMilliseconds,
     };
+    return { ...request, contentHash: getContentHash(request) };
   }
 
   private start(
--- a/packages/daemon/tests/router/streams.test.ts
+++ b/packages/daemon/tests/router/streams.test.ts
@@ -58,7 +58,10 @@
   const head = "Prompt-Prefix: a1:80,b2:40,c3:9\r\n";
   await fixture.call("/once/1", { method: "POST", body: "x", head });
   const line = fixture.logLines.find((each) => each.includes("event=attempt.lost")) ?? "";
-  assert.match(line, /request=q-1 upstream=i-[12] status=200 written=\d+ blocks="?a1,b2"? detail=/);
+  assert.match(
+    line,
+    /request=q-1 upstream=i-[12] status=200 written=\d+ content=[0-9a-f]{8} blocks="?a1,b2"? detail=/,
+  );
 });
 
 test.run();
--- a/packages/kernel/src/hashing/hash.ts
+++ b/packages/kernel/src/hashing/hash.ts
@@ -1,6 +1,6 @@
 import xxhash from "xxhash-wasm";
 
-const { h32 } = await xxhash();
+const { h32, h32Raw } = await xxhash();
 
 /**
  * Hashes a name to an unsigned 32-bit integer, the same on every daemon.
@@ -10,6 +10,14 @@
   return h32(text) >>> 0;
 }
 
+/**
+ * Hashes bytes to an unsigned 32-bit integer, the same on every daemon.
+ * @param bytes - Body of a request.
+ */
+export function getBytesHash(bytes: Uint8Array): number {
+  return h32Raw(bytes) >>> 0;
+}
+
 /**
  * Combines two hashes into one uniformly distributed unsigned 32-bit integer.
  * @param left - First hash.
--- a/packages/kernel/src/hashing/index.ts
+++ b/packages/kernel/src/hashing/index.ts
@@ -1,1 +1,1 @@
-export { getHash, getRendezvousScore, mixHashes } from "./hash.js";
+export { getBytesHash, getHash, getRendezvousScore, mixHashes } from "./hash.js";
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -5,7 +5,7 @@
 export * from "./fleet/index.js";
 export * from "./forwarding/index.js";
 export * from "./freshness/index.js";
-export { getHash, mixHashes } from "./hashing/index.js";
+export { getBytesHash, getHash, mixHashes } from "./hashing/index.js";
 export * from "./hosts/index.js";
 export * from "./kernel/index.js";
 export * from "./membership/index.js";
