--- a/packages/daemon/tests/router/CrashingEngines.ts
+++ b/packages/daemon/tests/router/CrashingEngines.ts
@@ -1,21 +1,45 @@
-import { ScriptedUpstream, type RegistryStore, type Script } from "@pistachioway/standins";
+import {
+  respondWith,
+  ScriptedUpstream,
+  type ReceivedRequest,
+  type RegistryStore,
+  type Script,
+} from "@pistachioway/standins";
+import type { ServerResponse } from "node:http";
 
 /** Options of the engines. */
 export interface CrashingEnginesOptions {
   readonly count: number;
-  /** Id of the prompt block on which each engine crashes when it begins to write. */
-  readonly block: string;
+  /** Checks whether a request crashes each engine that runs it. */
+  readonly isCrashing: (request: ReceivedRequest) => boolean;
+  /** Time after a crash at which another engine takes the place of the crashed one. */
+  readonly restartMilliseconds?: number;
 }
 
-const restartMilliseconds = 400;
+const usualRestartMilliseconds = 400;
+
 const writeMilliseconds = 120;
 const eventMilliseconds = 30;
+/** Time from the first event of an engine until its crash. */
+const crashDelayMilliseconds = 5;
+const streamPrefix = "/once/";
+
+/**
+ * Checks whether the prompt of a request has a block.
+ * @param block - Id of the block.
+ */
+export function hasBlock(block: string): (request: ReceivedRequest) => boolean {
+  return ({ headers }) =>
+    String(headers["prompt-prefix"])
+      .split(",")
+      .some((each) => each.startsWith(block));
+}
 
-/** Engines that crash while they write on one prompt block; each is back a little later under a new id. */
+/** Engines that crash on some requests; each is back a little later under a new id. */
 export class CrashingEngines {
   /** When each crash happened, in milliseconds. */
   readonly crashes: number[] = [];
-  /** When each request with the block reached an engine, in milliseconds. */
+  /** When each crashing request reached an engine, in milliseconds. */
   readonly arrivals: number[] = [];
   private readonly running = new Set<ScriptedUpstream>();
   private started = 0;
@@ -53,21 +77,20 @@
 
   private createScript(engine: ScriptedUpstream): Script {
     return (request, response) => {
-      const prompt = String(request.headers["prompt-prefix"]);
-      const isCrashing = prompt.split(",").some((block) => block.startsWith(this.options.block));
+      const isCrashing = this.options.isCrashing(request);
       if (isCrashing) {
         this.arrivals.push(performance.now());
-      }
-      const head = { "request-id": request.id, "response-stamp": `stamp-${request.id}` };
-      response.writeHead(200, { ...head, "content-type": "text/event-stream" });
-      response.flushHeaders();
-      setTimeout(() => {
-        response.write("id: 1\ndata: piece 1\n\n");
-        if (isCrashing) {
+        setTimeout(() => {
           this.crash(engine);
-        }
-      }, eventMilliseconds);
-      setTimeout(() => response.end("id: 2\ndata: piece 2\n\n"), writeMilliseconds);
+        }, eventMilliseconds + crashDelayMilliseconds);
+      }
+      if (request.path.startsWith(streamPrefix)) {
+        writeStream(request, response);
+      } else {
+        setTimeout(() => {
+          respondWith("whole")(request, response);
+        }, writeMilliseconds);
+      }
     };
   }
 
@@ -82,6 +105,15 @@
       if (!this.isClosed) {
         void this.start();
       }
-    }, restartMilliseconds);
+    }, this.options.restartMilliseconds ?? usualRestartMilliseconds);
   }
 }
+
+/** Writes two events. */
+function writeStream({ id }: ReceivedRequest, response: ServerResponse): void {
+  const head = { "request-id": id, "response-stamp": `stamp-${id}` };
+  response.writeHead(200, { ...head, "content-type": "text/event-stream" });
+  response.flushHeaders();
+  setTimeout(() => response.write("id: 1\ndata: piece 1\n\n"), eventMilliseconds);
+  setTimeout(() => response.end("id: 2\ndata: piece 2\n\n"), writeMilliseconds);
+}
--- a/packages/daemon/tests/router/promptCrash.test.ts
+++ b/packages/daemon/tests/router/promptCrash.test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { CrashingEngines } from "./CrashingEngines.js";
+import { CrashingEngines, hasBlock } from "./CrashingEngines.js";
 import { RouterFixture } from "./RouterFixture.js";
 
 interface Context {
@@ -25,7 +25,10 @@
   context.routers = await RouterFixture.createFleet(5);
   const [first] = context.routers;
   assert.ok(first);
-  context.engines = await CrashingEngines.create(first.store, { count: 10, block: crashingBlock });
+  context.engines = await CrashingEngines.create(first.store, {
+    count: 10,
+    isCrashing: hasBlock(crashingBlock),
+  });
   await delay(500);
 });
 
