Rename the quarantine of prompt blocks to one of contents; nothing changes but names

A content is whatever requests have in common; so far only blocks of prompts. The refusal is now `content-quarantined`, the log lines `content.quarantine-started` and `-ended`, the metric `pistachioway_quarantines_total`. The bytes on the wire between routers are the same.

--- a/packages/cli/src/logs/explainOutcome.ts
+++ b/packages/cli/src/logs/explainOutcome.ts
@@ -80,7 +80,7 @@
       "Each upstream of the service that could serve is at the limit of requests that it named.",
     advice: "See upstream.limited: the service needs more capacity.",
   },
-  "prompt-quarantined": {
+  "content-quarantined": {
     cause: "Several upstreams crashed one after another on a block of the request's prompt.",
     advice:
       "See attempt.lost for the blocks, and find out why upstreams of the service do not bear it.",
--- a/packages/daemon/src/chat/ChatQuarantine.ts
+++ b/packages/daemon/src/chat/ChatQuarantine.ts
@@ -2,7 +2,7 @@
   getHash,
   mixHashes,
   NoticeQueue,
-  PromptQuarantine,
+  ContentQuarantine,
   type FleetNotice,
   type Instant,
   type QuarantineChange,
@@ -30,10 +30,10 @@
  */
 export class ChatQuarantine {
   private readonly queue = NoticeQueue.create();
-  private readonly quarantine: PromptQuarantine;
+  private readonly quarantine: ContentQuarantine;
 
   private constructor(private readonly dependencies: ChatQuarantineDependencies) {
-    this.quarantine = PromptQuarantine.create({
+    this.quarantine = ContentQuarantine.create({
       addFleetNotice: (notice) => {
         if (this.queue.add(notice, dependencies.getNow())) {
           dependencies.onNotice();
@@ -65,7 +65,7 @@
     if (chat.attemptCount > 0) {
       throw Problem.create("upstream-failed", detail, "unknown", found.endsAt);
     }
-    throw Problem.create("prompt-quarantined", detail, "not-run", found.endsAt);
+    throw Problem.create("content-quarantined", detail, "not-run", found.endsAt);
   }
 
   /** Records that an engine answered a chat completely. */
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -128,10 +128,10 @@
       onNotice: () => {
         this.peers.gossip.sendPromptNotices();
       },
-      onChange: ({ kind, block, source, quarantine }) => {
+      onChange: ({ kind, content, source, quarantine }) => {
         const { endsAt, count } = quarantine;
-        const fields = { block: toHex(block), source, endsAt, count };
-        this.context.recorder.record(`prompt.quarantine-${kind}`, fields, "warn");
+        const fields = { content: toHex(content), source, endsAt, count };
+        this.context.recorder.record(`content.quarantine-${kind}`, fields, "warn");
       },
     });
   }
--- a/packages/daemon/src/errors/Problem.ts
+++ b/packages/daemon/src/errors/Problem.ts
@@ -25,7 +25,7 @@
   "no-upstream": 503,
   "upstream-failed": 502,
   "upstream-refused": 503,
-  "prompt-quarantined": 503,
+  "content-quarantined": 503,
   "answer-interrupted": 502,
   "deadline-exceeded": 504,
   "shutting-down": 503,
--- a/packages/daemon/src/fleet/datagramCodec.ts
+++ b/packages/daemon/src/fleet/datagramCodec.ts
@@ -55,10 +55,10 @@
   z.tuple([z.literal(noticeCodes.resting), text, z.int().min(0)]),
   z.tuple([z.literal(noticeCodes.limit), text, z.number().min(0), age]),
   z.tuple([z.literal(noticeCodes.noLimit), text, age]),
-  /** Block, upstream and request. */
+  /** Content, upstream and request. */
   z.tuple([z.literal(noticeCodes.loss), uint32, uint32, uint32, age]),
   z.tuple([z.literal(noticeCodes.served), uint32, age]),
-  /** Block, age of its first loss, remaining time and count of its quarantines. */
+  /** Content, age of its first loss, remaining time and count of its quarantines. */
   z.tuple([z.literal(noticeCodes.quarantine), uint32, age, z.int().min(0), z.int().min(1)]),
 ]);
 
@@ -206,14 +206,14 @@
         : [noticeCodes.limit, id, perSecond, toAge(at, now)];
     }
     case "loss": {
-      const { block, upstream, request, at } = notice;
-      return [noticeCodes.loss, block, upstream, request, toAge(at, now)];
+      const { content, upstream, request, at } = notice;
+      return [noticeCodes.loss, content, upstream, request, toAge(at, now)];
     }
     case "served":
-      return [noticeCodes.served, notice.block, toAge(notice.at, now)];
+      return [noticeCodes.served, notice.content, toAge(notice.at, now)];
     case "quarantine": {
-      const { block, lostSince, endsAt, count } = notice;
-      return [noticeCodes.quarantine, block, toAge(lostSince, now), toAge(now, endsAt), count];
+      const { content, lostSince, endsAt, count } = notice;
+      return [noticeCodes.quarantine, content, toAge(lostSince, now), toAge(now, endsAt), count];
     }
   }
 }
@@ -233,16 +233,16 @@
     case noticeCodes.noLimit:
       return { kind: "limit", id: encoded[1], perSecond: undefined, at: now - encoded[2] };
     case noticeCodes.loss: {
-      const [, block, upstream, request, lossAge] = encoded;
-      return { kind: "loss", block, upstream, request, at: now - lossAge };
+      const [, content, upstream, request, lossAge] = encoded;
+      return { kind: "loss", content, upstream, request, at: now - lossAge };
     }
     case noticeCodes.served:
-      return { kind: "served", block: encoded[1], at: now - encoded[2] };
+      return { kind: "served", content: encoded[1], at: now - encoded[2] };
     case noticeCodes.quarantine: {
-      const [, block, lossAge, remaining, count] = encoded;
+      const [, content, lossAge, remaining, count] = encoded;
       return {
         kind: "quarantine",
-        block,
+        content,
         lostSince: now - lossAge,
         endsAt: now + remaining,
         count,
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -2,7 +2,7 @@
   FleetNotice,
   HeaderCodec,
   PrefixDirectory,
-  PromptQuarantine,
+  ContentQuarantine,
   RoutedService,
   UpstreamNotice,
   UpstreamTable,
@@ -20,7 +20,7 @@
   readonly codec: HeaderCodec;
   readonly retryBudgets: RetryBudgets;
   readonly prefixes: PrefixDirectory;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: ContentQuarantine;
   readonly metrics: RouterMetrics;
   /** Ticks at which attempts are checked for slowness. */
   readonly ticks: TickListeners;
--- a/packages/daemon/src/ingress/RequestPrompt.ts
+++ b/packages/daemon/src/ingress/RequestPrompt.ts
@@ -2,7 +2,7 @@
   getHash,
   mixHashes,
   withstoodMilliseconds,
-  type PromptQuarantine,
+  type ContentQuarantine,
   type ResponseHead,
 } from "@pistachioway/kernel";
 import { toHex } from "../log/toHex.js";
@@ -16,7 +16,7 @@
 /** The prompt of a request, and what its attempts prove about the prompt's blocks. */
 export class RequestPrompt {
   private constructor(
-    private readonly quarantine: PromptQuarantine,
+    private readonly quarantine: ContentQuarantine,
     private readonly requestId: string,
     /** Hashes of the shared blocks, by service: another service may bear what crashes this one. */
     private readonly blocks: readonly number[],
@@ -27,7 +27,7 @@
    * @param quarantine - Blocks that upstreams ended under.
    * @param request - The request.
    */
-  static create(quarantine: PromptQuarantine, { head, service }: AcceptedRequest): RequestPrompt {
+  static create(quarantine: ContentQuarantine, { head, service }: AcceptedRequest): RequestPrompt {
     const serviceHash = getHash(service);
     const blocks = getSharedBlocks(head).map((block) => mixHashes(serviceHash, block));
     return new RequestPrompt(quarantine, head.id, blocks);
@@ -42,8 +42,8 @@
     return quarantined === undefined
       ? undefined
       : {
-          name: "prompt-quarantined",
-          detail: `upstreams crashed one after another on prompt block ${toHex(quarantined.block)}`,
+          name: "content-quarantined",
+          detail: `upstreams crashed one after another on prompt block ${toHex(quarantined.content)}`,
           retryAfterSeconds: Math.ceil((quarantined.endsAt - now) / millisecondsPerSecond),
         };
   }
--- a/packages/daemon/src/ingress/refusals.ts
+++ b/packages/daemon/src/ingress/refusals.ts
@@ -10,7 +10,7 @@
   | "no-upstream"
   | "upstreams-resting"
   | "upstreams-limited"
-  | "prompt-quarantined"
+  | "content-quarantined"
   | "upstream-refused"
   | "upstream-failed"
   | "deadline-exceeded"
@@ -44,7 +44,7 @@
   "no-upstream": { status: 503, retryAfterSeconds: 0.5 },
   "upstreams-resting": { status: 503, retryAfterSeconds: 0.5 },
   "upstreams-limited": { status: 503, retryAfterSeconds: 0.5 },
-  "prompt-quarantined": { status: 503, retryAfterSeconds: 60 },
+  "content-quarantined": { status: 503, retryAfterSeconds: 60 },
   "upstream-refused": { status: 503, retryAfterSeconds: 0.2 },
   "upstream-failed": { status: 502 },
   "deadline-exceeded": { status: 504 },
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -50,8 +50,8 @@
   });
 
   readonly quarantines = new Counter({
-    name: "pistachioway_prompt_quarantines_total",
-    help: "Quarantines of prompt blocks that started, and that a served request ended, by kind.",
+    name: "pistachioway_quarantines_total",
+    help: "Quarantines of contents of requests that started, and that a served request ended, by kind.",
     labelNames: ["kind"],
     registers: [this.registry],
   });
--- a/packages/daemon/src/router/NoticeLog.ts
+++ b/packages/daemon/src/router/NoticeLog.ts
@@ -5,7 +5,7 @@
 
 type RecordEvent = (level: LogLevel, event: string, fields: Fields) => void;
 
-/** Writes log lines and metrics of what upstreams announce and of prompts that crash them. */
+/** Writes log lines and metrics of what upstreams announce and of contents of requests that crash them. */
 export class NoticeLog {
   private constructor(
     private readonly metrics: RouterMetrics,
@@ -34,14 +34,14 @@
   }
 
   /**
-   * Records that requests with a prompt block are refused from now on, or no longer.
+   * Records that requests with a content are refused from now on, or no longer.
    * @param change - What changed.
    * @param now - Current time.
    */
-  recordQuarantine({ kind, block, quarantine, source }: QuarantineChange, now: number): void {
+  recordQuarantine({ kind, content, quarantine, source }: QuarantineChange, now: number): void {
     this.metrics.quarantines.inc({ kind });
-    this.recordEvent("warn", `prompt.quarantine-${kind}`, {
-      block: toHex(block),
+    this.recordEvent("warn", `content.quarantine-${kind}`, {
+      content: toHex(content),
       source,
       count: quarantine.count,
       left: Math.round(quarantine.endsAt - now),
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -1,6 +1,6 @@
 import {
   PrefixDirectory,
-  PromptQuarantine,
+  ContentQuarantine,
   RouteTable,
   type ClockReading,
   type HeaderCodec,
@@ -54,7 +54,7 @@
   private readonly metrics = RouterMetrics.create();
   private readonly pool = ConnectionPool.create();
   private readonly prefixes = PrefixDirectory.create();
-  private readonly quarantine = PromptQuarantine.create({
+  private readonly quarantine = ContentQuarantine.create({
     addFleetNotice: (notice) => {
       this.fleet.addNotice(notice);
     },
--- a/packages/daemon/src/router/createFleetTask.ts
+++ b/packages/daemon/src/router/createFleetTask.ts
@@ -2,7 +2,7 @@
   applyFleetNotices,
   type FleetNotice,
   type PrefixDirectory,
-  type PromptQuarantine,
+  type ContentQuarantine,
   type UpstreamTable,
 } from "@pistachioway/kernel";
 import { FleetTask } from "../fleet/index.js";
@@ -17,7 +17,7 @@
   readonly incarnation: number;
   readonly registry: RegistryTask;
   readonly prefixes: PrefixDirectory;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: ContentQuarantine;
   readonly notices: NoticeLog;
   readonly metrics: RouterMetrics;
   /** Reads the monotonic clock, in milliseconds. */
--- a/packages/daemon/tests/fleet/GossipSimulation.ts
+++ b/packages/daemon/tests/fleet/GossipSimulation.ts
@@ -2,7 +2,7 @@
 import {
   FleetGossip,
   FleetView,
-  PromptQuarantine,
+  ContentQuarantine,
   type FleetMessage,
   type FleetNotice,
   type MemberState,
@@ -24,7 +24,7 @@
   readonly zone: string;
   readonly view: FleetView;
   readonly gossip: FleetGossip;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: ContentQuarantine;
   readonly phase: number;
   isRunning: boolean;
   sequence: number;
@@ -121,8 +121,8 @@
     return { address, zone, view, gossip, quarantine, phase, isRunning: true, ...counters };
   }
 
-  private createQuarantine(index: number): PromptQuarantine {
-    return PromptQuarantine.create({
+  private createQuarantine(index: number): ContentQuarantine {
+    return ContentQuarantine.create({
       addFleetNotice: (notice) => {
         this.members[index]?.gossip.addNotice(notice, this.now);
       },
--- a/packages/daemon/tests/fleet/datagramCodec.test.ts
+++ b/packages/daemon/tests/fleet/datagramCodec.test.ts
@@ -40,11 +40,11 @@
     { kind: "prefix", block: 5, upstream: 0xffffffff, at: 4_900 },
     { kind: "leaving", id: "i-1", bornAt: 1_777_743_735_002 },
     { kind: "resting", id: "i-2", endsAt: 6_500 },
-    { kind: "loss", block: 1, upstream: 4_000_000_000, request: 3, at: 4_000 },
+    { kind: "loss", content: 1, upstream: 4_000_000_000, request: 3, at: 4_000 },
     { kind: "limit", id: "i-2", perSecond: 4.5, at: 4_000 },
     { kind: "limit", id: "i-1", perSecond: undefined, at: 4_500 },
-    { kind: "served", block: 1, at: 4_500 },
-    { kind: "quarantine", block: 1, lostSince: 3_000, endsAt: 305_000, count: 2 },
+    { kind: "served", content: 1, at: 4_500 },
+    { kind: "quarantine", content: 1, lostSince: 3_000, endsAt: 305_000, count: 2 },
   ],
 };
 
--- a/packages/kernel/src/fleet/FleetGossip.ts
+++ b/packages/kernel/src/fleet/FleetGossip.ts
@@ -23,7 +23,7 @@
 const bytesPerRunningCount = 6;
 const prefixNoticeBytes = 16;
 const upstreamNoticeBytes = 32;
-const blockNoticeBytes = 24;
+const contentNoticeBytes = 24;
 const maxNoticesPerMessage = 24;
 const maxRunningCounts = 80;
 /** States of peers in a message when every peer is a target: they help those that are cut off. */
@@ -241,7 +241,7 @@
   leaving: upstreamNoticeBytes,
   resting: upstreamNoticeBytes,
   limit: upstreamNoticeBytes,
-  loss: blockNoticeBytes,
-  served: blockNoticeBytes,
-  quarantine: blockNoticeBytes,
+  loss: contentNoticeBytes,
+  served: contentNoticeBytes,
+  quarantine: contentNoticeBytes,
 };
--- a/packages/kernel/src/fleet/NoticeQueue.ts
+++ b/packages/kernel/src/fleet/NoticeQueue.ts
@@ -82,10 +82,10 @@
     case "limit":
       return `limit ${notice.id}`;
     case "loss":
-      return `loss ${String(notice.block)} ${String(notice.upstream)}`;
+      return `loss ${String(notice.content)} ${String(notice.upstream)}`;
     case "served":
     case "quarantine":
-      return `${notice.kind} ${String(notice.block)}`;
+      return `${notice.kind} ${String(notice.content)}`;
   }
 }
 
--- a/packages/kernel/src/fleet/messages.ts
+++ b/packages/kernel/src/fleet/messages.ts
@@ -44,27 +44,27 @@
       /** When it said so. */
       readonly at: number;
     }
-  /** A request with a prompt block was lost when its upstream's connection ended. */
+  /** A request with a content was lost when its upstream's connection ended. */
   | {
       readonly kind: "loss";
-      /** Hash of the block's service and id. */
-      readonly block: number;
+      /** Hash of the content and its service. */
+      readonly content: number;
       /** Hash of the upstream's id and incarnation. */
       readonly upstream: number;
       /** Hash of the request's id. */
       readonly request: number;
       readonly at: number;
     }
-  /** A request with a prompt block was served. */
-  | { readonly kind: "served"; readonly block: number; readonly at: number }
-  /** Requests with a prompt block are refused; told again and again until it ends. */
+  /** A request with a content was served. */
+  | { readonly kind: "served"; readonly content: number; readonly at: number }
+  /** Requests with a content are refused; told again and again until it ends. */
   | {
       readonly kind: "quarantine";
-      readonly block: number;
+      readonly content: number;
       /** Time of the first loss that it is based on. */
       readonly lostSince: number;
       readonly endsAt: number;
-      /** How often the block has been quarantined. */
+      /** How often the content has been quarantined. */
       readonly count: number;
     };
 
--- a/packages/kernel/src/forwarding/notices.ts
+++ b/packages/kernel/src/forwarding/notices.ts
@@ -1,5 +1,5 @@
 import type { FleetNotice } from "../fleet/index.js";
-import type { PromptQuarantine } from "../quarantine/index.js";
+import type { ContentQuarantine } from "../quarantine/index.js";
 import type { PrefixDirectory, UpstreamEntry, UpstreamTable } from "../upstreams/index.js";
 import type { ResponseHead } from "./messages.js";
 
@@ -89,7 +89,7 @@
 export interface NoticeTarget {
   readonly upstreams: UpstreamTable;
   readonly prefixes: PrefixDirectory;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: ContentQuarantine;
 }
 
 /**
--- a/packages/kernel/src/quarantine/PromptQuarantine.ts
+++ b/packages/kernel/src/quarantine/ContentQuarantine.ts
@@ -1,25 +1,25 @@
 import type { FleetNotice } from "../fleet/index.js";
 import {
   longestQuarantineMilliseconds,
-  maxServedBlocks,
-  maxSuspectBlocks,
+  maxServedContents,
+  maxSuspects,
   recentSuccessMilliseconds,
 } from "./constants.js";
-import { SuspectBlock, type Loss, type Quarantine } from "./SuspectBlock.js";
+import { SuspectContent, type Loss, type Quarantine } from "./SuspectContent.js";
 
 /** What a quarantine depends on. */
-export interface PromptQuarantineOptions {
+export interface ContentQuarantineOptions {
   /** Tells the other daemons. */
   readonly addFleetNotice: (notice: FleetNotice) => void;
-  /** Called when requests with a block are refused from now on, and when they no longer are. */
+  /** Called when requests with a content are refused from now on, and when they no longer are. */
   readonly onChange: (change: QuarantineChange) => void;
 }
 
-/** Start or early end of the quarantine of a prompt block. */
+/** Start or early end of the quarantine of a content. */
 export interface QuarantineChange {
   readonly kind: "started" | "ended";
-  /** Hash of the block. */
-  readonly block: number;
+  /** Hash of the content. */
+  readonly content: number;
   readonly quarantine: Quarantine;
   /** Whether the ground was the evidence of this daemon or the word of a peer. */
   readonly source: "evidence" | "peer";
@@ -35,9 +35,9 @@
   readonly request: number;
 }
 
-/** A quarantined prompt block and the end of its quarantine. */
-export interface QuarantinedBlock {
-  readonly block: number;
+/** A quarantined content and the end of its quarantine. */
+export interface QuarantinedContent {
+  readonly content: number;
   readonly endsAt: number;
 }
 
@@ -45,31 +45,31 @@
 const maxStandingNotices = 4;
 
 /**
- * Finds the prompt blocks under which upstreams end one after another, and keeps requests with them
- * from the other upstreams.
+ * Finds contents of requests under which upstreams end one after another, and keeps requests with them
+ * from the other upstreams. A content is a block of the prompt that other requests share.
  *
  * When an upstream ends, each request that ran there is lost, and each daemon sees its own ones only. The
- * daemons tell each other which blocks the lost requests had. A block that was lost at several upstreams,
+ * daemons tell each other which contents the lost requests had. A content that was lost at several upstreams,
  * by several requests, and succeeded nowhere meanwhile is quarantined by every daemon for a time.
- * Losses that a quarantined block explains no longer count against others. Times are monotonic
+ * Losses that a quarantined content explains no longer count against others. Times are monotonic
  * milliseconds.
  */
-export class PromptQuarantine {
-  private readonly suspectsByBlock = new Map<number, SuspectBlock>();
-  private readonly succeededAtByBlock = new Map<number, number>();
+export class ContentQuarantine {
+  private readonly suspectsByContent = new Map<number, SuspectContent>();
+  private readonly succeededAtByContent = new Map<number, number>();
   /** Upstream of the last loss of this daemon, and whether a request was served since. */
   private lastLostUpstream: number | undefined;
   private hasServedSinceLoss = true;
   private standingIndex = 0;
 
-  private constructor(private readonly options: PromptQuarantineOptions) {}
+  private constructor(private readonly options: ContentQuarantineOptions) {}
 
   /**
-   * Creates a quarantine without blocks.
+   * Creates a quarantine without contents.
    * @param options - What it depends on.
    */
-  static create(options: PromptQuarantineOptions): PromptQuarantine {
-    return new PromptQuarantine(options);
+  static create(options: ContentQuarantineOptions): ContentQuarantine {
+    return new ContentQuarantine(options);
   }
 
   /**
@@ -79,11 +79,11 @@
    */
   recordSuccess(blocks: readonly number[], now: number): void {
     this.hasServedSinceLoss = true;
-    blocks.forEach((block) => {
-      this.recordServed(block, now);
-      if (this.suspectsByBlock.has(block)) {
-        this.options.addFleetNotice({ kind: "served", block, at: now });
-        this.removeSuspect(block, "evidence", now);
+    blocks.forEach((content) => {
+      this.recordServed(content, now);
+      if (this.suspectsByContent.has(content)) {
+        this.options.addFleetNotice({ kind: "served", content, at: now });
+        this.removeSuspect(content, "evidence", now);
       }
     });
   }
@@ -100,9 +100,9 @@
     }
     this.lastLostUpstream = upstream;
     this.hasServedSinceLoss = false;
-    for (const block of blocks) {
-      const loss: Loss = { kind: "loss", block, upstream, request, at: now };
-      if (now > this.getTrustedUntil(block) && this.addSuspect(block).addLoss(loss)) {
+    for (const content of blocks) {
+      const loss: Loss = { kind: "loss", content, upstream, request, at: now };
+      if (now > this.getTrustedUntil(content) && this.addSuspect(content).addLoss(loss)) {
         this.options.addFleetNotice(loss);
       }
     }
@@ -117,31 +117,31 @@
   applyNotice(notice: FleetNotice, now: number): void {
     switch (notice.kind) {
       case "loss":
-        if (!this.isDisproved(notice.block, notice.at)) {
-          this.addSuspect(notice.block).addLoss(notice);
-          this.startQuarantines([notice.block], now);
+        if (!this.isDisproved(notice.content, notice.at)) {
+          this.addSuspect(notice.content).addLoss(notice);
+          this.startQuarantines([notice.content], now);
         }
         break;
       case "served":
-        this.applyServed(notice.block, notice.at, now);
+        this.applyServed(notice.content, notice.at, now);
         break;
       case "quarantine":
-        this.applyQuarantine(notice.block, notice, now);
+        this.applyQuarantine(notice.content, notice, now);
         break;
       default:
     }
   }
 
   /**
-   * Finds a block of a prompt that is quarantined.
+   * Finds a content of a prompt that is quarantined.
    * @param blocks - Hashes of the prompt blocks that other requests share.
    * @param now - Current time.
    */
-  findQuarantined(blocks: readonly number[], now: number): QuarantinedBlock | undefined {
-    for (const block of blocks) {
-      const quarantine = this.suspectsByBlock.get(block)?.getQuarantine(now);
+  findQuarantined(blocks: readonly number[], now: number): QuarantinedContent | undefined {
+    for (const content of blocks) {
+      const quarantine = this.suspectsByContent.get(content)?.getQuarantine(now);
       if (quarantine !== undefined) {
-        return { block, endsAt: quarantine.endsAt };
+        return { content, endsAt: quarantine.endsAt };
       }
     }
     return undefined;
@@ -158,119 +158,119 @@
     this.standingIndex += maxStandingNotices;
     return [...all.slice(from), ...all.slice(0, from)]
       .slice(0, maxStandingNotices)
-      .map(([block, quarantine]) => ({ kind: "quarantine", block, ...quarantine }));
+      .map(([content, quarantine]) => ({ kind: "quarantine", content, ...quarantine }));
   }
 
   private getQuarantines(now: number): readonly (readonly [number, Quarantine])[] {
-    return [...this.suspectsByBlock].flatMap(([block, suspect]) => {
+    return [...this.suspectsByContent].flatMap(([content, suspect]) => {
       const quarantine = suspect.getQuarantine(now);
-      return quarantine === undefined ? [] : [[block, quarantine] as const];
+      return quarantine === undefined ? [] : [[content, quarantine] as const];
     });
   }
 
   /** Quarantines blocks whose losses suffice, those with the most losses first. */
   private startQuarantines(blocks: readonly number[], now: number): void {
     const suspects = blocks
-      .filter((block) => this.suspectsByBlock.has(block))
-      .map((block) => ({ block, losses: this.getLosses(block, now) }))
+      .filter((content) => this.suspectsByContent.has(content))
+      .map((content) => ({ content, losses: this.getLosses(content, now) }))
       .sort((a, b) => b.losses.length - a.losses.length);
-    for (const { block, losses } of suspects) {
-      const suspect = this.suspectsByBlock.get(block);
+    for (const { content, losses } of suspects) {
+      const suspect = this.suspectsByContent.get(content);
       if (suspect?.suffices(losses) === true) {
-        this.startQuarantine(block, suspect, this.withoutExplained(block, losses, now), now);
+        this.startQuarantine(content, suspect, this.withoutExplained(content, losses, now), now);
       }
     }
   }
 
   private startQuarantine(
-    block: number,
-    suspect: SuspectBlock,
+    content: number,
+    suspect: SuspectContent,
     losses: readonly Loss[],
     now: number,
   ): void {
     if (suspect.suffices(losses)) {
       const quarantine = suspect.startQuarantine(losses, now);
-      this.options.onChange({ kind: "started", block, quarantine, source: "evidence" });
+      this.options.onChange({ kind: "started", content, quarantine, source: "evidence" });
     }
   }
 
-  private getLosses(block: number, now: number): readonly Loss[] {
-    return this.suspectsByBlock.get(block)?.getLosses(now, this.getTrustedUntil(block)) ?? [];
+  private getLosses(content: number, now: number): readonly Loss[] {
+    return this.suspectsByContent.get(content)?.getLosses(now, this.getTrustedUntil(content)) ?? [];
   }
 
-  /** Leaves out the losses at upstreams at which a quarantined block was lost as well. */
-  private withoutExplained(block: number, losses: readonly Loss[], now: number): readonly Loss[] {
+  /** Leaves out the losses at upstreams at which a quarantined content was lost as well. */
+  private withoutExplained(content: number, losses: readonly Loss[], now: number): readonly Loss[] {
     const quarantined = this.getQuarantines(now)
-      .filter(([other]) => other !== block)
-      .map(([other]) => this.suspectsByBlock.get(other));
+      .filter(([other]) => other !== content)
+      .map(([other]) => this.suspectsByContent.get(other));
     return losses.filter(
       ({ upstream }) => !quarantined.some((other) => other?.hasLossAt(upstream) === true),
     );
   }
 
-  private applyServed(block: number, at: number, now: number): void {
-    this.recordServed(block, at);
-    const quarantine = this.suspectsByBlock.get(block)?.getQuarantine(now);
-    if (quarantine !== undefined && quarantine.lostSince <= this.getTrustedUntil(block)) {
-      this.removeSuspect(block, "peer", now);
+  private applyServed(content: number, at: number, now: number): void {
+    this.recordServed(content, at);
+    const quarantine = this.suspectsByContent.get(content)?.getQuarantine(now);
+    if (quarantine !== undefined && quarantine.lostSince <= this.getTrustedUntil(content)) {
+      this.removeSuspect(content, "peer", now);
     }
   }
 
-  private removeSuspect(block: number, source: QuarantineChange["source"], now: number): void {
-    const quarantine = this.suspectsByBlock.get(block)?.getQuarantine(now);
-    this.suspectsByBlock.delete(block);
+  private removeSuspect(content: number, source: QuarantineChange["source"], now: number): void {
+    const quarantine = this.suspectsByContent.get(content)?.getQuarantine(now);
+    this.suspectsByContent.delete(content);
     if (quarantine !== undefined) {
-      this.options.onChange({ kind: "ended", block, quarantine, source });
+      this.options.onChange({ kind: "ended", content, quarantine, source });
     }
   }
 
   private applyQuarantine(
-    block: number,
+    content: number,
     { lostSince, endsAt: askedEnd, count }: Quarantine,
     now: number,
   ): void {
-    if (this.isDisproved(block, lostSince)) {
+    if (this.isDisproved(content, lostSince)) {
       return;
     }
     const endsAt = Math.min(askedEnd, now + longestQuarantineMilliseconds);
     const quarantine = { lostSince, endsAt, count };
-    const suspect = this.addSuspect(block);
+    const suspect = this.addSuspect(content);
     const wasQuarantined = suspect.getQuarantine(now) !== undefined;
     if (suspect.adoptQuarantine(quarantine) && !wasQuarantined) {
-      this.options.onChange({ kind: "started", block, quarantine, source: "peer" });
+      this.options.onChange({ kind: "started", content, quarantine, source: "peer" });
     }
   }
 
-  /** Checks whether a success of a block disproves a loss at a time; if so, tells the peers of it. */
-  private isDisproved(block: number, lostAt: number): boolean {
-    const succeededAt = this.succeededAtByBlock.get(block);
+  /** Checks whether a success of a content disproves a loss at a time; if so, tells the peers of it. */
+  private isDisproved(content: number, lostAt: number): boolean {
+    const succeededAt = this.succeededAtByContent.get(content);
     if (succeededAt === undefined || lostAt > succeededAt + recentSuccessMilliseconds) {
       return false;
     }
-    this.options.addFleetNotice({ kind: "served", block, at: succeededAt });
+    this.options.addFleetNotice({ kind: "served", content, at: succeededAt });
     return true;
   }
 
-  /** Gets the time up to which losses with a block do not count. */
-  private getTrustedUntil(block: number): number {
-    return (this.succeededAtByBlock.get(block) ?? -Infinity) + recentSuccessMilliseconds;
+  /** Gets the time up to which losses with a content do not count. */
+  private getTrustedUntil(content: number): number {
+    return (this.succeededAtByContent.get(content) ?? -Infinity) + recentSuccessMilliseconds;
   }
 
-  private recordServed(block: number, at: number): void {
-    const known = this.succeededAtByBlock.get(block) ?? -Infinity;
-    this.succeededAtByBlock.delete(block);
-    this.succeededAtByBlock.set(block, Math.max(known, at));
-    dropOldest(this.succeededAtByBlock, maxServedBlocks);
+  private recordServed(content: number, at: number): void {
+    const known = this.succeededAtByContent.get(content) ?? -Infinity;
+    this.succeededAtByContent.delete(content);
+    this.succeededAtByContent.set(content, Math.max(known, at));
+    dropOldest(this.succeededAtByContent, maxServedContents);
   }
 
-  private addSuspect(block: number): SuspectBlock {
-    const known = this.suspectsByBlock.get(block);
+  private addSuspect(content: number): SuspectContent {
+    const known = this.suspectsByContent.get(content);
     if (known !== undefined) {
       return known;
     }
-    const added = SuspectBlock.create();
-    this.suspectsByBlock.set(block, added);
-    dropOldest(this.suspectsByBlock, maxSuspectBlocks);
+    const added = SuspectContent.create();
+    this.suspectsByContent.set(content, added);
+    dropOldest(this.suspectsByContent, maxSuspects);
     return added;
   }
 }
--- a/packages/kernel/src/quarantine/SuspectBlock.ts
+++ b/packages/kernel/src/quarantine/SuspectContent.ts
@@ -3,25 +3,25 @@
   firstQuarantineMilliseconds,
   longestQuarantineMilliseconds,
   lossWindowMilliseconds,
-  maxLossesPerBlock,
+  maxLossesPerContent,
   minLostRequests,
   minLostUpstreams,
 } from "./constants.js";
 
-/** A request with the block whose connection ended with its upstream. */
+/** A request with the content whose connection ended with its upstream. */
 export type Loss = Extract<FleetNotice, { kind: "loss" }>;
 
-/** The time in which requests with a block are refused. Times are monotonic milliseconds. */
+/** The time in which requests with a content are refused. Times are monotonic milliseconds. */
 export interface Quarantine {
   /** Time of the first loss that it is based on; a later success ends it. */
   readonly lostSince: number;
   readonly endsAt: number;
-  /** How often the block has been quarantined, this time included. */
+  /** How often the content has been quarantined, this time included. */
   readonly count: number;
 }
 
-/** A prompt block under which upstreams have ended. Times are monotonic milliseconds. */
-export class SuspectBlock {
+/** A content of requests under which upstreams have ended. Times are monotonic milliseconds. */
+export class SuspectContent {
   private readonly lossesByUpstream = new Map<number, Loss>();
   private quarantine: Quarantine | undefined;
 
@@ -29,9 +29,9 @@
     // Created through the static method.
   }
 
-  /** Creates a suspect block without losses. */
-  static create(): SuspectBlock {
-    return new SuspectBlock();
+  /** Creates a suspect content without losses. */
+  static create(): SuspectContent {
+    return new SuspectContent();
   }
 
   /**
@@ -44,13 +44,13 @@
     }
     this.lossesByUpstream.set(loss.upstream, loss);
     const [oldest] = this.lossesByUpstream.keys();
-    if (this.lossesByUpstream.size > maxLossesPerBlock && oldest !== undefined) {
+    if (this.lossesByUpstream.size > maxLossesPerContent && oldest !== undefined) {
       this.lossesByUpstream.delete(oldest);
     }
     return true;
   }
 
-  /** Checks whether a request with the block was lost at an upstream. */
+  /** Checks whether a request with the content was lost at an upstream. */
   hasLossAt(upstream: number): boolean {
     return this.lossesByUpstream.has(upstream);
   }
--- a/packages/kernel/src/quarantine/constants.ts
+++ b/packages/kernel/src/quarantine/constants.ts
@@ -1,17 +1,17 @@
-/** Upstreams that must have ended under a prompt block before it is quarantined. */
+/** Upstreams that must have ended under a content before it is quarantined. */
 export const minLostUpstreams = 3;
-/** Requests with the block that must have been lost: one that is repeated proves less than several. */
+/** Requests with the content that must have been lost: one that is repeated proves less than several. */
 export const minLostRequests = 2;
 /** Time over which losses are counted together. */
 export const lossWindowMilliseconds = 600_000;
-/** Losses this soon after a success are not counted: the block was served a moment before. */
+/** Losses this soon after a success are not counted: the content was served a moment before. */
 export const recentSuccessMilliseconds = 10_000;
 /** Time from the first byte of an answer after which the upstream has withstood the prompt. */
 export const withstoodMilliseconds = 1_000;
-/** Time of the first quarantine of a block; it doubles with each further one. */
+/** Time of the first quarantine of a content; it doubles with each further one. */
 export const firstQuarantineMilliseconds = 300_000;
 export const longestQuarantineMilliseconds = 3_600_000;
 /** Bounds on what a daemon remembers. */
-export const maxSuspectBlocks = 4_096;
-export const maxServedBlocks = 16_384;
-export const maxLossesPerBlock = 16;
+export const maxSuspects = 4_096;
+export const maxServedContents = 16_384;
+export const maxLossesPerContent = 16;
--- a/packages/kernel/src/quarantine/index.ts
+++ b/packages/kernel/src/quarantine/index.ts
@@ -1,9 +1,9 @@
 export { withstoodMilliseconds } from "./constants.js";
 export {
-  PromptQuarantine,
+  ContentQuarantine,
   type LostRequest,
-  type PromptQuarantineOptions,
+  type ContentQuarantineOptions,
   type QuarantineChange,
-  type QuarantinedBlock,
-} from "./PromptQuarantine.js";
-export type { Quarantine } from "./SuspectBlock.js";
+  type QuarantinedContent,
+} from "./ContentQuarantine.js";
+export type { Quarantine } from "./SuspectContent.js";
--- a/packages/kernel/tests/forwarding/notices.test.ts
+++ b/packages/kernel/tests/forwarding/notices.test.ts
@@ -4,7 +4,7 @@
   chooseUpstream,
   getRetryAfterSeconds,
   PrefixDirectory,
-  PromptQuarantine,
+  ContentQuarantine,
   toFleetNotice,
   type ResponseHead,
   type UpstreamTable,
@@ -15,8 +15,8 @@
 
 const test = suite("notices");
 
-function createQuarantine(): PromptQuarantine {
-  return PromptQuarantine.create({ addFleetNotice: () => undefined, onChange: () => undefined });
+function createQuarantine(): ContentQuarantine {
+  return ContentQuarantine.create({ addFleetNotice: () => undefined, onChange: () => undefined });
 }
 
 function createHead(changes: Partial<ResponseHead> = {}): ResponseHead {
--- a/packages/kernel/tests/quarantine/PromptQuarantine.test.ts
+++ b/packages/kernel/tests/quarantine/ContentQuarantine.test.ts
@@ -1,14 +1,14 @@
-import { PromptQuarantine, type FleetNotice, type QuarantineChange } from "@pistachioway/kernel";
+import { ContentQuarantine, type FleetNotice, type QuarantineChange } from "@pistachioway/kernel";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 
 interface Context {
-  quarantine: PromptQuarantine;
+  quarantine: ContentQuarantine;
   told: FleetNotice[];
   changes: QuarantineChange[];
 }
 
-const test = suite<Context>("PromptQuarantine");
+const test = suite<Context>("ContentQuarantine");
 
 const block = 7;
 const otherBlock = 8;
@@ -18,7 +18,7 @@
 test.before.each((context) => {
   context.told = [];
   context.changes = [];
-  context.quarantine = PromptQuarantine.create({
+  context.quarantine = ContentQuarantine.create({
     addFleetNotice: (notice) => context.told.push(notice),
     onChange: (change) => context.changes.push(change),
   });
@@ -59,7 +59,7 @@
   assert.equal(context.quarantine.getStandingNotices(3_000), [
     {
       kind: "quarantine",
-      block,
+      content: block,
       lostSince: 1_000,
       endsAt: 3_000 + quarantineMilliseconds,
       count: 1,
@@ -107,16 +107,22 @@
   quarantineBlock(context);
   context.quarantine.recordSuccess([block], 4_000);
   assert.not(isRefused(context, 4_000));
-  assert.equal(context.told.at(-1), { kind: "served", block, at: 4_000 });
+  assert.equal(context.told.at(-1), { kind: "served", content: block, at: 4_000 });
   const [standing] = [
-    { kind: "quarantine", block, lostSince: 1_000, endsAt: 9e9, count: 1 } as const,
+    { kind: "quarantine", content: block, lostSince: 1_000, endsAt: 9e9, count: 1 } as const,
   ];
   context.quarantine.applyNotice(standing, 5_000);
   assert.not(isRefused(context, 5_000));
 });
 
 test("a quarantine of a peer is adopted once, and its end does not move with each message", (context) => {
-  const notice = { kind: "quarantine", block, lostSince: 0, endsAt: 50_000, count: 1 } as const;
+  const notice = {
+    kind: "quarantine",
+    content: block,
+    lostSince: 0,
+    endsAt: 50_000,
+    count: 1,
+  } as const;
   context.quarantine.applyNotice(notice, 1_000);
   context.quarantine.applyNotice({ ...notice, endsAt: 50_400 }, 2_000);
   assert.equal([isRefused(context, 49_999), isRefused(context, 50_000)], [true, false]);
@@ -124,7 +130,13 @@
 });
 
 test("a peer cannot ask for a quarantine without end", (context) => {
-  const notice = { kind: "quarantine", block, lostSince: 0, endsAt: 1e12, count: 1 } as const;
+  const notice = {
+    kind: "quarantine",
+    content: block,
+    lostSince: 0,
+    endsAt: 1e12,
+    count: 1,
+  } as const;
   context.quarantine.applyNotice(notice, 0);
   assert.equal([isRefused(context, 3_599_999), isRefused(context, 3_600_000)], [true, false]);
 });
