Quarantine whole requests under which upstreams crash one after another

Cause: the quarantine counted shared prompt blocks and nothing else, so that a request without a prompt proved nothing, however often it was lost. So there is no second quarantine: a content is now also the whole request, a hash of service, method, authority, path, team, shared blocks and body, in the same notices, log lines and refusal. - A whole request counts also while a router serves nothing else: the small service is out because of it, and its quarantine refuses one caller. Blocks keep that guard, as theirs refuses many. - Two contents that were lost at the same upstreams are both refused, until one of them is lost at another upstream, which frees the other. Before, the one that was found first protected the other, which may be the cause. - An upstream that wrote for a second has read the prompt; of the whole request that proves nothing.

--- a/packages/daemon/src/chat/ChatQuarantine.ts
+++ b/packages/daemon/src/chat/ChatQuarantine.ts
@@ -6,6 +6,7 @@
   type FleetNotice,
   type Instant,
   type QuarantineChange,
+  type RequestContent,
 } from "@pistachioway/kernel";
 import { Problem } from "../errors/index.js";
 import type { FailedChatAttempt } from "./ChatAttempt.js";
@@ -57,7 +58,7 @@
    * @throws Problem when a block of the chat is quarantined.
    */
   checkOrThrow(chat: ChatRequest): void {
-    const found = this.quarantine.findQuarantined(getBlocks(chat), this.dependencies.getNow());
+    const found = this.quarantine.findQuarantined(getContent(chat), this.dependencies.getNow());
     if (found === undefined) {
       return;
     }
@@ -70,13 +71,13 @@
 
   /** Records that an engine answered a chat completely. */
   recordAnswer(chat: ChatRequest): void {
-    this.quarantine.recordSuccess(getBlocks(chat), this.dependencies.getNow());
+    this.quarantine.recordSuccess(getContent(chat), this.dependencies.getNow());
   }
 
   /** Records a failed attempt; it counts if the engine ended the connection before its answer. */
   recordFailure(chat: ChatRequest, { engine, failure }: FailedChatAttempt): void {
     if (failure.class === "lost" && failure.status === undefined) {
-      const lost = { blocks: getBlocks(chat), upstream: getHash(engine) };
+      const lost = { content: getContent(chat), upstream: getHash(engine) };
       const request = getHash(chat.request.id);
       this.quarantine.recordLoss({ ...lost, request }, this.dependencies.getNow());
     }
@@ -102,10 +103,11 @@
   }
 }
 
-/** Gets the hashes of a chat's blocks, by model: another model may bear what crashes this one. */
-function getBlocks({ body, engineChatId }: ChatRequest): readonly number[] {
+/** Gets the content of a chat, by model: another model may bear what crashes this one. */
+function getContent({ body, engineChatId }: ChatRequest): RequestContent {
   const model = getHash(body.model);
   const shared = body.messages.slice(0, -1).slice(0, maxMessages);
   const texts = shared.map(({ role, content }) => `${role} ${JSON.stringify(content)}`);
-  return [`chat ${engineChatId}`, ...texts].map((text) => mixHashes(model, getHash(text)));
+  const blocks = [`chat ${engineChatId}`, ...texts].map((text) => mixHashes(model, getHash(text)));
+  return { whole: getHash(`${engineChatId} ${JSON.stringify(body)}`), blocks };
 }
--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -1,4 +1,9 @@
-import { getHash, type RequestHead, type RequestApproval } from "@pistachioway/kernel";
+import {
+  getHash,
+  type RequestContent,
+  type RequestHead,
+  type RequestApproval,
+} from "@pistachioway/kernel";
 
 /** A request that passed the checks, with its complete body. */
 export interface AcceptedRequest {
@@ -12,8 +17,8 @@
   readonly service: string;
   /** Monotonic time of arrival, in milliseconds. */
   readonly arrivedAt: number;
-  /** Hash of all of it that comes again when its caller sends it again. */
-  readonly contentHash: number;
+  /** What it has in common with others, for the quarantine of contents that crash upstreams. */
+  readonly content: RequestContent;
   /** Monotonic time by which the caller must have its complete response or a refusal. */
   readonly deadline: number;
 }
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -16,7 +16,7 @@
 import { getMaxRunning, type ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { ActiveRequestReport, type ActiveRequestOutcome } from "./ActiveRequestReport.js";
 import { getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
-import { RequestPrompt } from "./RequestPrompt.js";
+import { RequestEvidence } from "./RequestEvidence.js";
 import { SlowAttemptMonitor } from "./SlowAttemptMonitor.js";
 import type { Refusal } from "./refusals.js";
 
@@ -40,7 +40,7 @@
   private readonly eventBuffer: CompleteEventBuffer | undefined;
   private readonly report: ActiveRequestReport;
   private readonly slowAttemptMonitor: SlowAttemptMonitor;
-  private readonly prompt: RequestPrompt;
+  private readonly evidence: RequestEvidence;
   private readonly listener: ExchangeListener = {
     onHead: (head) => {
       this.handleHead(head);
@@ -64,7 +64,7 @@
     const { kind, isResumable } = request.approval.route;
     this.eventBuffer = kind === "stream" && isResumable ? CompleteEventBuffer.create() : undefined;
     this.report = ActiveRequestReport.create(dependencies, request);
-    this.prompt = RequestPrompt.create(dependencies.quarantine, request);
+    this.evidence = RequestEvidence.create(dependencies.quarantine, request);
     this.slowAttemptMonitor = SlowAttemptMonitor.create(
       request.approval.route,
       dependencies.getNow,
@@ -112,7 +112,7 @@
 
   private send(): void {
     const now = this.dependencies.getNow();
-    const refusal = this.prompt.createRefusal(now);
+    const refusal = this.evidence.createRefusal(now);
     if (refusal !== undefined) {
       this.fail(refusal);
       return;
@@ -220,7 +220,7 @@
     }
     const { head, entry } = attempt;
     this.endAttempt();
-    this.prompt.recordAnswer(head, this.dependencies.getNow());
+    this.evidence.recordAnswer(head, this.dependencies.getNow());
     if (head.isRefusal) {
       this.retryOrFail(
         "refused",
@@ -273,7 +273,7 @@
       this.recordFailure(attempt.entry);
       this.report.recordLoss(attempt, detail);
       if (wasClosedByUpstream) {
-        this.prompt.recordLoss(attempt, this.dependencies.getNow());
+        this.evidence.recordLoss(attempt, this.dependencies.getNow());
       }
     }
     this.endAttempt();
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -73,7 +73,7 @@
       // Time since the upstream began to write its answer; -1 when it had not.
       written: firstBodyByteAt === undefined ? -1 : Math.round(now - firstBodyByteAt),
       // The same for requests that come again whole.
-      content: toHex(this.request.contentHash),
+      content: toHex(this.request.content.whole),
       blocks: getSharedBlockIds(this.request.head).join(",").slice(0, maxBlocksLength),
       detail,
     });
--- a/packages/daemon/src/ingress/IngressServer.ts
+++ b/packages/daemon/src/ingress/IngressServer.ts
@@ -13,7 +13,7 @@
 import { ActiveRequest } from "./ActiveRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AcceptedRequest } from "./AcceptedRequest.js";
-import { getContentHash } from "./getContentHash.js";
+import { getRequestContent } from "./getRequestContent.js";
 import { readBody } from "./readBody.js";
 import type { RefusalName } from "./refusals.js";
 
@@ -206,7 +206,7 @@
       arrivedAt,
       deadline: arrivedAt + timeoutMilliseconds,
     };
-    return { ...request, contentHash: getContentHash(request) };
+    return { ...request, content: getRequestContent(request) };
   }
 
   private start(
--- a/packages/kernel/src/quarantine/ContentQuarantine.ts
+++ b/packages/kernel/src/quarantine/ContentQuarantine.ts
@@ -25,10 +25,17 @@
   readonly source: "evidence" | "peer";
 }
 
+/** What a request has in common with others, as hashes that differ by service. */
+export interface RequestContent {
+  /** Hash of the whole request: of all that comes again when its caller sends it again. */
+  readonly whole: number;
+  /** Hashes of the prompt blocks that requests of other callers may share. */
+  readonly blocks: readonly number[];
+}
+
 /** A request that was lost together with its upstream. */
 export interface LostRequest {
-  /** Hashes of the prompt blocks that other requests share. */
-  readonly blocks: readonly number[];
+  readonly content: RequestContent;
   /** Hash of the upstream's id and incarnation. */
   readonly upstream: number;
   /** Hash of the request's id. */
@@ -41,12 +48,19 @@
   readonly endsAt: number;
 }
 
+interface QuarantinedSuspect {
+  readonly content: number;
+  readonly suspect: SuspectContent;
+  readonly quarantine: Quarantine;
+}
+
 /** Quarantines passed on in one message; the others follow in the next ones. */
 const maxStandingNotices = 4;
 
 /**
  * Finds contents of requests under which upstreams end one after another, and keeps requests with them
- * from the other upstreams. A content is a block of the prompt that other requests share.
+ * from the other upstreams. A content is a whole request that its caller sends again, or
+ * a block of the prompt that other requests share.
  *
  * When an upstream ends, each request that ran there is lost, and each daemon sees its own ones only. The
  * daemons tell each other which contents the lost requests had. A content that was lost at several upstreams,
@@ -73,13 +87,27 @@
   }
 
   /**
-   * Records that an upstream answered a request, or wrote on its answer for long enough.
-   * @param blocks - Hashes of the prompt blocks that other requests share; none for other requests.
+   * Records that an upstream answered a request.
+   * @param content - Content of the request.
    * @param now - Time of the success.
    */
-  recordSuccess(blocks: readonly number[], now: number): void {
+  recordSuccess({ whole, blocks }: RequestContent, now: number): void {
+    this.recordServedContents([whole, ...blocks], now);
+  }
+
+  /**
+   * Records that an upstream wrote on an answer for long enough to have read the prompt. It may still end
+   * later in the same request, so that this proves nothing of the whole.
+   * @param content - Content of the request.
+   * @param now - Current time.
+   */
+  recordPromptRead({ blocks }: RequestContent, now: number): void {
+    this.recordServedContents(blocks, now);
+  }
+
+  private recordServedContents(contents: readonly number[], now: number): void {
     this.hasServedSinceLoss = true;
-    blocks.forEach((content) => {
+    contents.forEach((content) => {
       this.recordServed(content, now);
       if (this.suspectsByContent.has(content)) {
         this.options.addFleetNotice({ kind: "served", content, at: now });
@@ -90,23 +118,29 @@
 
   /**
    * Records a request of this daemon that was lost together with its upstream. While no other request is
-   * served the upstreams have another trouble, so that one upstream counts at most.
+   * served the upstreams may have another trouble. Then a block counts for one upstream at most, as its
+   * quarantine would refuse many callers; that of a whole request refuses one.
    * @param lost - The request.
    * @param now - Time of the loss.
    */
-  recordLoss({ blocks, upstream, request }: LostRequest, now: number): void {
-    if (!this.hasServedSinceLoss && upstream !== this.lastLostUpstream) {
-      return;
-    }
-    this.lastLostUpstream = upstream;
-    this.hasServedSinceLoss = false;
-    for (const content of blocks) {
+  recordLoss({ content: lost, upstream, request }: LostRequest, now: number): void {
+    const contents = [lost.whole, ...(this.countsForBlocks(upstream) ? lost.blocks : [])];
+    for (const content of contents) {
       const loss: Loss = { kind: "loss", content, upstream, request, at: now };
       if (now > this.getTrustedUntil(content) && this.addSuspect(content).addLoss(loss)) {
         this.options.addFleetNotice(loss);
       }
     }
-    this.startQuarantines(blocks, now);
+    this.startQuarantines(contents, now);
+  }
+
+  private countsForBlocks(upstream: number): boolean {
+    if (!this.hasServedSinceLoss && upstream !== this.lastLostUpstream) {
+      return false;
+    }
+    this.lastLostUpstream = upstream;
+    this.hasServedSinceLoss = false;
+    return true;
   }
 
   /**
@@ -133,14 +167,15 @@
   }
 
   /**
-   * Finds a content of a prompt that is quarantined.
-   * @param blocks - Hashes of the prompt blocks that other requests share.
+   * Finds a content of a request that is quarantined.
+   * @param content - Content of the request.
    * @param now - Current time.
    */
-  findQuarantined(blocks: readonly number[], now: number): QuarantinedContent | undefined {
-    for (const content of blocks) {
-      const quarantine = this.suspectsByContent.get(content)?.getQuarantine(now);
-      if (quarantine !== undefined) {
+  findQuarantined({ whole, blocks }: RequestContent, now: number): QuarantinedContent | undefined {
+    for (const content of [whole, ...blocks]) {
+      const suspect = this.suspectsByContent.get(content);
+      const quarantine = suspect?.getQuarantine(now);
+      if (suspect !== undefined && quarantine !== undefined && !this.isExplained(suspect, now)) {
         return { content, endsAt: quarantine.endsAt };
       }
     }
@@ -153,24 +188,32 @@
    * @param now - Current time.
    */
   getStandingNotices(now: number): readonly FleetNotice[] {
-    const all = this.getQuarantines(now);
+    const all = this.getQuarantined(now).filter(({ suspect }) => !this.isExplained(suspect, now));
     const from = all.length <= maxStandingNotices ? 0 : this.standingIndex % all.length;
     this.standingIndex += maxStandingNotices;
     return [...all.slice(from), ...all.slice(0, from)]
       .slice(0, maxStandingNotices)
-      .map(([content, quarantine]) => ({ kind: "quarantine", content, ...quarantine }));
+      .map(({ content, quarantine }) => ({ kind: "quarantine", content, ...quarantine }));
   }
 
-  private getQuarantines(now: number): readonly (readonly [number, Quarantine])[] {
+  private getQuarantined(now: number): readonly QuarantinedSuspect[] {
     return [...this.suspectsByContent].flatMap(([content, suspect]) => {
       const quarantine = suspect.getQuarantine(now);
-      return quarantine === undefined ? [] : [[content, quarantine] as const];
+      return quarantine === undefined ? [] : [{ content, suspect, quarantine }];
     });
   }
 
-  /** Quarantines blocks whose losses suffice, those with the most losses first. */
-  private startQuarantines(blocks: readonly number[], now: number): void {
-    const suspects = blocks
+  /**
+   * Checks whether another quarantined content explains all losses of a suspect: it was lost at the same
+   * upstreams and at others. Of two that were lost at the same ones, either may be the cause.
+   */
+  private isExplained(suspect: SuspectContent, now: number): boolean {
+    return this.getQuarantined(now).some((other) => suspect.isWithin(other.suspect));
+  }
+
+  /** Quarantines contents whose losses suffice, those with the most losses first. */
+  private startQuarantines(contents: readonly number[], now: number): void {
+    const suspects = contents
       .filter((content) => this.suspectsByContent.has(content))
       .map((content) => ({ content, losses: this.getLosses(content, now) }))
       .sort((a, b) => b.losses.length - a.losses.length);
@@ -198,14 +241,13 @@
     return this.suspectsByContent.get(content)?.getLosses(now, this.getTrustedUntil(content)) ?? [];
   }
 
-  /** Leaves out the losses at upstreams at which a quarantined content was lost as well. */
+  /** Leaves out the losses at upstreams at which a quarantined content that was lost at more was lost as well. */
   private withoutExplained(content: number, losses: readonly Loss[], now: number): readonly Loss[] {
-    const quarantined = this.getQuarantines(now)
-      .filter(([other]) => other !== content)
-      .map(([other]) => this.suspectsByContent.get(other));
-    return losses.filter(
-      ({ upstream }) => !quarantined.some((other) => other?.hasLossAt(upstream) === true),
-    );
+    const others = this.getQuarantined(now)
+      .filter((other) => other.content !== content)
+      .map(({ suspect }) => suspect)
+      .filter((suspect) => suspect.getUpstreamCount() > losses.length);
+    return losses.filter(({ upstream }) => !others.some((other) => other.hasLossAt(upstream)));
   }
 
   private applyServed(content: number, at: number, now: number): void {
--- a/packages/kernel/src/quarantine/SuspectContent.ts
+++ b/packages/kernel/src/quarantine/SuspectContent.ts
@@ -55,6 +55,24 @@
     return this.lossesByUpstream.has(upstream);
   }
 
+  /** Gets the number of upstreams at which a request with the content was lost. */
+  getUpstreamCount(): number {
+    return this.lossesByUpstream.size;
+  }
+
+  /**
+   * Checks whether this content was lost, and at some of the upstreams only at which another one was lost.
+   * @param other - The other content.
+   */
+  isWithin(other: SuspectContent): boolean {
+    const upstreams = [...this.lossesByUpstream.keys()];
+    return (
+      upstreams.length > 0 &&
+      upstreams.length < other.getUpstreamCount() &&
+      upstreams.every((upstream) => other.hasLossAt(upstream))
+    );
+  }
+
   /**
    * Gets the losses that count: those after the last quarantine and the last success.
    * @param now - Current time.
--- a/packages/kernel/src/quarantine/index.ts
+++ b/packages/kernel/src/quarantine/index.ts
@@ -5,5 +5,6 @@
   type ContentQuarantineOptions,
   type QuarantineChange,
   type QuarantinedContent,
+  type RequestContent,
 } from "./ContentQuarantine.js";
 export type { Quarantine } from "./SuspectContent.js";
