Try a quarantined content at one router after another, and sooner

Found by a test that runs past the end of a quarantine: all routers sent the content again at the same moment, 12 times among 79 routers where 3 may, and 4 times for a block (3 at 5 routers). Cause: each router released it at the common end, and learned of the others' losses half a second to a second and a half later. Of two contents that were lost at the same upstreams, the one of more requests is the suspect now; notices of losses carry up to three requests each for this.

--- a/packages/daemon/src/chat/ChatQuarantine.ts
+++ b/packages/daemon/src/chat/ChatQuarantine.ts
@@ -15,6 +15,8 @@
 /** What the quarantine depends on. */
 export interface ChatQuarantineDependencies {
   readonly getNow: () => Instant;
+  /** Gets the milliseconds by which this daemon sends a chat again later than its quarantine ends. */
+  readonly getReleaseDelay: () => number;
   /** Called when chats with a block are refused from now on, and when they no longer are. */
   readonly onChange: (change: QuarantineChange) => void;
   /** Called when there are notices to send at once. */
@@ -40,6 +42,7 @@
           dependencies.onNotice();
         }
       },
+      getReleaseDelay: dependencies.getReleaseDelay,
       onChange: dependencies.onChange,
     });
   }
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -1,4 +1,5 @@
 import {
+  getReleaseDelay,
   type AdmissionGuard,
   type ChangedEffect,
   type HostList,
@@ -125,6 +126,8 @@
   private createQuarantine(): ChatQuarantine {
     return ChatQuarantine.create({
       getNow: this.context.getNow,
+      getReleaseDelay: () =>
+        getReleaseDelay(this.peers.gossip.getActPeers().length + 1, Math.random()),
       onNotice: () => {
         this.peers.gossip.sendPromptNotices();
       },
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -1,6 +1,7 @@
 import {
   PrefixDirectory,
   ContentQuarantine,
+  getReleaseDelay,
   RouteTable,
   type ClockReading,
   type HeaderCodec,
@@ -58,6 +59,7 @@
     addFleetNotice: (notice) => {
       this.fleet.addNotice(notice);
     },
+    getReleaseDelay: () => getReleaseDelay(this.fleet.view.getPeakDaemonCount(), Math.random()),
     onChange: (change) => {
       this.notices.recordQuarantine(change, readMonotonicClock());
     },
--- a/packages/daemon/tests/fleet/GossipSimulation.ts
+++ b/packages/daemon/tests/fleet/GossipSimulation.ts
@@ -2,6 +2,7 @@
 import {
   FleetGossip,
   FleetView,
+  getReleaseDelay,
   ContentQuarantine,
   type FleetMessage,
   type FleetNotice,
@@ -126,6 +127,10 @@
       addFleetNotice: (notice) => {
         this.members[index]?.gossip.addNotice(notice, this.now);
       },
+      getReleaseDelay: () => {
+        const count = this.members[index]?.view.getPeakDaemonCount() ?? 1;
+        return getReleaseDelay(count, this.options.getRandom());
+      },
       onChange: () => undefined,
     });
   }
--- a/packages/kernel/src/fleet/NoticeQueue.ts
+++ b/packages/kernel/src/fleet/NoticeQueue.ts
@@ -81,8 +81,10 @@
       return `resting ${notice.id}`;
     case "limit":
       return `limit ${notice.id}`;
-    case "loss":
-      return `loss ${String(notice.content)} ${String(notice.upstream)}`;
+    case "loss": {
+      const { content, upstream, request } = notice;
+      return `loss ${String(content)} ${String(upstream)} ${String(request)}`;
+    }
     case "served":
     case "quarantine":
       return `${notice.kind} ${String(notice.content)}`;
--- a/packages/kernel/src/quarantine/ContentQuarantine.ts
+++ b/packages/kernel/src/quarantine/ContentQuarantine.ts
@@ -5,12 +5,17 @@
   maxSuspects,
   recentSuccessMilliseconds,
 } from "./constants.js";
-import { SuspectContent, type Loss, type Quarantine } from "./SuspectContent.js";
+import { countUpstreams, SuspectContent, type Loss, type Quarantine } from "./SuspectContent.js";
 
 /** What a quarantine depends on. */
 export interface ContentQuarantineOptions {
   /** Tells the other daemons. */
   readonly addFleetNotice: (notice: FleetNotice) => void;
+  /**
+   * Gets the milliseconds by which this daemon sends a content again later than its quarantine ends. They
+   * differ from daemon to daemon, so that one tries the content and the others learn how it went.
+   */
+  readonly getReleaseDelay: () => number;
   /** Called when requests with a content are refused from now on, and when they no longer are. */
   readonly onChange: (change: QuarantineChange) => void;
 }
@@ -42,7 +47,7 @@
   readonly request: number;
 }
 
-/** A quarantined content and the end of its quarantine. */
+/** A quarantined content, and when this daemon sends it again. */
 export interface QuarantinedContent {
   readonly content: number;
   readonly endsAt: number;
@@ -176,7 +181,7 @@
       const suspect = this.suspectsByContent.get(content);
       const quarantine = suspect?.getQuarantine(now);
       if (suspect !== undefined && quarantine !== undefined && !this.isExplained(suspect, now)) {
-        return { content, endsAt: quarantine.endsAt };
+        return { content, endsAt: suspect.getReleasedAt() };
       }
     }
     return undefined;
@@ -188,7 +193,9 @@
    * @param now - Current time.
    */
   getStandingNotices(now: number): readonly FleetNotice[] {
-    const all = this.getQuarantined(now).filter(({ suspect }) => !this.isExplained(suspect, now));
+    const all = this.getQuarantined(now).filter(
+      ({ suspect, quarantine }) => now < quarantine.endsAt && !this.isExplained(suspect, now),
+    );
     const from = all.length <= maxStandingNotices ? 0 : this.standingIndex % all.length;
     this.standingIndex += maxStandingNotices;
     return [...all.slice(from), ...all.slice(0, from)]
@@ -205,7 +212,7 @@
 
   /**
    * Checks whether another quarantined content explains all losses of a suspect: it was lost at the same
-   * upstreams and at others. Of two that were lost at the same ones, either may be the cause.
+   * upstreams and at others, or by more requests. Of two that are alike either may be the cause.
    */
   private isExplained(suspect: SuspectContent, now: number): boolean {
     return this.getQuarantined(now).some((other) => suspect.isWithin(other.suspect));
@@ -216,7 +223,7 @@
     const suspects = contents
       .filter((content) => this.suspectsByContent.has(content))
       .map((content) => ({ content, losses: this.getLosses(content, now) }))
-      .sort((a, b) => b.losses.length - a.losses.length);
+      .sort((a, b) => countUpstreams(b.losses) - countUpstreams(a.losses));
     for (const { content, losses } of suspects) {
       const suspect = this.suspectsByContent.get(content);
       if (suspect?.suffices(losses) === true) {
@@ -232,7 +239,7 @@
     now: number,
   ): void {
     if (suspect.suffices(losses)) {
-      const quarantine = suspect.startQuarantine(losses, now);
+      const quarantine = suspect.startQuarantine(losses, now, this.options.getReleaseDelay());
       this.options.onChange({ kind: "started", content, quarantine, source: "evidence" });
     }
   }
@@ -246,7 +253,7 @@
     const others = this.getQuarantined(now)
       .filter((other) => other.content !== content)
       .map(({ suspect }) => suspect)
-      .filter((suspect) => suspect.getUpstreamCount() > losses.length);
+      .filter((suspect) => suspect.getUpstreamCount() > countUpstreams(losses));
     return losses.filter(({ upstream }) => !others.some((other) => other.hasLossAt(upstream)));
   }
 
@@ -278,7 +285,8 @@
     const quarantine = { lostSince, endsAt, count };
     const suspect = this.addSuspect(content);
     const wasQuarantined = suspect.getQuarantine(now) !== undefined;
-    if (suspect.adoptQuarantine(quarantine) && !wasQuarantined) {
+    const delay = this.options.getReleaseDelay();
+    if (suspect.adoptQuarantine(quarantine, delay) && !wasQuarantined) {
       this.options.onChange({ kind: "started", content, quarantine, source: "peer" });
     }
   }
--- a/packages/kernel/src/quarantine/SuspectContent.ts
+++ b/packages/kernel/src/quarantine/SuspectContent.ts
@@ -4,8 +4,10 @@
   longestQuarantineMilliseconds,
   lossWindowMilliseconds,
   maxLossesPerContent,
+  maxCountedRequests,
   minLostRequests,
   minLostUpstreams,
+  secondQuarantineMilliseconds,
 } from "./constants.js";
 
 /** A request with the content whose connection ended with its upstream. */
@@ -22,8 +24,10 @@
 
 /** A content of requests under which upstreams have ended. Times are monotonic milliseconds. */
 export class SuspectContent {
-  private readonly lossesByUpstream = new Map<number, Loss>();
+  private readonly losses: Loss[] = [];
   private quarantine: Quarantine | undefined;
+  /** Time from which this daemon sends the content again. */
+  private releasedAt = -Infinity;
 
   private constructor() {
     // Created through the static method.
@@ -35,42 +39,43 @@
   }
 
   /**
-   * Adds a loss; only the first at each upstream counts.
-   * @returns False if one at this upstream was known.
+   * Adds a loss if it proves something: one at another upstream, or of another request while those of a few
+   * requests are known.
+   * @returns Whether it was added.
    */
   addLoss(loss: Loss): boolean {
-    if (this.lossesByUpstream.has(loss.upstream)) {
+    const isOtherRequest = !this.losses.some(({ request }) => request === loss.request);
+    const provesRequest = isOtherRequest && countRequests(this.losses) < maxCountedRequests;
+    if (this.hasLossAt(loss.upstream) && !provesRequest) {
       return false;
     }
-    this.lossesByUpstream.set(loss.upstream, loss);
-    const [oldest] = this.lossesByUpstream.keys();
-    if (this.lossesByUpstream.size > maxLossesPerContent && oldest !== undefined) {
-      this.lossesByUpstream.delete(oldest);
+    this.losses.push(loss);
+    if (this.losses.length > maxLossesPerContent) {
+      this.losses.shift();
     }
     return true;
   }
 
   /** Checks whether a request with the content was lost at an upstream. */
   hasLossAt(upstream: number): boolean {
-    return this.lossesByUpstream.has(upstream);
+    return this.losses.some((loss) => loss.upstream === upstream);
   }
 
   /** Gets the number of upstreams at which a request with the content was lost. */
   getUpstreamCount(): number {
-    return this.lossesByUpstream.size;
+    return countUpstreams(this.losses);
   }
 
   /**
-   * Checks whether this content was lost, and at some of the upstreams only at which another one was lost.
+   * Checks whether this content was lost, and only at upstreams at which another one was lost too, which has
+   * more losses: at more upstreams, or else of more requests.
    * @param other - The other content.
    */
   isWithin(other: SuspectContent): boolean {
-    const upstreams = [...this.lossesByUpstream.keys()];
-    return (
-      upstreams.length > 0 &&
-      upstreams.length < other.getUpstreamCount() &&
-      upstreams.every((upstream) => other.hasLossAt(upstream))
-    );
+    const isCommon = this.losses.every(({ upstream }) => other.hasLossAt(upstream));
+    const moreUpstreams = other.getUpstreamCount() - this.getUpstreamCount();
+    const moreRequests = countRequests(other.losses) - countRequests(this.losses);
+    return this.losses.length > 0 && isCommon && (moreUpstreams > 0 || moreRequests > 0);
   }
 
   /**
@@ -81,7 +86,7 @@
   getLosses(now: number, trustedUntil: number): readonly Loss[] {
     const quarantinedUntil = this.quarantine?.endsAt ?? -Infinity;
     const since = Math.max(now - lossWindowMilliseconds, trustedUntil, quarantinedUntil);
-    return [...this.lossesByUpstream.values()].filter(({ at }) => at > since);
+    return this.losses.filter(({ at }) => at > since);
   }
 
   /**
@@ -92,43 +97,72 @@
     if (this.quarantine !== undefined) {
       return losses.length > 0;
     }
-    const requests = new Set(losses.map(({ request }) => request));
-    return losses.length >= minLostUpstreams && requests.size >= minLostRequests;
+    return countUpstreams(losses) >= minLostUpstreams && countRequests(losses) >= minLostRequests;
   }
 
   /**
    * Starts a quarantine on the ground of losses.
    * @param losses - Losses that count; at least one.
    * @param now - Current time.
+   * @param releaseDelayMilliseconds - Time from its end until this daemon sends the content again.
    */
-  startQuarantine(losses: readonly Loss[], now: number): Quarantine {
+  startQuarantine(
+    losses: readonly Loss[],
+    now: number,
+    releaseDelayMilliseconds: number,
+  ): Quarantine {
     const count = (this.quarantine?.count ?? 0) + 1;
-    const milliseconds = Math.min(
-      firstQuarantineMilliseconds * 2 ** (count - 1),
-      longestQuarantineMilliseconds,
-    );
     const lostSince = Math.min(...losses.map(({ at }) => at));
-    this.quarantine = { lostSince, endsAt: now + milliseconds, count };
-    return this.quarantine;
+    const quarantine = { lostSince, endsAt: now + getQuarantineMilliseconds(count), count };
+    this.setQuarantine(quarantine, releaseDelayMilliseconds);
+    return quarantine;
   }
 
   /**
    * Adopts the quarantine of a peer if it is a later one than the known one. The end of the same one is
    * not moved, since each message would move it by its way.
+   * @param quarantine - Quarantine of the peer.
+   * @param releaseDelayMilliseconds - Time from its end until this daemon sends the content again.
    * @returns Whether it was adopted.
    */
-  adoptQuarantine(quarantine: Quarantine): boolean {
+  adoptQuarantine(quarantine: Quarantine, releaseDelayMilliseconds: number): boolean {
     if (this.quarantine !== undefined && quarantine.count <= this.quarantine.count) {
       return false;
     }
-    this.quarantine = quarantine;
+    this.setQuarantine(quarantine, releaseDelayMilliseconds);
     return true;
   }
 
-  /** Gets the quarantine that is in force, if any. */
+  /** Gets the quarantine that this daemon still keeps to, if any; it may have ended elsewhere. */
   getQuarantine(now: number): Quarantine | undefined {
-    return this.quarantine !== undefined && now < this.quarantine.endsAt
-      ? this.quarantine
-      : undefined;
+    return now < this.releasedAt ? this.quarantine : undefined;
+  }
+
+  /** Gets the time from which this daemon sends the content again. */
+  getReleasedAt(): number {
+    return this.releasedAt;
+  }
+
+  private setQuarantine(quarantine: Quarantine, releaseDelayMilliseconds: number): void {
+    this.quarantine = quarantine;
+    this.releasedAt = quarantine.endsAt + releaseDelayMilliseconds;
   }
 }
+
+function getQuarantineMilliseconds(count: number): number {
+  return count === 1
+    ? firstQuarantineMilliseconds
+    : Math.min(secondQuarantineMilliseconds * 2 ** (count - 2), longestQuarantineMilliseconds);
+}
+
+/**
+ * Counts the upstreams of losses.
+ * @param losses - The losses.
+ */
+export function countUpstreams(losses: readonly Loss[]): number {
+  return new Set(losses.map(({ upstream }) => upstream)).size;
+}
+
+function countRequests(losses: readonly Loss[]): number {
+  return new Set(losses.map(({ request }) => request)).size;
+}
--- a/packages/kernel/src/quarantine/index.ts
+++ b/packages/kernel/src/quarantine/index.ts
@@ -7,4 +7,5 @@
   type QuarantinedContent,
   type RequestContent,
 } from "./ContentQuarantine.js";
+export { getReleaseDelay } from "./getReleaseDelay.js";
 export type { Quarantine } from "./SuspectContent.js";
