Calls that crash service hosts are quarantined in the product's own interface as well

One quarantine serves chats, calls and acts: ChatQuarantine is CallerQuarantine, the content of a chat and of a call are functions beside them. A quarantined act has not been sent, so it is refused as not run; one whose key is known keeps its answer. The stand-in for services has a fault that ends it at calls with a text in their path.

--- a/packages/daemon/src/acts/ActSender.ts
+++ b/packages/daemon/src/acts/ActSender.ts
@@ -1,5 +1,7 @@
 import type { AttemptResult, HeaderField, Service } from "@pistachioway/kernel";
 import type { RetryTask } from "../kernel/index.js";
+import type { CallerQuarantine } from "../quarantine/index.js";
+import { getCallContent } from "../services/getCallContent.js";
 import type { ServiceResponse, ServiceClient } from "../services/ServiceClient.js";
 import type { AttemptFailure } from "../upstreams/index.js";
 import type { ActCall } from "./schema.js";
@@ -18,6 +20,7 @@
   private constructor(
     private readonly client: ServiceClient,
     private readonly retries: RetryTask,
+    private readonly quarantine: CallerQuarantine,
     private readonly getService: (name: string) => Service | undefined,
   ) {}
 
@@ -25,14 +28,16 @@
    * Creates a sender.
    * @param client - Client of the services.
    * @param retries - Decides whether an act may be sent again within the retry budget.
+   * @param quarantine - Keeps acts that crash hosts from the other hosts.
    * @param getService - Gets a service of the configuration in force.
    */
   static create(
     client: ServiceClient,
     retries: RetryTask,
+    quarantine: CallerQuarantine,
     getService: (name: string) => Service | undefined,
   ): ActSender {
-    return new ActSender(client, retries, getService);
+    return new ActSender(client, retries, quarantine, getService);
   }
 
   /**
@@ -53,7 +58,7 @@
       this.retries.start(actId);
     }
     const headers = { ...call.headers, "idempotency-key": key };
-    const response = await this.client.send({ ...call, headers }, attemptId, host);
+    const response = await this.client.send({ ...call, headers }, actId, attemptId, host);
     if (response.kind === "answer") {
       this.forget(actId);
       return { result: { kind: "answered", answer: toActAnswer(response) }, hasOtherHost: false };
@@ -84,7 +89,11 @@
     return { result: toAttemptResult(failure), hasOtherHost };
   }
 
+  /** Gets a host that may receive an act; undefined also when the act has crashed hosts. */
   private async getHost(call: ActCall, actId: string): Promise<string | undefined> {
+    if (this.quarantine.isQuarantined(getCallContent(call))) {
+      return undefined;
+    }
     const service = this.getService(call.service);
     const tried = this.triedHosts.get(actId) ?? [];
     return service === undefined
--- a/packages/daemon/src/chat/ChatTask.ts
+++ b/packages/daemon/src/chat/ChatTask.ts
@@ -10,9 +10,10 @@
   EnginePlacement,
   RetryTask,
 } from "../kernel/index.js";
+import type { CallerQuarantine } from "../quarantine/index.js";
 import type { Recorder } from "../timeline/index.js";
 import { ChatAttempt, type FailedChatAttempt } from "./ChatAttempt.js";
-import type { ChatQuarantine } from "./ChatQuarantine.js";
+import { getChatContent } from "./getChatContent.js";
 import type { ChatRequest } from "./ChatRequest.js";
 import type { EngineClient } from "./EngineClient.js";
 import { parseChatOrThrow } from "./parseChat.js";
@@ -25,7 +26,7 @@
   readonly retries: RetryTask;
   readonly engines: EngineClient;
   readonly hosts: HostDirectory;
-  readonly quarantine: ChatQuarantine;
+  readonly quarantine: CallerQuarantine;
   /** Checks whether any engine of a model is known to accept requests. */
   readonly isServed: (model: string) => boolean;
   readonly recorder: Recorder;
@@ -109,7 +110,12 @@
     let result = await attempt.run();
     while (result.kind === "failed") {
       this.recordFailure(chat, result);
-      this.dependencies.quarantine.recordFailure(chat, result);
+      this.dependencies.quarantine.recordFailure({
+        content: getChatContent(chat),
+        upstream: result.engine,
+        requestId: chat.request.id,
+        failure: result.failure,
+      });
       const decision = this.dependencies.retries.decide(toFailedAttempt(chat, result));
       if (decision.kind === "giveUp") {
         attempt.cancel();
@@ -122,13 +128,17 @@
       result = await attempt.resume();
     }
     if (result.kind === "complete") {
-      this.dependencies.quarantine.recordAnswer(chat);
+      this.dependencies.quarantine.recordAnswer(getChatContent(chat));
     }
     return undefined;
   }
 
   private async place(chat: ChatRequest, attemptId: string): Promise<EnginePlacement> {
-    this.dependencies.quarantine.checkOrThrow(chat);
+    this.dependencies.quarantine.checkOrThrow(
+      getChatContent(chat),
+      `model "${chat.body.model}"`,
+      chat.attemptCount,
+    );
     await this.waitForEngines(chat);
     const placed = await this.dependencies.placement.place({
       attemptId,
--- a/packages/daemon/src/chat/index.ts
+++ b/packages/daemon/src/chat/index.ts
@@ -1,4 +1,3 @@
-export { ChatQuarantine } from "./ChatQuarantine.js";
 export { ChatTask } from "./ChatTask.js";
 export type { ChatRequest } from "./ChatRequest.js";
 export { EngineClient } from "./EngineClient.js";
--- a/packages/daemon/src/daemon/CallerTasks.ts
+++ b/packages/daemon/src/daemon/CallerTasks.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { ActTask } from "../acts/index.js";
 import { CallerRequestPipeline } from "../callers/index.js";
-import { ChatTask, EngineClient, type ChatQuarantine, type Usage } from "../chat/index.js";
+import { ChatTask, EngineClient, type Usage } from "../chat/index.js";
 import type { ConfigurationTask } from "../configuration/index.js";
 import type {
   AdmissionTask,
@@ -11,6 +11,7 @@
   PlacementTask,
   RetryTask,
 } from "../kernel/index.js";
+import type { CallerQuarantine } from "../quarantine/index.js";
 import { ServiceTask, type ServiceClient } from "../services/index.js";
 import type { Context } from "./Context.js";
 import type { ViewUpdater } from "./ViewUpdater.js";
@@ -26,7 +27,7 @@
   readonly viewUpdater: ViewUpdater;
   readonly client: ServiceClient;
   readonly sender: HostSender;
-  readonly quarantine: ChatQuarantine;
+  readonly quarantine: CallerQuarantine;
 }
 
 const configurationRetryDelayMilliseconds = 1_000;
@@ -78,12 +79,13 @@
   }
 
   private createServices(): ServiceTask {
-    const { admission, retries, acts, client } = this.dependencies;
+    const { admission, retries, acts, client, quarantine } = this.dependencies;
     return ServiceTask.create({
       admission,
       retries,
       acts,
       client,
+      quarantine,
       recorder: this.context.recorder,
       createAttemptId: () => this.createAttemptId(),
       wait: (until, signal) => this.wait(until, signal),
--- a/packages/daemon/src/daemon/PeerTasks.ts
+++ b/packages/daemon/src/daemon/PeerTasks.ts
@@ -10,7 +10,7 @@
 import { promisify } from "node:util";
 import { gzip } from "node:zlib";
 import type { ActTask } from "../acts/index.js";
-import type { ChatQuarantine } from "../chat/index.js";
+import type { CallerQuarantine } from "../quarantine/index.js";
 import type { ConfigurationTask } from "../configuration/index.js";
 import { GossipTask, PeerLinks, type Heartbeat } from "../gossip/index.js";
 import type { AdmissionTask, HostDirectory, PlacementTask } from "../kernel/index.js";
@@ -24,7 +24,7 @@
   readonly admission: AdmissionTask;
   readonly configuration: ConfigurationTask;
   readonly acts: ActTask;
-  readonly quarantine: ChatQuarantine;
+  readonly quarantine: CallerQuarantine;
 }
 
 /** What the links and the gossip between daemons depend on. */
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -6,7 +6,6 @@
   type RetryGuard,
 } from "@pistachioway/kernel";
 import { ActSender, ActTask } from "../acts/index.js";
-import { ChatQuarantine } from "../chat/index.js";
 import { ConfigurationTask, type ActiveConfiguration } from "../configuration/index.js";
 import {
   AdmissionTask,
@@ -19,6 +18,7 @@
 import { OperationsView, type DaemonPhase } from "../operations/index.js";
 import { OrderTask } from "../orders/index.js";
 import { PlatformTask } from "../platform/index.js";
+import { CallerQuarantine } from "../quarantine/index.js";
 import { ServiceClient } from "../services/index.js";
 import type { Settings } from "../settings/index.js";
 import { CallerTasks, type CallerTasksDependencies } from "./CallerTasks.js";
@@ -38,7 +38,7 @@
  */
 export class TaskGraph implements PeerTargets, TickTargets {
   readonly peers: PeerTasks;
-  readonly quarantine: ChatQuarantine;
+  readonly quarantine: CallerQuarantine;
   readonly viewUpdater: ViewUpdater;
   readonly hosts: HostDirectory;
   readonly placement: PlacementTask;
@@ -66,7 +66,7 @@
     this.orders = this.createOrders();
     this.platform = this.createPlatform();
     const sender = HostSender.create(context.connections, this.hosts, context.getNow);
-    const client = ServiceClient.create(sender, this.hosts, context.getNow);
+    const client = ServiceClient.create(sender, this.hosts, this.quarantine, context.getNow);
     this.acts = this.createActs(client);
     this.viewUpdater = this.createViewUpdater();
     this.callers = CallerTasks.create(context, this.getCallerDependencies(client, sender));
@@ -123,8 +123,8 @@
     };
   }
 
-  private createQuarantine(): ChatQuarantine {
-    return ChatQuarantine.create({
+  private createQuarantine(): CallerQuarantine {
+    return CallerQuarantine.create({
       getNow: this.context.getNow,
       getReleaseDelay: () =>
         getReleaseDelay(this.peers.gossip.getActPeers().length + 1, Math.random()),
@@ -300,7 +300,7 @@
       kernel: this.context.kernel,
       getNow: this.context.getNow,
       admission: this.admission,
-      sender: ActSender.create(client, this.retries, (name) =>
+      sender: ActSender.create(client, this.retries, this.quarantine, (name) =>
         this.configuration.getInForce()?.index.getService(name),
       ),
       transport: this.peers.links,
--- /dev/null
+++ b/packages/daemon/src/quarantine/index.ts
@@ -0,0 +1,1 @@
+export { CallerQuarantine } from "./CallerQuarantine.js";
--- a/packages/daemon/src/services/ServiceClient.ts
+++ b/packages/daemon/src/services/ServiceClient.ts
@@ -3,6 +3,8 @@
 import { Problem } from "../errors/index.js";
 import type { HostDirectory, HostSender } from "../kernel/index.js";
 import { hasMatchingDigest, readWholeBody, type AttemptFailure } from "../upstreams/index.js";
+import type { CallerQuarantine } from "../quarantine/index.js";
+import { getCallContent } from "./getCallContent.js";
 import { getEndToEndHeaders } from "./headers.js";
 
 /** A complete response of a service. */
@@ -15,6 +17,10 @@
 
 /** A request to a host of a service. */
 export interface ServiceRequest {
+  /** Name of the service. */
+  readonly service: string;
+  /** Team of the caller. */
+  readonly team: string;
   readonly method: string;
   /** Path and query below the service. */
   readonly path: string;
@@ -28,6 +34,7 @@
 }
 
 const maxResponseBytes = 8_388_608;
+const firstErrorStatus = 400;
 const retryAfterMilliseconds = 2_000;
 
 /** Sends calls to the hosts of plain services and balances them over the hosts. */
@@ -38,6 +45,7 @@
   private constructor(
     private readonly sender: HostSender,
     private readonly hosts: HostDirectory,
+    private readonly quarantine: CallerQuarantine,
     private readonly getNow: () => Instant,
   ) {}
 
@@ -45,10 +53,16 @@
    * Creates a client.
    * @param sender - Sends to hosts by name.
    * @param hosts - Directory with the states of the hosts.
+   * @param quarantine - Keeps calls that crash hosts from the other hosts.
    * @param getNow - Reads the clock.
    */
-  static create(sender: HostSender, hosts: HostDirectory, getNow: () => Instant): ServiceClient {
-    return new ServiceClient(sender, hosts, getNow);
+  static create(
+    sender: HostSender,
+    hosts: HostDirectory,
+    quarantine: CallerQuarantine,
+    getNow: () => Instant,
+  ): ServiceClient {
+    return new ServiceClient(sender, hosts, quarantine, getNow);
   }
 
   /**
@@ -96,22 +110,40 @@
   /**
    * Sends a call to a host and reads the whole response.
    * @param request - Request to send.
+   * @param requestId - Id of the caller's request or of the act.
    * @param attemptId - Id of the attempt, echoed by the host.
    * @param host - Name of the host.
    */
   async send(
     request: ServiceRequest,
+    requestId: string,
     attemptId: string,
     host: string,
   ): Promise<ServiceResponse | AttemptFailure> {
     this.runningByHost.set(host, this.getRunningCount(host) + 1);
     try {
-      return await this.sendOnce(request, attemptId, host);
+      const response = await this.sendOnce(request, attemptId, host);
+      this.recordEvidence(request, requestId, host, response);
+      return response;
     } finally {
       this.runningByHost.set(host, this.getRunningCount(host) - 1);
     }
   }
 
+  private recordEvidence(
+    request: ServiceRequest,
+    requestId: string,
+    upstream: string,
+    response: ServiceResponse | AttemptFailure,
+  ): void {
+    const content = getCallContent(request);
+    if (response.kind === "failure") {
+      this.quarantine.recordFailure({ content, upstream, requestId, failure: response });
+    } else if (response.status < firstErrorStatus) {
+      this.quarantine.recordAnswer(content);
+    }
+  }
+
   private getRunningCount(host: string): number {
     return this.runningByHost.get(host) ?? 0;
   }
--- a/packages/daemon/src/services/ServiceTask.ts
+++ b/packages/daemon/src/services/ServiceTask.ts
@@ -4,8 +4,10 @@
 import type { CallerRequest } from "../callers/CallerRequest.js";
 import { Problem } from "../errors/index.js";
 import type { AdmissionTask, RetryTask } from "../kernel/index.js";
+import type { CallerQuarantine } from "../quarantine/index.js";
 import type { Recorder } from "../timeline/index.js";
 import type { AttemptFailure } from "../upstreams/index.js";
+import { getCallContent } from "./getCallContent.js";
 import { getForwardedHeaders } from "./headers.js";
 import type { ServiceResponse, ServiceClient, ServiceRequest } from "./ServiceClient.js";
 import { getServiceCallOrThrow, type ServiceCall } from "./ServiceCall.js";
@@ -16,6 +18,7 @@
   readonly retries: RetryTask;
   readonly acts: ActTask;
   readonly client: ServiceClient;
+  readonly quarantine: CallerQuarantine;
   readonly recorder: Recorder;
   readonly createAttemptId: () => string;
   readonly wait: (until: Instant, signal: AbortSignal) => Promise<void>;
@@ -65,10 +68,16 @@
     this.dependencies.retries.start(call.request.id);
     let excluded: readonly string[] = [];
     for (let attempt = 1; ; attempt += 1) {
-      const { deadline } = call.request;
+      const { id, deadline } = call.request;
+      this.checkOrThrow(call, attempt - 1);
       const host = await this.dependencies.client.getHostOrThrow(call.service, excluded, deadline);
       const attemptId = this.dependencies.createAttemptId();
-      const response = await this.dependencies.client.send(toServiceRequest(call), attemptId, host);
+      const response = await this.dependencies.client.send(
+        toServiceRequest(call),
+        id,
+        attemptId,
+        host,
+      );
       if (response.kind === "answer") {
         this.dependencies.retries.finish(call.request.id);
         return response;
@@ -78,6 +87,12 @@
     }
   }
 
+  private checkOrThrow(call: ServiceCall, attemptCount: number): void {
+    const content = getCallContent(toServiceRequest(call));
+    const upstreams = `service "${call.service.name}"`;
+    this.dependencies.quarantine.checkOrThrow(content, upstreams, attemptCount);
+  }
+
   /** Waits until the next attempt may start and gets the hosts that it must not use. */
   private async waitForRetryOrThrow(
     call: ServiceCall,
@@ -120,8 +135,10 @@
 }
 
 function toServiceRequest(call: ServiceCall): ServiceRequest {
-  const { method, body, deadline, signal } = call.request;
+  const { method, body, deadline, signal, team } = call.request;
   return {
+    service: call.service.name,
+    team: team.name,
     method,
     path: call.path,
     headers: getForwardedHeaders(call.request),
--- a/packages/experiments/src/fleet/Caller.ts
+++ b/packages/experiments/src/fleet/Caller.ts
@@ -80,11 +80,20 @@
     });
   }
 
+  /**
+   * Calls a service where the call may be repeated.
+   * @param address - Callers' listener of a daemon.
+   * @param path - Service and path below it, such as `booking/lookups/7`.
+   */
+  readService(address: string, path: string): Promise<CallResult> {
+    return this.send(address, "GET", `/v1/services/${path}`);
+  }
+
   private async send(
     address: string,
     method: Dispatcher.HttpMethod,
     path: string,
-    body: string,
+    body?: string,
     headers: Record<string, string> = {},
   ): Promise<CallResult> {
     const result = { status: 0, outcome: "broken", text: "", isBodyComplete: false };
--- a/packages/standins/src/service/Service.ts
+++ b/packages/standins/src/service/Service.ts
@@ -24,6 +24,7 @@
     held: false,
     delayMilliseconds: 0,
     die: "never",
+    crashText: "",
   };
 
   private constructor(
@@ -98,7 +99,7 @@
       return this.dieWithoutResponse(reply);
     }
     const record = this.records.addRun(toRun(request));
-    if (this.faults.die === "after-record") {
+    if (this.faults.die === "after-record" || this.isCrashedBy(request)) {
       return this.dieWithoutResponse(reply);
     }
     await this.waitForRelease();
@@ -107,6 +108,10 @@
     return reply.send({ sequence, key, path, bodyDigest });
   }
 
+  private isCrashedBy({ url }: FastifyRequest): boolean {
+    return this.faults.crashText !== "" && url.includes(this.faults.crashText);
+  }
+
   private isRefused(): boolean {
     if (this.faults.refuseNext > 0) {
       this.faults.refuseNext -= 1;
--- a/packages/standins/src/service/schema.ts
+++ b/packages/standins/src/service/schema.ts
@@ -18,6 +18,8 @@
   delayMilliseconds: z.number().min(0).optional(),
   /** Kills the process at the next call before its response, before or after it is recorded. */
   die: z.enum(["never", "before-record", "after-record"]).optional(),
+  /** Kills the process at a call whose path has this text, after it is recorded; empty for none. */
+  crashText: z.string().optional(),
 });
 
 /** Query of the records: waits until there are `atLeast` of them, at most `wait` milliseconds. */
