--- a/packages/cli/src/logs/explainOutcome.ts
+++ b/packages/cli/src/logs/explainOutcome.ts
@@ -81,9 +81,9 @@
     advice: "See upstream.limited: the service needs more capacity.",
   },
   "content-quarantined": {
-    cause: "Several upstreams crashed one after another on a block of the request's prompt.",
+    cause: "Several upstreams crashed one after another on this request or a block of its prompt.",
     advice:
-      "See attempt.lost for the blocks, and find out why upstreams of the service do not bear it.",
+      "See attempt.lost for its content and blocks, and find out why upstreams do not bear it.",
   },
   "upstream-refused": {
     cause: "Each upstream that was tried refused the request and reported that it has not run.",
