Log the software version of upstreams, and what a request resumes

An upstream's version was dropped at the platform boundary; it is kept as softwareVersion now, empty when none is published.

--- a/packages/cli/tests/commands/router.test.ts
+++ b/packages/cli/tests/commands/router.test.ts
@@ -25,6 +25,7 @@
         zone: "north",
         slots: 6,
         state: "ready",
+        softwareVersion: "v1",
         bornAt: 1,
         sequence: 1,
         running: 2,
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -106,6 +106,8 @@
       version: this.dependencies.getVersion(),
       age: Math.round(this.dependencies.getAgeMilliseconds()),
       upstream: choice?.entry.record.id ?? "-",
+      software: choice?.entry.record.softwareVersion ?? "-",
+      resumes: head.lastEventId === undefined ? "-" : (head.resumedRequestId ?? "unknown"),
       choice: choice?.reason ?? "-",
       load: choice?.entry.getLoad(now) ?? 0,
       runs,
--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -276,6 +276,7 @@
           upstream: change.upstream.id,
           service: change.upstream.service,
           zone: change.upstream.zone,
+          software: change.upstream.softwareVersion,
           state: change.upstream.state,
         });
         break;
--- a/packages/daemon/tests/fleet/LimitSimulation.ts
+++ b/packages/daemon/tests/fleet/LimitSimulation.ts
@@ -178,5 +178,5 @@
 
 function createUpstream(id: string): Upstream {
   const record = { id, service: "records", address: "10.0.0.1:80", zone: "north" };
-  return { ...record, slots: 64, state: "ready", bornAt: 1, sequence: 1 };
+  return { ...record, softwareVersion: "v1", slots: 64, state: "ready", bornAt: 1, sequence: 1 };
 }
--- a/packages/experiments/src/site/SiteRun.ts
+++ b/packages/experiments/src/site/SiteRun.ts
@@ -126,7 +126,9 @@
     const id = `${service}-${String(this.nextUpstream)}`;
     const zone = zones[this.nextUpstream % zones.length] ?? zones[0];
     const { slots } = traitsByService[service];
-    const record = { id, service, zone, slots, address: "127.0.0.1:1", bornAt: 0, sequence: 1 };
+    const address = "127.0.0.1:1";
+    const identity = { id, service, zone, address, softwareVersion: "v1" };
+    const record = { ...identity, slots, bornAt: 0, sequence: 1 };
     const upstream = SiteUpstream.create(
       { ...record, state: "ready" },
       traitsByService[service],
--- a/packages/kernel/src/forwarding/messages.ts
+++ b/packages/kernel/src/forwarding/messages.ts
@@ -19,6 +19,8 @@
   readonly promptBlocks: readonly PromptBlock[];
   /** Id of the last stream event that the caller has received. */
   readonly lastEventId: string | undefined;
+  /** Id of the request that brought the first event of the stream, when the caller resumes one. */
+  readonly resumedRequestId: string | undefined;
   /** Alternating names and values of the headers that are forwarded to the upstream unchanged. */
   readonly passedHeaders: readonly string[];
 }
--- a/packages/kernel/src/upstreams/schema.ts
+++ b/packages/kernel/src/upstreams/schema.ts
@@ -7,6 +7,8 @@
   /** IPv4 address and port. */
   address: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/),
   zone: z.string(),
+  /** Version of its software; empty when it is not published. */
+  softwareVersion: z.string().default(""),
   /** Requests that it runs concurrently. */
   slots: z.int().positive(),
   state: z.enum(["ready", "draining"]),
--- a/packages/kernel/tests/upstreams/samples.ts
+++ b/packages/kernel/tests/upstreams/samples.ts
@@ -9,6 +9,7 @@
     zone: "north",
     slots: 64,
     state: "ready",
+    softwareVersion: "v1",
     bornAt: 1,
     sequence: 1,
     ...changes,
