--- a/packages/daemon/tests/router/RouterFixture.ts
+++ b/packages/daemon/tests/router/RouterFixture.ts
@@ -15,6 +15,8 @@
 
 /** A router with a registry store and scripted upstreams, on loopback sockets. */
 export class RouterFixture {
+  private readonly sockets = new Set<Socket>();
+
   private constructor(
     /** Lines of the router's log. */
     readonly logLines: readonly string[],
@@ -116,10 +118,18 @@
     await Promise.all([this.store.close(), ...upstreams.map((upstream) => upstream.close())]);
   }
 
+  /** Closes the router at once, and the connections of its callers with it. */
+  kill(): void {
+    this.router.close();
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
   /** Opens a connection as a caller. */
   open(): Socket {
     const socket = connect(this.ports[0] ?? 0, this.host);
+    this.sockets.add(socket);
     socket.on("error", () => undefined);
+    socket.on("close", () => this.sockets.delete(socket));
     return socket;
   }
 
@@ -158,6 +168,10 @@
       end = "reset";
       resolve();
     });
+    socket.on("close", () => {
+      end = end === "open" ? "reset" : end;
+      resolve();
+    });
   });
   socket.destroy();
   return { ...parseResponse(text), end };
--- a/packages/standins/src/registry/ScriptedUpstream.ts
+++ b/packages/standins/src/registry/ScriptedUpstream.ts
@@ -24,6 +24,8 @@
 /** Stand-in for an upstream: records each request and responds by a script. */
 export class ScriptedUpstream {
   readonly received: ReceivedRequest[] = [];
+  /** Version of its software, as it publishes it. */
+  softwareVersion = "v1";
   private readonly server: Server;
 
   private constructor(
@@ -77,7 +79,8 @@
     sequence: number,
     address = this.address,
   ): Record<string, unknown> {
-    return { service, address, zone: "north", slots: 8, state, seq_no: sequence, born: 1 };
+    const identity = { service, address, zone: "north", version: this.softwareVersion };
+    return { ...identity, slots: 8, state, seq_no: sequence, born: 1 };
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
