Streams go on at upstreams of the software version that began them only

Cause: the version was dropped at the platform boundary, and the rest of a stream, broken off by its engine or taken up by its caller, went to whichever upstream the choice preferred; what the caller names in Resumes was not read. The class of fault: state that one router has and another needs, without which it must not decide. - Within one answer the version is pinned once its head has been relayed. - A router that begins a stream while the service may have several versions tells it to three routers, picked by a hash of the request's id (about 60 bytes each, before the first event). A router at which the stream is taken up asks these, and waits for 160 ms at most; the question is sent twice, as datagrams get lost. - A router that has known the registry's list without a gap, and only one version in it for 30 s (or no upstream that started since), knows the version without a record; so a fleet with one version sends nothing. - Who does not know refuses at once (stream-version-unknown), and when the version has left (stream-version-gone). Ruled out: telling all routers (78 datagrams a stream at 79 routers); drawing the version from the request's id, as views differ while engines come and go; to take the only listed version for the only one there was. ActiveRequest leaves the choice of upstream and the decision on retries to functions of their own.

--- a/packages/cli/src/logs/explainOutcome.ts
+++ b/packages/cli/src/logs/explainOutcome.ts
@@ -85,6 +85,14 @@
     advice:
       "See attempt.lost for its content and blocks, and find out why upstreams do not bear it.",
   },
+  "stream-version-unknown": {
+    cause: "The caller resumed a stream, and no router knew at which software version it began.",
+    advice: "See resumes and age: the routers that kept it were restarted or cut off.",
+  },
+  "stream-version-gone": {
+    cause: "The caller resumed a stream whose software version no upstream of the service has.",
+    advice: "See upstream.gone: keep engines of a version until its streams have ended.",
+  },
   "upstream-refused": {
     cause: "Each upstream that was tried refused the request and reported that it has not run.",
     advice: "Check load: the service needs more capacity, or some upstreams are being removed.",
--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -1,6 +1,7 @@
 import { FleetGossip, FleetView, type FleetNotice, type MemberState } from "@pistachioway/kernel";
 import { createSocket, type Socket } from "node:dgram";
 import type { Fields, LogLevel } from "../log/line.js";
+import { decodeStreamMessage, encodeStreamMessage, type StreamMessage } from "../streams/index.js";
 import { decodeDatagram, encodeDatagram } from "./datagramCodec.js";
 
 const roundMilliseconds = 400;
@@ -28,6 +29,8 @@
   readonly getStandingNotices: (now: number) => readonly FleetNotice[];
   /** Receives what a peer learned about upstreams, if it was not known here. */
   readonly onNotices: (notices: readonly FleetNotice[], sender: string) => void;
+  /** Receives what a peer tells or asks about a stream, and the peer's address. */
+  readonly onStreamMessage: (message: StreamMessage, sender: string) => void;
   /** Counts the datagrams that cannot be read. */
   readonly onRefused: () => void;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
@@ -47,8 +50,8 @@
     this.view = FleetView.create(address, seeds);
     const { view } = this;
     this.gossip = FleetGossip.create({ view, zone, getRandom, getStandingNotices });
-    this.socket.on("message", (message) => {
-      this.receive(message);
+    this.socket.on("message", (message, { address: host, port }) => {
+      this.receive(message, `${host}:${String(port)}`);
     });
     this.socket.on("error", (error) => {
       this.dependencies.record("warn", "fleet.socket-failed", { detail: error.message });
@@ -88,6 +91,15 @@
     this.gossip.addNotice(notice, this.dependencies.getNow());
   }
 
+  /**
+   * Tells or asks one daemon about a stream.
+   * @param target - Address of the daemon.
+   * @param message - The message.
+   */
+  sendStreamMessage(target: string, message: StreamMessage): void {
+    this.send(target, encodeStreamMessage(message));
+  }
+
   private runRound(): void {
     const now = this.dependencies.getNow();
     this.sendMessage(this.gossip.pickTargets(now), now);
@@ -120,7 +132,12 @@
     });
   }
 
-  private receive(bytes: Buffer): void {
+  private receive(bytes: Buffer, sender: string): void {
+    const streamMessage = decodeStreamMessage(bytes);
+    if (streamMessage !== undefined) {
+      this.dependencies.onStreamMessage(streamMessage, sender);
+      return;
+    }
     const now = this.dependencies.getNow();
     const message = decodeDatagram(bytes, now);
     if (message === undefined) {
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -1,23 +1,23 @@
 import {
   applyResponseHead,
-  chooseUpstream,
-  decideRetry,
   type ResponseHead,
   type AttemptEnd,
-  type RequestProgress,
   type UpstreamChoice,
   type UpstreamEntry,
 } from "@pistachioway/kernel";
 import type { ExchangeFailure, ExchangeListener } from "../exchange/index.js";
 import { Attempt } from "./Attempt.js";
 import type { CallerResponse } from "./CallerResponse.js";
+import { chooseRequestUpstream } from "./chooseRequestUpstream.js";
 import { CompleteEventBuffer } from "./CompleteEventBuffer.js";
 import { createUpstreamRefusal } from "./createUpstreamRefusal.js";
-import { getMaxRunning, type ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
+import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { ActiveRequestReport, type ActiveRequestOutcome } from "./ActiveRequestReport.js";
-import { getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
+import type { AcceptedRequest } from "./AcceptedRequest.js";
+import { decideRequestRetry } from "./decideRequestRetry.js";
 import { RequestEvidence } from "./RequestEvidence.js";
 import { SlowAttemptMonitor } from "./SlowAttemptMonitor.js";
+import { StreamOrigin } from "./StreamOrigin.js";
 import type { Refusal } from "./refusals.js";
 
 const firstErrorStatus = 300;
@@ -41,6 +41,7 @@
   private readonly report: ActiveRequestReport;
   private readonly slowAttemptMonitor: SlowAttemptMonitor;
   private readonly evidence: RequestEvidence;
+  private readonly origin: StreamOrigin;
   private readonly listener: ExchangeListener = {
     onHead: (head) => {
       this.handleHead(head);
@@ -65,6 +66,7 @@
     this.eventBuffer = kind === "stream" && isResumable ? CompleteEventBuffer.create() : undefined;
     this.report = ActiveRequestReport.create(dependencies, request);
     this.evidence = RequestEvidence.create(dependencies.quarantine, request);
+    this.origin = StreamOrigin.create(dependencies.streams, request);
     this.slowAttemptMonitor = SlowAttemptMonitor.create(
       request.approval.route,
       dependencies.getNow,
@@ -92,7 +94,7 @@
       },
       Math.max(0, request.deadline - now),
     );
-    activeRequest.send();
+    activeRequest.begin();
     return activeRequest;
   }
 
@@ -110,6 +112,20 @@
     }
   }
 
+  /** Sends the request, once it is known where the stream began that it may resume. */
+  private begin(): void {
+    this.origin.find((refusal) => {
+      if (this.isFinished) {
+        return;
+      }
+      if (refusal === undefined) {
+        this.send();
+      } else {
+        this.fail(refusal);
+      }
+    });
+  }
+
   private send(): void {
     const now = this.dependencies.getNow();
     const refusal = this.evidence.createRefusal(now);
@@ -117,18 +133,11 @@
       this.fail(refusal);
       return;
     }
-    const { approval, head, service } = this.request;
-    this.choice = chooseUpstream(this.dependencies.upstreams.getEntries(), {
-      service,
-      zone: this.dependencies.zone,
-      stickyKey: approval.route.isSticky ? getStickyKey(head) : undefined,
-      excluded: this.triedUpstreamIds,
-      maxRunning: getMaxRunning(this.dependencies, service),
-      limitShare: this.dependencies.getLimitShare(),
-      now,
-    });
+    const softwareVersion = this.origin.getVersion();
+    const constraints = { excluded: this.triedUpstreamIds, softwareVersion };
+    this.choice = chooseRequestUpstream(this.dependencies, this.request, constraints);
     if (this.choice === undefined) {
-      this.fail(createUpstreamRefusal(this.dependencies, this.request));
+      this.fail(createUpstreamRefusal(this.dependencies, this.request, softwareVersion));
       return;
     }
     const { entry, preferred } = this.choice;
@@ -139,6 +148,7 @@
     this.slowAttemptMonitor.start(attempt, this.runs, (slowAttempt) => {
       this.handleSlowAttempt(slowAttempt);
     });
+    this.origin.recordSend(entry);
     attempt.send(this.dependencies, this.request, preferred, this.getLastEventId(), this.listener);
   }
 
@@ -173,6 +183,7 @@
       this.recordNotRun();
     } else if (this.isStream(head)) {
       attempt.startStream();
+      this.origin.recordStart(attempt.entry);
       this.startStream(head, now);
     }
   }
@@ -294,8 +305,7 @@
 
   private mayRetry(end: AttemptEnd, detail: string): boolean {
     this.lastFailure = detail;
-    const { route } = this.request.approval;
-    const decision = decideRetry(route, end, this.getProgress(), () => this.spendRetry());
+    const decision = decideRequestRetry(this.dependencies, this.request, end, this);
     if (decision === "retry") {
       this.report.recordRetry(end, this);
     }
@@ -339,23 +349,10 @@
     this.finish(outcome);
   }
 
-  private getProgress(): RequestProgress {
-    return {
-      runs: this.runs,
-      refusals: this.refusals,
-      remainingMilliseconds: this.request.deadline - this.dependencies.getNow(),
-    };
-  }
-
   private isStream(head: ResponseHead): boolean {
     return this.request.approval.route.kind === "stream" && head.status < firstErrorStatus;
   }
 
-  private spendRetry(): boolean {
-    const { retryBudgets, getNow, getDaemonCount } = this.dependencies;
-    return retryBudgets.get(this.request.service).spendRetry(getNow(), getDaemonCount());
-  }
-
   private recordNotRun(): void {
     this.runs -= 1;
     this.refusals += 1;
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -10,6 +10,7 @@
 import type { ConnectionPool } from "../exchange/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
+import type { StreamDirectory } from "../streams/index.js";
 import type { RetryBudgets } from "./RetryBudgets.js";
 import type { TickListeners } from "./TickListeners.js";
 
@@ -21,6 +22,7 @@
   readonly retryBudgets: RetryBudgets;
   readonly prefixes: PrefixDirectory;
   readonly quarantine: ContentQuarantine;
+  readonly streams: StreamDirectory;
   readonly metrics: RouterMetrics;
   /** Ticks at which attempts are checked for slowness. */
   readonly ticks: TickListeners;
--- /dev/null
+++ b/packages/daemon/src/ingress/StreamOrigin.ts
@@ -0,0 +1,75 @@
+import type { UpstreamEntry } from "@pistachioway/kernel";
+import type { StreamDirectory } from "../streams/index.js";
+import type { AcceptedRequest } from "./AcceptedRequest.js";
+import type { Refusal } from "./refusals.js";
+
+/**
+ * The software version at which the stream of a request began, in this request or in an earlier one of its
+ * caller: what upstreams of two versions write does not fit together.
+ */
+export class StreamOrigin {
+  /** Version at which the stream must go on; undefined while it has not begun. */
+  private version: string | undefined;
+  /** Version that was recorded for the stream of this request. */
+  private recordedVersion: string | undefined;
+
+  private constructor(
+    private readonly streams: StreamDirectory,
+    private readonly request: AcceptedRequest,
+  ) {}
+
+  /**
+   * Creates the origin of a request's stream, if it has one.
+   * @param streams - Finds the versions of streams.
+   * @param request - The request.
+   */
+  static create(streams: StreamDirectory, request: AcceptedRequest): StreamOrigin {
+    return new StreamOrigin(streams, request);
+  }
+
+  /** Gets the only version to whose upstreams the request may be sent; undefined for any. */
+  getVersion(): string | undefined {
+    return this.version;
+  }
+
+  /**
+   * Finds out where a stream began that the caller resumes; for other requests the listener is called at once.
+   * @param listener - Called once the request may be sent, or with a refusal when the version is not known.
+   */
+  find(listener: (refusal: Refusal | undefined) => void): void {
+    const { approval, head, service } = this.request;
+    if (approval.route.kind !== "stream" || head.lastEventId === undefined) {
+      listener(undefined);
+      return;
+    }
+    this.streams.findVersion(head.resumedRequestId ?? head.id, service, (version) => {
+      this.version = version;
+      listener(version === undefined ? createUnknownRefusal(this.request) : undefined);
+    });
+  }
+
+  /** Records that the request is sent to an upstream, at which its stream may begin. */
+  recordSend({ record }: UpstreamEntry): void {
+    const { approval, head, service } = this.request;
+    const { softwareVersion } = record;
+    const mayBegin = approval.route.kind === "stream" && this.version === undefined;
+    if (mayBegin && this.recordedVersion !== softwareVersion) {
+      this.recordedVersion = softwareVersion;
+      this.streams.addStream(head.id, service, softwareVersion);
+    }
+  }
+
+  /** Records that the stream has begun at an upstream. */
+  recordStart({ record }: UpstreamEntry): void {
+    this.version ??= record.softwareVersion;
+  }
+}
+
+function createUnknownRefusal({ head }: AcceptedRequest): Refusal {
+  const stream = head.resumedRequestId ?? head.id;
+  return {
+    name: "stream-version-unknown",
+    detail: `no router knows at which software version stream "${stream}" began`,
+    retryAfterSeconds: undefined,
+  };
+}
--- a/packages/daemon/src/ingress/createUpstreamRefusal.ts
+++ b/packages/daemon/src/ingress/createUpstreamRefusal.ts
@@ -8,12 +8,18 @@
  * take it later.
  * @param dependencies - Dependencies of the request's processing.
  * @param request - Request that no upstream takes now.
+ * @param softwareVersion - Only version whose upstreams may take it; undefined for any.
  */
 export function createUpstreamRefusal(
   { upstreams, getNow, getRandom, getLimitShare }: ActiveRequestDependencies,
   { service, approval }: AcceptedRequest,
+  softwareVersion: string | undefined,
 ): Refusal {
   const now = getNow();
+  if (softwareVersion !== undefined && !upstreams.isVersionServed(service, softwareVersion)) {
+    const detail = `no upstream of service "${service}" has software version "${softwareVersion}"`;
+    return { name: "stream-version-gone", detail, retryAfterSeconds: undefined };
+  }
   const slotAt = upstreams.getEarliestLimitSlot(service, now, getLimitShare()) ?? Infinity;
   const restEndsAt = upstreams.getEarliestRestEnd(service, now) ?? Infinity;
   const availableAt = Math.min(slotAt, restEndsAt);
--- a/packages/daemon/src/ingress/refusals.ts
+++ b/packages/daemon/src/ingress/refusals.ts
@@ -11,6 +11,8 @@
   | "upstreams-resting"
   | "upstreams-limited"
   | "content-quarantined"
+  | "stream-version-unknown"
+  | "stream-version-gone"
   | "upstream-refused"
   | "upstream-failed"
   | "deadline-exceeded"
@@ -45,6 +47,8 @@
   "upstreams-resting": { status: 503, retryAfterSeconds: 0.5 },
   "upstreams-limited": { status: 503, retryAfterSeconds: 0.5 },
   "content-quarantined": { status: 503, retryAfterSeconds: 60 },
+  "stream-version-unknown": { status: 503, retryAfterSeconds: 0.3 },
+  "stream-version-gone": { status: 503 },
   "upstream-refused": { status: 503, retryAfterSeconds: 0.2 },
   "upstream-failed": { status: 502 },
   "deadline-exceeded": { status: 504 },
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -23,7 +23,9 @@
 import type { StreamLog } from "../log/StreamLog.js";
 import { RouterMetrics } from "../metrics/RouterMetrics.js";
 import { RegistryTask } from "../registry/index.js";
+import type { StreamDirectory } from "../streams/index.js";
 import { createFleetTask, toDatagramAddress } from "./createFleetTask.js";
+import { createStreamDirectory } from "./createStreamDirectory.js";
 import { NoticeLog } from "./NoticeLog.js";
 import { OperationsServer } from "./OperationsServer.js";
 import { RouterPages } from "./RouterPages.js";
@@ -69,6 +71,7 @@
   private readonly reachability: ReachabilityTask;
   private readonly fleet: FleetTask;
   private readonly peerStates: PeerStateTask;
+  private readonly streams: StreamDirectory;
   private readonly ingress: IngressServer;
   private readonly readiness: OperationsServer;
   private readonly operations: OperationsServer;
@@ -89,6 +92,8 @@
     this.reachability = this.createReachabilityTask();
     this.fleet = this.createFleetTask();
     this.peerStates = this.createPeerStateTask();
+    const { datagrams } = dependencies.settings.listeners;
+    this.streams = createStreamDirectory(datagrams, this.fleet, readMonotonicClock);
     this.ingress = this.createIngress();
     const onError = (error: Error): void => {
       this.record("error", "operations.failed", { detail: error.message });
@@ -209,6 +214,9 @@
       quarantine: this.quarantine,
       notices: this.notices,
       metrics: this.metrics,
+      onStreamMessage: (message, sender) => {
+        this.streams.receive(message, sender);
+      },
       getNow: readMonotonicClock,
       record,
     });
@@ -276,6 +284,7 @@
       retryBudgets: RetryBudgets.create(settings.retries),
       prefixes: this.prefixes,
       quarantine: this.quarantine,
+      streams: this.streams,
       metrics: this.metrics,
       ticks: this.ticks,
       zone: settings.process.zone,
@@ -333,6 +342,7 @@
 
   private runHousekeeping(): void {
     const now = readMonotonicClock();
+    this.recordList();
     for (const id of this.registryTask.upstreams.removeExpired(now)) {
       this.record("info", "upstream.lapsed", { upstream: id });
     }
@@ -343,6 +353,12 @@
     }
   }
 
+  private recordList(): void {
+    const upstreams = this.registryTask.upstreams.getEntries().map(({ record }) => record);
+    const ageMilliseconds = this.registryTask.getAgeMilliseconds();
+    this.streams.recordList({ upstreams, ageMilliseconds, wallTime: Date.now() });
+  }
+
   private tellFleet(notices: readonly UpstreamNotice[]): void {
     for (const notice of notices) {
       const fleetNotice = toFleetNotice(this.registryTask.upstreams, notice);
--- a/packages/daemon/src/router/createFleetTask.ts
+++ b/packages/daemon/src/router/createFleetTask.ts
@@ -9,6 +9,7 @@
 import type { Fields, LogLevel } from "../log/line.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
 import type { RegistryTask } from "../registry/index.js";
+import type { StreamMessage } from "../streams/index.js";
 import type { NoticeLog } from "./NoticeLog.js";
 import type { RouterSettings } from "./settings.js";
 
@@ -20,6 +21,7 @@
   readonly quarantine: ContentQuarantine;
   readonly notices: NoticeLog;
   readonly metrics: RouterMetrics;
+  readonly onStreamMessage: (message: StreamMessage, sender: string) => void;
   /** Reads the monotonic clock, in milliseconds. */
   readonly getNow: () => number;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
@@ -52,6 +54,7 @@
       const target = { upstreams: registry.upstreams, prefixes, quarantine };
       notices.record(applyFleetNotices(target, received, getNow()), sender);
     },
+    onStreamMessage: context.onStreamMessage,
     onRefused: () => {
       metrics.refusedDatagrams.inc();
     },
--- /dev/null
+++ b/packages/daemon/src/router/createStreamDirectory.ts
@@ -0,0 +1,31 @@
+import type { FleetTask } from "../fleet/index.js";
+import { StreamDirectory } from "../streams/index.js";
+
+/**
+ * Creates the directory of streams of a router, which talks to the others by datagrams.
+ * @param address - Address at which the router receives datagrams.
+ * @param fleet - Sends the datagrams and knows the other routers.
+ * @param getNow - Reads the monotonic clock, in milliseconds.
+ */
+export function createStreamDirectory(
+  address: string,
+  fleet: FleetTask,
+  getNow: () => number,
+): StreamDirectory {
+  return StreamDirectory.create({
+    address,
+    getPeerAddresses: () => fleet.view.getLiveStates(getNow()).map((state) => state.address),
+    send: (target, message) => {
+      fleet.sendStreamMessage(target, message);
+    },
+    schedule: startTimer,
+    getNow,
+  });
+}
+
+function startTimer(milliseconds: number, run: () => void): () => void {
+  const timer = setTimeout(run, milliseconds);
+  return () => {
+    clearTimeout(timer);
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/streams/index.ts
@@ -0,0 +1,2 @@
+export { StreamDirectory, type StreamDirectoryDependencies } from "./StreamDirectory.js";
+export { decodeStreamMessage, encodeStreamMessage, type StreamMessage } from "./streamMessages.js";
--- a/packages/daemon/tests/fleet/LimitSimulation.ts
+++ b/packages/daemon/tests/fleet/LimitSimulation.ts
@@ -125,6 +125,7 @@
     const choice = chooseUpstream(table.getEntries(), {
       service: "records",
       zone: "north",
+      softwareVersion: undefined,
       stickyKey: undefined,
       excluded: new Set(),
       maxRunning: 100,
--- a/packages/experiments/src/site/KernelSitePolicy.ts
+++ b/packages/experiments/src/site/KernelSitePolicy.ts
@@ -43,6 +43,7 @@
     const choice = chooseUpstream(this.upstreams.getEntries(), {
       service: kind.service,
       zone: this.zone,
+      softwareVersion: undefined,
       stickyKey,
       now,
       excluded: tried,
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -17,4 +17,5 @@
 export * from "./retries/index.js";
 export * from "./revisions/index.js";
 export * from "./routing/index.js";
+export * from "./streams/index.js";
 export * from "./upstreams/index.js";
--- /dev/null
+++ b/packages/kernel/src/streams/index.ts
@@ -0,0 +1,3 @@
+export { pickKeepers } from "./pickKeepers.js";
+export { StreamVersions } from "./StreamVersions.js";
+export { VersionHistory, type RegistryList } from "./VersionHistory.js";
--- a/packages/kernel/src/upstreams/UpstreamTable.ts
+++ b/packages/kernel/src/upstreams/UpstreamTable.ts
@@ -82,6 +82,20 @@
     return isNew;
   }
 
+  /**
+   * Checks whether an upstream of a service that is in service has a software version.
+   * @param service - Name of the service.
+   * @param softwareVersion - The version.
+   */
+  isVersionServed(service: string, softwareVersion: string): boolean {
+    return this.getEntries().some(
+      (entry) =>
+        entry.record.service === service &&
+        entry.record.softwareVersion === softwareVersion &&
+        entry.isInService(),
+    );
+  }
+
   /**
    * Gets the earliest time at which an upstream of a service ends its rest; undefined when none rests.
    * @param service - Name of the service.
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -5,6 +5,8 @@
 /** Requirements of a request on the upstream that will serve it. */
 export interface UpstreamRequirements {
   readonly service: string;
+  /** Only software version that can serve it; undefined for any. */
+  readonly softwareVersion: string | undefined;
   /** Zone of the daemon. */
   readonly zone: string;
   /** Key of the requests that share a cached prefix; undefined when any upstream serves equally well. */
@@ -53,10 +55,13 @@
 
 function isEligible(
   entry: UpstreamEntry,
-  { service, excluded, maxRunning, limitShare, now }: UpstreamRequirements,
+  { service, softwareVersion, excluded, maxRunning, limitShare, now }: UpstreamRequirements,
 ): boolean {
   const { record, running } = entry;
-  const isOffered = record.service === service && entry.isInService() && !entry.isResting(now);
+  const fits =
+    record.service === service &&
+    (softwareVersion === undefined || record.softwareVersion === softwareVersion);
+  const isOffered = fits && entry.isInService() && !entry.isResting(now);
   const isFree = running < maxRunning && entry.limit.isOpen(now, limitShare);
   return isOffered && isFree && !excluded.has(record.id);
 }
--- a/packages/kernel/tests/forwarding/notices.test.ts
+++ b/packages/kernel/tests/forwarding/notices.test.ts
@@ -49,6 +49,7 @@
   return chooseUpstream(table.getEntries(), {
     service: "engine",
     zone: "north",
+    softwareVersion: undefined,
     stickyKey: undefined,
     excluded: new Set(),
     maxRunning: 100,
--- a/packages/kernel/tests/upstreams/chooseUpstream.test.ts
+++ b/packages/kernel/tests/upstreams/chooseUpstream.test.ts
@@ -14,6 +14,7 @@
   return chooseUpstream(table.getEntries(), {
     service: "engine",
     zone: "north",
+    softwareVersion: undefined,
     stickyKey: "chat-1",
     excluded: new Set(),
     maxRunning: 100,
@@ -86,6 +87,7 @@
 const base: UpstreamRequirements = {
   service: "engine",
   zone: "north",
+  softwareVersion: undefined,
   stickyKey: undefined,
   excluded: new Set(),
   maxRunning: 100,
