KV caches are fetched from engines of the same software version only

The test failed before (the preferred, the known and the former engine of the other version were named). With one version nothing changes.

--- a/packages/kernel/src/upstreams/findPrefixHolder.ts
+++ b/packages/kernel/src/upstreams/findPrefixHolder.ts
@@ -40,7 +40,10 @@
     return undefined;
   }
   const isUsable = (entry: UpstreamEntry): boolean =>
-    entry !== chosen && !entry.isAvoided(now) && upstreams.getEntry(entry.record.id) === entry;
+    entry !== chosen &&
+    entry.record.softwareVersion === chosen.record.softwareVersion &&
+    !entry.isAvoided(now) &&
+    upstreams.getEntry(entry.record.id) === entry;
   const guess = prefixes.isKnown(last)
     ? undefined
     : (preferred ??
--- a/packages/kernel/tests/upstreams/findPrefixHolder.test.ts
+++ b/packages/kernel/tests/upstreams/findPrefixHolder.test.ts
@@ -43,6 +43,18 @@
   assert.is(findPrefixHolder(state, lookup, chosen, chosen), undefined);
 });
 
+// Guards against the cause of issue 27, ORDER: what two versions write does not fit together, nor what they cache.
+test("finds no engine of another software version, neither preferred nor known nor former", () => {
+  const { state, engines } = create();
+  const [preferred, , reader] = engines;
+  state.upstreams.addUpstream(createUpstream({ id: "e-new", softwareVersion: "v2" }), lookup.now);
+  const chosen = state.upstreams.getEntry("e-new") as UpstreamEntry;
+  assert.is(findPrefixHolder(state, lookup, chosen, preferred), undefined);
+  assert.is(findPrefixHolder(state, lookup, chosen, undefined), undefined);
+  state.prefixes.addHolder(lookup.sharedBlocks, reader, 39_000);
+  assert.is(findPrefixHolder(state, lookup, chosen, preferred), undefined);
+});
+
 test("finds none for a prompt without shared blocks", () => {
   const { state, engines } = create();
   const [preferred, chosen] = engines;
