Streams that began before a second version came go on as well, and new keepers are told

If none of their keepers has a record and all have kept them since before that, the version that was alone is theirs. - A router that chose an engine of a version which its own history did not have yet told nobody; it tells now. - A router that saw one version only answered by itself, although another had begun at a new version a moment before; it asks now. - Keepers that a router did not know when a stream began, or that started later, are told when they are seen. Datagrams on streams begin with a byte of their own, so that those of the gossip are not read twice. A unit test found that a daemon that started beside two versions took the first listed one for the former one.

--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -1,7 +1,12 @@
 import { FleetGossip, FleetView, type FleetNotice, type MemberState } from "@pistachioway/kernel";
 import { createSocket, type Socket } from "node:dgram";
 import type { Fields, LogLevel } from "../log/line.js";
-import { decodeStreamMessage, encodeStreamMessage, type StreamMessage } from "../streams/index.js";
+import {
+  decodeStreamMessage,
+  encodeStreamMessage,
+  isStreamDatagram,
+  type StreamMessage,
+} from "../streams/index.js";
 import { decodeDatagram, encodeDatagram } from "./datagramCodec.js";
 
 const roundMilliseconds = 400;
@@ -133,12 +138,11 @@
   }
 
   private receive(bytes: Buffer, sender: string): void {
-    const streamMessage = decodeStreamMessage(bytes);
-    if (streamMessage !== undefined) {
-      this.dependencies.onStreamMessage(streamMessage, sender);
+    const now = this.dependencies.getNow();
+    if (isStreamDatagram(bytes)) {
+      this.receiveStreamMessage(bytes, sender, now);
       return;
     }
-    const now = this.dependencies.getNow();
     const message = decodeDatagram(bytes, now);
     if (message === undefined) {
       this.refuse(bytes.length, now);
@@ -153,6 +157,15 @@
     }
   }
 
+  private receiveStreamMessage(bytes: Buffer, sender: string, now: number): void {
+    const message = decodeStreamMessage(bytes);
+    if (message === undefined) {
+      this.refuse(bytes.length, now);
+    } else {
+      this.dependencies.onStreamMessage(message, sender);
+    }
+  }
+
   private refuse(bytes: number, now: number): void {
     this.dependencies.onRefused();
     if (now - this.refusalLoggedAt >= refusalLogMilliseconds) {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,6 +4,7 @@
 export type { SettingsIssue } from "./errors/index.js";
 export { isRouterSettings, parseSettings, settingsSchema } from "./settings/index.js";
 export type { Settings } from "./settings/index.js";
+export * from "./streams/index.js";
 export { decodeDatagram, encodeDatagram } from "./fleet/datagramCodec.js";
 export { CompleteEventBuffer } from "./ingress/CompleteEventBuffer.js";
 export type { ActiveRequestOutcome } from "./ingress/index.js";
--- a/packages/daemon/src/streams/StreamDirectory.ts
+++ b/packages/daemon/src/streams/StreamDirectory.ts
@@ -1,4 +1,5 @@
 import {
+  maxViewLagMilliseconds,
   pickKeepers,
   StreamVersions,
   VersionHistory,
@@ -23,29 +24,51 @@
 export type VersionListener = (version: string | undefined) => void;
 
 interface Question {
+  readonly service: string;
   readonly listeners: VersionListener[];
   /** Peers that have not answered. */
   readonly waiting: Set<string>;
+  /** Versions of which a peer knows that the service had no other of late. */
+  readonly onlyVersions: Set<string>;
+  /** Shortest time for which a daemon without a record has kept versions. */
+  keptMilliseconds: number;
   cancelTimers: () => void;
 }
 
+/** A stream that began at this daemon. */
+interface OwnStream {
+  readonly version: string;
+  readonly begunAt: number;
+  /** Addresses of the daemons that were told. */
+  readonly told: Set<string>;
+}
+
 /** Time after which a question is sent again, as a datagram may be lost. */
 const repeatMilliseconds = 60;
-const answerTimeoutMilliseconds = 160;
+const answerTimeoutMilliseconds = 120;
+/** Time after its start in which a stream is told to daemons that become its keepers. */
+const ownStreamMilliseconds = 10_000;
 
 /**
  * Finds the software version at which a stream began, for callers that resume it at any daemon.
  *
  * While a service may have several versions, the daemon that begins a stream tells a few others, which are
- * picked by a hash of the request's id. The daemon at which the caller resumes it asks them. Only
- * a daemon that knows all versions which served of late answers without a record.
+ * picked by a hash of the request's id. The daemon at which the caller resumes it asks them. Without a
+ * record only a daemon that knows all versions which served of late can tell: the only one, or the one that was
+ * alone before, if no keeper has a record and all have kept them since.
  */
 export class StreamDirectory {
   private readonly versions = StreamVersions.create();
   private readonly history = VersionHistory.create();
   private readonly questionsById = new Map<string, Question>();
+  private readonly ownStreamsById = new Map<string, OwnStream>();
+  /** The live daemons when keepers were last told of own streams. */
+  private toldAddresses = "";
+  private readonly startedAt: number;
 
-  private constructor(private readonly dependencies: StreamDirectoryDependencies) {}
+  private constructor(private readonly dependencies: StreamDirectoryDependencies) {
+    this.startedAt = dependencies.getNow();
+  }
 
   /**
    * Creates a directory without streams.
@@ -60,7 +83,10 @@
    * @param list - The list.
    */
   recordList(list: RegistryList): void {
-    this.history.recordList(list, this.dependencies.getNow());
+    const now = this.dependencies.getNow();
+    this.history.recordList(list, now);
+    this.dropOldOwnStreams(now);
+    this.tellNewKeepers();
   }
 
   /**
@@ -72,10 +98,11 @@
   addStream(id: string, service: string, version: string): void {
     const now = this.dependencies.getNow();
     this.versions.add(id, version, now);
-    if (this.history.getOnlyVersion(service, now) === undefined && isSendable(id + version)) {
-      this.getKeepers(id).forEach((keeper) => {
-        this.dependencies.send(keeper, { kind: "keep", id, version });
-      });
+    if (this.history.getOnlyVersion(service, now) !== version && isSendable(id + version)) {
+      const stream = { version, begunAt: now, told: new Set<string>() };
+      this.ownStreamsById.delete(id);
+      this.ownStreamsById.set(id, stream);
+      this.tellKeepers(id, stream);
     }
   }
 
@@ -86,8 +113,8 @@
    * @param listener - Receives the version.
    */
   findVersion(id: string, service: string, listener: VersionListener): void {
-    const known = this.getKnownVersion(id, service);
-    if (known !== undefined || !isSendable(id)) {
+    const known = this.versions.get(id);
+    if (known !== undefined) {
       listener(known);
       return;
     }
@@ -111,62 +138,130 @@
         this.versions.add(id, message.version, this.dependencies.getNow());
         break;
       case "ask": {
-        const version = this.getKnownVersion(id, message.service);
-        this.dependencies.send(sender, { kind: "answer", id, version });
+        const version = this.versions.get(id);
+        const now = this.dependencies.getNow();
+        const onlyVersion = this.history.getOnlyVersion(message.service, now);
+        const keptMilliseconds = this.getKeptMilliseconds();
+        this.dependencies.send(sender, {
+          kind: "answer",
+          id,
+          version,
+          onlyVersion,
+          keptMilliseconds,
+        });
         break;
       }
       case "answer":
-        this.handleAnswer(id, sender, message.version);
+        this.handleAnswer(message, sender);
         break;
     }
   }
 
-  private getKnownVersion(id: string, service: string): string | undefined {
-    const now = this.dependencies.getNow();
-    return this.versions.get(id) ?? this.history.getOnlyVersion(service, now);
-  }
-
   private getKeepers(id: string): readonly string[] {
     const { address, getPeerAddresses } = this.dependencies;
     return pickKeepers(id, [address, ...getPeerAddresses()]).filter((each) => each !== address);
   }
 
   private ask(id: string, service: string, listener: VersionListener): void {
-    const keepers = this.getKeepers(id);
-    if (keepers.length === 0) {
-      listener(undefined);
-      return;
-    }
-    const { schedule, send } = this.dependencies;
+    const keepers = isSendable(id) ? this.getKeepers(id) : [];
     const question: Question = {
+      service,
       listeners: [listener],
       waiting: new Set(keepers),
+      onlyVersions: new Set(),
+      keptMilliseconds: this.getKeptMilliseconds(),
       cancelTimers: () => undefined,
     };
-    this.questionsById.set(id, question);
+    if (keepers.length === 0) {
+      this.settle(id, question, this.getUnrecordedVersion(question));
+      return;
+    }
     const sendQuestion = (): void => {
       question.waiting.forEach((keeper) => {
-        send(keeper, { kind: "ask", id, service });
+        this.dependencies.send(keeper, { kind: "ask", id, service });
       });
     };
+    const { schedule } = this.dependencies;
     const cancelRepeat = schedule(repeatMilliseconds, sendQuestion);
     const cancelTimeout = schedule(answerTimeoutMilliseconds, () => {
-      this.settle(id, question, undefined);
+      this.settle(id, question, this.getUnrecordedVersion(question));
     });
     question.cancelTimers = () => {
       cancelRepeat();
       cancelTimeout();
     };
+    this.questionsById.set(id, question);
     sendQuestion();
   }
 
-  private handleAnswer(id: string, sender: string, version: string | undefined): void {
+  private handleAnswer(
+    { id, version, onlyVersion, keptMilliseconds }: Extract<StreamMessage, { kind: "answer" }>,
+    sender: string,
+  ): void {
     const question = this.questionsById.get(id);
     if (question?.waiting.delete(sender) !== true) {
       return;
     }
+    question.keptMilliseconds = Math.min(question.keptMilliseconds, keptMilliseconds);
+    if (onlyVersion !== undefined) {
+      question.onlyVersions.add(onlyVersion);
+    }
     if (version !== undefined || question.waiting.size === 0) {
-      this.settle(id, question, version);
+      this.settle(id, question, version ?? this.getUnrecordedVersion(question));
+    }
+  }
+
+  /** Gets the version of a stream that no daemon which answered has a record of, if it can only be one. */
+  private getUnrecordedVersion(question: Question): string | undefined {
+    const { service, onlyVersions } = question;
+    const own = this.history.getOnlyVersion(service, this.dependencies.getNow());
+    const versions = new Set(own === undefined ? onlyVersions : [own, ...onlyVersions]);
+    const [version] = versions;
+    return versions.size === 1 ? version : this.getFormerVersion(question);
+  }
+
+  /** Gets the version that was alone before others came, if all keepers have kept versions since. */
+  private getFormerVersion({ service, waiting, keptMilliseconds }: Question): string | undefined {
+    const now = this.dependencies.getNow();
+    const former = this.history.getFormerVersion(service, now);
+    if (former === undefined || waiting.size > 0) {
+      return undefined;
+    }
+    const neededMilliseconds = now - former.until + maxViewLagMilliseconds;
+    return keptMilliseconds >= neededMilliseconds ? former.version : undefined;
+  }
+
+  private getKeptMilliseconds(): number {
+    return Math.round(this.dependencies.getNow() - this.startedAt);
+  }
+
+  private dropOldOwnStreams(now: number): void {
+    for (const [id, { begunAt }] of this.ownStreamsById) {
+      if (now - begunAt < ownStreamMilliseconds) {
+        return;
+      }
+      this.ownStreamsById.delete(id);
+    }
+  }
+
+  /** Tells daemons that were not known, or not live, when own streams began. */
+  private tellNewKeepers(): void {
+    const addresses = this.dependencies.getPeerAddresses().join(" ");
+    if (addresses === this.toldAddresses) {
+      return;
+    }
+    this.toldAddresses = addresses;
+    this.ownStreamsById.forEach((stream, id) => {
+      this.tellKeepers(id, stream);
+    });
+  }
+
+  private tellKeepers(id: string, { version, told }: OwnStream): void {
+    for (const keeper of this.getKeepers(id)) {
+      if (!told.has(keeper)) {
+        told.add(keeper);
+        this.dependencies.send(keeper, { kind: "keep", id, version });
+      }
     }
   }
 
--- a/packages/daemon/src/streams/index.ts
+++ b/packages/daemon/src/streams/index.ts
@@ -1,2 +1,7 @@
 export { StreamDirectory, type StreamDirectoryDependencies } from "./StreamDirectory.js";
-export { decodeStreamMessage, encodeStreamMessage, type StreamMessage } from "./streamMessages.js";
+export {
+  decodeStreamMessage,
+  encodeStreamMessage,
+  isStreamDatagram,
+  type StreamMessage,
+} from "./streamMessages.js";
--- a/packages/daemon/src/streams/streamMessages.ts
+++ b/packages/daemon/src/streams/streamMessages.ts
@@ -5,22 +5,34 @@
 const packr = new Packr({ useRecords: false });
 const text = z.string().max(maxTextLength);
 
-/** Marks datagrams on streams; those of the gossip begin with the number of their format. */
-const streamMarker = "s1";
+/** First byte of datagrams on streams, which no text of the gossip's encoding begins with. */
+const streamMarker = 0xc1;
 const codes = { keep: 0, ask: 1, answer: 2 } as const;
 
-/** Id of the stream, then its software version or its service; null when the version is not known. */
+/**
+ * Id of the stream, then its software version or its service. An answer has null when the version is not known,
+ * then the only version of the service, or null, and the milliseconds for which its sender has kept versions.
+ */
 const datagramSchema = z.union([
-  z.tuple([z.literal(streamMarker), z.literal(codes.keep), text, text]),
-  z.tuple([z.literal(streamMarker), z.literal(codes.ask), text, text]),
-  z.tuple([z.literal(streamMarker), z.literal(codes.answer), text, text.nullable()]),
+  z.tuple([z.literal(codes.keep), text, text]),
+  z.tuple([z.literal(codes.ask), text, text]),
+  z.tuple([z.literal(codes.answer), text, text.nullable(), text.nullable(), z.int().min(0)]),
 ]);
 
 /** What daemons tell each other about the software version at which a stream began. */
 export type StreamMessage =
   | { readonly kind: "keep"; readonly id: string; readonly version: string }
   | { readonly kind: "ask"; readonly id: string; readonly service: string }
-  | { readonly kind: "answer"; readonly id: string; readonly version: string | undefined };
+  | {
+      readonly kind: "answer";
+      readonly id: string;
+      /** The version that the sender was told. */
+      readonly version: string | undefined;
+      /** The only version that the service had of late, if the sender knows. */
+      readonly onlyVersion: string | undefined;
+      /** Time for which the sender has kept the versions that it was told. */
+      readonly keptMilliseconds: number;
+    };
 
 /**
  * Checks whether a request id or a version fits into a message.
@@ -35,27 +47,58 @@
  * @param message - Message to send.
  */
 export function encodeStreamMessage(message: StreamMessage): Buffer {
-  const argument = message.kind === "ask" ? message.service : (message.version ?? null);
-  return packr.pack([streamMarker, codes[message.kind], message.id, argument]);
+  return Buffer.concat([Buffer.of(streamMarker), packr.pack(toFields(message))]);
+}
+
+function toFields(message: StreamMessage): z.infer<typeof datagramSchema> {
+  switch (message.kind) {
+    case "keep":
+      return [codes.keep, message.id, message.version];
+    case "ask":
+      return [codes.ask, message.id, message.service];
+    case "answer":
+      return [
+        codes.answer,
+        message.id,
+        message.version ?? null,
+        message.onlyVersion ?? null,
+        message.keptMilliseconds,
+      ];
+  }
+}
+
+/**
+ * Checks whether a datagram is one on streams, by its first byte.
+ * @param bytes - Bytes that were received.
+ */
+export function isStreamDatagram(bytes: Buffer): boolean {
+  return bytes[0] === streamMarker;
 }
 
 /**
  * Decodes a datagram.
  * @param bytes - Bytes that were received.
- * @returns Undefined when the bytes are no message on streams.
+ * @returns Undefined when they are malformed.
  */
 export function decodeStreamMessage(bytes: Buffer): StreamMessage | undefined {
-  const datagram = datagramSchema.safeParse(unpack(bytes)).data;
+  const datagram = datagramSchema.safeParse(unpack(bytes.subarray(1))).data;
   if (datagram === undefined) {
     return undefined;
   }
-  switch (datagram[1]) {
+  const [code, id, argument] = datagram;
+  switch (code) {
     case codes.keep:
-      return { kind: "keep", id: datagram[2], version: datagram[3] };
+      return { kind: "keep", id, version: argument };
     case codes.ask:
-      return { kind: "ask", id: datagram[2], service: datagram[3] };
+      return { kind: "ask", id, service: argument };
     case codes.answer:
-      return { kind: "answer", id: datagram[2], version: datagram[3] ?? undefined };
+      return {
+        kind: "answer",
+        id,
+        version: argument ?? undefined,
+        onlyVersion: datagram[3] ?? undefined,
+        keptMilliseconds: datagram[4],
+      };
   }
 }
 
--- a/packages/kernel/src/streams/VersionHistory.ts
+++ b/packages/kernel/src/streams/VersionHistory.ts
@@ -10,17 +10,31 @@
   readonly wallTime: number;
 }
 
-/** What a daemon has seen of one service. Times are monotonic milliseconds. */
+/** The only version of a service until another one came. */
+export interface FormerVersion {
+  readonly version: string;
+  /** When the other one was listed first. */
+  readonly until: number;
+}
+
+/** When a software version was listed. */
+interface ListedVersion {
+  readonly version: string;
+  readonly firstAt: number;
+  lastAt: number;
+}
+
+/** What a daemon has seen of one service. */
 interface ServiceHistory {
-  /** Since when the daemon has seen every list, without a gap. */
-  watchedSince: number;
-  /** When each software version was listed last. */
-  readonly listedAtByVersion: Map<string, number>;
+  /** Since when the daemon knows all lists, without a gap. */
+  readonly knownSince: number;
+  readonly listedByVersion: Map<string, ListedVersion>;
 }
 
 /**
  * The software versions of each service's upstreams as this daemon has seen them, so that it can tell
- * whether a stream may have begun at another version than the one that it knows.
+ * whether a stream may have begun at another version than the one that it knows. Times are monotonic
+ * milliseconds.
  */
 export class VersionHistory {
   private readonly historiesByService = new Map<string, ServiceHistory>();
@@ -35,18 +49,22 @@
   }
 
   /**
-   * Records the list that the registry has now.
+   * Records the list that the registry has now. One that is not current ends what is known.
    * @param list - The list.
    * @param now - Current time.
    */
   recordList(list: RegistryList, now: number): void {
-    const isFresh = list.ageMilliseconds <= freshListMilliseconds;
-    if (!isFresh) {
+    if (list.ageMilliseconds > freshListMilliseconds) {
       this.historiesByService.clear();
       return;
     }
-    for (const { service, softwareVersion } of list.upstreams) {
-      this.getHistory(service, list, now).listedAtByVersion.set(softwareVersion, now);
+    const known = new Set(this.historiesByService.keys());
+    for (const { service, softwareVersion: version } of list.upstreams) {
+      const { knownSince, listedByVersion } = this.getHistory(service, list, now);
+      const firstAt = known.has(service) ? now : knownSince;
+      const listed = listedByVersion.get(version) ?? { version, firstAt, lastAt: now };
+      listed.lastAt = now;
+      listedByVersion.set(version, listed);
     }
   }
 
@@ -58,13 +76,34 @@
    */
   getOnlyVersion(service: string, now: number): string | undefined {
     const history = this.historiesByService.get(service);
-    if (history === undefined || now - history.watchedSince < streamLifetimeMilliseconds) {
+    if (history === undefined || now - history.knownSince < streamLifetimeMilliseconds) {
       return undefined;
     }
-    const recent = [...history.listedAtByVersion]
-      .filter(([, listedAt]) => now - listedAt <= streamLifetimeMilliseconds)
-      .map(([version]) => version);
-    return recent.length === 1 ? recent[0] : undefined;
+    const recent = getListedSince(history, now - streamLifetimeMilliseconds);
+    return recent.length === 1 ? recent[0]?.version : undefined;
+  }
+
+  /**
+   * Gets the version at which a stream that still runs began, if it began before the service had others.
+   * @param service - Name of the service.
+   * @param now - Current time.
+   * @returns Undefined when no such stream can run any more, or when the daemon cannot know.
+   */
+  getFormerVersion(service: string, now: number): FormerVersion | undefined {
+    const history = this.historiesByService.get(service);
+    if (history === undefined) {
+      return undefined;
+    }
+    const [first, second] = getListedSince(history, now - 2 * streamLifetimeMilliseconds).sort(
+      (a, b) => a.firstAt - b.firstAt,
+    );
+    if (first === undefined || second === undefined) {
+      return undefined;
+    }
+    const until = second.firstAt;
+    const wasAlone = until - first.firstAt >= streamLifetimeMilliseconds;
+    const mayStillRun = now - until < streamLifetimeMilliseconds;
+    return wasAlone && mayStillRun ? { version: first.version, until } : undefined;
   }
 
   private getHistory(service: string, list: RegistryList, now: number): ServiceHistory {
@@ -72,13 +111,17 @@
     if (known !== undefined) {
       return known;
     }
-    const watchedSince = now - getUnchangedMilliseconds(service, list);
-    const added = { watchedSince, listedAtByVersion: new Map<string, number>() };
+    const knownSince = now - getUnchangedMilliseconds(service, list);
+    const added = { knownSince, listedByVersion: new Map<string, ListedVersion>() };
     this.historiesByService.set(service, added);
     return added;
   }
 }
 
+function getListedSince({ listedByVersion }: ServiceHistory, since: number): ListedVersion[] {
+  return [...listedByVersion.values()].filter(({ lastAt }) => lastAt >= since);
+}
+
 /**
  * Gets the time for which a service cannot have had other upstreams than those that are listed, as far as their
  * starts tell: one that started lately may have taken the place of another version.
--- /dev/null
+++ b/packages/kernel/tests/streams/VersionHistory.test.ts
@@ -0,0 +1,101 @@
+import { VersionHistory } from "@pistachioway/kernel";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { createUpstream } from "../upstreams/samples.js";
+
+interface Context {
+  history: VersionHistory;
+}
+
+const test = suite<Context>("VersionHistory");
+
+/** Longest time that a stream runs, in milliseconds. */
+const lifetime = 30_000;
+const service = "engine";
+/** Start of the process on the clock of the upstreams. */
+const wallStart = 1_000_000;
+
+test.before.each((context) => {
+  context.history = VersionHistory.create();
+});
+
+/** Records a list of engines, each with its version and its start, on the monotonic clock. */
+function record(
+  { history }: Context,
+  now: number,
+  engines: readonly (readonly [version: string, bornAt: number])[],
+  ageMilliseconds = 0,
+): void {
+  const upstreams = engines.map(([softwareVersion, bornAt], index) =>
+    createUpstream({ id: `e-${String(index)}`, softwareVersion, bornAt: wallStart + bornAt }),
+  );
+  history.recordList({ upstreams, ageMilliseconds, wallTime: wallStart + now }, now);
+}
+
+test("a version is the only one once no stream can have begun at another", (context) => {
+  record(context, 0, [["v1", -1_000]]);
+  const at = [0, lifetime - 1_001, lifetime - 1_000];
+  assert.equal(
+    at.map((now) => context.history.getOnlyVersion(service, now)),
+    [undefined, undefined, "v1"],
+  );
+  assert.is(context.history.getOnlyVersion("other", lifetime), undefined);
+});
+
+test("a daemon that starts beside old engines of one version knows it at once, and beside a new one it does not", (context) => {
+  record(context, 0, [["v1", -lifetime]]);
+  assert.is(context.history.getOnlyVersion(service, 0), "v1");
+  const other = { history: VersionHistory.create() };
+  record(other, 0, [
+    ["v1", -lifetime],
+    ["v1", -100],
+  ]);
+  assert.is(other.history.getOnlyVersion(service, 0), undefined);
+});
+
+test("a version that has left counts until its streams have ended", (context) => {
+  record(context, 0, [["v1", -lifetime]]);
+  record(context, 1_000, [
+    ["v1", -lifetime],
+    ["v2", 900],
+  ]);
+  record(context, 2_000, [["v2", 900]]);
+  assert.equal(
+    [1_000, 2_000, 31_000, 31_001].map((now) => context.history.getOnlyVersion(service, now)),
+    [undefined, undefined, undefined, "v2"],
+  );
+});
+
+test("the version that was alone is known until its streams have ended", (context) => {
+  record(context, 0, [["v1", -lifetime]]);
+  record(context, 1_000, [
+    ["v1", -lifetime],
+    ["v2", 900],
+  ]);
+  assert.equal(context.history.getFormerVersion(service, 1_000), { version: "v1", until: 1_000 });
+  assert.is(context.history.getFormerVersion(service, 1_000 + lifetime), undefined);
+});
+
+test("of two versions that were listed when a daemon started neither was alone", (context) => {
+  record(context, 0, [
+    ["v1", -2 * lifetime],
+    ["v2", -lifetime],
+  ]);
+  assert.equal(
+    [
+      context.history.getFormerVersion(service, 0),
+      context.history.getOnlyVersion(service, lifetime),
+    ],
+    [undefined, undefined],
+  );
+});
+
+test("a list that is not current ends what is known, until the next one", (context) => {
+  record(context, 0, [["v1", -lifetime]]);
+  record(context, 4_000, [["v1", -lifetime]], 4_000);
+  assert.is(context.history.getOnlyVersion(service, 4_000), undefined);
+  record(context, 5_000, [["v1", -lifetime]]);
+  assert.is(context.history.getOnlyVersion(service, 5_000), "v1");
+});
+
+test.run();
