Soak: upstreams of two software versions, and a check that streams stay at one

Each upstream gets one of two versions at random, also those that replace others; the runs that resume a stream must have the version of the one that began it. The check has a test of its own.

--- a/packages/experiments/src/soak/Installation.ts
+++ b/packages/experiments/src/soak/Installation.ts
@@ -6,6 +6,8 @@
 import { SoakUpstream } from "./SoakUpstream.js";
 
 const upstreamCount = 4;
+/** Versions that the upstreams of a run have at random, side by side. */
+const softwareVersions = ["v1", "v2"];
 const keyCount = 6;
 const portCount = 4;
 const firstPort = 20_000;
@@ -80,6 +82,7 @@
     const id = `u-${String(this.upstreamNames.length)}`;
     const upstream = SoakUpstream.create(
       id,
+      softwareVersions[this.random.getIndex(softwareVersions.length)] ?? "v1",
       this.random,
       (run) => this.runs.push(run),
       (refusal) => this.refusals.push(refusal),
--- a/packages/experiments/src/soak/SoakUpstream.ts
+++ b/packages/experiments/src/soak/SoakUpstream.ts
@@ -45,17 +45,21 @@
   /**
    * Creates an upstream that is not listening yet.
    * @param id - Id in the registry.
+   * @param softwareVersion - Version of its software.
    * @param random - Random source for the duration of its work.
    * @param onRun - Receives the record of each run.
    * @param onRefusal - Receives the record of each refusal with a wish for a rest.
    */
   static create(
     id: string,
+    softwareVersion: string,
     random: Random,
     onRun: (run: RunRecord) => void,
     onRefusal: (refusal: RefusalRecord) => void,
   ): SoakUpstream {
-    return new SoakUpstream(id, random, onRun, onRefusal);
+    const upstream = new SoakUpstream(id, random, onRun, onRefusal);
+    upstream.server.softwareVersion = softwareVersion;
+    return upstream;
   }
 
   private serve(request: ReceivedRequest, response: ServerResponse): void {
@@ -75,8 +79,10 @@
       refuseRequest(request, response);
       return;
     }
-    const { id, team, key } = request;
-    this.onRun({ id, upstream: this.id, team, key, startedAt: performance.now() });
+    const { id, team, key, lastEventId } = request;
+    const { softwareVersion } = this.server;
+    const run = { id, upstream: this.id, softwareVersion, lastEventId, team, key };
+    this.onRun({ ...run, startedAt: performance.now() });
     const isStream = request.path.startsWith("/stream/") || request.path.startsWith("/once/");
     setTimeout(() => {
       if (isStream) {
--- a/packages/experiments/src/soak/findViolations.ts
+++ b/packages/experiments/src/soak/findViolations.ts
@@ -72,6 +72,7 @@
     ["not-run-true", isFalseRefusal(call, runs)],
     ["answers-whole", isWrongSuccess(call)],
     ["streams-in-order", isWrongStream(call)],
+    ["streams-at-one-version", isStreamOfTwoVersions(runs)],
     ["revoked-keys", isRunAfterRevocation(call, runs, evidence)],
     ["draining", isRunWhileDraining(call, runs, evidence)],
     ["leaving", isRunAfterLeaving(call, runs, evidence)],
@@ -110,6 +111,13 @@
   return isWhole ? body !== whole : !whole.startsWith(body);
 }
 
+/** The runs that resume a stream must have the software version of the one that began it. */
+function isStreamOfTwoVersions(runs: readonly RunRecord[]): boolean {
+  const first = runs.findLastIndex(({ lastEventId }) => lastEventId === undefined);
+  const versions = runs.slice(Math.max(0, first)).map(({ softwareVersion }) => softwareVersion);
+  return new Set(versions).size > 1;
+}
+
 function isRunAfterRevocation(
   { key, sentAt }: CallRecord,
   runs: readonly RunRecord[],
--- a/packages/experiments/src/soak/schema.ts
+++ b/packages/experiments/src/soak/schema.ts
@@ -46,6 +46,10 @@
 export interface RunRecord {
   readonly id: string;
   readonly upstream: string;
+  /** Version of the upstream's software. */
+  readonly softwareVersion: string;
+  /** Last event that the caller has, when the run resumes a stream. */
+  readonly lastEventId: string | undefined;
   readonly team: string | undefined;
   readonly key: string | undefined;
   readonly startedAt: number;
--- a/packages/experiments/tests/soak/findViolations.test.ts
+++ b/packages/experiments/tests/soak/findViolations.test.ts
@@ -31,8 +31,9 @@
 }
 
 function createRun(fields: Partial<Run> = {}): Run {
+  const software = { softwareVersion: "v1", lastEventId: undefined };
   const run = { id: "q-1", upstream: "u-1", team: "callaloo", key: undefined, startedAt: 10_010 };
-  return { ...run, ...fields };
+  return { ...run, ...software, ...fields };
 }
 
 function getBrokenPromises(part: Partial<Evidence>): string[] {
@@ -56,6 +57,17 @@
   assert.equal(getBrokenPromises({ calls: [createCall(), stream], runs: [createRun()] }), []);
 });
 
+test("finds a stream that goes on at another software version, and none that only began again", () => {
+  const stream = createCall({ kind: "stream", body: getStream("q-1") });
+  const begun = createRun();
+  const again = createRun({ softwareVersion: "v2", upstream: "u-2" });
+  const resumed = { ...again, lastEventId: "3" };
+  assert.equal(getBrokenPromises({ calls: [stream], runs: [begun, again] }), []);
+  assert.equal(getBrokenPromises({ calls: [stream], runs: [begun, resumed] }), [
+    "streams-at-one-version",
+  ]);
+});
+
 test("finds an act that ran twice, and a refusal of an act that ran", () => {
   const runs = [createRun(), createRun({ upstream: "u-2" })];
   assert.equal(getBrokenPromises({ calls: [createCall()], runs }), ["at-most-once"]);
