Serve streams whose first request the caller does not name, while one version is listed

No router can look such a stream up, and routers that had started lately, or could not read the registry, refused it although there was one version only. They serve it now while one version is listed, and refuse it beside two. Ruled out: a shorter lifetime of streams, as callers may wait longer on other sites.

--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -66,7 +66,7 @@
     this.eventBuffer = kind === "stream" && isResumable ? CompleteEventBuffer.create() : undefined;
     this.report = ActiveRequestReport.create(dependencies, request);
     this.evidence = RequestEvidence.create(dependencies.quarantine, request);
-    this.origin = StreamOrigin.create(dependencies.streams, request);
+    this.origin = StreamOrigin.create(dependencies, request);
     this.slowAttemptMonitor = SlowAttemptMonitor.create(
       request.approval.route,
       dependencies.getNow,
--- a/packages/daemon/src/ingress/StreamOrigin.ts
+++ b/packages/daemon/src/ingress/StreamOrigin.ts
@@ -1,8 +1,11 @@
 import type { UpstreamEntry } from "@pistachioway/kernel";
-import type { StreamDirectory } from "../streams/index.js";
 import type { AcceptedRequest } from "./AcceptedRequest.js";
+import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { Refusal } from "./refusals.js";
 
+/** What the origin of a stream depends on. */
+export type StreamOriginDependencies = Pick<ActiveRequestDependencies, "streams" | "upstreams">;
+
 /**
  * The software version at which the stream of a request began, in this request or in an earlier one of its
  * caller: what upstreams of two versions write does not fit together.
@@ -14,17 +17,17 @@
   private recordedVersion: string | undefined;
 
   private constructor(
-    private readonly streams: StreamDirectory,
+    private readonly dependencies: StreamOriginDependencies,
     private readonly request: AcceptedRequest,
   ) {}
 
   /**
    * Creates the origin of a request's stream, if it has one.
-   * @param streams - Finds the versions of streams.
+   * @param dependencies - Finds the versions of streams and of upstreams.
    * @param request - The request.
    */
-  static create(streams: StreamDirectory, request: AcceptedRequest): StreamOrigin {
-    return new StreamOrigin(streams, request);
+  static create(dependencies: StreamOriginDependencies, request: AcceptedRequest): StreamOrigin {
+    return new StreamOrigin(dependencies, request);
   }
 
   /** Gets the only version to whose upstreams the request may be sent; undefined for any. */
@@ -34,6 +37,8 @@
 
   /**
    * Finds out where a stream began that the caller resumes; for other requests the listener is called at once.
+   * A caller that does not name the request which began it is served while one version only is listed, since
+   * no daemon can look its stream up.
    * @param listener - Called once the request may be sent, or with a refusal when the version is not known.
    */
   find(listener: (refusal: Refusal | undefined) => void): void {
@@ -42,7 +47,12 @@
       listener(undefined);
       return;
     }
-    this.streams.findVersion(head.resumedRequestId ?? head.id, service, (version) => {
+    if (head.resumedRequestId === undefined) {
+      const isMixed = this.dependencies.upstreams.getVersions(service).size > 1;
+      listener(isMixed ? createUnknownRefusal(this.request) : undefined);
+      return;
+    }
+    this.dependencies.streams.findVersion(head.resumedRequestId, service, (version) => {
       this.version = version;
       listener(version === undefined ? createUnknownRefusal(this.request) : undefined);
     });
@@ -55,7 +65,7 @@
     const mayBegin = approval.route.kind === "stream" && this.version === undefined;
     if (mayBegin && this.recordedVersion !== softwareVersion) {
       this.recordedVersion = softwareVersion;
-      this.streams.addStream(head.id, service, softwareVersion);
+      this.dependencies.streams.addStream(head.id, service, softwareVersion);
     }
   }
 
@@ -66,10 +76,13 @@
 }
 
 function createUnknownRefusal({ head }: AcceptedRequest): Refusal {
-  const stream = head.resumedRequestId ?? head.id;
+  const stream =
+    head.resumedRequestId === undefined
+      ? "a stream without the id of its first request"
+      : `stream "${head.resumedRequestId}"`;
   return {
     name: "stream-version-unknown",
-    detail: `no router knows at which software version stream "${stream}" began`,
+    detail: `no router knows at which software version ${stream} began`,
     retryAfterSeconds: undefined,
   };
 }
--- a/packages/daemon/tests/router/streamVersions.test.ts
+++ b/packages/daemon/tests/router/streamVersions.test.ts
@@ -212,4 +212,30 @@
   assert.ok(performance.now() - startedAt < 2_000);
 });
 
+/** Starts a stream anew from an event on, without the id of the request that began it. */
+async function resumeWithoutId(router: RouterFixture): Promise<RawResponse> {
+  const head = "Last-Event-Id: 3\r\n";
+  return router.call("/stream/x", { id: "s-x", method: "POST", head, body: "x" });
+}
+
+// Callers that name no first request cannot be looked up: they are served as long as there is one version.
+test("a stream whose first request is not named goes on while one version is listed, and not with two", async ({
+  routers,
+  store,
+  engines,
+}) => {
+  const [first, second] = routers;
+  assert.ok(first && second);
+  assert.is((await resumeWithoutId(first)).status, 503);
+  engines
+    .filter(({ softwareVersion }) => softwareVersion === "v1")
+    .forEach(({ id }) => {
+      store.removeUpstream(id);
+    });
+  await second.restart();
+  await delay(500);
+  const { status, body } = await resumeWithoutId(second);
+  assert.equal([status, body.includes("id: 4\n"), body.includes("id: 8\n")], [200, true, true]);
+});
+
 test.run();
