--- a/packages/daemon/tests/fleet/CrashSimulation.ts
+++ b/packages/daemon/tests/fleet/CrashSimulation.ts
@@ -1,6 +1,6 @@
 import type { RequestContent } from "@pistachioway/kernel";
 import { FleetTraffic, type TrafficSource } from "./FleetTraffic.js";
-import type { GossipSimulation } from "./GossipSimulation.js";
+import { TrafficSimulation } from "./TrafficSimulation.js";
 
 /** Options of a fleet whose upstreams crash on some requests. */
 export interface CrashOptions {
@@ -68,7 +68,7 @@
  * Requests to the daemons of a simulated fleet, and upstreams that end 40 ms after a crashing request has
  * arrived, together with all that run there. Each daemon learns of its own lost requests only.
  */
-export class CrashSimulation {
+export class CrashSimulation extends TrafficSimulation {
   readonly crashes: number[] = [];
   /** Sends of crashing requests to upstreams. */
   readonly sent: { readonly at: number; readonly daemon: number }[] = [];
@@ -86,6 +86,7 @@
   private nextHash = firstUniqueHash;
 
   private constructor(private readonly options: CrashOptions) {
+    super();
     const { createCrashing, createSound } = options;
     this.upstreams = Array.from({ length: options.upstreams }, () => this.createUpstream());
     const factory: RequestFactory = {
@@ -120,19 +121,6 @@
     return new CrashSimulation(options);
   }
 
-  get fleet(): GossipSimulation {
-    return this.traffic.fleet;
-  }
-
-  get now(): number {
-    return this.fleet.now;
-  }
-
-  /** Lets time pass with requests. */
-  run(milliseconds: number): void {
-    this.traffic.run(milliseconds);
-  }
-
   /** Lets an upstream crash for a reason of its own. */
   crashAny(): void {
     const upstream = this.pickUpstream();
--- a/packages/daemon/tests/fleet/LimitSimulation.ts
+++ b/packages/daemon/tests/fleet/LimitSimulation.ts
@@ -9,7 +9,7 @@
   type Upstream,
 } from "@pistachioway/kernel";
 import { FleetTraffic } from "./FleetTraffic.js";
-import type { GossipSimulation } from "./GossipSimulation.js";
+import { TrafficSimulation } from "./TrafficSimulation.js";
 
 /** Options of a fleet before one upstream that names a limit and one that does not. */
 export interface LimitOptions {
@@ -30,7 +30,7 @@
 const openId = "e-2";
 
 /** Requests to the daemons of a simulated fleet, each of which would take the limited upstream first. */
-export class LimitSimulation {
+export class LimitSimulation extends TrafficSimulation {
   /** Limit that the upstream names in its answers. */
   limitPerSecond: number | undefined;
   rate: number;
@@ -38,13 +38,14 @@
   readonly arrivals: { readonly at: number; readonly isTold: boolean }[] = [];
   sentCount = 0;
   servedCount = 0;
-  private readonly traffic: FleetTraffic;
+  readonly traffic: FleetTraffic;
   private readonly tables: UpstreamTable[];
   private readonly startedAt: number[];
   /** When the upstream first named its limit to each daemon since the daemon's start. */
   private readonly toldAt = new Map<number, number>();
 
   private constructor(private readonly options: LimitOptions) {
+    super();
     const { daemons, rate } = options;
     this.rate = rate;
     const send = (daemon: number): void => {
@@ -74,19 +75,6 @@
     return new LimitSimulation(options);
   }
 
-  get fleet(): GossipSimulation {
-    return this.traffic.fleet;
-  }
-
-  get now(): number {
-    return this.fleet.now;
-  }
-
-  /** Lets time pass with requests. */
-  run(milliseconds: number): void {
-    this.traffic.run(milliseconds);
-  }
-
   /** Restarts a daemon, which forgets everything but the seeds. */
   restart(daemon: number): void {
     this.fleet.restart([daemon]);
--- a/packages/daemon/tests/fleet/StreamSimulation.ts
+++ b/packages/daemon/tests/fleet/StreamSimulation.ts
@@ -1,7 +1,7 @@
 import { StreamDirectory, type StreamMessage } from "@pistachioway/daemon";
 import type { Upstream } from "@pistachioway/kernel";
 import { FleetTraffic } from "./FleetTraffic.js";
-import type { GossipSimulation } from "./GossipSimulation.js";
+import { TrafficSimulation } from "./TrafficSimulation.js";
 
 /** Options of a fleet before a service whose engines have several software versions. */
 export interface StreamOptions {
@@ -54,7 +54,7 @@
  * Streams that begin at the daemons of a simulated fleet, and are taken up at another daemon when their
  * connection breaks or their daemon is killed. Each daemon reads the registry by itself, unless it is cut off.
  */
-export class StreamSimulation {
+export class StreamSimulation extends TrafficSimulation {
   readonly traffic: FleetTraffic;
   readonly takeUps: TakeUp[] = [];
   begunCount = 0;
@@ -73,6 +73,7 @@
   private nextId = 1;
 
   private constructor(private readonly options: StreamOptions) {
+    super();
     const { daemons, rate } = options;
     this.traffic = FleetTraffic.create({
       ...options,
@@ -100,19 +101,6 @@
     return new StreamSimulation(options);
   }
 
-  get fleet(): GossipSimulation {
-    return this.traffic.fleet;
-  }
-
-  get now(): number {
-    return this.fleet.now;
-  }
-
-  /** Lets time pass with streams. */
-  run(milliseconds: number): void {
-    this.traffic.run(milliseconds);
-  }
-
   /** Sets the engines that serve, by software version; those of a version that stays keep running. */
   setVersions(versions: readonly string[]): void {
     this.upstreams = versions.map((softwareVersion) => {
--- a/packages/daemon/tests/router/promptCrash.test.ts
+++ b/packages/daemon/tests/router/promptCrash.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { CrashTraffic, waitForCrash, type TrafficCall } from "./CrashTraffic.js";
 import { CrashingEngines, hasBlock } from "./CrashingEngines.js";
 import { RouterFixture } from "./RouterFixture.js";
 
@@ -17,8 +18,6 @@
 /** Requests with the block that may reach engines after that. */
 const maxLaterRequests = 3;
 const requestIntervalMilliseconds = 30;
-/** Time without a crash after which no fifth one is waited for. */
-const quietMilliseconds = 4_000;
 const crashingBlock = "dead";
 /** Block that all requests begin with, also the sound ones. */
 const sharedBlock = "5eed";
@@ -39,63 +38,21 @@
   await engines.close();
 });
 
-/** Sends requests to the routers in turn until a time, every other one with the crashing block. */
-class Traffic {
-  readonly sound: { readonly at: number; readonly isServed: boolean }[] = [];
-  private sent = 0;
-  private isStopped = false;
-  private readonly calls: Promise<void>[] = [];
-
-  private constructor(private readonly routers: readonly RouterFixture[]) {}
-
-  static start(routers: readonly RouterFixture[]): Traffic {
-    const traffic = new Traffic(routers);
-    void traffic.run();
-    return traffic;
-  }
-
-  async stop(): Promise<void> {
-    this.isStopped = true;
-    await Promise.all(this.calls);
-  }
-
-  /** Gets the share of the sound requests since a time that were served whole. */
-  getServedShare(since: number): number {
-    const sent = this.sound.filter(({ at }) => at >= since);
-    return sent.filter(({ isServed }) => isServed).length / sent.length;
-  }
-
-  private async run(): Promise<void> {
-    while (!this.isStopped) {
-      this.calls.push(this.call(this.sent % 2 === 0));
-      this.sent += 1;
-      await delay(requestIntervalMilliseconds);
-    }
-  }
-
-  private async call(isCrashing: boolean): Promise<void> {
-    const id = `q-${String(this.sent)}`;
-    const at = performance.now();
-    const router = this.routers[Math.floor(this.sent / 2) % this.routers.length];
+/** Starts requests, every other one with the crashing block. */
+function startTraffic(routers: readonly RouterFixture[]): CrashTraffic {
+  const createCall = (isCrashing: boolean, id: string): TrafficCall => {
     const blocks = [sharedBlock, isCrashing ? crashingBlock : "f00d", id];
     const head = `Prompt-Prefix: ${blocks.map((block) => `${block}:40`).join(",")}\r\n`;
-    const response = await router?.call("/once/1", { id, method: "POST", head, body: "x" });
-    if (!isCrashing) {
-      this.sound.push({ at, isServed: response?.body.includes("piece 2") === true });
-    }
-  }
-}
-
-/** Waits for the fifth crash; fewer are enough when none has followed for some time. */
-async function waitForFifthCrash({ crashes }: CrashingEngines): Promise<number> {
-  for (;;) {
-    const fifth = crashes[4];
-    const last = crashes.at(-1) ?? Infinity;
-    if (fifth !== undefined || performance.now() > last + quietMilliseconds) {
-      return fifth ?? last;
-    }
-    await delay(10);
-  }
+    return { path: "/once/1", method: "POST", head, body: "x", expected: "piece 2", isCrashing };
+  };
+  return CrashTraffic.start({
+    routers,
+    intervalMilliseconds: requestIntervalMilliseconds,
+    createCalls: (round) => [
+      createCall(true, `c-${String(round)}`),
+      createCall(false, `s-${String(round)}`),
+    ],
+  });
 }
 
 // Guards against incident inc1: requests that share a prompt block crashed one engine after the other.
@@ -103,8 +60,8 @@
   routers,
   engines,
 }) => {
-  const traffic = Traffic.start(routers);
-  const fifth = await waitForFifthCrash(engines);
+  const traffic = startTraffic(routers);
+  const fifth = await waitForCrash(engines, 5);
   await delay(stableWindowMilliseconds + measuredMilliseconds);
   await traffic.stop();
   const later = engines.arrivals.filter((at) => at > fifth + stableWindowMilliseconds).length;
@@ -121,8 +78,8 @@
   routers,
   engines,
 }) => {
-  const traffic = Traffic.start(routers);
-  const fifth = await waitForFifthCrash(engines);
+  const traffic = startTraffic(routers);
+  const fifth = await waitForCrash(engines, 5);
   await delay(stableWindowMilliseconds);
   await routers[2]?.restart();
   await delay(stableWindowMilliseconds + measuredMilliseconds);
--- a/packages/daemon/tests/router/repeatedRequest.test.ts
+++ b/packages/daemon/tests/router/repeatedRequest.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { CrashTraffic, waitForCrash, type TrafficCall } from "./CrashTraffic.js";
 import { CrashingEngines } from "./CrashingEngines.js";
 import { RouterFixture, waitFor } from "./RouterFixture.js";
 
@@ -44,54 +45,17 @@
   return logLines.filter((line) => line.includes("event=upstream.changed")).length;
 }
 
-/** Sends reads to the routers in turn, every third one the crashing one, and records how the others ended. */
-class Traffic {
-  readonly sound: { readonly at: number; readonly isServed: boolean }[] = [];
-  private readonly calls: Promise<void>[] = [];
-  private sent = 0;
-  private isStopped = false;
-
-  private constructor(private readonly routers: readonly RouterFixture[]) {}
-
-  static start(routers: readonly RouterFixture[]): Traffic {
-    const traffic = new Traffic(routers);
-    void traffic.run();
-    return traffic;
-  }
-
-  async stop(): Promise<void> {
-    this.isStopped = true;
-    await Promise.all(this.calls);
-  }
-
-  /** Gets the share of the sound reads since a time that were served. */
-  getServedShare(since: number): number {
-    const sent = this.sound.filter(({ at }) => at >= since);
-    return sent.filter(({ isServed }) => isServed).length / sent.length;
-  }
-
-  private async run(): Promise<void> {
-    while (!this.isStopped) {
-      this.calls.push(this.call([crashingPath, soundPath, `/read/${String(this.sent)}`]));
-      this.sent += 1;
-      await delay(requestIntervalMilliseconds);
-    }
-  }
-
-  private async call(paths: readonly string[]): Promise<void> {
-    const at = performance.now();
-    const path = paths[this.sent % paths.length] ?? soundPath;
-    const router = this.routers[Math.floor(this.sent / paths.length) % this.routers.length];
-    const response = await router?.call(path, { id: `q-${String(this.sent)}` });
-    if (path !== crashingPath) {
-      this.sound.push({ at, isServed: response?.status === 200 });
-    }
-  }
-}
-
-async function waitForThirdCrash({ crashes }: CrashingEngines): Promise<number> {
-  await waitFor(() => crashes.length >= 3);
-  return crashes[2] ?? Infinity;
+/** Starts reads: the crashing one, a sound one that comes again as well, and one that comes once. */
+function startTraffic(routers: readonly RouterFixture[]): CrashTraffic {
+  const createRead = (path: string): TrafficCall => {
+    const isCrashing = path === crashingPath;
+    return { path, method: "GET", head: "", body: "", expected: "whole", isCrashing };
+  };
+  return CrashTraffic.start({
+    routers,
+    intervalMilliseconds: requestIntervalMilliseconds,
+    createCalls: (round) => [crashingPath, soundPath, `/read/${String(round)}`].map(createRead),
+  });
 }
 
 // Guards against issue 27, BUDGET: a request without prompt blocks, sent again whole, ended server after server.
@@ -99,8 +63,8 @@
   routers,
   servers,
 }) => {
-  const traffic = Traffic.start(routers);
-  const from = (await waitForThirdCrash(servers)) + stableWindowMilliseconds;
+  const traffic = startTraffic(routers);
+  const from = (await waitForCrash(servers, 3)) + stableWindowMilliseconds;
   await delay(stableWindowMilliseconds + measuredMilliseconds);
   await traffic.stop();
   const later = servers.arrivals.filter((at) => at > from).length;
@@ -118,8 +82,8 @@
   routers,
   servers,
 }) => {
-  const traffic = Traffic.start(routers);
-  const from = (await waitForThirdCrash(servers)) + stableWindowMilliseconds;
+  const traffic = startTraffic(routers);
+  const from = (await waitForCrash(servers, 3)) + stableWindowMilliseconds;
   await delay(stableWindowMilliseconds);
   await routers[2]?.restart();
   await delay(measuredMilliseconds);
