Quarantines outlive the losses of many others

Found while reading: a daemon remembers 4,096 suspects and dropped the oldest, quarantined ones as well. As each lost request is a suspect now, a mass crash could free what crashes engines. The test failed before: 20,000 losses after a quarantine ended it.

--- a/packages/kernel/src/quarantine/ContentQuarantine.ts
+++ b/packages/kernel/src/quarantine/ContentQuarantine.ts
@@ -132,7 +132,7 @@
     const contents = [lost.whole, ...(this.countsForBlocks(upstream) ? lost.blocks : [])];
     for (const content of contents) {
       const loss: Loss = { kind: "loss", content, upstream, request, at: now };
-      if (now > this.getTrustedUntil(content) && this.addSuspect(content).addLoss(loss)) {
+      if (now > this.getTrustedUntil(content) && this.addSuspect(content, now).addLoss(loss)) {
         this.options.addFleetNotice(loss);
       }
     }
@@ -157,7 +157,7 @@
     switch (notice.kind) {
       case "loss":
         if (!this.isDisproved(notice.content, notice.at)) {
-          this.addSuspect(notice.content).addLoss(notice);
+          this.addSuspect(notice.content, now).addLoss(notice);
           this.startQuarantines([notice.content], now);
         }
         break;
@@ -283,7 +283,7 @@
     }
     const endsAt = Math.min(askedEnd, now + longestQuarantineMilliseconds);
     const quarantine = { lostSince, endsAt, count };
-    const suspect = this.addSuspect(content);
+    const suspect = this.addSuspect(content, now);
     const wasQuarantined = suspect.getQuarantine(now) !== undefined;
     const delay = this.options.getReleaseDelay();
     if (suspect.adoptQuarantine(quarantine, delay) && !wasQuarantined) {
@@ -313,24 +313,31 @@
     dropOldest(this.succeededAtByContent, maxServedContents);
   }
 
-  private addSuspect(content: number): SuspectContent {
+  private addSuspect(content: number, now: number): SuspectContent {
     const known = this.suspectsByContent.get(content);
     if (known !== undefined) {
       return known;
     }
     const added = SuspectContent.create();
     this.suspectsByContent.set(content, added);
-    dropOldest(this.suspectsByContent, maxSuspects);
+    const isKept = (suspect: SuspectContent): boolean => suspect.getQuarantine(now) !== undefined;
+    dropOldest(this.suspectsByContent, maxSuspects, isKept);
     return added;
   }
 }
 
-/** Drops the items that were added first until a map has no more than a number of them. */
-function dropOldest<Key>(map: Map<Key, unknown>, size: number): void {
-  for (const key of map.keys()) {
+/** Drops the items that were added first until a map has no more than a number of them, but for some. */
+function dropOldest<Key, Value>(
+  map: Map<Key, Value>,
+  size: number,
+  isKept: (value: Value) => boolean = () => false,
+): void {
+  for (const [key, value] of map) {
     if (map.size <= size) {
       return;
     }
-    map.delete(key);
+    if (!isKept(value)) {
+      map.delete(key);
+    }
   }
 }
--- a/packages/kernel/tests/quarantine/ContentQuarantine.test.ts
+++ b/packages/kernel/tests/quarantine/ContentQuarantine.test.ts
@@ -246,4 +246,12 @@
   assert.ok(isRefused(context, 3_000));
 });
 
+test("a quarantine outlives the losses of many others after it", (context) => {
+  quarantineBlock(context);
+  for (let index = 0; index < 20_000; index += 1) {
+    lose(context, [100_000 + index], 4_000 + index / 10);
+  }
+  assert.ok(isRefused(context, 7_000));
+});
+
 test.run();
