Bound what callers name in Resumes where it is logged; names of notices on contents

A caller's id of the first request came whole into the log line and the refusal, up to the limit on headers (5,000 characters in the test, which failed before); 64 are repeated now. The daemons' gossip of quarantines still spoke of prompts.

--- a/packages/daemon/src/daemon/PeerTasks.ts
+++ b/packages/daemon/src/daemon/PeerTasks.ts
@@ -194,8 +194,8 @@
       onRevisionAnnouncement: (announcement) => {
         this.targets.configuration.receiveRevisionAnnouncement(announcement);
       },
-      takePromptNotices: () => this.targets.quarantine.takeNotices(),
-      onPromptNotices: (notices) => {
+      takeContentNotices: () => this.targets.quarantine.takeNotices(),
+      onContentNotices: (notices) => {
         this.targets.quarantine.receive(notices);
       },
       onMalformed: (from, topic) => {
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -129,7 +129,7 @@
       getReleaseDelay: () =>
         getReleaseDelay(this.peers.gossip.getActPeers().length + 1, Math.random()),
       onNotice: () => {
-        this.peers.gossip.sendPromptNotices();
+        this.peers.gossip.sendContentNotices();
       },
       onChange: ({ kind, content, source, quarantine }) => {
         const { endsAt, count } = quarantine;
--- a/packages/daemon/src/gossip/GossipTask.ts
+++ b/packages/daemon/src/gossip/GossipTask.ts
@@ -44,8 +44,8 @@
   readonly onTeamTotals: (from: string, totals: readonly TeamTotal[]) => void;
   readonly onRevisionAnnouncement: (announcement: RevisionAnnouncement) => void;
   /** Takes what this daemon tells of chats that crash engines. */
-  readonly takePromptNotices: () => readonly FleetNotice[];
-  readonly onPromptNotices: (notices: readonly FleetNotice[]) => void;
+  readonly takeContentNotices: () => readonly FleetNotice[];
+  readonly onContentNotices: (notices: readonly FleetNotice[]) => void;
   readonly onMalformed: (from: string, topic: string) => void;
 }
 
@@ -108,12 +108,12 @@
     const announcement = packRevisionAnnouncement(this.dependencies.getRevisionAnnouncement());
     this.broadcast({ topic: "configuration", value: announcement });
     this.sendTeamTotals();
-    this.sendPromptNotices();
+    this.sendContentNotices();
   }
 
   /** Sends what is known of chats that crash engines to every neighbour. */
-  sendPromptNotices(): void {
-    const notices = this.dependencies.takePromptNotices();
+  sendContentNotices(): void {
+    const notices = this.dependencies.takeContentNotices();
     if (notices.length > 0) {
       const value = encodeNotices(notices, this.dependencies.getNow());
       this.broadcast({ topic: "prompts", value, split: splitList });
@@ -183,7 +183,7 @@
         this.receiveRevisionAnnouncement(sender, part);
         return;
       case "prompts":
-        this.receivePromptNotices(sender, part);
+        this.receiveContentNotices(sender, part);
         return;
       case "holdings":
         this.dependencies.onMalformed(sender, part.topic);
@@ -275,12 +275,12 @@
     });
   }
 
-  private receivePromptNotices(sender: string, part: ReceivedPart): void {
+  private receiveContentNotices(sender: string, part: ReceivedPart): void {
     const notices = decodeNotices(part.value, this.dependencies.getNow());
     if (notices === undefined) {
       this.dependencies.onMalformed(sender, part.topic);
     } else {
-      this.dependencies.onPromptNotices(notices);
+      this.dependencies.onContentNotices(notices);
     }
   }
 
--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -23,6 +23,18 @@
   readonly deadline: number;
 }
 
+/** Length up to which ids that callers name are repeated in log lines and responses, in characters. */
+const maxNamedIdLength = 64;
+
+/**
+ * Gets the start of the id of the request that began the stream which a request resumes.
+ * @param head - Head of the request.
+ * @returns Undefined when the caller names none.
+ */
+export function getResumedIdStart({ resumedRequestId }: RequestHead): string | undefined {
+  return resumedRequestId?.slice(0, maxNamedIdLength);
+}
+
 /**
  * Gets the id of the last prompt block that the requests of a chat share: the one before the
  * request's own block, or the only block.
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -1,7 +1,7 @@
 import type { AttemptEnd, UpstreamChoice } from "@pistachioway/kernel";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { toHex } from "../log/toHex.js";
-import { getSharedBlockIds, type AcceptedRequest } from "./AcceptedRequest.js";
+import { getResumedIdStart, getSharedBlockIds, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { Attempt } from "./Attempt.js";
 import type { RefusalName } from "./refusals.js";
 
@@ -107,7 +107,7 @@
       age: Math.round(this.dependencies.getAgeMilliseconds()),
       upstream: choice?.entry.record.id ?? "-",
       software: choice?.entry.record.softwareVersion ?? "-",
-      resumes: head.lastEventId === undefined ? "-" : (head.resumedRequestId ?? "unknown"),
+      resumes: head.lastEventId === undefined ? "-" : (getResumedIdStart(head) ?? "unknown"),
       choice: choice?.reason ?? "-",
       load: choice?.entry.getLoad(now) ?? 0,
       runs,
--- a/packages/daemon/src/ingress/StreamOrigin.ts
+++ b/packages/daemon/src/ingress/StreamOrigin.ts
@@ -1,5 +1,5 @@
 import type { UpstreamEntry } from "@pistachioway/kernel";
-import type { AcceptedRequest } from "./AcceptedRequest.js";
+import { getResumedIdStart, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { Refusal } from "./refusals.js";
 
@@ -76,10 +76,9 @@
 }
 
 function createUnknownRefusal({ head }: AcceptedRequest): Refusal {
+  const id = getResumedIdStart(head);
   const stream =
-    head.resumedRequestId === undefined
-      ? "a stream without the id of its first request"
-      : `stream "${head.resumedRequestId}"`;
+    id === undefined ? "a stream without the id of its first request" : `stream "${id}"`;
   return {
     name: "stream-version-unknown",
     detail: `no router knows at which software version ${stream} began`,
--- a/packages/daemon/tests/router/streamVersions.test.ts
+++ b/packages/daemon/tests/router/streamVersions.test.ts
@@ -218,6 +218,17 @@
   return router.call("/stream/x", { id: "s-x", method: "POST", head, body: "x" });
 }
 
+test("a very long id of the first request is refused, and cut in the log and the response", async ({
+  routers,
+}) => {
+  const [first] = routers;
+  assert.ok(first);
+  const head = `Last-Event-Id: 3\r\nResumes: ${"x".repeat(5_000)}\r\n`;
+  const { status, body } = await first.call("/stream/x", { id: "s-x", method: "POST", head });
+  const line = first.logLines.find((each) => each.includes("outcome=stream-version-unknown"));
+  assert.equal([status, body.length < 400, (line?.length ?? 0) < 800], [503, true, true]);
+});
+
 // Callers that name no first request cannot be looked up: they are served as long as there is one version.
 test("a stream whose first request is not named goes on while one version is listed, and not with two", async ({
   routers,
