--- a/packages/daemon/tests/fleet/contentQuarantine.test.ts
+++ b/packages/daemon/tests/fleet/contentQuarantine.test.ts
@@ -241,7 +241,7 @@
       }
     });
 
-    test(`${name}: all daemons that restart at once pay again, and no more than the first time`, () => {
+    test(`${name}: all daemons that restart at once learn of it again, and then stop sending it`, () => {
       for (const seed of deployment.seeds) {
         const simulation = create(deployment, seed);
         simulation.run(stormMilliseconds);
