--- a/packages/daemon/tests/router/RouterFixture.ts
+++ b/packages/daemon/tests/router/RouterFixture.ts
@@ -26,6 +26,7 @@
     private readonly ports: readonly number[],
     private storeClient: StoreClient,
     private readonly seeds: readonly string[],
+    private readonly storeAddress: string,
   ) {}
 
   /** Starts a store and a router with one route of each kind. */
@@ -40,17 +41,27 @@
     return RouterFixture.start("127.0.0.1", await getFreePorts(4), store);
   }
 
-  /** Starts several routers, each on a loopback address of its own, that share a store and find each other. */
-  static async createFleet(count: number): Promise<RouterFixture[]> {
+  /**
+   * Starts several routers, each on a loopback address of its own, that share a store and find each other.
+   * @param count - Number of routers.
+   * @param createStoreAddress - Gets the address at which a router reaches the store, by the router's index.
+   */
+  static async createFleet(
+    count: number,
+    createStoreAddress: (store: RegistryStore, router: number) => Promise<string> = (store) =>
+      Promise.resolve(store.address),
+  ): Promise<RouterFixture[]> {
     const store = RegistryStore.create();
     await store.listen();
     store.publishConfiguration();
     const ports = await getFreePorts(4);
     const seeds = ["127.0.0.1:1", "127.0.0.2:1"];
     return Promise.all(
-      Array.from({ length: count }, (_, index) =>
-        RouterFixture.start(`127.0.0.${String(index + 1)}`, ports, store, seeds),
-      ),
+      Array.from({ length: count }, async (_, index) => {
+        const storeAddress = await createStoreAddress(store, index);
+        const host = `127.0.0.${String(index + 1)}`;
+        return RouterFixture.start(host, ports, store, seeds, storeAddress);
+      }),
     );
   }
 
@@ -63,6 +74,7 @@
       this.ports,
       this.store,
       this.seeds,
+      this.storeAddress,
     );
     this.router = router;
     this.storeClient = storeClient;
@@ -81,13 +93,14 @@
     ports: readonly number[],
     store: RegistryStore,
     seeds: readonly string[] = ["127.0.0.1:1"],
+    storeAddress = store.address,
   ): Promise<RouterFixture> {
     const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = ports;
     const at = (port: number) => `${host}:${String(port)}`;
     const logLines: string[] = [];
     const write = (text: string) => logLines.push(text);
     const output = { write, flush: () => Promise.resolve() };
-    const storeClient = StoreClient.create(store.address);
+    const storeClient = StoreClient.create(storeAddress);
     const router = Router.create({
       settings: routerSettingsSchema.parse({
         process: { name: `d-${host}`, zone: "north" },
@@ -97,7 +110,7 @@
           operations: at(operations),
           datagrams: at(datagrams),
         },
-        registry: { address: store.address },
+        registry: { address: storeAddress },
         peers: { seeds },
         retries: { ratio: 0.2, slack: 100 },
       }),
@@ -105,7 +118,16 @@
       codec: headerCodec,
       log: StreamLog.create(output, () => performance.now(), "info", {}),
     });
-    const fixture = new RouterFixture(logLines, store, router, host, ports, storeClient, seeds);
+    const fixture = new RouterFixture(
+      logLines,
+      store,
+      router,
+      host,
+      ports,
+      storeClient,
+      seeds,
+      storeAddress,
+    );
     await router.start();
     await waitFor(() => logLines.some((line) => line.includes("configuration.in-force")));
     return fixture;
--- a/packages/standins/src/faults/Connection.ts
+++ b/packages/standins/src/faults/Connection.ts
@@ -68,7 +68,8 @@
    * @param mode - Mode of the link.
    */
   setMode(mode: LinkMode): void {
-    if (mode === "refuse" || (mode === "open" && this.hasLostBytes())) {
+    const isReset = mode === "refuse" || mode === "closed";
+    if (isReset || (mode === "open" && this.hasLostBytes())) {
       this.reset();
     }
     if (mode === "cut" || mode === "cut-request") {
--- a/packages/standins/src/faults/Link.ts
+++ b/packages/standins/src/faults/Link.ts
@@ -21,6 +21,7 @@
   private heldConnections: HeldConnection[] = [];
   private connectionAwaitingSwap: Connection | undefined;
   private acceptedCount = 0;
+  private port = 0;
 
   private constructor(
     readonly name: string,
@@ -43,12 +44,13 @@
 
   /** Gets the address in the form `127.0.0.1:PORT`. */
   get address(): string {
-    return `127.0.0.1:${String((this.server.address() as AddressInfo).port)}`;
+    return `127.0.0.1:${String(this.port)}`;
   }
 
   /** Binds a free port and returns the address. */
   async listen(): Promise<string> {
     await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
+    this.port = (this.server.address() as AddressInfo).port;
     return this.address;
   }
 
@@ -69,6 +71,12 @@
     for (const connection of [...this.connections]) {
       connection.setMode(mode);
     }
+    const isListening = mode !== "closed" && mode !== "closed-to-new";
+    if (this.server.listening && !isListening) {
+      this.server.close();
+    } else if (!this.server.listening && isListening) {
+      this.server.listen(this.port, "127.0.0.1");
+    }
   }
 
   /**
--- a/packages/standins/src/faults/schema.ts
+++ b/packages/standins/src/faults/schema.ts
@@ -63,8 +63,18 @@
  * - `cut`: discards both directions; connections are still accepted.
  * - `cut-request`, `cut-response`: discards one direction.
  * - `refuse`: resets every connection.
+ * - `closed`: refuses new connections, as a host without a listener does, and resets the open ones.
+ * - `closed-to-new`: refuses new connections; the open ones go on.
  */
-export const linkModeSchema = z.enum(["open", "cut", "cut-request", "cut-response", "refuse"]);
+export const linkModeSchema = z.enum([
+  "open",
+  "cut",
+  "cut-request",
+  "cut-response",
+  "refuse",
+  "closed",
+  "closed-to-new",
+]);
 
 export const modeBodySchema = z.strictObject({ mode: linkModeSchema });
 export const rulesSchema = z.array(ruleSchema);
--- a/packages/standins/src/registry/RegistryStore.ts
+++ b/packages/standins/src/registry/RegistryStore.ts
@@ -24,6 +24,9 @@
   readonly revision: number;
 }
 
+/** Gets the address under which one reader of the store finds an upstream; its own address if undefined. */
+export type AddressTranslation = (upstreamId: string) => string | undefined;
+
 interface PendingWatch {
   readonly finish: () => void;
 }
@@ -43,11 +46,12 @@
   private mode: StoreMode = "up";
   private readonly pendingWatches = new Set<PendingWatch>();
   private readonly server: Server;
+  private readonly views: Server[] = [];
   private callCount = 0;
 
   private constructor() {
     this.server = createServer((request, response) => {
-      this.serve(request, response);
+      this.serve(request, response, keepAddresses);
     });
   }
 
@@ -58,10 +62,7 @@
 
   /** Gets the address in the form `127.0.0.1:PORT`. */
   get address(): string {
-    const address = this.server.address();
-    return typeof address === "object" && address !== null
-      ? `127.0.0.1:${String(address.port)}`
-      : "";
+    return getAddress(this.server);
   }
 
   /** Gets the number of calls received so far. */
@@ -71,14 +72,30 @@
 
   /** Binds the listener and returns its address. */
   async listen(): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
-    return this.address;
+    return listen(this.server);
   }
 
-  /** Closes the listener and every connection. */
+  /**
+   * Binds a further listener, whose reader finds the upstreams at other addresses: those of links of its own.
+   * @param translate - Gets the addresses.
+   * @returns The address of the listener.
+   */
+  async listenWith(translate: AddressTranslation): Promise<string> {
+    const server = createServer((request, response) => {
+      this.serve(request, response, translate);
+    });
+    this.views.push(server);
+    return listen(server);
+  }
+
+  /** Closes every listener and connection. */
   async close(): Promise<void> {
-    this.server.closeAllConnections();
-    await new Promise((resolve) => this.server.close(resolve));
+    await Promise.all(
+      this.getServers().map(async (server) => {
+        server.closeAllConnections();
+        await new Promise((resolve) => server.close(resolve));
+      }),
+    );
   }
 
   /** Writes an item. */
@@ -153,10 +170,16 @@
     this.mode = mode;
     this.finishPendingWatches();
     if (mode === "reset") {
-      this.server.closeAllConnections();
+      this.getServers().forEach((server) => {
+        server.closeAllConnections();
+      });
     }
   }
 
+  private getServers(): readonly Server[] {
+    return [this.server, ...this.views];
+  }
+
   private addChange(change: Change): void {
     if (change.text === undefined) {
       this.items.delete(change.key);
@@ -173,30 +196,34 @@
     });
   }
 
-  private serve(request: IncomingMessage, response: ServerResponse): void {
+  private serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    translate: AddressTranslation,
+  ): void {
     this.callCount += 1;
     const url = new URL(request.url ?? "", "http://store");
     if (url.pathname === "/v1/kv-watch") {
-      this.serveWatch(url, response);
+      this.serveWatch(url, response, translate);
     } else {
-      this.respond(response, 200, () => this.getPage(url));
+      this.respond(response, 200, () => this.getPage(url, translate));
     }
   }
 
-  private getPage(url: URL): unknown {
+  private getPage(url: URL, translate: AddressTranslation): unknown {
     const prefix = url.searchParams.get("prefix") ?? "";
     const after = url.searchParams.get("after") ?? "";
     const matching = [...this.items.values()]
       .filter(({ key }) => key.startsWith(prefix) && key > after)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
     return {
-      entries: matching.slice(0, itemsPerPage).map(toItem),
+      entries: matching.slice(0, itemsPerPage).map((change) => toItem(change, translate)),
       more_pages: matching.length > itemsPerPage,
       current_rev: this.revision,
     };
   }
 
-  private serveWatch(url: URL, response: ServerResponse): void {
+  private serveWatch(url: URL, response: ServerResponse, translate: AddressTranslation): void {
     const after = Number(url.searchParams.get("after"));
     const waitMilliseconds = Number(url.searchParams.get("wait_ms"));
     const getNewChanges = (): Change[] => this.changes.filter(({ revision }) => revision > after);
@@ -205,7 +232,7 @@
       clearTimeout(timer);
       this.pendingWatches.delete(watch);
       this.respond(response, isHistoryLost() ? 410 : 200, () => ({
-        events: getNewChanges().map(toItem),
+        events: getNewChanges().map((change) => toItem(change, translate)),
         current_rev: this.revision,
       }));
     };
@@ -231,8 +258,34 @@
   }
 }
 
-function toItem({ key, revision, text }: Change): unknown {
-  return text === undefined
-    ? { key, revision, removed: true }
-    : { key, revision, created: revision, lease: 0, value: Buffer.from(text).toString("base64") };
+const keepAddresses: AddressTranslation = () => undefined;
+
+async function listen(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return getAddress(server);
+}
+
+function getAddress(server: Server): string {
+  const address = server.address();
+  return typeof address === "object" && address !== null ? `127.0.0.1:${String(address.port)}` : "";
+}
+
+function toItem({ key, revision, text }: Change, translate: AddressTranslation): unknown {
+  if (text === undefined) {
+    return { key, revision, removed: true };
+  }
+  const value = Buffer.from(translateAddress(key, text, translate)).toString("base64");
+  return { key, revision, created: revision, lease: 0, value };
+}
+
+const upstreamPrefix = "servers/";
+
+/** Replaces the address in the entry of an upstream. */
+function translateAddress(key: string, text: string, translate: AddressTranslation): string {
+  const address = key.startsWith(upstreamPrefix)
+    ? translate(key.slice(upstreamPrefix.length))
+    : undefined;
+  return address === undefined
+    ? text
+    : JSON.stringify({ ...(JSON.parse(text) as object), address });
 }
--- a/packages/standins/src/registry/index.ts
+++ b/packages/standins/src/registry/index.ts
@@ -2,7 +2,12 @@
   createPublishedConfiguration,
   type PublishedConfigurationOptions,
 } from "./configuration.js";
-export { RegistryStore, type StoreCopy, type StoreMode } from "./RegistryStore.js";
+export {
+  RegistryStore,
+  type AddressTranslation,
+  type StoreCopy,
+  type StoreMode,
+} from "./RegistryStore.js";
 export { ScriptedCaller, type CallerOutcome, type CallerRequest } from "./ScriptedCaller.js";
 export {
   announceLeaving,
