--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -1,10 +1,4 @@
-import {
-  applyResponseHead,
-  type ResponseHead,
-  type AttemptEnd,
-  type UpstreamChoice,
-  type UpstreamEntry,
-} from "@pistachioway/kernel";
+import type { AttemptEnd, ResponseHead } from "@pistachioway/kernel";
 import type { ExchangeFailure, ExchangeListener } from "../exchange/index.js";
 import { Attempt } from "./Attempt.js";
 import type { CallerResponse } from "./CallerResponse.js";
@@ -19,6 +13,8 @@
 import { SlowAttemptMonitor } from "./SlowAttemptMonitor.js";
 import { StreamOrigin } from "./StreamOrigin.js";
 import type { Refusal } from "./refusals.js";
+import type { AttemptTarget } from "./AttemptTarget.js";
+import { UpstreamTarget } from "./UpstreamTarget.js";
 
 const firstErrorStatus = 300;
 const serverErrorStatus = 500;
@@ -27,7 +23,8 @@
 /** A request in flight: chooses an upstream, sends the request, relays the response, and retries. */
 export class ActiveRequest {
   private attempt: Attempt | undefined;
-  private choice: UpstreamChoice | undefined;
+  /** Target of the last attempt; undefined when the last choice found none. */
+  private target: AttemptTarget | undefined;
   /** Attempts that may have run. */
   runs = 0;
   /** Attempts that have certainly not run. */
@@ -135,21 +132,26 @@
     }
     const softwareVersion = this.origin.getVersion();
     const constraints = { excluded: this.triedUpstreamIds, softwareVersion };
-    this.choice = chooseRequestUpstream(this.dependencies, this.request, constraints);
-    if (this.choice === undefined) {
+    const choice = chooseRequestUpstream(this.dependencies, this.request, constraints);
+    if (choice === undefined) {
+      this.target = undefined;
       this.fail(createUpstreamRefusal(this.dependencies, this.request, softwareVersion));
       return;
     }
-    const { entry, preferred } = this.choice;
-    this.triedUpstreamIds.add(entry.record.id);
+    this.triedUpstreamIds.add(choice.entry.record.id);
+    this.origin.recordSend(choice.entry.record);
+    this.sendTo(UpstreamTarget.create(this.dependencies, this.request, choice), now);
+  }
+
+  private sendTo(target: AttemptTarget, now: number): void {
+    this.target = target;
     this.runs += 1;
-    const attempt = Attempt.create(entry);
+    const attempt = Attempt.create(target);
     this.attempt = attempt;
     this.slowAttemptMonitor.start(attempt, this.runs, (slowAttempt) => {
       this.handleSlowAttempt(slowAttempt);
     });
-    this.origin.recordSend(entry);
-    attempt.send(this.dependencies, this.request, preferred, this.getLastEventId(), this.listener);
+    attempt.send(now, this.getLastEventId(), this.listener);
   }
 
   private getLastEventId(): string | undefined {
@@ -160,9 +162,9 @@
   }
 
   private handleSlowAttempt(attempt: Attempt): void {
-    const detail = `upstream "${attempt.entry.record.id}" did not answer in time`;
+    const detail = `${attempt.target.description} did not answer in time`;
     if (this.mayRetry("late", detail)) {
-      this.recordFailure(attempt.entry);
+      this.recordFailure(attempt.target);
       this.cancelAttempt();
       this.send();
     }
@@ -176,14 +178,12 @@
     const now = this.dependencies.getNow();
     attempt.head = head;
     attempt.recordReceivedBytes(now);
-    this.dependencies.onNotices(
-      applyResponseHead(this.dependencies.upstreams, attempt.entry, head, now),
-    );
+    attempt.target.recordHead(head, now);
     if (head.isRefusal) {
       this.recordNotRun();
     } else if (this.isStream(head)) {
       attempt.startStream();
-      this.origin.recordStart(attempt.entry);
+      this.origin.recordStart(attempt.target.getSoftwareVersion());
       this.startStream(head, now);
     }
   }
@@ -229,21 +229,18 @@
       this.handleFailure({ end: "lost", detail, wasClosedByUpstream: true });
       return;
     }
-    const { head, entry } = attempt;
+    const { head, target } = attempt;
     this.endAttempt();
     this.evidence.recordAnswer(head, this.dependencies.getNow());
     if (head.isRefusal) {
-      this.retryOrFail(
-        "refused",
-        `upstream "${entry.record.id}" refused with ${String(head.status)}`,
-      );
+      this.retryOrFail("refused", `${target.description} refused with ${String(head.status)}`);
     } else if (head.status >= serverErrorStatus) {
       this.handleServerError(attempt, head);
     } else if (this.response.isStarted() && !this.isStream(head)) {
       // The stream was resumed at another upstream, whose response is not a stream.
-      this.retryOrFail("failed", `upstream "${entry.record.id}" answered ${String(head.status)}`);
+      this.retryOrFail("failed", `${target.description} answered ${String(head.status)}`);
     } else {
-      entry.recordSuccess();
+      target.recordSuccess();
       this.complete(attempt, head);
     }
   }
@@ -260,8 +257,8 @@
 
   /** Retries at another upstream where that is allowed, else relays the upstream's error response. */
   private handleServerError(attempt: Attempt, head: ResponseHead): void {
-    this.recordFailure(attempt.entry);
-    const detail = `upstream "${attempt.entry.record.id}" answered ${String(head.status)}`;
+    this.recordFailure(attempt.target);
+    const detail = `${attempt.target.description} answered ${String(head.status)}`;
     if (this.mayRetry("failed", detail)) {
       this.send();
     } else if (this.response.isStarted()) {
@@ -279,19 +276,16 @@
     const isRefused = attempt.head?.isRefusal === true;
     if (end === "notSent") {
       this.recordNotRun();
-      attempt.entry.markUnreachable(this.dependencies.getNow());
+      attempt.target.recordNotSent(this.dependencies.getNow());
     } else if (!isRefused) {
-      this.recordFailure(attempt.entry);
+      this.recordFailure(attempt.target);
       this.report.recordLoss(attempt, detail);
       if (wasClosedByUpstream) {
         this.evidence.recordLoss(attempt, this.dependencies.getNow());
       }
     }
     this.endAttempt();
-    this.retryOrFail(
-      isRefused ? "refused" : end,
-      `upstream "${attempt.entry.record.id}": ${detail}`,
-    );
+    this.retryOrFail(isRefused ? "refused" : end, `${attempt.target.description}: ${detail}`);
   }
 
   private retryOrFail(end: AttemptEnd, detail: string): void {
@@ -358,18 +352,15 @@
     this.refusals += 1;
   }
 
-  private recordFailure(entry: UpstreamEntry): void {
-    entry.recordFailure(
-      this.dependencies.getNow(),
-      this.dependencies.upstreams.getMedianFailureRate(entry),
-    );
+  private recordFailure(target: AttemptTarget): void {
+    target.recordFailure(this.dependencies.getNow());
   }
 
-  /** Records a failure of an upstream that has sent nothing for the stall timeout. */
+  /** Records a failure of a target that has sent nothing for the stall timeout. */
   private recordFailureIfUnresponsive(): void {
     const { attempt } = this;
     if (attempt !== undefined && this.slowAttemptMonitor.isUnresponsive(attempt)) {
-      this.recordFailure(attempt.entry);
+      this.recordFailure(attempt.target);
     }
   }
 
@@ -387,6 +378,6 @@
   private finish(outcome: ActiveRequestOutcome): void {
     this.isFinished = true;
     clearTimeout(this.deadlineTimer);
-    this.report.recordEnd(outcome, this, this.choice, this.firstByteAt);
+    this.report.recordEnd(outcome, this, this.target, this.firstByteAt);
   }
 }
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -1,8 +1,9 @@
-import type { AttemptEnd, UpstreamChoice } from "@pistachioway/kernel";
+import type { AttemptEnd } from "@pistachioway/kernel";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { toHex } from "../log/toHex.js";
 import { getResumedIdStart, getSharedBlockIds, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { Attempt } from "./Attempt.js";
+import type { AttemptTarget, TargetReport } from "./AttemptTarget.js";
 import type { RefusalName } from "./refusals.js";
 
 const millisecondsPerSecond = 1_000;
@@ -16,6 +17,8 @@
 export type ActiveRequestOutcome =
   "answered" | "abandoned" | "broken" | "cut-at-deadline" | RefusalName;
 
+const noTarget: TargetReport = { upstream: "-", software: "-", choice: "-", load: 0 };
+
 /** State of a request, as reported in log lines. */
 export interface ActiveRequestState {
   /** Attempts that may have run. */
@@ -64,11 +67,11 @@
    * @param attempt - The attempt.
    * @param detail - How the connection ended.
    */
-  recordLoss({ entry, head, firstBodyByteAt }: Attempt, detail: string): void {
+  recordLoss({ target, head, firstBodyByteAt }: Attempt, detail: string): void {
     const now = this.dependencies.getNow();
     this.dependencies.record("info", "attempt.lost", {
       request: this.request.head.id,
-      upstream: entry.record.id,
+      upstream: target.getReport(now).upstream,
       status: head?.status ?? 0,
       // Time since the upstream began to write its answer; -1 when it had not.
       written: firstBodyByteAt === undefined ? -1 : Math.round(now - firstBodyByteAt),
@@ -84,13 +87,13 @@
    * Records the end of the request.
    * @param outcome - How it ended.
    * @param state - State of the request at its end.
-   * @param choice - Upstream that was chosen last.
+   * @param target - Target that was chosen last.
    * @param firstByteAt - When the head of a stream was received; undefined for other responses.
    */
   recordEnd(
     outcome: ActiveRequestOutcome,
     { runs, refusals, status, lastFailure }: ActiveRequestState,
-    choice: UpstreamChoice | undefined,
+    target: AttemptTarget | undefined,
     firstByteAt: number | undefined,
   ): void {
     const now = this.dependencies.getNow();
@@ -105,11 +108,8 @@
       service,
       version: this.dependencies.getVersion(),
       age: Math.round(this.dependencies.getAgeMilliseconds()),
-      upstream: choice?.entry.record.id ?? "-",
-      software: choice?.entry.record.softwareVersion ?? "-",
+      ...(target?.getReport(now) ?? noTarget),
       resumes: head.lastEventId === undefined ? "-" : (getResumedIdStart(head) ?? "unknown"),
-      choice: choice?.reason ?? "-",
-      load: choice?.entry.getLoad(now) ?? 0,
       runs,
       refusals,
       first: Math.round((firstByteAt ?? now) - arrivedAt),
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -1,17 +1,9 @@
-import {
-  findPrefixHolder,
-  type ResponseHead,
-  type RequestApproval,
-  type UpstreamEntry,
-} from "@pistachioway/kernel";
-import { Exchange, type ExchangeListener } from "../exchange/index.js";
-import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
+import type { ResponseHead } from "@pistachioway/kernel";
+import type { Exchange, ExchangeListener } from "../exchange/index.js";
+import type { AttemptTarget } from "./AttemptTarget.js";
 import { EventBoundary } from "./EventBoundary.js";
-import { getSharedBlocks, getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
 
-const maxPriority = 9;
-
-/** One attempt to send a request to one upstream. */
+/** One attempt to send a request to one target. */
 export class Attempt {
   /** Response head, once it has been received. */
   head: ResponseHead | undefined;
@@ -25,59 +17,25 @@
   private keptBytes = 0;
   private exchange: Exchange | undefined;
 
-  private constructor(readonly entry: UpstreamEntry) {}
+  private constructor(readonly target: AttemptTarget) {}
 
   /**
    * Creates an attempt that is not sent yet.
-   * @param entry - Upstream that the request is sent to.
+   * @param target - Where the request is sent.
    */
-  static create(entry: UpstreamEntry): Attempt {
-    return new Attempt(entry);
+  static create(target: AttemptTarget): Attempt {
+    return new Attempt(target);
   }
 
   /**
    * Sends the request.
-   * @param dependencies - Dependencies of the request's processing.
-   * @param request - Request to send.
-   * @param preferred - Upstream that likely has the prompt's prefix cached, when it is another one.
+   * @param now - Current time, in monotonic milliseconds.
    * @param lastEventId - Id of the last event that the caller has received.
    * @param listener - Receives the response or the failure.
    */
-  send(
-    dependencies: ActiveRequestDependencies,
-    request: AcceptedRequest,
-    preferred: UpstreamEntry | undefined,
-    lastEventId: string | undefined,
-    listener: ExchangeListener,
-  ): void {
-    const { head, approval, method, path, body, hasBody } = request;
-    const { record } = this.entry;
-    const now = dependencies.getNow();
-    const isEngine = dependencies.getService(record.service)?.engine !== undefined;
-    this.entry.startRequest(now);
-    this.entry.limit.takeSlot(now, dependencies.getLimitShare());
+  send(now: number, lastEventId: string | undefined, listener: ExchangeListener): void {
     this.lastReceivedAt = now;
-    const headers = dependencies.codec.writeRequest(head, {
-      upstream: record,
-      team: approval.team,
-      remainingMilliseconds: request.deadline - now,
-      priority: isEngine ? getPriority(approval) : undefined,
-      lastEventId,
-      kvCacheSourceAddress: isEngine
-        ? this.getKvCacheSourceAddress(dependencies, request, preferred, now)
-        : undefined,
-      bodyBytes: body.length,
-      hasBody,
-    });
-    const outgoing = {
-      address: record.address,
-      requestId: head.id,
-      method,
-      path,
-      headers,
-      body: hasBody ? body : undefined,
-    };
-    this.exchange = Exchange.start(dependencies.pool, dependencies.codec, outgoing, listener);
+    this.exchange = this.target.send(lastEventId, listener);
   }
 
   /** Checks whether the request may have reached the upstream. */
@@ -104,7 +62,7 @@
   /** Records that bytes of the response were received. */
   recordReceivedBytes(now: number): void {
     this.lastReceivedAt = now;
-    this.entry.recordReceivedBytes(now);
+    this.target.recordReceivedBytes(now);
   }
 
   /**
@@ -129,12 +87,12 @@
   /** Records that the response is a stream. */
   startStream(): void {
     this.isStreaming = true;
-    this.entry.startStream();
+    this.target.startStream();
   }
 
-  /** Records the end of the attempt in the upstream's counts. */
+  /** Records the end of the attempt. */
   finish(): void {
-    this.entry.finishRequest(this.isStreaming);
+    this.target.finish(this.isStreaming);
   }
 
   /** Cancels the request by closing its connection, which the upstream notices. */
@@ -151,29 +109,4 @@
   resume(): void {
     this.exchange?.resume();
   }
-
-  /** Gets the address of an engine that likely has more of the prompt cached than the chosen one. */
-  private getKvCacheSourceAddress(
-    dependencies: ActiveRequestDependencies,
-    request: AcceptedRequest,
-    preferred: UpstreamEntry | undefined,
-    now: number,
-  ): string | undefined {
-    const { head, service } = request;
-    const sharedBlocks = getSharedBlocks(head);
-    if (sharedBlocks.length === 0 || dependencies.getService(service)?.engine?.canFetch !== true) {
-      return undefined;
-    }
-    const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, now };
-    const holder = findPrefixHolder(dependencies, lookup, this.entry, preferred);
-    const block = sharedBlocks.at(-1);
-    if (dependencies.prefixes.addHolder(sharedBlocks, this.entry, now) && block !== undefined) {
-      dependencies.addFleetNotice({ kind: "prefix", block, upstream: this.entry.hash, at: now });
-    }
-    return holder?.record.address;
-  }
-}
-
-function getPriority({ route, team }: RequestApproval): number {
-  return Math.min(maxPriority, team?.priority ?? route.priority);
 }
--- /dev/null
+++ b/packages/daemon/src/ingress/AttemptTarget.ts
@@ -0,0 +1,45 @@
+import type { ResponseHead, Upstream } from "@pistachioway/kernel";
+import type { Exchange, ExchangeListener } from "../exchange/index.js";
+
+/** What log lines tell of the target of a request's last attempt. */
+export interface TargetReport {
+  /** Id of the upstream. */
+  readonly upstream: string;
+  /** Version of its software. */
+  readonly software: string;
+  /** Why it was chosen. */
+  readonly choice: string;
+  /** Requests that it holds, as far as this daemon knows. */
+  readonly load: number;
+}
+
+/** Where an attempt sends its request. Instants are monotonic milliseconds. */
+export interface AttemptTarget {
+  /** Kind and name, for details of failures. */
+  readonly description: string;
+  /** The upstream, if this daemon sends the request to it directly. */
+  readonly upstream: Upstream | undefined;
+  /** Gets the software version of the upstream; undefined while it is not known. */
+  readonly getSoftwareVersion: () => string | undefined;
+  /** Checks whether other targets should be used if there are any. */
+  readonly isAvoided: (now: number) => boolean;
+  /**
+   * Sends the request.
+   * @param lastEventId - Id of the last event that the caller has received.
+   * @param listener - Receives the response or the failure.
+   */
+  readonly send: (lastEventId: string | undefined, listener: ExchangeListener) => Exchange;
+  /** Records the head of the response. */
+  readonly recordHead: (head: ResponseHead, now: number) => void;
+  /** Records that bytes of the response were received. */
+  readonly recordReceivedBytes: (now: number) => void;
+  /** Records that the response is a stream. */
+  readonly startStream: () => void;
+  /** Records the end of the attempt; `hadStream` when its response had started as a stream. */
+  readonly finish: (hadStream: boolean) => void;
+  readonly recordSuccess: () => void;
+  readonly recordFailure: (now: number) => void;
+  /** Records that no connection could be made. */
+  readonly recordNotSent: (now: number) => void;
+  readonly getReport: (now: number) => TargetReport;
+}
--- a/packages/daemon/src/ingress/RequestEvidence.ts
+++ b/packages/daemon/src/ingress/RequestEvidence.ts
@@ -60,13 +60,16 @@
    * @param attempt - The attempt.
    * @param now - Time of the loss.
    */
-  recordLoss({ entry, firstBodyByteAt }: Attempt, now: number): void {
+  recordLoss({ target, firstBodyByteAt }: Attempt, now: number): void {
     const { content, head } = this.request;
+    if (target.upstream === undefined) {
+      return;
+    }
     if (firstBodyByteAt !== undefined && now - firstBodyByteAt >= withstoodMilliseconds) {
       this.quarantine.recordPromptRead(content, now);
       return;
     }
-    const { id, bornAt } = entry.record;
+    const { id, bornAt } = target.upstream;
     const upstream = getHash(`${id} ${String(bornAt)}`);
     this.quarantine.recordLoss({ content, upstream, request: getHash(head.id) }, now);
   }
--- a/packages/daemon/src/ingress/SlowAttemptMonitor.ts
+++ b/packages/daemon/src/ingress/SlowAttemptMonitor.ts
@@ -4,7 +4,7 @@
 
 /** Multiple of the route's latency objective after which an attempt without response head is slow. */
 const slowObjectiveRatio = 1.6;
-/** Time without bytes after which an attempt at an upstream that is avoided is slow. */
+/** Time without bytes after which an attempt at a target that is avoided is slow. */
 const avoidedTimeoutMilliseconds = 300;
 /** Time without bytes after which a started response is slow, and an upstream counts as failed. */
 const stallTimeoutMilliseconds = 1_200;
@@ -62,14 +62,14 @@
   }
 
   /**
-   * Checks whether an upstream has sent nothing for so long that it counts as failed.
-   * @param attempt - Attempt at the upstream.
+   * Checks whether a target has sent nothing for so long that it counts as failed.
+   * @param attempt - Attempt at the target.
    */
   isUnresponsive(attempt: Attempt): boolean {
     return this.getNow() - attempt.lastReceivedAt > stallTimeoutMilliseconds;
   }
 
-  private isSlow({ entry, head, lastReceivedAt }: Attempt): boolean {
+  private isSlow({ target, head, lastReceivedAt }: Attempt): boolean {
     const now = this.getNow();
     const limit =
       head === undefined
@@ -78,7 +78,7 @@
     const waitedMilliseconds = now - lastReceivedAt;
     return (
       waitedMilliseconds >
-      (entry.isAvoided(now) ? Math.min(avoidedTimeoutMilliseconds, limit) : limit)
+      (target.isAvoided(now) ? Math.min(avoidedTimeoutMilliseconds, limit) : limit)
     );
   }
 }
--- a/packages/daemon/src/ingress/StreamOrigin.ts
+++ b/packages/daemon/src/ingress/StreamOrigin.ts
@@ -1,4 +1,4 @@
-import type { UpstreamEntry } from "@pistachioway/kernel";
+import type { Upstream } from "@pistachioway/kernel";
 import { getResumedIdStart, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { Refusal } from "./refusals.js";
@@ -59,9 +59,8 @@
   }
 
   /** Records that the request is sent to an upstream, at which its stream may begin. */
-  recordSend({ record }: UpstreamEntry): void {
+  recordSend({ softwareVersion }: Upstream): void {
     const { approval, head, service } = this.request;
-    const { softwareVersion } = record;
     const mayBegin = approval.route.kind === "stream" && this.version === undefined;
     if (mayBegin && this.recordedVersion !== softwareVersion) {
       this.recordedVersion = softwareVersion;
@@ -69,9 +68,9 @@
     }
   }
 
-  /** Records that the stream has begun at an upstream. */
-  recordStart({ record }: UpstreamEntry): void {
-    this.version ??= record.softwareVersion;
+  /** Records that the stream has begun at an upstream of a software version, if that is known. */
+  recordStart(version: string | undefined): void {
+    this.version ??= version;
   }
 }
 
