A router doubts all paths to a service when its upstreams fail together

Ruled out: fewer connects a request, since the first of each request still hangs. Now the path to each upstream has a state of its own (open, doubted, on trial, closed); a failed connect in a quiet service, or silence of several upstreams with requests, doubts all paths at once, and probes decide. Bytes of connections that live on no longer count as a proof that new ones open, and a path that fell silent gets one repeatable request at a time until bytes come.

The test that an unresponsive engine is avoided until a probe connects asks for more now: until a request is answered, too.

--- a/packages/daemon/src/exchange/ConnectionPool.ts
+++ b/packages/daemon/src/exchange/ConnectionPool.ts
@@ -36,6 +36,14 @@
     });
   }
 
+  /**
+   * Checks whether there is an idle connection.
+   * @param address - IPv4 address and port of the upstream.
+   */
+  hasIdle(address: string): boolean {
+    return this.idleByAddress.get(address)?.some(({ isOpen }) => isOpen) === true;
+  }
+
   /**
    * Returns a connection to the pool after its request has ended.
    * @param address - IPv4 address and port of the upstream.
--- a/packages/daemon/src/exchange/ReachabilityTask.ts
+++ b/packages/daemon/src/exchange/ReachabilityTask.ts
@@ -1,4 +1,9 @@
-import type { UpstreamTable, UpstreamEntry } from "@pistachioway/kernel";
+import {
+  UpstreamReach,
+  type ServiceReachChange,
+  type UpstreamEntry,
+  type UpstreamTable,
+} from "@pistachioway/kernel";
 import type { Fields, LogLevel } from "../log/line.js";
 import { canConnect } from "./connect.js";
 import type { ConnectionPool } from "./ConnectionPool.js";
@@ -14,12 +19,14 @@
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
 
-/** Detects unresponsive upstreams, and probes the unreachable ones. */
+/** Finds out which upstreams this daemon reaches by itself, and probes those that it does not. */
 export class ReachabilityTask {
+  private readonly reach: UpstreamReach;
   private checkedAt: number;
 
   private constructor(private readonly dependencies: ReachabilityDependencies) {
     this.checkedAt = dependencies.getNow();
+    this.reach = UpstreamReach.create(dependencies.upstreams);
   }
 
   /**
@@ -30,38 +37,65 @@
     return new ReachabilityTask(dependencies);
   }
 
+  /** Gets the names of the services none of whose upstreams this daemon reaches by itself. */
+  getUnreachedServices(): readonly string[] {
+    return this.reach.getUnreachedServices();
+  }
+
   /** Checks the upstreams; called about ten times a second. */
   check(): void {
     const now = this.dependencies.getNow();
     const wasPaused = now - this.checkedAt > maxPauseMilliseconds;
     this.checkedAt = now;
-    if (wasPaused) {
-      return;
-    }
-    for (const entry of this.dependencies.upstreams.getEntries()) {
-      if (entry.avoidIfUnresponsive(now)) {
-        this.handleUnresponsive(entry);
-      }
-      if (entry.startProbe(now)) {
-        void this.probe(entry);
-      }
+    if (!wasPaused) {
+      this.runCheck(now);
     }
   }
 
-  private handleUnresponsive(entry: UpstreamEntry): void {
-    const { id, zone, address } = entry.record;
+  /** Records that no connection to an upstream could be opened; probes that follow begin at once. */
+  recordConnectFailure(entry: UpstreamEntry): void {
+    const now = this.dependencies.getNow();
+    this.reach.recordConnectFailure(entry, now);
+    this.probe(this.reach.takeProbes(now));
+  }
+
+  private runCheck(now: number): void {
+    const { silent, changes } = this.reach.check(now);
+    silent.forEach((entry) => {
+      this.handleSilent(entry);
+    });
+    changes.forEach((change) => {
+      this.recordChange(change);
+    });
+    this.probe(this.reach.takeProbes(now));
+  }
+
+  private handleSilent({ record: { id, zone, address }, running }: UpstreamEntry): void {
     this.dependencies.pool.closeIdleTo(address);
-    this.dependencies.record("warn", "upstream.silent", {
-      upstream: id,
-      zone,
-      running: entry.running,
+    this.dependencies.record("warn", "upstream.silent", { upstream: id, zone, running });
+  }
+
+  private recordChange({ service, isReached, listed }: ServiceReachChange): void {
+    const level = isReached ? "info" : "warn";
+    const event = isReached ? "service.reached" : "service.unreached";
+    this.dependencies.record(level, event, { service, listed });
+  }
+
+  private probe(entries: readonly UpstreamEntry[]): void {
+    entries.forEach((entry) => {
+      void this.probeUpstream(entry);
     });
   }
 
-  private async probe(entry: UpstreamEntry): Promise<void> {
+  private async probeUpstream(entry: UpstreamEntry): Promise<void> {
     const { id, zone, address } = entry.record;
-    if (await canConnect(address)) {
-      entry.markReachable();
+    const wasDoubted = entry.path.getState() === "doubted";
+    if (!(await canConnect(address))) {
+      this.reach.recordProbeFailure(entry, this.dependencies.getNow());
+      return;
+    }
+    this.reach.recordConnected(entry, this.dependencies.getNow());
+    if (!wasDoubted) {
       this.dependencies.record("info", "upstream.reached", { upstream: id, zone });
     }
   }
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -276,7 +276,7 @@
     const isRefused = attempt.head?.isRefusal === true;
     if (end === "notSent") {
       this.recordNotRun();
-      attempt.target.recordNotSent(this.dependencies.getNow());
+      attempt.target.recordNotSent();
     } else if (!isRefused) {
       this.recordFailure(attempt.target);
       this.report.recordLoss(attempt, detail);
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -7,7 +7,7 @@
   UpstreamNotice,
   UpstreamTable,
 } from "@pistachioway/kernel";
-import type { ConnectionPool } from "../exchange/index.js";
+import type { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
 import type { StreamDirectory } from "../streams/index.js";
@@ -18,6 +18,8 @@
 export interface ActiveRequestDependencies {
   readonly upstreams: UpstreamTable;
   readonly pool: ConnectionPool;
+  /** Learns which upstreams this daemon cannot connect to. */
+  readonly reachability: ReachabilityTask;
   readonly codec: HeaderCodec;
   readonly retryBudgets: RetryBudgets;
   readonly prefixes: PrefixDirectory;
--- a/packages/daemon/src/ingress/AttemptTarget.ts
+++ b/packages/daemon/src/ingress/AttemptTarget.ts
@@ -40,6 +40,6 @@
   readonly recordSuccess: () => void;
   readonly recordFailure: (now: number) => void;
   /** Records that no connection could be made. */
-  readonly recordNotSent: (now: number) => void;
+  readonly recordNotSent: () => void;
   readonly getReport: (now: number) => TargetReport;
 }
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -106,8 +106,8 @@
     this.entry.recordFailure(now, this.dependencies.upstreams.getMedianFailureRate(this.entry));
   }
 
-  recordNotSent(now: number): void {
-    this.entry.markUnreachable(now);
+  recordNotSent(): void {
+    this.dependencies.reachability.recordConnectFailure(this.entry);
   }
 
   getReport(now: number): TargetReport {
--- a/packages/daemon/src/ingress/chooseRequestUpstream.ts
+++ b/packages/daemon/src/ingress/chooseRequestUpstream.ts
@@ -1,4 +1,4 @@
-import { chooseUpstream, type UpstreamChoice } from "@pistachioway/kernel";
+import { chooseUpstream, isRepeatable, type UpstreamChoice } from "@pistachioway/kernel";
 import { getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
 import { getMaxRunning, type ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 
@@ -28,6 +28,8 @@
     stickyKey: approval.route.isSticky ? getStickyKey(head) : undefined,
     maxRunning: getMaxRunning(dependencies, service),
     limitShare: dependencies.getLimitShare(),
+    isRepeatable: isRepeatable(approval.route),
+    hasIdleConnection: ({ record }) => dependencies.pool.hasIdle(record.address),
     now: dependencies.getNow(),
   });
 }
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -280,6 +280,7 @@
     return {
       upstreams: this.registryTask.upstreams,
       pool: this.pool,
+      reachability: this.reachability,
       codec,
       retryBudgets: RetryBudgets.create(settings.retries),
       prefixes: this.prefixes,
--- a/packages/daemon/tests/fleet/LimitSimulation.ts
+++ b/packages/daemon/tests/fleet/LimitSimulation.ts
@@ -118,6 +118,8 @@
       excluded: new Set(),
       maxRunning: 100,
       limitShare,
+      isRepeatable: true,
+      hasIdleConnection: () => false,
       now: this.now,
     });
     if (choice === undefined) {
--- a/packages/experiments/src/site/KernelSitePolicy.ts
+++ b/packages/experiments/src/site/KernelSitePolicy.ts
@@ -49,6 +49,8 @@
       excluded: tried,
       maxRunning: Infinity,
       limitShare: 1,
+      isRepeatable: true,
+      hasIdleConnection: () => false,
     });
     const upstream = choice && this.upstreamsById.get(choice.entry.record.id);
     if (choice === undefined || upstream === undefined) {
@@ -66,6 +68,7 @@
 
   recordReportedLoad({ record }: SiteUpstream, load: number): void {
     const entry = this.upstreams.getEntry(record.id);
+    entry?.path.recordConnected(this.getNow());
     entry?.recordReceivedBytes(this.getNow());
     entry?.recordReportedLoad(load, this.getNow());
   }
@@ -81,7 +84,7 @@
     } else if (outcome === "lost") {
       entry.recordFailure(this.getNow(), this.upstreams.getMedianFailureRate(entry));
     } else if (outcome === "unreached") {
-      entry.markUnreachable(this.getNow());
+      entry.path.recordConnectFailure(this.getNow());
     }
   }
 
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -5,7 +5,6 @@
   firstAvoidanceMilliseconds,
   longestAvoidanceMilliseconds,
   outcomeWeight,
-  probeIntervalMilliseconds,
   recentlyAddedMilliseconds,
   reportedLoadLifetimeMilliseconds,
   responseTimeoutMilliseconds,
@@ -13,6 +12,7 @@
 } from "./constants.js";
 import type { Upstream } from "./schema.js";
 import { UpstreamLimit } from "./UpstreamLimit.js";
+import { UpstreamPath } from "./UpstreamPath.js";
 
 /** State that one daemon keeps of one upstream. Times are monotonic milliseconds. */
 export class UpstreamEntry {
@@ -26,10 +26,10 @@
   expiredAt: number | undefined;
   /** True once this incarnation has announced that it leaves; it never takes requests again. */
   isLeaving = false;
+  /** This daemon's own path to the upstream. */
+  readonly path = UpstreamPath.create();
   private restEndsAt = -Infinity;
   private openStreams = 0;
-  private isUnreachable = false;
-  private probedAt = -Infinity;
   private reportedLoad = 0;
   private reportedAt = -Infinity;
   private sentSinceReport = 0;
@@ -80,6 +80,7 @@
     }
     this.running += 1;
     this.sentSinceReport += 1;
+    this.path.recordSend();
   }
 
   /** Counts a response stream that the upstream has started. */
@@ -96,31 +97,15 @@
     this.openStreams -= hadStream ? 1 : 0;
   }
 
-  /** Records bytes from the upstream, which also prove that it can be reached. */
+  /** Records bytes from the upstream. */
   recordReceivedBytes(now: number): void {
     this.lastReceivedAt = now;
-    this.isUnreachable = false;
+    this.path.recordReceivedBytes(now);
   }
 
-  /** Records that the upstream cannot be reached, until bytes arrive or a probe connects. */
-  markUnreachable(now: number): void {
-    this.isUnreachable = true;
-    this.probedAt = now;
-  }
-
-  /** Records that a probe has connected. */
-  markReachable(): void {
-    this.isUnreachable = false;
-  }
-
-  /** Checks whether a probe of an unreachable upstream is due, and records its start. */
-  startProbe(now: number): boolean {
-    const isDue =
-      this.isUnreachable &&
-      !this.isResting(now) &&
-      now - this.probedAt >= probeIntervalMilliseconds;
-    this.probedAt = isDue ? now : this.probedAt;
-    return isDue;
+  /** Checks whether the upstream holds requests and has sent nothing for a time. */
+  isSilentFor(milliseconds: number, now: number): boolean {
+    return this.running > 0 && now - this.lastReceivedAt > milliseconds;
   }
 
   /**
@@ -131,12 +116,11 @@
   avoidIfUnresponsive(now: number): boolean {
     const limit =
       this.openStreams > 0 ? streamIdleTimeoutMilliseconds : responseTimeoutMilliseconds;
-    const isUnresponsive = this.running > 0 && now - this.lastReceivedAt > limit;
-    if (!isUnresponsive || this.isAvoided(now)) {
+    if (!this.isSilentFor(limit, now) || this.isAvoidedForFailures(now)) {
       return false;
     }
     this.avoid(now);
-    this.markUnreachable(now);
+    this.path.recordSilence(now);
     return true;
   }
 
@@ -163,6 +147,9 @@
    */
   recordFailure(now: number, medianRate: number): void {
     this.consecutiveFailures += 1;
+    if (this.path.getState() === "trial") {
+      this.avoid(now);
+    }
     this.failureRate += (1 - this.failureRate) * outcomeWeight;
     const isAboveMedian = this.failureRate > medianRate + excessFailureRate;
     if (
@@ -223,6 +210,12 @@
 
   /** Checks whether new requests should be sent to another upstream if there is one. */
   isAvoided(now: number): boolean {
-    return this.avoidanceEndsAt > now || this.isUnreachable;
+    const state = this.path.getState();
+    return this.isAvoidedForFailures(now) || state === "closed" || state === "doubted";
+  }
+
+  /** Checks whether the upstream is avoided for what it did, rather than for the path to it. */
+  isAvoidedForFailures(now: number): boolean {
+    return this.avoidanceEndsAt > now;
   }
 }
--- /dev/null
+++ b/packages/kernel/src/upstreams/UpstreamPath.ts
@@ -0,0 +1,126 @@
+import { probeIntervalMilliseconds } from "./constants.js";
+
+/**
+ * What a daemon knows of its own path to an upstream:
+ *
+ * - `open`: nothing speaks against it.
+ * - `doubted`: several paths of the service seem to have failed together; being probed.
+ * - `trial`: connections open, but no bytes have come since it fell silent.
+ * - `closed`: connections fail, or it fell silent and no probe has connected since.
+ */
+export type PathState = "open" | "doubted" | "trial" | "closed";
+
+/** A daemon's path to one upstream. Instants are monotonic milliseconds. */
+export class UpstreamPath {
+  private receivedAt = -Infinity;
+  private connectedAt = -Infinity;
+  private probedAt = -Infinity;
+  /** When the last connection failed; undefined once one has opened. */
+  private refusedAt: number | undefined;
+  /** When the upstream fell silent; undefined once it has sent bytes. */
+  private silentSince: number | undefined;
+  /** When the path was doubted together with the others of its service; undefined while it is not. */
+  private doubtedAt: number | undefined;
+  private isTrialGranted = false;
+
+  private constructor() {
+    // Created through the static method.
+  }
+
+  /** Creates a path against which nothing speaks. */
+  static create(): UpstreamPath {
+    return new UpstreamPath();
+  }
+
+  /** Gets what is known of the path. */
+  getState(): PathState {
+    if (this.refusedAt !== undefined) {
+      return "closed";
+    }
+    if (this.silentSince !== undefined) {
+      return this.connectedAt > this.silentSince ? "trial" : "closed";
+    }
+    return this.doubtedAt === undefined ? "open" : "doubted";
+  }
+
+  /** Gets when the path last proved itself, by bytes or by a connection that opened. */
+  getProvenAt(): number {
+    return Math.max(this.receivedAt, this.connectedAt);
+  }
+
+  /** Checks whether open connections still bring bytes although new ones fail. */
+  isOpenToOldConnections(): boolean {
+    return this.refusedAt !== undefined && this.receivedAt > this.refusedAt;
+  }
+
+  /** Records bytes of the upstream. They do not show that new connections open. */
+  recordReceivedBytes(now: number): void {
+    this.receivedAt = now;
+    this.silentSince = undefined;
+    this.doubtedAt = undefined;
+  }
+
+  /** Records that a connection has opened. */
+  recordConnected(now: number): void {
+    this.connectedAt = now;
+    this.refusedAt = undefined;
+    this.doubtedAt = undefined;
+  }
+
+  /** Records that no connection could be opened. */
+  recordConnectFailure(now: number): void {
+    this.refusedAt = now;
+    this.probedAt = now;
+  }
+
+  /** Records that the upstream holds requests and sends nothing. A probe is due at once. */
+  recordSilence(now: number): void {
+    this.silentSince = now;
+    this.probedAt = -Infinity;
+  }
+
+  /** Doubts an open path until it proves itself. A probe is due at once. */
+  startDoubt(now: number): void {
+    if (this.getState() === "open") {
+      this.doubtedAt = now;
+      this.probedAt = -Infinity;
+    }
+  }
+
+  /** Ends the doubt, since another path of the service has proven itself. */
+  endDoubt(): void {
+    this.doubtedAt = undefined;
+  }
+
+  /** Checks whether a probe of the path is due: whether a connection opens. */
+  isProbeDue(now: number): boolean {
+    const state = this.getState();
+    const isUnknown = state === "doubted" || state === "closed";
+    return isUnknown && now - this.probedAt >= probeIntervalMilliseconds;
+  }
+
+  /** Gets when the last probe began. */
+  getProbedAt(): number {
+    return this.probedAt;
+  }
+
+  /** Records that a probe begins. */
+  startProbe(now: number): void {
+    this.probedAt = now;
+  }
+
+  /** Allows one request on a path on trial. */
+  grantTrial(): void {
+    this.isTrialGranted = true;
+  }
+
+  /** Checks whether a request may be sent on a path on trial. */
+  admitsTrial(): boolean {
+    return this.isTrialGranted && this.getState() === "trial";
+  }
+
+  /** Records that a request is sent, which uses up a trial. */
+  recordSend(): void {
+    this.isTrialGranted = false;
+  }
+}
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -2,6 +2,12 @@
 import { loadAllowance, loadFactor } from "./constants.js";
 import type { UpstreamEntry } from "./UpstreamEntry.js";
 
+/**
+ * What a daemon knows of the path of the upstream that it chose: it is `open`, it may not be open (`uncertain`), or
+ * connections to the upstream fail (`closed`).
+ */
+export type ChosenPath = "open" | "uncertain" | "closed";
+
 /** Requirements of a request on the upstream that will serve it. */
 export interface UpstreamRequirements {
   readonly service: string;
@@ -17,6 +23,10 @@
   readonly maxRunning: number;
   /** Part of the limit that an upstream names which this daemon may use, from 0 to 1. */
   readonly limitShare: number;
+  /** Whether the request may run more than once, so that it can try a path that may not be open. */
+  readonly isRepeatable: boolean;
+  /** Checks whether this daemon has an idle connection to an upstream. */
+  readonly hasIdleConnection: (entry: UpstreamEntry) => boolean;
   /** Monotonic time in milliseconds. */
   readonly now: number;
 }
@@ -29,6 +39,8 @@
    * those before it are at the load limit, `leastLoaded` the one with the least load.
    */
   readonly reason: "first" | "spilled" | "leastLoaded";
+  /** What this daemon knows of its path to the upstream; better ones come first. */
+  readonly path: ChosenPath;
   /** First upstream in the rendezvous order of the key, when another one was chosen. */
   readonly preferred: UpstreamEntry | undefined;
 }
@@ -36,7 +48,8 @@
 /**
  * Chooses the upstream of a request: with a key the first in its rendezvous order that is below
  * the load limit; without a key the least loaded one, those of the daemon's zone preferred.
- * Upstreams that are avoided are chosen only when there is no other; those that leave, rest or are at their limit never.
+ * Upstreams whose path is not open are chosen only when there is no other, and so are those that are avoided for
+ * their failures; those that leave, rest or are at their limit never.
  * @param entries - Upstreams that the registry lists.
  * @param requirements - Requirements of the request.
  */
@@ -45,14 +58,40 @@
   requirements: UpstreamRequirements,
 ): UpstreamChoice | undefined {
   const eligible = entries.filter((entry) => isEligible(entry, requirements));
-  const available = eligible.filter((entry) => !entry.isAvoided(requirements.now));
-  const candidates = available.length > 0 ? available : eligible;
-  if (requirements.stickyKey === undefined) {
-    return chooseLeastLoaded(candidates, requirements);
+  const path = chosenPaths.find((each) =>
+    eligible.some((entry) => getPath(entry, requirements) === each),
+  );
+  const reached = eligible.filter((entry) => getPath(entry, requirements) === path);
+  const available = reached.filter((entry) => !entry.isAvoidedForFailures(requirements.now));
+  const candidates = available.length > 0 ? available : reached;
+  const choice =
+    requirements.stickyKey === undefined
+      ? chooseLeastLoaded(candidates, requirements)
+      : chooseByKey(candidates, requirements.stickyKey, requirements.now);
+  return choice && path && { ...choice, path };
+}
+
+const chosenPaths: readonly ChosenPath[] = ["open", "uncertain", "closed"];
+
+function getPath(
+  entry: UpstreamEntry,
+  { isRepeatable, hasIdleConnection }: UpstreamRequirements,
+): ChosenPath {
+  const { path } = entry;
+  switch (path.getState()) {
+    case "open":
+      return "open";
+    case "trial":
+      return isRepeatable && path.admitsTrial() ? "open" : "uncertain";
+    case "doubted":
+      return "uncertain";
+    case "closed":
+      return path.isOpenToOldConnections() && hasIdleConnection(entry) ? "open" : "closed";
   }
-  return chooseByKey(candidates, requirements.stickyKey, requirements.now);
 }
 
+type ChosenEntry = Omit<UpstreamChoice, "path">;
+
 function isEligible(
   entry: UpstreamEntry,
   { service, softwareVersion, excluded, maxRunning, limitShare, now }: UpstreamRequirements,
@@ -69,7 +108,7 @@
 function chooseLeastLoaded(
   candidates: readonly UpstreamEntry[],
   { zone, now }: UpstreamRequirements,
-): UpstreamChoice | undefined {
+): ChosenEntry | undefined {
   let best: UpstreamEntry | undefined;
   let bestScore = Infinity;
   for (const entry of candidates) {
@@ -92,7 +131,7 @@
   candidates: readonly UpstreamEntry[],
   key: string,
   now: number,
-): UpstreamChoice | undefined {
+): ChosenEntry | undefined {
   const ordered = orderByKey(candidates, key);
   const [preferred] = ordered;
   if (preferred === undefined) {
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -16,6 +16,24 @@
 /** Interval between two probes of an upstream that cannot be reached. */
 export const probeIntervalMilliseconds = 300;
 
+/** Probes that begin in one check of the upstreams while none of them connects. */
+export const busyProbesPerCheck = 8;
+
+/** Time after a probe has connected in which all others that are due begin at once. */
+export const recoveryProbeMilliseconds = 1_000;
+
+/** Time without a byte of any upstream of a service, while several hold requests, after which all are doubted. */
+export const groupSilenceMilliseconds = 250;
+
+/** Time without a proof of any path of a service after which one failed connection raises doubt in all. */
+export const quietMilliseconds = 200;
+
+/** Shortest time between the beginnings of two doubts in the paths of one service. */
+export const doubtPauseMilliseconds = 1_000;
+
+/** Time between two requests on paths on trial while no path of the service is open. */
+export const trialIntervalMilliseconds = 500;
+
 /**
  * An upstream counts as recently added for this long: another upstream served its chats before and
  * may hold their cached prefixes.
--- a/packages/kernel/src/upstreams/index.ts
+++ b/packages/kernel/src/upstreams/index.ts
@@ -1,6 +1,7 @@
 export {
   chooseUpstream,
   guessFormerUpstream,
+  type ChosenPath,
   type UpstreamChoice,
   type UpstreamRequirements,
 } from "./chooseUpstream.js";
@@ -11,3 +12,5 @@
 export { UpstreamLimit } from "./UpstreamLimit.js";
 export { UpstreamTable } from "./UpstreamTable.js";
 export { UpstreamEntry } from "./UpstreamEntry.js";
+export { UpstreamPath, type PathState } from "./UpstreamPath.js";
+export { UpstreamReach, type ReachCheck, type ServiceReachChange } from "./UpstreamReach.js";
--- a/packages/kernel/tests/forwarding/notices.test.ts
+++ b/packages/kernel/tests/forwarding/notices.test.ts
@@ -7,6 +7,7 @@
   ContentQuarantine,
   toFleetNotice,
   type ResponseHead,
+  UpstreamReach,
   type UpstreamTable,
 } from "@pistachioway/kernel";
 import { suite } from "uvu";
@@ -54,6 +55,8 @@
     excluded: new Set(),
     maxRunning: 100,
     limitShare: 1,
+    isRepeatable: true,
+    hasIdleConnection: () => false,
     now,
   })?.entry.record.id;
 }
@@ -95,10 +98,12 @@
 
 test("an engine that rests is not probed", () => {
   const table = createTable(1);
+  const reach = UpstreamReach.create(table);
   const [entry] = table.getEntries();
-  entry?.markUnreachable(0);
-  entry?.rest(2_000);
-  assert.equal([entry?.startProbe(1_000), entry?.startProbe(2_000)], [false, true]);
+  assert.ok(entry);
+  reach.recordConnectFailure(entry, 0);
+  entry.rest(2_000);
+  assert.equal([reach.takeProbes(1_000), reach.takeProbes(2_000)], [[], [entry]]);
 });
 
 test("a response for another upstream tells nothing about the one at its address", () => {
--- a/packages/kernel/tests/upstreams/chooseUpstream.test.ts
+++ b/packages/kernel/tests/upstreams/chooseUpstream.test.ts
@@ -1,6 +1,7 @@
 import {
   chooseUpstream,
   guessFormerUpstream,
+  UpstreamReach,
   type UpstreamRequirements,
   type UpstreamTable,
 } from "@pistachioway/kernel";
@@ -19,6 +20,8 @@
     excluded: new Set(),
     maxRunning: 100,
     limitShare: 1,
+    isRepeatable: true,
+    hasIdleConnection: () => false,
     now: 0,
     ...changes,
   });
@@ -92,25 +95,36 @@
   excluded: new Set(),
   maxRunning: 100,
   limitShare: 1,
+  isRepeatable: true,
+  hasIdleConnection: () => false,
   now: 0,
 };
 
-test("avoids an unresponsive engine until a probe has connected", () => {
+test("avoids an unresponsive engine until a probe has connected and then a request is answered", () => {
   const table = createTable(2);
+  const reach = UpstreamReach.create(table);
   const preferred = choose(table)?.entry;
-  preferred?.startRequest(0);
+  assert.ok(preferred);
+  preferred.startRequest(0);
   assert.equal(
-    [600, 800, 900].map((now) => preferred?.avoidIfUnresponsive(now)),
+    [600, 800, 900].map((now) => preferred.avoidIfUnresponsive(now)),
     [false, true, false],
   );
   assert.is.not(choose(table, { now: 900 })?.entry, preferred);
   assert.is.not(choose(table, { now: 2_000 })?.entry, preferred, "no probe has connected");
   assert.equal(
-    [900, 1_200, 1_300].map((now) => preferred?.startProbe(now)),
-    [false, true, false],
+    [900, 1_000, 1_200].map((now) => reach.takeProbes(now).length),
+    [1, 0, 1],
   );
-  preferred?.markReachable();
+  preferred.finishRequest(false);
+  reach.recordConnected(preferred, 1_210);
+  reach.check(2_000);
+  assert.is.not(choose(table, { now: 2_000, isRepeatable: false })?.entry, preferred, "on trial");
   assert.is(choose(table, { now: 2_000 })?.entry, preferred);
+  preferred.startRequest(2_000);
+  assert.is.not(choose(table, { now: 2_001 })?.entry, preferred, "one request at a time");
+  preferred.recordReceivedBytes(2_010);
+  assert.is(choose(table, { now: 2_010, isRepeatable: false })?.entry, preferred);
 });
 
 test("applies a shorter timeout to an engine with open streams", () => {
