--- a/packages/daemon/src/exchange/Connection.ts
+++ b/packages/daemon/src/exchange/Connection.ts
@@ -6,7 +6,15 @@
 /** Margin by which a connection is closed before the upstream's own idle timeout. */
 const idleMarginMilliseconds = 300;
 
-/** One connection to an upstream, for one request at a time. */
+/** What differs between connections to upstreams and to peers. */
+export interface ConnectionOptions {
+  /** Address of this host to connect from; any by default. */
+  readonly localAddress?: string;
+  /** Size of the largest head of a response. */
+  readonly maxHeaderBytes?: number;
+}
+
+/** One connection to an upstream or a peer, for one request at a time. */
 export class Connection {
   isOpen = true;
   private readonly client: Client;
@@ -15,9 +23,11 @@
     origin: string,
     private readonly socketState: SocketState,
     onClosed: (connection: Connection) => void,
+    { localAddress, maxHeaderBytes }: ConnectionOptions,
   ) {
     this.client = new Client(origin, {
-      connect: createConnector(socketState),
+      connect: createConnector(socketState, localAddress),
+      ...(maxHeaderBytes === undefined ? {} : { maxHeaderSize: maxHeaderBytes }),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -34,9 +44,14 @@
    * Creates a connection that opens with its first request.
    * @param address - IPv4 address and port of the upstream.
    * @param onClosed - Called when it accepts no further request.
+   * @param options - What differs from other connections.
    */
-  static create(address: string, onClosed: (connection: Connection) => void): Connection {
-    return new Connection(`http://${address}`, { wasBroken: false }, onClosed);
+  static create(
+    address: string,
+    onClosed: (connection: Connection) => void,
+    options: ConnectionOptions,
+  ): Connection {
+    return new Connection(`http://${address}`, { wasBroken: false }, onClosed, options);
   }
 
   /** Checks whether the connection was reset or failed, rather than being closed in order. */
--- a/packages/daemon/src/exchange/ConnectionPool.ts
+++ b/packages/daemon/src/exchange/ConnectionPool.ts
@@ -1,17 +1,18 @@
-import { Connection } from "./Connection.js";
+import { Connection, type ConnectionOptions } from "./Connection.js";
 
-/** Keeps the idle connections to the upstreams, by address. */
+/** Keeps the idle connections to upstreams or peers, by address. */
 export class ConnectionPool {
   private readonly idleByAddress = new Map<string, Connection[]>();
   private openedCount = 0;
 
-  private constructor() {
-    // Created through the static method.
-  }
+  private constructor(private readonly options: ConnectionOptions) {}
 
-  /** Creates an empty pool. */
-  static create(): ConnectionPool {
-    return new ConnectionPool();
+  /**
+   * Creates an empty pool.
+   * @param options - Options of its connections.
+   */
+  static create(options: ConnectionOptions = {}): ConnectionPool {
+    return new ConnectionPool(options);
   }
 
   /** Gets the number of connections opened so far. */
@@ -31,9 +32,10 @@
       }
     }
     this.openedCount += 1;
-    return Connection.create(address, (closed) => {
+    const onClosed = (closed: Connection): void => {
       this.remove(address, closed);
-    });
+    };
+    return Connection.create(address, onClosed, this.options);
   }
 
   /**
--- a/packages/daemon/src/exchange/Exchange.ts
+++ b/packages/daemon/src/exchange/Exchange.ts
@@ -34,6 +34,9 @@
   readonly onFailure: (failure: ExchangeFailure) => void;
 }
 
+/** Reads the heads of responses. */
+export type ResponseCodec = Pick<HeaderCodec, "readResponse">;
+
 const firstFinalStatus = 200;
 /** Codes of errors that tell that the other side ended the connection. */
 const closedByOtherSideCodes: ReadonlySet<string> = new Set([
@@ -52,7 +55,7 @@
     private readonly pool: ConnectionPool,
     private readonly connection: Connection,
     private readonly request: OutgoingRequest,
-    private readonly codec: HeaderCodec,
+    private readonly codec: ResponseCodec,
     private readonly listener: ExchangeListener,
   ) {}
 
@@ -65,7 +68,7 @@
    */
   static start(
     pool: ConnectionPool,
-    codec: HeaderCodec,
+    codec: ResponseCodec,
     request: OutgoingRequest,
     listener: ExchangeListener,
   ): Exchange {
--- a/packages/daemon/src/exchange/connect.ts
+++ b/packages/daemon/src/exchange/connect.ts
@@ -17,10 +17,15 @@
  * A response without a length ends with its connection. The HTTP client treats a reset as that end
  * too, so resets are recorded here.
  * @param state - Where a broken socket is recorded.
+ * @param localAddress - Address of this host to connect from; any by default.
  */
-export function createConnector(state: SocketState): buildConnector.connector {
+export function createConnector(
+  state: SocketState,
+  localAddress?: string,
+): buildConnector.connector {
   return ({ hostname, port }, callback) => {
-    const socket = openSocket({ host: hostname, port: Number(port), noDelay: true });
+    const target = { host: hostname, port: Number(port), noDelay: true };
+    const socket = openSocket(localAddress === undefined ? target : { ...target, localAddress });
     socket.setKeepAlive(true, keepAliveDelayMilliseconds);
     const timer = setTimeout(() => {
       socket.destroy(new Error(`no connection within ${String(connectTimeoutMilliseconds)} ms`));
--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -14,7 +14,10 @@
 const refusalLogMilliseconds = 1_000;
 
 /** What a daemon tells of itself, beside its addresses. */
-export type OwnState = Pick<MemberState, "version" | "confirmedAt" | "running">;
+export type OwnState = Pick<
+  MemberState,
+  "version" | "confirmedAt" | "running" | "unreachedServices"
+>;
 
 /** What the task depends on. */
 export interface FleetDependencies {
--- a/packages/daemon/src/fleet/datagramCodec.ts
+++ b/packages/daemon/src/fleet/datagramCodec.ts
@@ -8,6 +8,7 @@
 const maxNotices = 64;
 const maxTextLength = 64;
 const maxRunningCounts = 256;
+const maxUnreachedServices = 32;
 /** Age of a configuration that was never confirmed, as the format has no infinity. */
 const neverConfirmedAge = -1;
 
@@ -23,7 +24,10 @@
 const hashBytes = 4;
 const maxCount = 0xffff;
 
-/** Name, address, port for operators, zone, incarnation, sequence, age, version, age of the version, counts. */
+/**
+ * Name, address, port for operators, zone, incarnation, sequence, age, version, age of the version, counts and
+ * services that it does not reach.
+ */
 const stateSchema = z.tuple([
   text,
   text,
@@ -35,6 +39,8 @@
   z.int().min(-1),
   z.int().min(neverConfirmedAge),
   z.instanceof(Uint8Array).refine(isRunningCounts),
+  /** Hashes of services; left out by a daemon that reaches all of its services. */
+  z.instanceof(Uint8Array).refine(isHashes).optional(),
 ]);
 
 const noticeCodes = {
@@ -146,12 +152,13 @@
     version,
     isConfirmed ? toAge(state.confirmedAt, now) : neverConfirmedAge,
     encodeRunning(state.running),
+    ...encodeUnreached(state.unreachedServices),
   ];
 }
 
 function decodeState(encoded: EncodedState, now: number): MemberState {
   const [name, address, operationsPort, zone, incarnation, sequence] = encoded;
-  const [, , , , , , stateAge, version, versionAge, counts] = encoded;
+  const [, , , , , , stateAge, version, versionAge, counts, unreached] = encoded;
   const [host = ""] = address.split(":");
   return {
     name,
@@ -164,6 +171,7 @@
     version,
     confirmedAt: versionAge === neverConfirmedAge ? -Infinity : now - versionAge,
     running: decodeRunning(counts),
+    unreachedServices: decodeHashes(unreached ?? new Uint8Array()),
   };
 }
 
@@ -171,6 +179,29 @@
   return length % runningCountBytes === 0 && length <= maxRunningCounts * runningCountBytes;
 }
 
+function isHashes({ length }: Uint8Array): boolean {
+  return length % hashBytes === 0 && length <= maxUnreachedServices * hashBytes;
+}
+
+/** Encodes the hashes as one field, or none when there are no services. */
+function encodeUnreached(services: ReadonlySet<number>): [Uint8Array<ArrayBuffer>] | [] {
+  if (services.size === 0) {
+    return [];
+  }
+  const hashes = [...services].slice(0, maxUnreachedServices);
+  const bytes = Buffer.from(new ArrayBuffer(hashes.length * hashBytes));
+  hashes.forEach((hash, index) => bytes.writeUInt32BE(hash, index * hashBytes));
+  return [bytes];
+}
+
+function decodeHashes(encoded: Uint8Array): ReadonlySet<number> {
+  const bytes = Buffer.from(encoded.buffer, encoded.byteOffset, encoded.byteLength);
+  const count = bytes.length / hashBytes;
+  return new Set(
+    Array.from({ length: count }, (_, index) => bytes.readUInt32BE(index * hashBytes)),
+  );
+}
+
 function encodeRunning(running: ReadonlyMap<number, number>): Uint8Array<ArrayBuffer> {
   const bytes = Buffer.from(new ArrayBuffer(running.size * runningCountBytes));
   let offset = 0;
--- /dev/null
+++ b/packages/daemon/src/forwarding/ForwardingServer.ts
@@ -0,0 +1,228 @@
+import { isAllowedByNewer, type RouteTable } from "@pistachioway/kernel";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import {
+  ActiveRequest,
+  getRequestContent,
+  readBody,
+  RunningRequests,
+  type AcceptedRequest,
+  type ActiveRequestDependencies,
+} from "../ingress/index.js";
+import { ForwardedResponseWriter } from "./ForwardedResponseWriter.js";
+import {
+  decodeForwardedRequest,
+  forwardedRequestHeader,
+  forwardingPath,
+  maxForwardedHeadBytes,
+  type ForwardedRefusal,
+  type ForwardedRequest,
+} from "./messages.js";
+
+/** Dependencies of the server. */
+export interface ForwardingServerDependencies {
+  /** Dependencies of each request that the server starts. */
+  readonly requestDependencies: ActiveRequestDependencies;
+  readonly getTable: () => RouteTable | undefined;
+  /** Checks whether a daemon of the fleet runs on a host; others are not served. */
+  readonly isPeerHost: (host: string) => boolean;
+  /** True while the daemon stops: it takes no further requests of peers. */
+  readonly isDraining: () => boolean;
+  /** True while the daemon has no processor time to spare. */
+  readonly isBusy: () => boolean;
+}
+
+/** Reason for which a daemon does not take a request of a peer. */
+type PeerRefusalName =
+  "invalid-request" | "daemon-stopping" | "daemon-busy" | "configuration-differs";
+
+/** Requests of peers in flight from which further ones are refused. */
+const maxRunning = 512;
+/** Shortest time between two log lines on connections and messages that are refused. */
+const refusalLogMilliseconds = 1_000;
+const maxDetailLength = 80;
+
+/** Accepts requests that peers forward, and sends them to upstreams. Such requests are never forwarded again. */
+export class ForwardingServer {
+  private readonly server: Server;
+  private readonly running = RunningRequests.create();
+  private refusalLoggedAt = -Infinity;
+
+  private constructor(private readonly dependencies: ForwardingServerDependencies) {
+    const options = { maxHeaderSize: maxForwardedHeadBytes, noDelay: true, keepAlive: true };
+    this.server = createServer(options, (request, response) => {
+      this.serve(request, response);
+    });
+    this.server.on("connection", (socket: Socket) => {
+      this.checkPeer(socket);
+    });
+    this.server.on("clientError", (error: Error, socket: Socket) => {
+      this.recordRefusal(socket, error.message);
+      socket.destroy();
+    });
+  }
+
+  /**
+   * Creates a server that does not listen yet.
+   * @param dependencies - Dependencies of the server.
+   */
+  static create(dependencies: ForwardingServerDependencies): ForwardingServer {
+    return new ForwardingServer(dependencies);
+  }
+
+  /** Starts to listen. */
+  async listen(address: string): Promise<void> {
+    const [host, port] = address.split(":");
+    await new Promise<void>((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen({ host, port: Number(port) }, resolve);
+    });
+  }
+
+  /** Gets the number of peers' requests in flight. */
+  getRunningCount(): number {
+    return this.running.getCount();
+  }
+
+  /** Stops listening and closes idle connections. */
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  /** Resolves when no request of a peer is in flight. */
+  async waitUntilIdle(): Promise<void> {
+    await this.running.waitUntilIdle();
+  }
+
+  private checkPeer(socket: Socket): void {
+    const host = socket.remoteAddress ?? "";
+    if (!this.dependencies.isPeerHost(host)) {
+      this.recordRefusal(socket, "no daemon of the fleet is known on this host");
+      socket.destroy();
+    }
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    const writer = ForwardedResponseWriter.create(response);
+    this.running.add();
+    response.once("close", () => {
+      this.running.remove();
+    });
+    const text = request.headers[forwardedRequestHeader];
+    const forwarded = decodeForwardedRequest(Array.isArray(text) ? text[0] : text);
+    const name = this.getRefusalName(request, forwarded);
+    if (forwarded === undefined || name !== undefined) {
+      request.resume();
+      this.refuse(request, writer, name ?? "invalid-request", forwarded);
+      return;
+    }
+    const arrivedAt = this.dependencies.requestDependencies.getNow();
+    readBody(request, forwarded.bodyBytes, {
+      onComplete: (body) => {
+        if (body.length === forwarded.bodyBytes) {
+          this.start(toAcceptedRequest(forwarded, body, arrivedAt), response, writer);
+        } else {
+          this.refuse(request, writer, "invalid-request", forwarded);
+        }
+      },
+      onTooLarge: () => {
+        this.refuse(request, writer, "invalid-request", forwarded);
+      },
+      onIncomplete: () => undefined,
+    });
+  }
+
+  private getRefusalName(
+    { url }: IncomingMessage,
+    forwarded: ForwardedRequest | undefined,
+  ): PeerRefusalName | undefined {
+    const { isDraining, isBusy, getTable } = this.dependencies;
+    const maxBodyBytes = getTable()?.limits.bodyBytes ?? 0;
+    if (url !== forwardingPath || forwarded === undefined || forwarded.bodyBytes > maxBodyBytes) {
+      return "invalid-request";
+    }
+    if (isDraining()) {
+      return "daemon-stopping";
+    }
+    if (isBusy() || this.running.getCount() > maxRunning) {
+      return "daemon-busy";
+    }
+    const { head, path, version, service } = forwarded;
+    const identity = { authority: head.authority, path, key: head.key };
+    const isAllowed = isAllowedByNewer(getTable(), { identity, version, service });
+    return isAllowed ? undefined : "configuration-differs";
+  }
+
+  private start(
+    request: AcceptedRequest,
+    response: ServerResponse,
+    writer: ForwardedResponseWriter,
+  ): void {
+    const { requestDependencies } = this.dependencies;
+    requestDependencies.metrics.takenOverRequests.inc({ result: "accepted" });
+    const activeRequest = ActiveRequest.start(requestDependencies, request, writer);
+    response.once("close", () => {
+      if (!response.writableFinished) {
+        activeRequest.handleCallerClosed();
+      }
+    });
+  }
+
+  private refuse(
+    { socket }: IncomingMessage,
+    writer: ForwardedResponseWriter,
+    name: PeerRefusalName,
+    forwarded: ForwardedRequest | undefined,
+  ): void {
+    const detail = `request "${forwarded?.head.id ?? ""}" of "${forwarded?.sender ?? ""}": ${name}`;
+    this.recordRefusal(socket, detail);
+    const refusal: ForwardedRefusal = { kind: "refusal", name, detail: name, end: "notSent" };
+    writer.refuseForPeer(refusal);
+  }
+
+  private recordRefusal({ remoteAddress }: Socket, detail: string): void {
+    const { getNow, metrics, record } = this.dependencies.requestDependencies;
+    metrics.takenOverRequests.inc({ result: "refused" });
+    const now = getNow();
+    if (now - this.refusalLoggedAt >= refusalLogMilliseconds) {
+      this.refusalLoggedAt = now;
+      const fields = { host: remoteAddress ?? "-", detail: detail.slice(0, maxDetailLength) };
+      record("warn", "forwarding.refused", fields);
+    }
+  }
+}
+
+/** Creates the request of a peer as one of this daemon, which may run once. */
+function toAcceptedRequest(
+  forwarded: ForwardedRequest,
+  body: Buffer,
+  arrivedAt: number,
+): AcceptedRequest {
+  const { head, method, path, hasBody, route, team, service, sender, softwareVersion } = forwarded;
+  const { triedUpstreams, remainingMilliseconds } = forwarded;
+  const request = {
+    head: {
+      ...head,
+      key: head.key,
+      callerTimeoutMilliseconds: head.callerTimeoutMilliseconds,
+      lastEventId: head.lastEventId,
+      resumedRequestId: head.resumedRequestId,
+    },
+    method,
+    path,
+    body,
+    hasBody,
+    approval: {
+      kind: "pass" as const,
+      // The daemon that received the request decides on retries.
+      route: { ...route, maxAttempts: 1 },
+      team: team && { ...team, keys: [] },
+    },
+    service,
+    arrivedAt,
+    deadline: arrivedAt + remainingMilliseconds,
+    forwarded: { sender, softwareVersion, triedUpstreams },
+  };
+  return { ...request, content: getRequestContent(request) };
+}
--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -5,6 +5,16 @@
   type RequestApproval,
 } from "@pistachioway/kernel";
 
+/** What a peer told about a request that it forwarded, because it reaches no upstream of the service. */
+export interface ForwardedContext {
+  /** Name of the peer. */
+  readonly sender: string;
+  /** Only software version whose upstreams may serve it; undefined for any. */
+  readonly softwareVersion: string | undefined;
+  /** Ids of upstreams that the request was sent to before. */
+  readonly triedUpstreams: readonly string[];
+}
+
 /** A request that passed the checks, with its complete body. */
 export interface AcceptedRequest {
   readonly head: RequestHead;
@@ -21,6 +31,8 @@
   readonly content: RequestContent;
   /** Monotonic time by which the caller must have its complete response or a refusal. */
   readonly deadline: number;
+  /** Undefined for a request that came from its caller. */
+  readonly forwarded: ForwardedContext | undefined;
 }
 
 /** Length up to which ids that callers name are repeated in log lines and responses, in characters. */
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -1,10 +1,8 @@
 import type { AttemptEnd, ResponseHead } from "@pistachioway/kernel";
 import type { ExchangeFailure, ExchangeListener } from "../exchange/index.js";
 import { Attempt } from "./Attempt.js";
-import type { CallerResponse } from "./CallerResponse.js";
-import { chooseRequestUpstream } from "./chooseRequestUpstream.js";
+import type { RequestResponse } from "./RequestResponse.js";
 import { CompleteEventBuffer } from "./CompleteEventBuffer.js";
-import { createUpstreamRefusal } from "./createUpstreamRefusal.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { ActiveRequestReport, type ActiveRequestOutcome } from "./ActiveRequestReport.js";
 import type { AcceptedRequest } from "./AcceptedRequest.js";
@@ -14,7 +12,7 @@
 import { StreamOrigin } from "./StreamOrigin.js";
 import type { Refusal } from "./refusals.js";
 import type { AttemptTarget } from "./AttemptTarget.js";
-import { UpstreamTarget } from "./UpstreamTarget.js";
+import { TargetChooser } from "./TargetChooser.js";
 
 const firstErrorStatus = 300;
 const serverErrorStatus = 500;
@@ -33,7 +31,7 @@
   private firstByteAt: number | undefined;
   private isFinished = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
-  private readonly triedUpstreamIds = new Set<string>();
+  private readonly targets: TargetChooser;
   private readonly eventBuffer: CompleteEventBuffer | undefined;
   private readonly report: ActiveRequestReport;
   private readonly slowAttemptMonitor: SlowAttemptMonitor;
@@ -57,13 +55,14 @@
   private constructor(
     private readonly dependencies: ActiveRequestDependencies,
     private readonly request: AcceptedRequest,
-    private readonly response: CallerResponse,
+    private readonly response: RequestResponse,
   ) {
     const { kind, isResumable } = request.approval.route;
     this.eventBuffer = kind === "stream" && isResumable ? CompleteEventBuffer.create() : undefined;
     this.report = ActiveRequestReport.create(dependencies, request);
     this.evidence = RequestEvidence.create(dependencies.quarantine, request);
     this.origin = StreamOrigin.create(dependencies, request);
+    this.targets = TargetChooser.create(dependencies, request);
     this.slowAttemptMonitor = SlowAttemptMonitor.create(
       request.approval.route,
       dependencies.getNow,
@@ -80,11 +79,13 @@
   static start(
     dependencies: ActiveRequestDependencies,
     request: AcceptedRequest,
-    response: CallerResponse,
+    response: RequestResponse,
   ): ActiveRequest {
     const activeRequest = new ActiveRequest(dependencies, request, response);
     const now = dependencies.getNow();
-    dependencies.retryBudgets.get(request.service).addRequest(now);
+    if (request.forwarded === undefined) {
+      dependencies.retryBudgets.get(request.service).addRequest(now);
+    }
     activeRequest.deadlineTimer = setTimeout(
       () => {
         activeRequest.handleDeadline();
@@ -130,22 +131,21 @@
       this.fail(refusal);
       return;
     }
-    const softwareVersion = this.origin.getVersion();
-    const constraints = { excluded: this.triedUpstreamIds, softwareVersion };
-    const choice = chooseRequestUpstream(this.dependencies, this.request, constraints);
-    if (choice === undefined) {
+    const choice = this.targets.choose(this.origin.getVersion(), this.target);
+    if (choice.kind === "refusal") {
       this.target = undefined;
-      this.fail(createUpstreamRefusal(this.dependencies, this.request, softwareVersion));
+      this.fail(choice.refusal);
       return;
     }
-    this.triedUpstreamIds.add(choice.entry.record.id);
-    this.origin.recordSend(choice.entry.record);
-    this.sendTo(UpstreamTarget.create(this.dependencies, this.request, choice), now);
+    this.sendTo(choice.target, now);
   }
 
   private sendTo(target: AttemptTarget, now: number): void {
     this.target = target;
     this.runs += 1;
+    if (target.upstream !== undefined) {
+      this.origin.recordSend(target.upstream);
+    }
     const attempt = Attempt.create(target);
     this.attempt = attempt;
     this.slowAttemptMonitor.start(attempt, this.runs, (slowAttempt) => {
@@ -179,19 +179,20 @@
     attempt.head = head;
     attempt.recordReceivedBytes(now);
     attempt.target.recordHead(head, now);
+    this.targets.addTriedUpstream(attempt.target.getReport(now).upstream);
     if (head.isRefusal) {
       this.recordNotRun();
     } else if (this.isStream(head)) {
       attempt.startStream();
       this.origin.recordStart(attempt.target.getSoftwareVersion());
-      this.startStream(head, now);
+      this.startStream(attempt, head, now);
     }
   }
 
-  private startStream(head: ResponseHead, now: number): void {
+  private startStream({ target }: Attempt, head: ResponseHead, now: number): void {
     if (!this.response.isStarted()) {
       this.firstByteAt = now;
-      this.response.startStream(head);
+      this.response.startStream(head, target.getReport(now));
     }
   }
 
@@ -231,7 +232,9 @@
     }
     const { head, target } = attempt;
     this.endAttempt();
-    this.evidence.recordAnswer(head, this.dependencies.getNow());
+    if (target.upstream !== undefined) {
+      this.evidence.recordAnswer(head, this.dependencies.getNow());
+    }
     if (head.isRefusal) {
       this.retryOrFail("refused", `${target.description} refused with ${String(head.status)}`);
     } else if (head.status >= serverErrorStatus) {
@@ -250,7 +253,8 @@
       this.relay(attempt, this.eventBuffer?.takeIncomplete() ?? Buffer.alloc(0));
       this.response.endStream();
     } else {
-      this.response.sendComplete(head, attempt.getBody(), this.request.method === "HEAD");
+      const report = attempt.target.getReport(this.dependencies.getNow());
+      this.response.sendComplete(head, attempt.getBody(), this.request.method === "HEAD", report);
     }
     this.finish("answered");
   }
@@ -275,8 +279,7 @@
     }
     const isRefused = attempt.head?.isRefusal === true;
     if (end === "notSent") {
-      this.recordNotRun();
-      attempt.target.recordNotSent();
+      this.recordNotSent(attempt.target);
     } else if (!isRefused) {
       this.recordFailure(attempt.target);
       this.report.recordLoss(attempt, detail);
@@ -347,6 +350,13 @@
     return this.request.approval.route.kind === "stream" && head.status < firstErrorStatus;
   }
 
+  /** Records that a target did not get the request; a peer that cannot take it counts as no refusal. */
+  private recordNotSent(target: AttemptTarget): void {
+    target.recordNotSent();
+    this.runs -= 1;
+    this.refusals += target.upstream === undefined ? 0 : 1;
+  }
+
   private recordNotRun(): void {
     this.runs -= 1;
     this.refusals += 1;
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -11,9 +11,21 @@
 import type { Fields, LogLevel } from "../log/line.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
 import type { StreamDirectory } from "../streams/index.js";
+import type { AcceptedRequest } from "./AcceptedRequest.js";
+import type { AttemptTarget } from "./AttemptTarget.js";
+import type { AttemptConstraints } from "./chooseRequestUpstream.js";
 import type { RetryBudgets } from "./RetryBudgets.js";
 import type { TickListeners } from "./TickListeners.js";
 
+/** Chooses peers that pass requests on to upstreams. */
+export interface RequestForwarder {
+  /** Chooses the peer that a request is sent through; undefined when none is known to reach its service. */
+  readonly choose: (
+    request: AcceptedRequest,
+    constraints: AttemptConstraints,
+  ) => AttemptTarget | undefined;
+}
+
 /** Dependencies of every active request. */
 export interface ActiveRequestDependencies {
   readonly upstreams: UpstreamTable;
@@ -26,6 +38,8 @@
   readonly quarantine: ContentQuarantine;
   readonly streams: StreamDirectory;
   readonly metrics: RouterMetrics;
+  /** Sends requests through peers; undefined for requests that a peer has forwarded, which go no further. */
+  readonly forwarder: RequestForwarder | undefined;
   /** Ticks at which attempts are checked for slowness. */
   readonly ticks: TickListeners;
   /** Zone of this daemon. */
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -17,7 +17,7 @@
 export type ActiveRequestOutcome =
   "answered" | "abandoned" | "broken" | "cut-at-deadline" | RefusalName;
 
-const noTarget: TargetReport = { upstream: "-", software: "-", choice: "-", load: 0 };
+const noTarget: TargetReport = { upstream: "-", software: "-", choice: "-", load: 0, via: "-" };
 
 /** State of a request, as reported in log lines. */
 export interface ActiveRequestState {
@@ -109,6 +109,7 @@
       version: this.dependencies.getVersion(),
       age: Math.round(this.dependencies.getAgeMilliseconds()),
       ...(target?.getReport(now) ?? noTarget),
+      from: this.request.forwarded?.sender ?? "-",
       resumes: head.lastEventId === undefined ? "-" : (getResumedIdStart(head) ?? "unknown"),
       runs,
       refusals,
--- a/packages/daemon/src/ingress/AttemptTarget.ts
+++ b/packages/daemon/src/ingress/AttemptTarget.ts
@@ -11,6 +11,14 @@
   readonly choice: string;
   /** Requests that it holds, as far as this daemon knows. */
   readonly load: number;
+  /** Name of the peer that passes the request on to it; "-" without one. */
+  readonly via: string;
+}
+
+/** How a target refused a request before an upstream answered it. */
+export interface TargetRefusal {
+  readonly name: string;
+  readonly retryAfterSeconds?: number | undefined;
 }
 
 /** Where an attempt sends its request. Instants are monotonic milliseconds. */
@@ -41,5 +49,7 @@
   readonly recordFailure: (now: number) => void;
   /** Records that no connection could be made. */
   readonly recordNotSent: () => void;
+  /** Gets how a peer refused the request; undefined when it did not. */
+  readonly getRefusal: () => TargetRefusal | undefined;
   readonly getReport: (now: number) => TargetReport;
 }
--- a/packages/daemon/src/ingress/CallerResponse.ts
+++ b/packages/daemon/src/ingress/CallerResponse.ts
@@ -1,16 +1,19 @@
 import type { ResponseHead } from "@pistachioway/kernel";
 import type { ServerResponse } from "node:http";
 import { refusalResponses, type RefusalName } from "./refusals.js";
+import { RequestResponse } from "./RequestResponse.js";
 
 const statusesWithoutBody = new Set([204, 304]);
 
 /** Writes the response to a caller's request. */
-export class CallerResponse {
+export class CallerResponse extends RequestResponse {
   private constructor(
-    private readonly response: ServerResponse,
+    response: ServerResponse,
     private readonly requestId: string,
     private readonly isLastOnConnection: () => boolean,
-  ) {}
+  ) {
+    super(response);
+  }
 
   /**
    * Creates a response of which nothing has been written.
@@ -23,26 +26,14 @@
     requestId: string,
     isLastOnConnection: () => boolean,
   ): CallerResponse {
-    response.sendDate = false;
     return new CallerResponse(response, requestId, isLastOnConnection);
   }
 
-  /** Checks whether the head has been written. */
-  isStarted(): boolean {
-    return this.response.headersSent;
-  }
-
   /** Gets the status that was written; 0 before the head is written. */
   getStatus(): number {
     return this.response.headersSent ? this.response.statusCode : 0;
   }
 
-  /**
-   * Responds with a refusal.
-   * @param name - Reason of the refusal.
-   * @param detail - Description that names what failed.
-   * @param knownRetryAfterSeconds - Time after which a retry may succeed, if it is known.
-   */
   refuse(name: RefusalName, detail: string, knownRetryAfterSeconds?: number): void {
     const { status, retryAfterSeconds: usualSeconds } = refusalResponses[name];
     const retryAfterSeconds =
@@ -62,12 +53,6 @@
     this.response.end(body);
   }
 
-  /**
-   * Writes the complete response of an upstream.
-   * @param head - Head of the upstream's response.
-   * @param body - Its body.
-   * @param isHeadOnly - True when the request's method allows no response body.
-   */
   sendComplete(head: ResponseHead, body: Buffer, isHeadOnly: boolean): void {
     const headers = withoutLength(head.passedHeaders);
     if (isHeadOnly || statusesWithoutBody.has(head.status)) {
@@ -83,44 +68,12 @@
     this.response.end(body);
   }
 
-  /**
-   * Writes the head of a stream.
-   * @param head - Head of the upstream's response.
-   */
   startStream(head: ResponseHead): void {
     this.setFraming(head);
     this.response.writeHead(head.status, this.withConnection([...head.passedHeaders]));
     this.response.flushHeaders();
   }
 
-  /**
-   * Writes bytes of a stream.
-   * @param chunk - Bytes to write.
-   * @returns False when the write buffer is full because the caller reads more slowly.
-   */
-  write(chunk: Buffer): boolean {
-    return this.response.write(chunk);
-  }
-
-  /**
-   * Calls a function once the write buffer has been drained.
-   * @param onDrain - Function to call.
-   */
-  onceDrained(onDrain: () => void): void {
-    this.response.once("drain", onDrain);
-  }
-
-  /** Ends a complete stream. */
-  endStream(): void {
-    this.response.end();
-  }
-
-  /** Resets the connection of a response that cannot be completed, so that it does not look complete. */
-  abort(): void {
-    this.response.socket?.resetAndDestroy();
-    this.response.destroy();
-  }
-
   /**
    * Keeps a response delimited by the end of its connection when the upstream's response was. The
    * upstream may have cut it off, and a content length or a last chunk would mark it as complete.
--- a/packages/daemon/src/ingress/IngressServer.ts
+++ b/packages/daemon/src/ingress/IngressServer.ts
@@ -16,6 +16,7 @@
 import { getRequestContent } from "./getRequestContent.js";
 import { readBody } from "./readBody.js";
 import type { RefusalName } from "./refusals.js";
+import { RunningRequests } from "./RunningRequests.js";
 
 /** Dependencies of the server. */
 export interface IngressDependencies {
@@ -41,8 +42,7 @@
 /** Accepts requests of callers, checks them, reads their bodies and starts to process them. */
 export class IngressServer {
   private readonly server: Server;
-  private runningCount = 0;
-  private onIdle: (() => void) | undefined;
+  private readonly running = RunningRequests.create();
 
   private constructor(private readonly dependencies: IngressDependencies) {
     this.server = createServer(
@@ -94,7 +94,7 @@
 
   /** Gets the number of requests in flight. */
   getRunningCount(): number {
-    return this.runningCount;
+    return this.running.getCount();
   }
 
   /** Stops listening and closes idle connections. */
@@ -105,11 +105,7 @@
 
   /** Resolves when no request is in flight. */
   async waitUntilIdle(): Promise<void> {
-    if (this.runningCount > 0) {
-      await new Promise<void>((resolve) => {
-        this.onIdle = resolve;
-      });
-    }
+    await this.running.waitUntilIdle();
   }
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
@@ -121,12 +117,12 @@
     const arrivedAt = this.dependencies.requestDependencies.getNow();
     const head = this.dependencies.requestDependencies.codec.readRequest(request.rawHeaders);
     const callerResponse = CallerResponse.create(response, head.id, this.dependencies.isDraining);
-    this.runningCount += 1;
+    this.running.add();
     response.once("finish", () => {
       this.endConnectionOnStop(request.socket);
     });
     response.once("close", () => {
-      this.handleClose();
+      this.running.remove();
     });
     const decision = this.check(request, head);
     if (decision.kind === "refusal") {
@@ -205,6 +201,7 @@
       service: getTargetService(approval.route, this.dependencies.getRandom()),
       arrivedAt,
       deadline: arrivedAt + timeoutMilliseconds,
+      forwarded: undefined,
     };
     return { ...request, content: getRequestContent(request) };
   }
@@ -260,13 +257,6 @@
       code === "HPE_HEADER_OVERFLOW" ? "431 Request Header Fields Too Large" : "400 Bad Request";
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
-
-  private handleClose(): void {
-    this.runningCount -= 1;
-    if (this.runningCount === 0) {
-      this.onIdle?.();
-    }
-  }
 }
 
 /** Gets the size of the request line and the headers, separators included. */
--- a/packages/daemon/src/ingress/StreamOrigin.ts
+++ b/packages/daemon/src/ingress/StreamOrigin.ts
@@ -42,8 +42,10 @@
    * @param listener - Called once the request may be sent, or with a refusal when the version is not known.
    */
   find(listener: (refusal: Refusal | undefined) => void): void {
-    const { approval, head, service } = this.request;
-    if (approval.route.kind !== "stream" || head.lastEventId === undefined) {
+    const { approval, head, service, forwarded } = this.request;
+    this.version = forwarded?.softwareVersion;
+    const isNew = approval.route.kind !== "stream" || head.lastEventId === undefined;
+    if (isNew || this.version !== undefined) {
       listener(undefined);
       return;
     }
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -110,9 +110,14 @@
     this.dependencies.reachability.recordConnectFailure(this.entry);
   }
 
+  getRefusal(): undefined {
+    return undefined;
+  }
+
   getReport(now: number): TargetReport {
     const { id: upstream, softwareVersion: software } = this.upstream;
-    return { upstream, software, choice: this.choice.reason, load: this.entry.getLoad(now) };
+    const load = this.entry.getLoad(now);
+    return { upstream, software, choice: this.choice.reason, load, via: "-" };
   }
 
   /** Gets the address of an engine that likely has more of the prompt cached than the chosen one. */
--- a/packages/daemon/src/ingress/index.ts
+++ b/packages/daemon/src/ingress/index.ts
@@ -1,3 +1,12 @@
+export { getResumedIdStart, type AcceptedRequest } from "./AcceptedRequest.js";
+export { ActiveRequest } from "./ActiveRequest.js";
+export type { AttemptTarget, TargetRefusal, TargetReport } from "./AttemptTarget.js";
+export type { AttemptConstraints } from "./chooseRequestUpstream.js";
+export { getRequestContent } from "./getRequestContent.js";
+export { readBody } from "./readBody.js";
+export { isNotRun, type RefusalName } from "./refusals.js";
+export { RequestResponse } from "./RequestResponse.js";
+export { RunningRequests } from "./RunningRequests.js";
 export type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 export type { ActiveRequestOutcome } from "./ActiveRequestReport.js";
 export { IngressServer, type IngressDependencies } from "./IngressServer.js";
--- a/packages/daemon/src/ingress/refusals.ts
+++ b/packages/daemon/src/ingress/refusals.ts
@@ -19,6 +19,16 @@
   | "not-run-in-time"
   | "internal";
 
+/** Checks whether a text is the name of a refusal. */
+export function isRefusalName(name: string): name is RefusalName {
+  return Object.hasOwn(refusalResponses, name);
+}
+
+/** Checks whether a refusal promises that the request has not run and will not. */
+export function isNotRun(name: RefusalName): boolean {
+  return refusalResponses[name].status === unavailableStatus;
+}
+
 /** A refusal with what the caller is told of it. */
 export interface Refusal {
   readonly name: RefusalName;
@@ -34,6 +44,8 @@
   readonly retryAfterSeconds?: number;
 }
 
+const unavailableStatus = 503;
+
 /** Status and retry time of each refusal. Only 503 and 429 say that the request has not run. */
 export const refusalResponses: Readonly<Record<RefusalName, RefusalResponse>> = {
   "no-configuration": { status: 503, retryAfterSeconds: 0.3 },
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -56,6 +56,20 @@
     registers: [this.registry],
   });
 
+  readonly forwardedRequests = new Counter({
+    name: "pistachioway_forwarded_requests_total",
+    help: "Requests sent to peers because this router reaches no upstream of their service, by result.",
+    labelNames: ["result"],
+    registers: [this.registry],
+  });
+
+  readonly takenOverRequests = new Counter({
+    name: "pistachioway_taken_over_requests_total",
+    help: "Requests of peers that were taken over, and connections and requests that were refused.",
+    labelNames: ["result"],
+    registers: [this.registry],
+  });
+
   readonly refusedDatagrams = new Counter({
     name: "pistachioway_refused_datagrams_total",
     help: "Datagrams that are no message of another daemon of this version.",
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -12,7 +12,7 @@
 } from "@pistachioway/kernel";
 import { setTimeout as delay } from "node:timers/promises";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
-import { PeerStateTask, type FleetTask } from "../fleet/index.js";
+import type { FleetTask, PeerStateTask } from "../fleet/index.js";
 import {
   IngressServer,
   RetryBudgets,
@@ -25,11 +25,14 @@
 import { RegistryTask } from "../registry/index.js";
 import type { StreamDirectory } from "../streams/index.js";
 import { createFleetTask, toDatagramAddress } from "./createFleetTask.js";
+import { createForwarding, type Forwarding } from "./createForwarding.js";
+import { createPeerStateTask } from "./createPeerStateTask.js";
 import { createStreamDirectory } from "./createStreamDirectory.js";
 import { NoticeLog } from "./NoticeLog.js";
 import { OperationsServer } from "./OperationsServer.js";
 import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
+import { TickLag } from "./TickLag.js";
 
 /** Clock error that is allowed for when a revoked key must stop being accepted. */
 const clockErrorMilliseconds = 200;
@@ -72,6 +75,9 @@
   private readonly fleet: FleetTask;
   private readonly peerStates: PeerStateTask;
   private readonly streams: StreamDirectory;
+  /** Dependencies of requests that go no further than to upstreams. */
+  private readonly requestDependencies: ActiveRequestDependencies;
+  private readonly forwarding: Forwarding;
   private readonly ingress: IngressServer;
   private readonly readiness: OperationsServer;
   private readonly operations: OperationsServer;
@@ -81,6 +87,7 @@
   private readonly ticks = TickListeners.create();
   private timer: NodeJS.Timeout | undefined;
   private tickCount = 0;
+  private readonly tickLag = TickLag.create(tickMilliseconds, this.startedAt);
   private isStopping = false;
   private isClosed = false;
 
@@ -89,11 +96,20 @@
       this.record(level, event, fields);
     });
     this.registryTask = this.createRegistryTask();
-    this.reachability = this.createReachabilityTask();
+    const record = (level: LogLevel, event: string, fields: Fields): void => {
+      this.record(level, event, fields);
+    };
+    const { registryTask: registry, pool } = this;
+    const { upstreams } = registry;
+    const getNow = readMonotonicClock;
+    this.reachability = ReachabilityTask.create({ upstreams, pool, getNow, record });
     this.fleet = this.createFleetTask();
-    this.peerStates = this.createPeerStateTask();
+    const { view } = this.fleet;
+    this.peerStates = createPeerStateTask({ view, registry, getClocks: readClocks, record });
     const { datagrams } = dependencies.settings.listeners;
     this.streams = createStreamDirectory(datagrams, this.fleet, readMonotonicClock);
+    this.requestDependencies = this.createActiveRequestDependencies();
+    this.forwarding = this.createForwarding();
     this.ingress = this.createIngress();
     const onError = (error: Error): void => {
       this.record("error", "operations.failed", { detail: error.message });
@@ -119,6 +135,7 @@
     void this.registryTask.run();
     await Promise.all([
       this.ingress.listen(listeners.callers),
+      this.forwarding.server.listen(listeners.datagrams),
       this.readiness.listen(listeners.readiness),
       this.operations.listen(listeners.operations),
       listeners.metrics === undefined || this.metricsServer.listen(listeners.metrics),
@@ -142,7 +159,12 @@
     const grace = delay(graceMilliseconds - exitMarginMilliseconds).then(() => false);
     await delay(unreadyDelayMilliseconds);
     this.ingress.close();
-    const isIdle = await Promise.race([this.ingress.waitUntilIdle().then(() => true), grace]);
+    this.forwarding.server.close();
+    const idle = Promise.all([
+      this.ingress.waitUntilIdle(),
+      this.forwarding.server.waitUntilIdle(),
+    ]);
+    const isIdle = await Promise.race([idle.then(() => true), grace]);
     this.close();
     this.record("info", "daemon.stopped", { idle: isIdle });
     await this.dependencies.log.close();
@@ -166,12 +188,14 @@
     this.isClosed = true;
     clearInterval(this.timer);
     this.ingress.close();
+    this.forwarding.server.close();
     this.registryTask.stop();
     this.fleet.stop();
     this.readiness.close();
     this.operations.close();
     this.metricsServer.close();
     this.pool.close();
+    this.forwarding.pool.close();
   }
 
   private createRegistryTask(): RegistryTask {
@@ -192,17 +216,6 @@
     });
   }
 
-  private createReachabilityTask(): ReachabilityTask {
-    return ReachabilityTask.create({
-      upstreams: this.registryTask.upstreams,
-      pool: this.pool,
-      getNow: readMonotonicClock,
-      record: (level, event, fields) => {
-        this.record(level, event, fields);
-      },
-    });
-  }
-
   private createFleetTask(): FleetTask {
     const record = (level: LogLevel, event: string, fields: Fields): void => {
       this.record(level, event, fields);
@@ -210,6 +223,7 @@
     return createFleetTask(this.dependencies.settings, {
       incarnation: this.incarnation,
       registry: this.registryTask,
+      reachability: this.reachability,
       prefixes: this.prefixes,
       quarantine: this.quarantine,
       notices: this.notices,
@@ -222,25 +236,6 @@
     });
   }
 
-  private createPeerStateTask(): PeerStateTask {
-    const task = this.registryTask;
-    return PeerStateTask.create({
-      view: this.fleet.view,
-      getClocks: readClocks,
-      getRandom: Math.random,
-      isRegistryUnreachable: () => task.isUnreachable(),
-      isRegistryRestoring: () => task.isRestoring(),
-      getVersion: () => this.getVersion(),
-      getAgeMilliseconds: () => task.getAgeMilliseconds(),
-      onState: (state, askedAt) => {
-        task.handlePeerState(state, askedAt);
-      },
-      record: (level, event, fields) => {
-        this.record(level, event, fields);
-      },
-    });
-  }
-
   private createPages(): RouterPages {
     return RouterPages.create({
       settings: this.dependencies.settings,
@@ -265,9 +260,22 @@
     return this.registryTask.getTable()?.version ?? -1;
   }
 
+  private createForwarding(): Forwarding {
+    return createForwarding(this.dependencies.settings, {
+      view: this.fleet.view,
+      requestDependencies: this.requestDependencies,
+      getTable: () => this.registryTask.getTable(),
+      isDraining: () => this.isStopping,
+      isBusy: () => this.tickLag.isBusy(readMonotonicClock()),
+    });
+  }
+
   private createIngress(): IngressServer {
     return IngressServer.create({
-      requestDependencies: this.createActiveRequestDependencies(),
+      requestDependencies: {
+        ...this.requestDependencies,
+        forwarder: this.forwarding.forwarder,
+      },
       bounds: this.getBounds(),
       getTable: () => this.registryTask.getTable(),
       isDraining: () => this.isStopping,
@@ -287,6 +295,7 @@
       quarantine: this.quarantine,
       streams: this.streams,
       metrics: this.metrics,
+      forwarder: undefined,
       ticks: this.ticks,
       zone: settings.process.zone,
       getNow: readMonotonicClock,
@@ -331,6 +340,7 @@
 
   private runTick(): void {
     this.tickCount += 1;
+    this.tickLag.recordTick(readMonotonicClock());
     this.reachability.check();
     this.ticks.run();
     if (this.tickCount % ticksPerHousekeeping === 0) {
--- a/packages/daemon/src/router/createFleetTask.ts
+++ b/packages/daemon/src/router/createFleetTask.ts
@@ -1,5 +1,6 @@
 import {
   applyFleetNotices,
+  getHash,
   type FleetNotice,
   type PrefixDirectory,
   type ContentQuarantine,
@@ -8,6 +9,7 @@
 import { FleetTask } from "../fleet/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
+import type { ReachabilityTask } from "../exchange/index.js";
 import type { RegistryTask } from "../registry/index.js";
 import type { StreamMessage } from "../streams/index.js";
 import type { NoticeLog } from "./NoticeLog.js";
@@ -17,6 +19,7 @@
 export interface FleetTaskContext {
   readonly incarnation: number;
   readonly registry: RegistryTask;
+  readonly reachability: ReachabilityTask;
   readonly prefixes: PrefixDirectory;
   readonly quarantine: ContentQuarantine;
   readonly notices: NoticeLog;
@@ -48,6 +51,7 @@
       version: registry.getTable()?.version ?? -1,
       confirmedAt: getNow() - registry.getAgeMilliseconds(),
       running: getRunning(registry.upstreams),
+      unreachedServices: new Set(context.reachability.getUnreachedServices().map(getHash)),
     }),
     getStandingNotices: (now) => quarantine.getStandingNotices(now),
     onNotices: (received: readonly FleetNotice[], sender) => {
--- a/packages/daemon/tests/fleet/GossipSimulation.ts
+++ b/packages/daemon/tests/fleet/GossipSimulation.ts
@@ -45,6 +45,8 @@
   largestDatagramBytes = 0;
   /** Called for each notice that is new to a daemon, with the daemon's index. */
   onNotice: (daemon: number, notice: FleetNotice) => void = () => undefined;
+  /** Gets the hashes of the services of which a daemon reaches no upstream, by the daemon's index. */
+  getUnreachedServices: (daemon: number) => ReadonlySet<number> = () => new Set();
   /** Checks whether the datagrams of one zone to another are lost. */
   isCut: (from: string, to: string) => boolean = () => false;
   readonly members: readonly Member[];
@@ -182,7 +184,14 @@
     );
     const identity = { name: `front-${zone}-${address}`, address, operations: address, zone };
     const sample = { incarnation, sequence, sampledAt: this.now, version: 12 };
-    return { ...identity, ...sample, confirmedAt: this.now - 900, running: new Map(counts) };
+    const unreachedServices = this.getUnreachedServices(this.indexes.get(address) ?? -1);
+    return {
+      ...identity,
+      ...sample,
+      confirmedAt: this.now - 900,
+      running: new Map(counts),
+      unreachedServices,
+    };
   }
 }
 
--- a/packages/daemon/tests/fleet/datagramCodec.test.ts
+++ b/packages/daemon/tests/fleet/datagramCodec.test.ts
@@ -22,6 +22,7 @@
         [0xfffffff0, 3],
         [7, 1],
       ]),
+      unreachedServices: new Set([0xffffffff, 8]),
     },
     {
       name: "front-a-2",
@@ -34,6 +35,7 @@
       version: -1,
       confirmedAt: -Infinity,
       running: new Map(),
+      unreachedServices: new Set(),
     },
   ],
   notices: [
@@ -57,6 +59,14 @@
   );
 });
 
+test("a state without unreached services takes no byte more", () => {
+  const [state] = message.states;
+  assert.ok(state);
+  const getBytes = (unreachedServices: ReadonlySet<number>): number =>
+    encodeDatagram({ states: [{ ...state, unreachedServices }], notices: [] }, 5_000).length;
+  assert.is(getBytes(new Set([1])) - getBytes(new Set()), 6);
+});
+
 test("refuses foreign, truncated and oversized datagrams", () => {
   const datagram = encodeDatagram(message, 5_000);
   const [state] = message.states;
--- a/packages/kernel/src/fleet/FleetGossip.ts
+++ b/packages/kernel/src/fleet/FleetGossip.ts
@@ -1,6 +1,7 @@
 import type { FleetView } from "./FleetView.js";
 import type { FleetMessage, FleetNotice, MemberState } from "./messages.js";
 import { NoticeQueue } from "./NoticeQueue.js";
+import { pickRandom } from "./pickRandom.js";
 
 /** Number of peers that one message is sent to. */
 interface TargetCounts {
@@ -21,6 +22,7 @@
 const messageBytes = 16;
 const stateBytes = 34;
 const bytesPerRunningCount = 6;
+const bytesPerUnreachedService = 4;
 const prefixNoticeBytes = 16;
 const upstreamNoticeBytes = 32;
 const contentNoticeBytes = 24;
@@ -102,7 +104,11 @@
     const { total, inOtherZones } = this.getTargetCounts(live, now);
     const farCount = Math.max(inOtherZones, total - near.length);
     const nearCount = total - Math.min(farCount, far.length);
-    const targets = [...this.pick(near, nearCount), ...this.pick(far, farCount)];
+    const { getRandom } = this.options;
+    const targets = [
+      ...pickRandom(near, nearCount, getRandom),
+      ...pickRandom(far, farCount, getRandom),
+    ];
     return [...targets.map(({ address }) => address), ...this.pickUnknown(live)];
   }
 
@@ -199,17 +205,7 @@
     if (live.length > 0 && this.round % roundsPerUnknownAddress !== 0) {
       return [];
     }
-    return this.pick(unknown, live.length > 0 ? 1 : usualTargets.total);
-  }
-
-  private pick<Item>(items: readonly Item[], count: number): readonly Item[] {
-    const remaining = [...items];
-    const picked: Item[] = [];
-    while (picked.length < count && remaining.length > 0) {
-      const index = Math.floor(this.options.getRandom() * remaining.length);
-      picked.push(...remaining.splice(index, 1));
-    }
-    return picked;
+    return pickRandom(unknown, live.length > 0 ? 1 : usualTargets.total, this.options.getRandom);
   }
 }
 
@@ -227,9 +223,10 @@
   return { ...state, running: new Map(largest) };
 }
 
-function getStateBytes({ name, address, zone, running }: MemberState): number {
+function getStateBytes({ name, address, zone, running, unreachedServices }: MemberState): number {
   const textBytes = name.length + address.length + zone.length;
-  return stateBytes + textBytes + Math.min(running.size, maxRunningCounts) * bytesPerRunningCount;
+  const countBytes = Math.min(running.size, maxRunningCounts) * bytesPerRunningCount;
+  return stateBytes + textBytes + countBytes + unreachedServices.size * bytesPerUnreachedService;
 }
 
 function getNoticeBytes(notices: readonly FleetNotice[]): number {
--- a/packages/kernel/src/fleet/FleetView.ts
+++ b/packages/kernel/src/fleet/FleetView.ts
@@ -53,6 +53,14 @@
     return true;
   }
 
+  /**
+   * Checks whether a possible daemon runs on a host.
+   * @param host - IPv4 address of the host.
+   */
+  isKnownHost(host: string): boolean {
+    return this.getAddresses().some((address) => address.startsWith(`${host}:`));
+  }
+
   /** Gets the addresses of all possible daemons except this one. */
   getAddresses(): readonly string[] {
     return [...this.knownAddresses];
--- a/packages/kernel/src/fleet/index.ts
+++ b/packages/kernel/src/fleet/index.ts
@@ -1,3 +1,4 @@
+export { choosePeer, type PeerRequirements } from "./choosePeer.js";
 export { FleetGossip, type FleetGossipOptions, type GossipOutcome } from "./FleetGossip.js";
 export { NoticeQueue } from "./NoticeQueue.js";
 export { FleetView, peerTimeoutMilliseconds } from "./FleetView.js";
--- a/packages/kernel/src/fleet/messages.ts
+++ b/packages/kernel/src/fleet/messages.ts
@@ -19,6 +19,8 @@
   readonly confirmedAt: number;
   /** Requests in flight by hash of the upstream's id; upstreams without any are left out. */
   readonly running: ReadonlyMap<number, number>;
+  /** Hashes of the names of services none of whose upstreams the daemon reaches by itself. */
+  readonly unreachedServices: ReadonlySet<number>;
 }
 
 /** What a daemon learned about an upstream and tells the others. */
--- a/packages/kernel/src/forwarding/index.ts
+++ b/packages/kernel/src/forwarding/index.ts
@@ -13,6 +13,7 @@
   type RequestProgress,
   type RetryDecision,
 } from "./decideRetry.js";
+export { isAllowedByNewer, type ApprovedRequest } from "./isAllowedByNewer.js";
 export { getRetryAfterSeconds } from "./getRetryAfterSeconds.js";
 export {
   applyFleetNotices,
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -111,12 +111,12 @@
   /**
    * Avoids the upstream if it holds requests and has sent nothing for too long.
    * @param now - Current time.
-   * @returns Whether the upstream is avoided from now on; false when it already was.
+   * @returns Whether the upstream counts as silent from now on; false when it already did.
    */
   avoidIfUnresponsive(now: number): boolean {
     const limit =
       this.openStreams > 0 ? streamIdleTimeoutMilliseconds : responseTimeoutMilliseconds;
-    if (!this.isSilentFor(limit, now) || this.isAvoidedForFailures(now)) {
+    if (!this.isSilentFor(limit, now) || this.path.isSilent()) {
       return false;
     }
     this.avoid(now);
--- a/packages/kernel/src/upstreams/UpstreamPath.ts
+++ b/packages/kernel/src/upstreams/UpstreamPath.ts
@@ -19,6 +19,8 @@
   private refusedAt: number | undefined;
   /** When the upstream fell silent; undefined once it has sent bytes. */
   private silentSince: number | undefined;
+  /** Whether it counts as silent only because others of its service fell silent. */
+  private isSilentLikeOthers = false;
   /** When the path was doubted together with the others of its service; undefined while it is not. */
   private doubtedAt: number | undefined;
   private isTrialGranted = false;
@@ -43,6 +45,16 @@
     return this.doubtedAt === undefined ? "open" : "doubted";
   }
 
+  /** Checks whether the upstream has fallen silent and sent no bytes since. */
+  isSilent(): boolean {
+    return this.silentSince !== undefined;
+  }
+
+  /** Gets when bytes of the upstream last came. */
+  getReceivedAt(): number {
+    return this.receivedAt;
+  }
+
   /** Gets when the path last proved itself, by bytes or by a connection that opened. */
   getProvenAt(): number {
     return Math.max(this.receivedAt, this.connectedAt);
@@ -57,6 +69,7 @@
   recordReceivedBytes(now: number): void {
     this.receivedAt = now;
     this.silentSince = undefined;
+    this.isSilentLikeOthers = false;
     this.doubtedAt = undefined;
   }
 
@@ -76,9 +89,26 @@
   /** Records that the upstream holds requests and sends nothing. A probe is due at once. */
   recordSilence(now: number): void {
     this.silentSince = now;
+    this.isSilentLikeOthers = false;
     this.probedAt = -Infinity;
   }
 
+  /** Records that other upstreams of the service fell silent, and that no byte of any has come since. */
+  recordSilenceOfOthers(now: number): void {
+    if (this.getState() === "open" || this.getState() === "doubted") {
+      this.recordSilence(now);
+      this.isSilentLikeOthers = true;
+    }
+  }
+
+  /** Records that bytes of another upstream of the service have come. */
+  recordBytesOfOthers(): void {
+    if (this.isSilentLikeOthers) {
+      this.silentSince = undefined;
+      this.isSilentLikeOthers = false;
+    }
+  }
+
   /** Doubts an open path until it proves itself. A probe is due at once. */
   startDoubt(now: number): void {
     if (this.getState() === "open") {
--- a/packages/kernel/src/upstreams/UpstreamReach.ts
+++ b/packages/kernel/src/upstreams/UpstreamReach.ts
@@ -4,6 +4,7 @@
   groupSilenceMilliseconds,
   quietMilliseconds,
   recoveryProbeMilliseconds,
+  streamIdleTimeoutMilliseconds,
   trialIntervalMilliseconds,
 } from "./constants.js";
 import type { UpstreamEntry } from "./UpstreamEntry.js";
@@ -29,6 +30,8 @@
   isReached: boolean;
   isDoubted: boolean;
   doubtedAt: number;
+  /** When all its paths began to count as silent; undefined while they do not. */
+  silentSince: number | undefined;
   trialAt: number;
 }
 
@@ -93,6 +96,7 @@
     for (const [service, entries] of groups) {
       this.endDoubtIfProven(service, entries);
       this.doubtIfSilentTogether(service, entries, now);
+      this.checkSilence(service, entries, now);
       this.grantTrials(service, entries, now);
     }
     const changes = [...groups].flatMap(([service, entries]) => this.noteChange(service, entries));
@@ -145,6 +149,7 @@
       isReached: true,
       isDoubted: false,
       doubtedAt: -Infinity,
+      silentSince: undefined,
       trialAt: -Infinity,
     };
     this.statesByService.set(service, state);
@@ -186,6 +191,26 @@
     }
   }
 
+  /** Takes all paths for silent while several upstreams are and no byte of any comes. */
+  private checkSilence(service: string, entries: readonly UpstreamEntry[], now: number): void {
+    const state = this.getState(service);
+    const receivedAt = Math.max(...entries.map(({ path }) => path.getReceivedAt()));
+    if (state.silentSince !== undefined && receivedAt > state.silentSince) {
+      state.silentSince = undefined;
+      entries.forEach(({ path }) => {
+        path.recordBytesOfOthers();
+      });
+    }
+    const silentCount = entries.filter(({ path }) => path.isSilent()).length;
+    const isSilent = silentCount > 1 && now - receivedAt > streamIdleTimeoutMilliseconds;
+    if (state.silentSince === undefined && isSilent) {
+      state.silentSince = now;
+      entries.forEach(({ path }) => {
+        path.recordSilenceOfOthers(now);
+      });
+    }
+  }
+
   /** Allows a request on each path on trial; only one now and then while no path of the service is open. */
   private grantTrials(service: string, entries: readonly UpstreamEntry[], now: number): void {
     const due = entries.filter(
--- a/packages/kernel/tests/fleet/samples.ts
+++ b/packages/kernel/tests/fleet/samples.ts
@@ -13,6 +13,7 @@
     version: 4,
     confirmedAt: -500,
     running: new Map(),
+    unreachedServices: new Set(),
     ...changes,
   };
 }
--- a/packages/kernel/tests/upstreams/UpstreamReach.test.ts
+++ b/packages/kernel/tests/upstreams/UpstreamReach.test.ts
@@ -74,6 +74,33 @@
   assert.equal(getStates(busy), ["open", "open", "open"]);
 });
 
+test("two silent upstreams put all paths of a silent service on trial, until bytes of any come", () => {
+  const paths = createPaths(3);
+  [0, 1].forEach((index) => {
+    getEntry(paths, index).startRequest(0);
+  });
+  paths.reach.check(701);
+  assert.equal(getStates(paths), ["closed", "closed", "closed"]);
+  paths.entries.forEach((entry) => {
+    paths.reach.recordConnected(entry, 710);
+  });
+  paths.reach.check(800);
+  assert.equal(getStates(paths), ["trial", "trial", "trial"]);
+  getEntry(paths, 2).recordReceivedBytes(850);
+  paths.reach.check(900);
+  assert.equal(getStates(paths), ["trial", "trial", "open"], "the first two are silent themselves");
+});
+
+test("two silent upstreams put no other path on trial while a third one sends", () => {
+  const paths = createPaths(4);
+  [0, 1].forEach((index) => {
+    getEntry(paths, index).startRequest(0);
+  });
+  getEntry(paths, 2).recordReceivedBytes(600);
+  paths.reach.check(701);
+  assert.equal(getStates(paths), ["closed", "closed", "open", "open"]);
+});
+
 test("one path that proves itself ends the doubt in the others", () => {
   const paths = createPaths(3);
   paths.reach.recordConnectFailure(getEntry(paths, 0), 1_000);
