--- a/packages/daemon/src/exchange/ReachabilityTask.ts
+++ b/packages/daemon/src/exchange/ReachabilityTask.ts
@@ -89,13 +89,13 @@
 
   private async probeUpstream(entry: UpstreamEntry): Promise<void> {
     const { id, zone, address } = entry.record;
-    const wasDoubted = entry.path.getState() === "doubted";
+    const wasClosed = entry.path.getState() === "closed";
     if (!(await canConnect(address))) {
       this.reach.recordProbeFailure(entry, this.dependencies.getNow());
       return;
     }
     this.reach.recordConnected(entry, this.dependencies.getNow());
-    if (!wasDoubted) {
+    if (wasClosed) {
       this.dependencies.record("info", "upstream.reached", { upstream: id, zone });
     }
   }
--- a/packages/daemon/src/ingress/TargetChooser.ts
+++ b/packages/daemon/src/ingress/TargetChooser.ts
@@ -1,3 +1,4 @@
+import { isRepeatable, type ChosenPath } from "@pistachioway/kernel";
 import type { AcceptedRequest } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AttemptTarget } from "./AttemptTarget.js";
@@ -57,13 +58,18 @@
     if (peer !== undefined) {
       return { kind: "target", target: peer };
     }
-    if (choice.path === "closed") {
+    if (!this.maySend(choice.path)) {
       return { kind: "refusal", refusal: this.createUnreachedRefusal(last) };
     }
     this.triedUpstreamIds.add(choice.entry.record.id);
     return { kind: "target", target: UpstreamTarget.create(dependencies, request, choice) };
   }
 
+  /** A request that must not run twice is lost on a path that hangs; it is not sent before the path has proven itself. */
+  private maySend(path: ChosenPath): boolean {
+    return path === "doubted" ? isRepeatable(this.request.approval.route) : path !== "closed";
+  }
+
   private choosePeer(softwareVersion: string | undefined): AttemptTarget | undefined {
     const { forwarder } = this.dependencies;
     if (forwarder === undefined || this.triedPeers >= maxPeers) {
--- a/packages/kernel/src/upstreams/UpstreamPath.ts
+++ b/packages/kernel/src/upstreams/UpstreamPath.ts
@@ -1,4 +1,4 @@
-import { probeIntervalMilliseconds } from "./constants.js";
+import { longTrialMilliseconds, probeIntervalMilliseconds } from "./constants.js";
 
 /**
  * What a daemon knows of its own path to an upstream:
@@ -24,6 +24,7 @@
   /** When the path was doubted together with the others of its service; undefined while it is not. */
   private doubtedAt: number | undefined;
   private isTrialGranted = false;
+  private isProbeRequested = false;
 
   private constructor() {
     // Created through the static method.
@@ -73,8 +74,12 @@
     this.doubtedAt = undefined;
   }
 
-  /** Records that a connection has opened. */
+  /** Records that a connection has opened. Where connections failed before, that explains a silence. */
   recordConnected(now: number): void {
+    if (this.refusedAt !== undefined) {
+      this.silentSince = undefined;
+      this.isSilentLikeOthers = false;
+    }
     this.connectedAt = now;
     this.refusedAt = undefined;
     this.doubtedAt = undefined;
@@ -126,7 +131,12 @@
   isProbeDue(now: number): boolean {
     const state = this.getState();
     const isUnknown = state === "doubted" || state === "closed";
-    return isUnknown && now - this.probedAt >= probeIntervalMilliseconds;
+    return (isUnknown || this.isProbeRequested) && now - this.probedAt >= probeIntervalMilliseconds;
+  }
+
+  /** Requests a probe of a path that is open as far as is known. */
+  requestProbe(): void {
+    this.isProbeRequested = true;
   }
 
   /** Gets when the last probe began. */
@@ -137,6 +147,7 @@
   /** Records that a probe begins. */
   startProbe(now: number): void {
     this.probedAt = now;
+    this.isProbeRequested = false;
   }
 
   /** Allows one request on a path on trial. */
@@ -144,9 +155,14 @@
     this.isTrialGranted = true;
   }
 
-  /** Checks whether a request may be sent on a path on trial. */
-  admitsTrial(): boolean {
-    return this.isTrialGranted && this.getState() === "trial";
+  /**
+   * Checks whether a request may be sent on a path on trial; one that must not run twice only once the trial has lasted.
+   * @param isRepeatable - Whether the request may run more than once.
+   * @param now - Current time.
+   */
+  admitsTrial(isRepeatable: boolean, now: number): boolean {
+    const isLong = now - this.connectedAt >= longTrialMilliseconds;
+    return this.isTrialGranted && this.getState() === "trial" && (isRepeatable || isLong);
   }
 
   /** Records that a request is sent, which uses up a trial. */
--- a/packages/kernel/src/upstreams/UpstreamReach.ts
+++ b/packages/kernel/src/upstreams/UpstreamReach.ts
@@ -74,9 +74,9 @@
   }
 
   /** Records that a probe of an upstream opened no connection. */
-  recordProbeFailure({ path }: UpstreamEntry, now: number): void {
-    if (path.getState() !== "open") {
-      path.recordConnectFailure(now);
+  recordProbeFailure(entry: UpstreamEntry, now: number): void {
+    if (entry.path.getReceivedAt() < entry.path.getProbedAt()) {
+      this.recordConnectFailure(entry, now);
     }
   }
 
@@ -186,8 +186,16 @@
     now: number,
   ): void {
     const waiting = entries.filter((entry) => entry.isSilentFor(groupSilenceMilliseconds, now));
-    if (waiting.length > 1 && now - getProvenAt(entries) > groupSilenceMilliseconds) {
+    if (now - getProvenAt(entries) <= groupSilenceMilliseconds) {
+      return;
+    }
+    if (waiting.length > 1) {
       this.startDoubt(service, entries, now);
+      return;
+    }
+    const [only] = waiting;
+    if (only !== undefined && now - only.path.getProbedAt() >= doubtPauseMilliseconds) {
+      only.path.requestProbe();
     }
   }
 
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -1,12 +1,13 @@
 import { getHash, getRendezvousScore } from "../hashing/index.js";
 import { loadAllowance, loadFactor } from "./constants.js";
 import type { UpstreamEntry } from "./UpstreamEntry.js";
+import type { PathState } from "./UpstreamPath.js";
 
 /**
- * What a daemon knows of the path of the upstream that it chose: it is `open`, it may not be open (`uncertain`), or
- * connections to the upstream fail (`closed`).
+ * What a daemon knows of the path of the upstream that it chose, see `PathState`. It is `open`, too, when the request may
+ * try a path on trial or use a connection that has lived on.
  */
-export type ChosenPath = "open" | "uncertain" | "closed";
+export type ChosenPath = PathState;
 
 /** Requirements of a request on the upstream that will serve it. */
 export interface UpstreamRequirements {
@@ -71,23 +72,17 @@
   return choice && path && { ...choice, path };
 }
 
-const chosenPaths: readonly ChosenPath[] = ["open", "uncertain", "closed"];
+/** The better ones first. */
+const chosenPaths: readonly ChosenPath[] = ["open", "trial", "doubted", "closed"];
 
 function getPath(
   entry: UpstreamEntry,
-  { isRepeatable, hasIdleConnection }: UpstreamRequirements,
+  { isRepeatable, hasIdleConnection, now }: UpstreamRequirements,
 ): ChosenPath {
   const { path } = entry;
-  switch (path.getState()) {
-    case "open":
-      return "open";
-    case "trial":
-      return isRepeatable && path.admitsTrial() ? "open" : "uncertain";
-    case "doubted":
-      return "uncertain";
-    case "closed":
-      return path.isOpenToOldConnections() && hasIdleConnection(entry) ? "open" : "closed";
-  }
+  const mayTry = path.admitsTrial(isRepeatable, now);
+  const canReuse = path.isOpenToOldConnections() && hasIdleConnection(entry);
+  return mayTry || canReuse ? "open" : path.getState();
 }
 
 type ChosenEntry = Omit<UpstreamChoice, "path">;
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -31,6 +31,9 @@
 /** Shortest time between the beginnings of two doubts in the paths of one service. */
 export const doubtPauseMilliseconds = 1_000;
 
+/** Time on trial after which a path may take requests that must not run twice, as no others may come. */
+export const longTrialMilliseconds = 3_000;
+
 /** Time between two requests on paths on trial while no path of the service is open. */
 export const trialIntervalMilliseconds = 500;
 
--- a/packages/kernel/tests/upstreams/UpstreamReach.test.ts
+++ b/packages/kernel/tests/upstreams/UpstreamReach.test.ts
@@ -151,14 +151,15 @@
     entry.path.recordSilence(0);
     paths.reach.recordConnected(entry, 10);
   });
-  const getAdmitting = (now: number): number => {
+  const getAdmitting = (now: number, isRepeatable = true): number => {
     paths.reach.check(now);
-    return paths.entries.filter(({ path }) => path.admitsTrial()).length;
+    return paths.entries.filter(({ path }) => path.admitsTrial(isRepeatable, now)).length;
   };
-  assert.is(getAdmitting(100), 1);
-  const [first] = paths.entries.filter(({ path }) => path.admitsTrial());
+  assert.equal([getAdmitting(100, false), getAdmitting(100)], [0, 1]);
+  const [first] = paths.entries.filter(({ path }) => path.admitsTrial(true, 100));
   first?.startRequest(100);
   assert.equal([getAdmitting(500), getAdmitting(600)], [0, 1]);
+  assert.equal([getAdmitting(3_009, false), getAdmitting(3_010, false)], [0, 1]);
 });
 
 test.run();
