Failing tests: after all routers were killed, streams are joined from two versions

Five routers, two engines of each of two versions; the engines of v1 leave the list while 40 streams run, then all routers are killed and start again: 3 of 40 streams are joined from both versions. A router that starts takes the last start of a listed upstream for the moment since which no other version served, and its answer settles the question for others.

--- a/packages/daemon/tests/router/streamVersions.test.ts
+++ b/packages/daemon/tests/router/streamVersions.test.ts
@@ -212,6 +212,36 @@
   assert.ok(performance.now() - startedAt < 2_000);
 });
 
+// Guards against streams that were joined from two versions after all routers were killed at once (ORDER).
+test("after all routers were killed none takes the version that is left for the only one there was", async ({
+  routers,
+  store,
+  engines,
+}) => {
+  const [first, second] = routers;
+  assert.ok(first && second);
+  const calls = Array.from({ length: streamCount }, (_, index) =>
+    receiveStream([first, second], `s-${String(index)}`, 3),
+  );
+  await delay(3 * eventMilliseconds);
+  engines
+    .filter(({ softwareVersion }) => softwareVersion === "v1")
+    .forEach(({ id }) => {
+      store.removeUpstream(id);
+    });
+  routers.forEach((router) => {
+    router.kill();
+  });
+  await Promise.all(routers.map((router) => router.restart()));
+  const streams = await Promise.all(calls);
+  report("all routers killed", streams);
+  assert.is(countMixed(streams), 0);
+  const afterwards = await resumeWithoutId(second);
+  assert.is(afterwards.status, 503);
+  const tries = streams.flatMap((stream) => stream.tries.slice(1));
+  assert.ok(tries.every(({ status }) => status !== 200));
+});
+
 /** Starts a stream anew from an event on, without the id of the request that began it. */
 async function resumeWithoutId(router: RouterFixture): Promise<RawResponse> {
   const head = "Last-Event-Id: 3\r\n";
--- a/packages/kernel/tests/streams/VersionHistory.test.ts
+++ b/packages/kernel/tests/streams/VersionHistory.test.ts
@@ -53,6 +53,15 @@
   assert.is(other.history.getOnlyVersion(service, 0), undefined);
 });
 
+// Guards against streams that were joined from two versions after all routers were killed at once (ORDER).
+test("a daemon that starts when another version has just left does not take the one that is listed for the only one", (context) => {
+  record(context, 0, [["v2", -31_000]]);
+  assert.equal(
+    [0, lifetime - 1, lifetime].map((now) => context.history.getOnlyVersion(service, now)),
+    [undefined, undefined, "v2"],
+  );
+});
+
 test("a version that has left counts until its streams have ended", (context) => {
   record(context, 0, [["v1", -lifetime]]);
   record(context, 1_000, [
