What a router knows of a service's versions begins with its own start

Cause: a router that starts took the last start of a listed upstream for the moment since which no other version served; one that served until just now and left shows nowhere in the list, and the answer settled the question for other routers. Now knowledge begins with a router's first current list, unless the settings say that the whole installation starts for the first time (isFirstStart); one that starts learns from peers that have known for 30 s. Where nobody knows, the stream is refused at once. A caller that does not name its first request is served only while the service is known to have had one version for 30 s.

--- a/packages/daemon/src/ingress/StreamOrigin.ts
+++ b/packages/daemon/src/ingress/StreamOrigin.ts
@@ -4,7 +4,7 @@
 import type { Refusal } from "./refusals.js";
 
 /** What the origin of a stream depends on. */
-export type StreamOriginDependencies = Pick<ActiveRequestDependencies, "streams" | "upstreams">;
+export type StreamOriginDependencies = Pick<ActiveRequestDependencies, "streams">;
 
 /**
  * The software version at which the stream of a request began, in this request or in an earlier one of its
@@ -37,8 +37,8 @@
 
   /**
    * Finds out where a stream began that the caller resumes; for other requests the listener is called at once.
-   * A caller that does not name the request which began it is served while one version only is listed, since
-   * no daemon can look its stream up.
+   * A caller that does not name the request which began it is served while the service is known to have had one version
+   * only, since no daemon can look its stream up.
    * @param listener - Called once the request may be sent, or with a refusal when the version is not known.
    */
   find(listener: (refusal: Refusal | undefined) => void): void {
@@ -49,15 +49,16 @@
       listener(undefined);
       return;
     }
-    if (head.resumedRequestId === undefined) {
-      const isMixed = this.dependencies.upstreams.getVersions(service).size > 1;
-      listener(isMixed ? createUnknownRefusal(this.request) : undefined);
-      return;
-    }
-    this.dependencies.streams.findVersion(head.resumedRequestId, service, (version) => {
+    const handleVersion = (version: string | undefined): void => {
       this.version = version;
       listener(version === undefined ? createUnknownRefusal(this.request) : undefined);
-    });
+    };
+    const { streams } = this.dependencies;
+    if (head.resumedRequestId === undefined) {
+      streams.findOnlyVersion(head.id, service, handleVersion);
+    } else {
+      streams.findVersion(head.resumedRequestId, service, handleVersion);
+    }
   }
 
   /** Records that the request is sent to an upstream, at which its stream may begin. */
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -107,7 +107,8 @@
     const { view } = this.fleet;
     this.peerStates = createPeerStateTask({ view, registry, getClocks: readClocks, record });
     const { datagrams } = dependencies.settings.listeners;
-    this.streams = createStreamDirectory(datagrams, this.fleet, readMonotonicClock);
+    const { isFirstStart } = dependencies.settings.process;
+    this.streams = createStreamDirectory(datagrams, isFirstStart, this.fleet, readMonotonicClock);
     this.requestDependencies = this.createActiveRequestDependencies();
     this.forwarding = this.createForwarding();
     this.ingress = this.createIngress();
@@ -367,7 +368,7 @@
   private recordList(): void {
     const upstreams = this.registryTask.upstreams.getEntries().map(({ record }) => record);
     const ageMilliseconds = this.registryTask.getAgeMilliseconds();
-    this.streams.recordList({ upstreams, ageMilliseconds, wallTime: Date.now() });
+    this.streams.recordList({ upstreams, ageMilliseconds });
   }
 
   private tellFleet(notices: readonly UpstreamNotice[]): void {
--- a/packages/daemon/src/router/settings.ts
+++ b/packages/daemon/src/router/settings.ts
@@ -10,6 +10,8 @@
     name: z.string().min(1),
     /** Availability zone of the host. */
     zone: z.string().min(1),
+    /** Whether the whole installation starts for the first time; false for every later start of the process. */
+    isFirstStart: z.boolean().default(false),
   }),
   listeners: z.strictObject({
     callers: address,
--- a/packages/daemon/src/streams/StreamDirectory.ts
+++ b/packages/daemon/src/streams/StreamDirectory.ts
@@ -11,6 +11,8 @@
 export interface StreamDirectoryDependencies {
   /** Address at which this daemon receives datagrams. */
   readonly address: string;
+  /** Whether the whole installation starts for the first time, so that no stream has begun before. */
+  readonly isFirstStart: boolean;
   /** Gets the addresses of the other live daemons. */
   readonly getPeerAddresses: () => readonly string[];
   readonly send: (target: string, message: StreamMessage) => void;
@@ -25,6 +27,8 @@
 
 interface Question {
   readonly service: string;
+  /** Whether its id is that of the request which began the stream, so that keepers without a record tell something. */
+  readonly isNamed: boolean;
   readonly listeners: VersionListener[];
   /** Peers that have not answered. */
   readonly waiting: Set<string>;
@@ -46,6 +50,8 @@
 /** Time after which a question is sent again, as a datagram may be lost. */
 const repeatMilliseconds = 60;
 const answerTimeoutMilliseconds = 120;
+/** Shortest time between two questions for the only version of a service. */
+const onlyVersionIntervalMilliseconds = 2_000;
 /** Time after its start in which a stream is told to daemons that become its keepers. */
 const ownStreamMilliseconds = 10_000;
 
@@ -59,15 +65,18 @@
  */
 export class StreamDirectory {
   private readonly versions = StreamVersions.create();
-  private readonly history = VersionHistory.create();
+  private readonly history: VersionHistory;
   private readonly questionsById = new Map<string, Question>();
   private readonly ownStreamsById = new Map<string, OwnStream>();
+  /** When others were last asked for the only version of a service. */
+  private readonly askedAtByService = new Map<string, number>();
   /** The live daemons when keepers were last told of own streams. */
   private toldAddresses = "";
   private readonly startedAt: number;
 
   private constructor(private readonly dependencies: StreamDirectoryDependencies) {
     this.startedAt = dependencies.getNow();
+    this.history = VersionHistory.create(dependencies.isFirstStart);
   }
 
   /**
@@ -103,6 +112,7 @@
       this.ownStreamsById.delete(id);
       this.ownStreamsById.set(id, stream);
       this.tellKeepers(id, stream);
+      this.askWhetherOnly(id, service, now);
     }
   }
 
@@ -120,12 +130,27 @@
     }
     const question = this.questionsById.get(id);
     if (question === undefined) {
-      this.ask(id, service, listener);
+      this.ask(id, service, true, listener);
     } else {
       question.listeners.push(listener);
     }
   }
 
+  /**
+   * Finds the only version that a service has had while streams that still run can have begun.
+   * @param id - Id of a request that nobody has a record of.
+   * @param service - Name of the service.
+   * @param listener - Receives the version.
+   */
+  findOnlyVersion(id: string, service: string, listener: VersionListener): void {
+    const known = this.history.getOnlyVersion(service, this.dependencies.getNow());
+    if (known === undefined) {
+      this.ask(id, service, false, listener);
+    } else {
+      listener(known);
+    }
+  }
+
   /**
    * Handles a message of another daemon.
    * @param message - The message.
@@ -162,10 +187,11 @@
     return pickKeepers(id, [address, ...getPeerAddresses()]).filter((each) => each !== address);
   }
 
-  private ask(id: string, service: string, listener: VersionListener): void {
+  private ask(id: string, service: string, isNamed: boolean, listener: VersionListener): void {
     const keepers = isSendable(id) ? this.getKeepers(id) : [];
     const question: Question = {
       service,
+      isNamed,
       listeners: [listener],
       waiting: new Set(keepers),
       onlyVersions: new Set(),
@@ -194,6 +220,15 @@
     sendQuestion();
   }
 
+  /** Asks now and then, at the start of a stream, whether others know the only version of its service. */
+  private askWhetherOnly(id: string, service: string, now: number): void {
+    const askedAt = this.askedAtByService.get(service) ?? -Infinity;
+    if (now - askedAt >= onlyVersionIntervalMilliseconds && !this.questionsById.has(id)) {
+      this.askedAtByService.set(service, now);
+      this.ask(id, service, false, () => undefined);
+    }
+  }
+
   private handleAnswer(
     { id, version, onlyVersion, keptMilliseconds }: Extract<StreamMessage, { kind: "answer" }>,
     sender: string,
@@ -205,6 +240,7 @@
     question.keptMilliseconds = Math.min(question.keptMilliseconds, keptMilliseconds);
     if (onlyVersion !== undefined) {
       question.onlyVersions.add(onlyVersion);
+      this.history.learnOnlyVersion(question.service, onlyVersion, this.dependencies.getNow());
     }
     if (version !== undefined || question.waiting.size === 0) {
       this.settle(id, question, version ?? this.getUnrecordedVersion(question));
@@ -221,10 +257,11 @@
   }
 
   /** Gets the version that was alone before others came, if all keepers have kept versions since. */
-  private getFormerVersion({ service, waiting, keptMilliseconds }: Question): string | undefined {
+  private getFormerVersion(question: Question): string | undefined {
+    const { service, isNamed, waiting, keptMilliseconds } = question;
     const now = this.dependencies.getNow();
     const former = this.history.getFormerVersion(service, now);
-    if (former === undefined || waiting.size > 0) {
+    if (former === undefined || waiting.size > 0 || !isNamed) {
       return undefined;
     }
     const neededMilliseconds = now - former.until + maxViewLagMilliseconds;
--- a/packages/kernel/src/upstreams/UpstreamTable.ts
+++ b/packages/kernel/src/upstreams/UpstreamTable.ts
@@ -82,15 +82,6 @@
     return isNew;
   }
 
-  /**
-   * Gets the software versions of the upstreams of a service that are listed, those that leave included.
-   * @param service - Name of the service.
-   */
-  getVersions(service: string): ReadonlySet<string> {
-    const listed = this.getEntries().filter(({ record }) => record.service === service);
-    return new Set(listed.map(({ record }) => record.softwareVersion));
-  }
-
   /**
    * Checks whether an upstream of a service that is in service has a software version.
    * @param service - Name of the service.
