Soak: a link for each router and upstream; tests of what must hold over both hops

The soak had one link before each upstream, so that every cut was seen by all routers at once. Each pair of router and upstream has its own now; a new disturbance cuts one router from all upstreams in each mode of links, also with new connections refused, and the run checks that its callers are served at 0.8 of the others from 1 s on.

--- a/packages/daemon/tests/router/RouterFixture.ts
+++ b/packages/daemon/tests/router/RouterFixture.ts
@@ -136,6 +136,11 @@
     return fixture;
   }
 
+  /** Address at which the router receives datagrams and requests of its peers. */
+  get datagrams(): string {
+    return `${this.host}:${String(this.ports[3] ?? 0)}`;
+  }
+
   /** Closes the router, the store and the upstreams. */
   async close(upstreams: readonly ScriptedUpstream[]): Promise<void> {
     this.router.close();
--- a/packages/experiments/src/site/KernelSitePolicy.ts
+++ b/packages/experiments/src/site/KernelSitePolicy.ts
@@ -107,7 +107,12 @@
     const daemon = { name: address, address, operations: address, zone: "", incarnation: 1 };
     const counts = Object.entries(running).map(([id, count]) => [getHash(id), count] as const);
     const sample = { sequence: this.sequence, sampledAt: now, version: 1, confirmedAt: now };
-    this.view.addState({ ...daemon, ...sample, running: new Map(counts), unreachedServices: new Set() });
+    this.view.addState({
+      ...daemon,
+      ...sample,
+      running: new Map(counts),
+      unreachedServices: new Set(),
+    });
     const countsByHash = this.view.getRunningCounts(now);
     for (const entry of this.upstreams.getEntries()) {
       entry.runningOnOtherDaemons = countsByHash.get(entry.hash) ?? 0;
--- a/packages/experiments/src/soak/Installation.ts
+++ b/packages/experiments/src/soak/Installation.ts
@@ -15,11 +15,12 @@
 
 /**
  * Router processes, a registry store and upstreams.
- * Each router reaches the store, and each upstream is reached, through a link that can be broken.
+ * Each router reaches the store, and each upstream, through a link of its own that can be broken.
  */
 export class Installation {
   readonly store = RegistryStore.create();
   readonly routers: RouterProcess[] = [];
+  readonly routerNames: string[] = [];
   readonly upstreams: SoakUpstream[] = [];
   readonly upstreamNames: string[] = [];
   readonly runs: RunRecord[] = [];
@@ -48,11 +49,12 @@
   static async start(options: SoakOptions, random: Random): Promise<Installation> {
     const installation = new Installation(random);
     await installation.store.listen();
+    installation.routerNames.push(...createRouterNames(options.routers));
     installation.publish();
     for (let index = 0; index < upstreamCount; index += 1) {
       await installation.addUpstream();
     }
-    await installation.startRouters(options.routers);
+    await installation.startRouters();
     return installation;
   }
 
@@ -89,7 +91,12 @@
     );
     this.upstreamNames.push(id);
     await upstream.server.listen();
-    await this.faultProxy.addLink({ name: id, target: upstream.server.address });
+    const target = upstream.server.address;
+    await Promise.all(
+      this.routerNames.map((router) =>
+        this.faultProxy.addLink({ name: getPathName(router, id), target }),
+      ),
+    );
     this.upstreams.push(upstream);
     this.publishUpstream(upstream, "ready");
   }
@@ -125,28 +132,49 @@
       });
   }
 
-  /** Sets the mode of the link to an upstream, or of the link from a router to the store. */
-  setLinkMode(name: string, mode: LinkMode): void {
-    this.faultProxy.getLinkOrThrow(name).setMode(mode);
+  /** Sets the mode of the link from a router to the store. */
+  setStoreLinkMode(router: string, mode: LinkMode): void {
+    this.faultProxy.getLinkOrThrow(router).setMode(mode);
+  }
+
+  /** Sets the mode of the links from some routers to some upstreams. */
+  setPathMode(routers: readonly string[], upstreams: readonly string[], mode: LinkMode): void {
+    for (const router of routers) {
+      for (const upstream of upstreams) {
+        this.faultProxy.getLinkOrThrow(getPathName(router, upstream)).setMode(mode);
+      }
+    }
+  }
+
+  private getPathAddress(router: string, upstream: string): string {
+    return this.faultProxy.getLinkOrThrow(getPathName(router, upstream)).address;
   }
 
-  private publishUpstream({ id, server }: SoakUpstream, state: string): void {
+  private publishUpstream({ server }: SoakUpstream, state: string): void {
     this.sequence += 1;
-    const { address } = this.faultProxy.getLinkOrThrow(id);
-    this.store.publishUpstream(server, state, this.sequence, address);
+    this.store.publishUpstream(server, state, this.sequence);
   }
 
-  private async startRouters(count: number): Promise<void> {
+  private async startRouters(): Promise<void> {
     const ports = await pickFreePorts(Random.create(process.pid));
-    for (let index = 1; index <= count; index += 1) {
-      const name = `r-${String(index)}`;
-      const registry = await this.faultProxy.addLink({ name, target: this.store.address });
-      this.routers.push(RouterProcess.create(name, `127.0.0.${String(index)}`, ports, registry));
+    for (const [index, name] of this.routerNames.entries()) {
+      const target = await this.store.listenWith((upstream) => this.getPathAddress(name, upstream));
+      const registry = await this.faultProxy.addLink({ name, target });
+      const host = `127.0.0.${String(index + 1)}`;
+      this.routers.push(RouterProcess.create(name, host, ports, registry));
     }
     await Promise.all(this.routers.map((router) => router.start()));
   }
 }
 
+function createRouterNames(count: number): readonly string[] {
+  return Array.from({ length: count }, (_, index) => `r-${String(index + 1)}`);
+}
+
+function getPathName(router: string, upstream: string): string {
+  return `${router}/${upstream}`;
+}
+
 /**
  * Picks free ports at random below the range of outgoing connections, which could otherwise take a
  * router's port while it is down.
--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -3,7 +3,7 @@
 import type { Random } from "../bench/Random.js";
 import type { Installation } from "./Installation.js";
 import type { RouterProcess } from "./RouterProcess.js";
-import { storeName } from "./schema.js";
+import { routerCutName, storeName } from "./schema.js";
 import type { SoakUpstream, UpstreamMode } from "./SoakUpstream.js";
 
 /** The installation to disturb, and the random source of the run. */
@@ -27,7 +27,14 @@
   readonly prepare: (context: DisturbanceContext) => PreparedDisturbance | undefined;
 }
 
-const linkModes: readonly LinkMode[] = ["cut", "cut-request", "cut-response", "refuse"];
+const linkModes: readonly LinkMode[] = [
+  "cut",
+  "cut-request",
+  "cut-response",
+  "refuse",
+  "closed",
+  "closed-to-new",
+];
 const storeModes: readonly StoreMode[] = ["busy", "silent", "reset"];
 const badModes: readonly UpstreamMode[] = [
   "refusing",
@@ -85,11 +92,27 @@
     isPlanned: false,
     prepare: ({ installation, random }) => {
       const { name } = pick(installation.routers, random);
-      return { target: name, run: () => breakLink(installation, name, random) };
+      const setMode = (mode: LinkMode): void => {
+        installation.setStoreLinkMode(name, mode);
+      };
+      return { target: name, run: () => breakLinks(setMode, random) };
+    },
+  },
+  {
+    name: routerCutName,
+    isPlanned: false,
+    prepare: ({ installation, random }) => {
+      const { name } = pick(installation.routers, random);
+      const setMode = (mode: LinkMode): void => {
+        installation.setPathMode([name], installation.upstreamNames, mode);
+      };
+      return { target: name, run: () => breakLinks(setMode, random) };
     },
   },
-  createUpstreamKind("upstream-cut", (upstream, { installation, random }) =>
-    breakLink(installation, upstream.id, random),
+  createUpstreamKind("upstream-cut", ({ id }, { installation, random }) =>
+    breakLinks((mode) => {
+      installation.setPathMode(installation.routerNames, [id], mode);
+    }, random),
   ),
   createUpstreamKind("upstream-bad", async (upstream, { random }) => {
     upstream.mode = pick(badModes, random);
@@ -184,10 +207,10 @@
   router.signal("SIGCONT");
 }
 
-async function breakLink(installation: Installation, name: string, random: Random): Promise<void> {
-  installation.setLinkMode(name, pick(linkModes, random));
+async function breakLinks(setMode: (mode: LinkMode) => void, random: Random): Promise<void> {
+  setMode(pick(linkModes, random));
   await delay(pickDurationMilliseconds(random));
-  installation.setLinkMode(name, "open");
+  setMode("open");
 }
 
 /** Restores the store from a copy; operators and upstreams repeat what it lacks some time later. */
@@ -264,7 +287,7 @@
   const { installation } = context;
   const setMode = (mode: LinkMode): void => {
     installation.routers.forEach(({ name }) => {
-      installation.setLinkMode(name, mode);
+      installation.setStoreLinkMode(name, mode);
     });
   };
   return (
--- a/packages/experiments/src/soak/findViolations.ts
+++ b/packages/experiments/src/soak/findViolations.ts
@@ -1,5 +1,6 @@
 import { getBody, getStream } from "./bodies.js";
 import {
+  routerCutName,
   storeName,
   type CallRecord,
   type Evidence,
@@ -27,6 +28,12 @@
 const restDelayMilliseconds = 500;
 /** Requests that an upstream may get from one router while it rests. */
 const maxRequestsInRest = 2;
+/** Time from which a router that reaches no upstream serves its callers like the others. */
+const partitionNoticeMilliseconds = 1_000;
+/** Share of calls served at such a router, as part of the share at the others. */
+const minPartitionedShare = 0.8;
+/** Calls at both from which their shares are compared. */
+const minComparedCalls = 30;
 const expectedTeam = "callaloo";
 
 /**
@@ -48,6 +55,7 @@
     ...runViolations,
     ...exitViolations,
     ...findRestViolations(evidence),
+    ...findPartitionViolations(evidence),
     ...findRecoveryViolations(evidence),
   ];
 }
@@ -242,6 +250,53 @@
   return isExpected ? [] : [{ promise: "teams", detail }];
 }
 
+/**
+ * Finds cut routers whose callers are served far worse than those of undisturbed routers meanwhile. Times in which a
+ * router or the store is disturbed otherwise do not count.
+ */
+function findPartitionViolations(evidence: Evidence): Violation[] {
+  const cuts = evidence.disturbances.filter(({ name }) => name === routerCutName);
+  return cuts.flatMap(({ target, from, until }) => {
+    const since = from + partitionNoticeMilliseconds;
+    const calls = evidence.calls.filter(
+      (call) => call.sentAt >= since && call.endedAt <= until && isComparable(call, evidence),
+    );
+    const cutCalls = calls.filter(({ router }) => router === target);
+    const otherCalls = calls.filter(({ router }) => isUncut(router, since, until, evidence));
+    const cut = getServedShare(cutCalls);
+    const others = getServedShare(otherCalls);
+    const isKept =
+      cutCalls.length < minComparedCalls ||
+      otherCalls.length < minComparedCalls ||
+      cut >= others * minPartitionedShare;
+    const detail =
+      `router "${target}" reached no upstream and served ${cut.toFixed(2)} of ${String(cutCalls.length)}, ` +
+      `the others ${others.toFixed(2)} of ${String(otherCalls.length)}`;
+    return isKept ? [] : [{ promise: "partitioned-routers", detail }];
+  });
+}
+
+/** Checks whether nothing but a cut from upstreams has disturbed the router of a call, the store or other routers. */
+function isComparable({ sentAt, endedAt }: CallRecord, { disturbances }: Evidence): boolean {
+  return !disturbances.some(
+    ({ name, from, until }) =>
+      name !== routerCutName && from <= endedAt && until + undisturbedMilliseconds >= sentAt,
+  );
+}
+
+/** Checks whether a router reaches its upstreams in a period. */
+function isUncut(router: string, since: number, until: number, evidence: Evidence): boolean {
+  return !evidence.disturbances.some(
+    ({ name, target, from, until: end }) =>
+      name === routerCutName && target === router && from <= until && end >= since,
+  );
+}
+
+function getServedShare(calls: readonly CallRecord[]): number {
+  const served = calls.filter(({ status, isWhole }) => status === 200 && isWhole);
+  return served.length / Math.max(1, calls.length);
+}
+
 function findRecoveryViolations({
   calls,
   acknowledgements,
--- a/packages/experiments/src/soak/schema.ts
+++ b/packages/experiments/src/soak/schema.ts
@@ -16,6 +16,9 @@
 
 export type SoakOptions = z.output<typeof soakOptionsSchema>;
 
+/** Name of the disturbance in which a router reaches no upstream. */
+export const routerCutName = "router-cut-from-upstreams";
+
 /** Target name of disturbances of the store. */
 export const storeName = "store";
 
--- a/packages/experiments/tests/soak/findViolations.test.ts
+++ b/packages/experiments/tests/soak/findViolations.test.ts
@@ -138,6 +138,26 @@
   assert.equal(getBrokenPromises({ recoveryDeadlineAt: 95_000 }), ["recovery"]);
 });
 
+test("finds a router that is cut from its upstreams and serves far less than the others, from 1 s on", () => {
+  const cut = { name: "router-cut-from-upstreams", target: "r-1", isPlanned: false };
+  const disturbances: Disturbance[] = [{ ...cut, from: 10_000, until: 20_000 }];
+  const getCalls = (router: string, served: number, sentAt: number): Call[] =>
+    Array.from({ length: 40 }, (_, index) => {
+      const id = `${router}-${String(index)}`;
+      const outcome = { status: index < served ? 200 : 503, isWhole: true, body: getBody(id) };
+      return createCall({ id, kind: "read", router, sentAt, endedAt: sentAt + 50, ...outcome });
+    });
+  const getAt = (served: number, sentAt: number): string[] => {
+    const calls = [...getCalls("r-1", served, sentAt), ...getCalls("r-2", 40, sentAt)];
+    return getBrokenPromises({ calls, disturbances });
+  };
+  assert.equal([getAt(31, 11_000), getAt(32, 11_000)], [["partitioned-routers"], []]);
+  assert.equal([getAt(0, 10_999), getAt(0, 20_000)], [[], []]);
+  const restarted: Disturbance[] = [...disturbances, { ...kill, from: 11_000, until: 11_100 }];
+  const calls = [...getCalls("r-1", 0, 11_050), ...getCalls("r-2", 40, 11_050)];
+  assert.equal(getBrokenPromises({ calls, disturbances: restarted }), []);
+});
+
 test("finds a call that reached a leaving upstream, unless its router was interrupted since", () => {
   const announcing = createCall({ isLeaving: true });
   const late = createCall({ id: "q-2", sentAt: 12_100, endedAt: 12_150 });
