A stream that goes on through a peer begins after the last event that its caller has

Callers got pieces twice (ORDER): streams that broke off were sent on through a peer with the headers as they had come from the caller, so that the upstream did not get the new Last-Event-Id. The message to a peer carries the id apart from the head now.

--- a/packages/cli/src/logs/explainOutcome.ts
+++ b/packages/cli/src/logs/explainOutcome.ts
@@ -65,8 +65,9 @@
     advice: "Check refusals, and `router status` for upstreams that are avoided.",
   },
   "no-upstream": {
-    cause: "The service had no upstream available; the request has not run.",
-    advice: "Check the log for upstream.gone of the service, and for registry.lost.",
+    cause:
+      "The service had no upstream that the router reached, by itself or through a peer; the request has not run.",
+    advice: "Check the log for service.unreached, request.peer-refused and upstream.gone.",
   },
   "upstreams-resting": {
     cause:
--- a/packages/cli/src/logs/explainRequest.ts
+++ b/packages/cli/src/logs/explainRequest.ts
@@ -81,7 +81,7 @@
   if (line.event.startsWith("upstream.")) {
     return getText(line, "upstream", "") === upstream;
   }
-  const isOfRouter = ["registry.", "configuration.", "daemon."].some((prefix) =>
+  const isOfRouter = ["registry.", "configuration.", "daemon.", "service."].some((prefix) =>
     line.event.startsWith(prefix),
   );
   return isOfRouter && line.daemon === daemon;
--- a/packages/cli/src/status/routers.ts
+++ b/packages/cli/src/status/routers.ts
@@ -47,6 +47,11 @@
   return formatTable(headings, rows);
 }
 
+function formatUnreached(name: string, service: string, peers: readonly string[]): string {
+  const through = peers.length === 0 ? "" : `; it serves through ${peers.join(", ")}`;
+  return `${name} reaches no upstream of service "${service}" by itself${through}`;
+}
+
 /** Gets the state of an upstream; one that announced that it leaves may still be listed as ready. */
 function getState({ state, isLeaving }: RouterStatus["upstreams"][number]): string {
   return isLeaving && state === "ready" ? "leaving" : state;
@@ -61,6 +66,9 @@
     ...statuses.flatMap(({ name, version }) =>
       version === null ? [`${name} has no configuration`] : [],
     ),
+    ...statuses.flatMap(({ name, unreachedServices, forwarded }) =>
+      unreachedServices.map((service) => formatUnreached(name, service, Object.keys(forwarded))),
+    ),
     ...(versions.size > 1 ? ["configurations differ"] : []),
     ...(eras.size > 1 ? ["eras of the registry differ"] : []),
     ...statuses.flatMap(({ name, peers }) =>
--- a/packages/cli/tests/commands/router.test.ts
+++ b/packages/cli/tests/commands/router.test.ts
@@ -16,6 +16,9 @@
     ageMilliseconds: 900,
     era: 1,
     running: 3,
+    unreachedServices: [],
+    forwarded: {},
+    takenOver: 0,
     peers: [{ name: "entry-south", version: 7 }],
     upstreams: [
       {
--- a/packages/daemon/src/forwarding/ForwardingServer.ts
+++ b/packages/daemon/src/forwarding/ForwardingServer.ts
@@ -222,7 +222,7 @@
     service,
     arrivedAt,
     deadline: arrivedAt + remainingMilliseconds,
-    forwarded: { sender, softwareVersion, triedUpstreams },
+    forwarded: { sender, softwareVersion, triedUpstreams, lastEventId: forwarded.lastEventId },
   };
   return { ...request, content: getRequestContent(request) };
 }
--- a/packages/daemon/src/forwarding/PeerForwarder.ts
+++ b/packages/daemon/src/forwarding/PeerForwarder.ts
@@ -63,9 +63,9 @@
     return peer && this.createTarget(peer, request, constraints);
   }
 
-  /** Gets the requests in flight through peers. */
-  getRunningCount(): number {
-    return [...this.countsByAddress.values()].reduce((sum, count) => sum + count, 0);
+  /** Gets the number of requests in flight through each peer, by its address. */
+  getCounts(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.countsByAddress);
   }
 
   private createTarget(
@@ -103,10 +103,10 @@
       version: getVersion(),
       head: {
         ...head,
-        lastEventId,
         promptBlocks: [...head.promptBlocks],
         passedHeaders: [...head.passedHeaders],
       },
+      lastEventId,
       method,
       path,
       hasBody,
--- a/packages/daemon/src/forwarding/messages.ts
+++ b/packages/daemon/src/forwarding/messages.ts
@@ -30,7 +30,10 @@
   sender: z.string().min(1),
   /** Version of the configuration under which that daemon approved it. */
   version: z.int().min(0),
+  /** Head as it came from the caller. */
   head: headSchema,
+  /** Id of the last event that the caller has received meanwhile. */
+  lastEventId: z.string().optional(),
   method: z.string().min(1),
   path: z.string().min(1),
   hasBody: z.boolean(),
--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -11,6 +11,8 @@
   readonly sender: string;
   /** Only software version whose upstreams may serve it; undefined for any. */
   readonly softwareVersion: string | undefined;
+  /** Id of the last event that the caller has received; the head may have an earlier one. */
+  readonly lastEventId: string | undefined;
   /** Ids of upstreams that the request was sent to before. */
   readonly triedUpstreams: readonly string[];
 }
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -158,7 +158,8 @@
     const relayedId = this.response.isStarted() ? this.eventBuffer?.getLastEventId() : undefined;
     // The next upstream sends the event in which the stream broke again, from its start.
     this.eventBuffer?.takeIncomplete();
-    return relayedId ?? this.request.head.lastEventId;
+    const { forwarded, head } = this.request;
+    return relayedId ?? forwarded?.lastEventId ?? head.lastEventId;
   }
 
   private handleSlowAttempt(attempt: Attempt): void {
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -244,6 +244,8 @@
       registry: this.registryTask,
       view: this.fleet.view,
       ingress: this.ingress,
+      reachability: this.reachability,
+      forwarding: this.forwarding,
       pool: this.pool,
       metrics: this.metrics,
       getNow: readMonotonicClock,
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -1,9 +1,10 @@
 import type { FleetView, RouterStatus } from "@pistachioway/kernel";
-import type { ConnectionPool } from "../exchange/index.js";
+import type { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import { peerStatePath, type PeerState } from "../fleet/index.js";
 import type { IngressServer } from "../ingress/index.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
 import type { RegistryTask } from "../registry/index.js";
+import type { Forwarding } from "./createForwarding.js";
 import type { OperationsPage, PageSource } from "./OperationsServer.js";
 import type { RouterSettings } from "./settings.js";
 
@@ -18,6 +19,8 @@
   readonly registry: RegistryTask;
   readonly view: FleetView;
   readonly ingress: IngressServer;
+  readonly reachability: ReachabilityTask;
+  readonly forwarding: Forwarding;
   readonly pool: ConnectionPool;
   readonly metrics: RouterMetrics;
   readonly getNow: () => number;
@@ -91,6 +94,9 @@
       ageMilliseconds: Number.isFinite(age) ? Math.round(age) : null,
       era: registry.era.getEra() ?? null,
       running: ingress.getRunningCount(),
+      unreachedServices: [...this.dependencies.reachability.getUnreachedServices()],
+      forwarded: this.dependencies.forwarding.forwarder.getCounts(),
+      takenOver: this.dependencies.forwarding.server.getRunningCount(),
       peers: view.getLiveStates(now).map(({ name, version }) => ({ name, version })),
       upstreams,
     };
--- a/packages/daemon/tests/router/forwarding.test.ts
+++ b/packages/daemon/tests/router/forwarding.test.ts
@@ -81,6 +81,22 @@
   );
 });
 
+// Guards against streams whose pieces came twice after they went on through a peer (ORDER).
+test("go on after the last event that the caller has when their stream breaks off", async (context) => {
+  await cut(context, 0);
+  const [router] = context.fleet.routers;
+  assert.ok(router);
+  context.fleet.upstreams.forEach((upstream) => {
+    upstream.setScript((request, response) => {
+      const isFirst = request.lastEventId === undefined;
+      streamEvents(isFirst ? 4 : 10, isFirst ? "broken" : "complete")(request, response);
+    });
+  });
+  const { status, body } = await router.call("/stream/1", { id: "q-1", method: "POST", body: "x" });
+  const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+  assert.equal([status, ids], [200, [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]]);
+});
+
 test("are not taken by a peer that stops, and finish at one that has begun to", async (context) => {
   await cut(context, 0);
   const { routers, upstreams } = context.fleet;
--- a/packages/kernel/src/operations/routerStatus.ts
+++ b/packages/kernel/src/operations/routerStatus.ts
@@ -30,6 +30,12 @@
   era: z.number().nullable().default(null),
   /** Number of callers' requests in flight. */
   running: z.number(),
+  /** Names of services none of whose upstreams the router reaches by itself. */
+  unreachedServices: z.array(z.string()).default([]),
+  /** Number of its requests in flight through each peer, by the peer's address. */
+  forwarded: z.record(z.string(), z.number()).default({}),
+  /** Number of peers' requests in flight that it has taken over. */
+  takenOver: z.number().default(0),
   peers: z.array(z.object({ name: z.string(), version: z.number() })),
   upstreams: z.array(upstreamStatusSchema),
 });
