An answer that came through a peer tells the router, too, that its upstream leaves

Requests reached an upstream although their router had passed on an answer that announces its leaving (soak seed 72202): the head of an answer through a peer told the router nothing. It marks the upstream as leaving now, as for its own answers. forwarding.test.ts 8 of 8.

--- a/packages/daemon/src/forwarding/ForwardedResponseWriter.ts
+++ b/packages/daemon/src/forwarding/ForwardedResponseWriter.ts
@@ -50,7 +50,7 @@
   }
 
   private writeHead(
-    { status, requestId, passedHeaders, isFramed }: ResponseHead,
+    { status, requestId, passedHeaders, isFramed, isLeaving }: ResponseHead,
     { upstream, software }: TargetReport,
     framing: Readonly<Record<string, number>>,
   ): void {
@@ -63,6 +63,7 @@
       isFramed,
       upstream,
       softwareVersion: software,
+      isLeaving,
     });
     this.response.writeHead(okStatus, { [forwardedResponseHeader]: answer, ...framing });
   }
--- a/packages/daemon/src/forwarding/PeerForwarder.ts
+++ b/packages/daemon/src/forwarding/PeerForwarder.ts
@@ -1,4 +1,11 @@
-import { choosePeer, getHash, type FleetView, type MemberState } from "@pistachioway/kernel";
+import {
+  choosePeer,
+  getHash,
+  type FleetView,
+  type MemberState,
+  type UpstreamNotice,
+  type UpstreamTable,
+} from "@pistachioway/kernel";
 import type { ConnectionPool } from "../exchange/index.js";
 import type { AcceptedRequest, AttemptConstraints, AttemptTarget } from "../ingress/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
@@ -12,6 +19,9 @@
   readonly name: string;
   readonly zone: string;
   readonly view: FleetView;
+  readonly upstreams: UpstreamTable;
+  /** Receives what a response told about its upstream. */
+  readonly onNotices: (notices: readonly UpstreamNotice[]) => void;
   /** Connections to peers. */
   readonly pool: ConnectionPool;
   readonly metrics: RouterMetrics;
@@ -85,6 +95,9 @@
       onFinish: () => {
         this.count(peer, -1);
       },
+      onLeaving: (upstream) => {
+        this.handleLeaving(upstream);
+      },
       onRefused: (reason) => {
         this.handleRefusal(peer, request, reason);
       },
@@ -120,6 +133,14 @@
     };
   }
 
+  private handleLeaving(id: string): void {
+    const { upstreams, onNotices } = this.dependencies;
+    const entry = upstreams.getEntry(id);
+    if (entry !== undefined && upstreams.markLeaving(entry.record)) {
+      onNotices([{ kind: "leaving", upstream: id }]);
+    }
+  }
+
   private handleRefusal(peer: MemberState, request: AcceptedRequest, reason: string): void {
     this.ableAt.set(getKey(peer.address, request), this.dependencies.getNow() + unableMilliseconds);
     this.dependencies.metrics.forwardedRequests.inc({ result: "refused" });
--- a/packages/daemon/src/forwarding/PeerTarget.ts
+++ b/packages/daemon/src/forwarding/PeerTarget.ts
@@ -23,6 +23,8 @@
   /** Counts a request in flight through the peer, and its end. */
   readonly onStart: () => void;
   readonly onFinish: () => void;
+  /** Receives the id of an upstream that announced that it leaves. */
+  readonly onLeaving: (upstream: string) => void;
   /** Receives that the peer did not take the request. */
   readonly onRefused: (reason: string) => void;
 }
@@ -77,8 +79,11 @@
     return Exchange.start(pool, codec, outgoing, this.createListener(listener));
   }
 
-  recordHead(): void {
-    // The peer has recorded what the head says of its upstream.
+  /** The peer has recorded what the head says of its upstream; that it leaves binds this daemon as well. */
+  recordHead(head: ResponseHead): void {
+    if (head.isLeaving && this.response?.kind === "answer") {
+      this.options.onLeaving(this.response.upstream);
+    }
   }
 
   recordReceivedBytes(): void {
@@ -124,7 +129,7 @@
       isMisdirected: false,
       isRefusal: response?.kind === "refusal",
       load: undefined,
-      isLeaving: false,
+      isLeaving: answer?.isLeaving ?? false,
       requestedRest: undefined,
       statedLimit: undefined,
       isFramed: answer?.isFramed ?? true,
--- a/packages/daemon/src/forwarding/messages.ts
+++ b/packages/daemon/src/forwarding/messages.ts
@@ -58,6 +58,8 @@
   /** Id of the upstream that sent it. */
   upstream: z.string(),
   softwareVersion: z.string(),
+  /** Whether the upstream announces that it leaves. */
+  isLeaving: z.boolean(),
 });
 
 const forwardedRefusalSchema = z.object({
--- a/packages/daemon/src/router/createForwarding.ts
+++ b/packages/daemon/src/router/createForwarding.ts
@@ -36,11 +36,14 @@
 ): Forwarding {
   const [localAddress = ""] = listeners.datagrams.split(":");
   const pool = ConnectionPool.create({ localAddress, maxHeaderBytes: maxForwardedHeadBytes });
-  const { metrics, getNow, getRandom, getVersion, record } = requestDependencies;
+  const { upstreams, onNotices, metrics, getNow, getRandom, getVersion, record } =
+    requestDependencies;
   const forwarder = PeerForwarder.create({
     name: self.name,
     zone: self.zone,
     view,
+    upstreams,
+    onNotices,
     pool,
     metrics,
     getNow,
--- a/packages/daemon/tests/router/forwarding.test.ts
+++ b/packages/daemon/tests/router/forwarding.test.ts
@@ -1,4 +1,4 @@
-import { respondWith, streamEvents, type Script } from "@pistachioway/standins";
+import { announceLeaving, respondWith, streamEvents, type Script } from "@pistachioway/standins";
 import { connect, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
@@ -97,6 +97,19 @@
   assert.equal([status, ids], [200, [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]]);
 });
 
+// Guards against requests that reach an upstream after their router passed on that it leaves (DRAIN).
+test("tell the router that an upstream leaves", async (context) => {
+  await cut(context, 0);
+  const [router] = context.fleet.routers;
+  assert.ok(router);
+  const [leaving] = context.fleet.upstreams;
+  leaving?.setScript(announceLeaving(respondWith("ok")));
+  for (let index = 0; index < 20 && leaving?.received.length === 0; index += 1) {
+    await router.call("/read/1", { id: `r-${String(index)}` });
+  }
+  assert.ok(router.logLines.some((line) => line.includes("event=upstream.leaving")));
+});
+
 test("are not taken by a peer that stops, and finish at one that has begun to", async (context) => {
   await cut(context, 0);
   const { routers, upstreams } = context.fleet;
