--- a/packages/daemon/src/forwarding/ForwardingServer.ts
+++ b/packages/daemon/src/forwarding/ForwardingServer.ts
@@ -18,6 +18,7 @@
   type ForwardedRefusal,
   type ForwardedRequest,
 } from "./messages.js";
+import { listenOn } from "../listening/index.js";
 
 /** Dependencies of the server. */
 export interface ForwardingServerDependencies {
@@ -72,11 +73,7 @@
 
   /** Starts to listen. */
   async listen(address: string): Promise<void> {
-    const [host, port] = address.split(":");
-    await new Promise<void>((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen({ host, port: Number(port) }, resolve);
-    });
+    await listenOn(this.server, address);
   }
 
   /** Gets the number of peers' requests in flight. */
--- a/packages/daemon/src/ingress/IngressServer.ts
+++ b/packages/daemon/src/ingress/IngressServer.ts
@@ -17,6 +17,7 @@
 import { readBody } from "./readBody.js";
 import type { RefusalName } from "./refusals.js";
 import { RunningRequests } from "./RunningRequests.js";
+import { listenOn } from "../listening/index.js";
 
 /** Dependencies of the server. */
 export interface IngressDependencies {
@@ -73,11 +74,7 @@
 
   /** Starts to listen. */
   async listen(address: string): Promise<void> {
-    const [host, port] = address.split(":");
-    await new Promise<void>((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen({ host, port: Number(port) }, resolve);
-    });
+    await listenOn(this.server, address);
   }
 
   /** Gets the port that the server listens on. */
--- /dev/null
+++ b/packages/daemon/src/listening/index.ts
@@ -0,0 +1,1 @@
+export { listenOn } from "./listenOn.js";
--- a/packages/daemon/src/router/OperationsServer.ts
+++ b/packages/daemon/src/router/OperationsServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
+import { listenOn } from "../listening/index.js";
 
 /** A page for operators: its status, content type and text. */
 export interface OperationsPage {
@@ -40,11 +41,7 @@
 
   /** Starts to listen. */
   async listen(address: string): Promise<void> {
-    const [host, port] = address.split(":");
-    await new Promise<void>((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen({ host, port: Number(port) }, resolve);
-    });
+    await listenOn(this.server, address);
   }
 
   /** Stops listening and closes every connection. */
