--- a/packages/standins/src/faults/Link.ts
+++ b/packages/standins/src/faults/Link.ts
@@ -3,6 +3,9 @@
 import { Connection } from "./Connection.js";
 import { ruleSchema, type LinkMode, type Rule, type RuleOptions } from "./schema.js";
 
+/** Time after which a link tries again to listen on its port. */
+const relistenMilliseconds = 20;
+
 interface HeldConnection {
   readonly connection: Connection;
   readonly rule: Rule;
@@ -22,6 +25,7 @@
   private connectionAwaitingSwap: Connection | undefined;
   private acceptedCount = 0;
   private port = 0;
+  private isClosed = false;
 
   private constructor(
     readonly name: string,
@@ -31,6 +35,12 @@
     this.server = createServer({ allowHalfOpen: true, pauseOnConnect: true }, (client) => {
       this.accept(client);
     });
+    this.server.on("error", () => {
+      // While the link was closed, an outgoing connection may have taken its port for a moment.
+      setTimeout(() => {
+        this.listenAsMode();
+      }, relistenMilliseconds).unref();
+    });
   }
 
   /**
@@ -56,6 +66,7 @@
 
   /** Resets every connection and closes the listener. */
   async close(): Promise<void> {
+    this.isClosed = true;
     for (const connection of this.connections) {
       connection.reset();
     }
@@ -71,10 +82,15 @@
     for (const connection of [...this.connections]) {
       connection.setMode(mode);
     }
-    const isListening = mode !== "closed" && mode !== "closed-to-new";
+    this.listenAsMode();
+  }
+
+  /** Listens on the link's port, or stops to, as its mode says. */
+  private listenAsMode(): void {
+    const isListening = this.mode !== "closed" && this.mode !== "closed-to-new";
     if (this.server.listening && !isListening) {
       this.server.close();
-    } else if (!this.server.listening && isListening) {
+    } else if (!this.server.listening && isListening && !this.isClosed) {
       this.server.listen(this.port, "127.0.0.1");
     }
   }
