Metrics and a log line on notices that wait or are dropped in the fleet

Nothing told how many notices to the other routers no datagram has held yet, how old they are, or how many were dropped unsent, so that "a router did not hear of the losses" could not be told from "it heard and did not decide". Now: pistachioway_waiting_notices and pistachioway_oldest_waiting_notice_seconds by kind, pistachioway_dropped_notices_total by kind, and fleet.notices-dropped, one line a second. No decision changes.

--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -1,4 +1,10 @@
-import { FleetGossip, FleetView, type FleetNotice, type MemberState } from "@pistachioway/kernel";
+import {
+  FleetGossip,
+  FleetView,
+  type FleetNotice,
+  type MemberState,
+  type WaitingNotices,
+} from "@pistachioway/kernel";
 import { createSocket, type Socket } from "node:dgram";
 import type { Fields, LogLevel } from "../log/line.js";
 import {
@@ -10,8 +16,8 @@
 import { decodeDatagram, encodeDatagram } from "./datagramCodec.js";
 
 const roundMilliseconds = 400;
-/** Shortest time between two log lines on refused datagrams. */
-const refusalLogMilliseconds = 1_000;
+/** Shortest time between two log lines on refused datagrams, or on dropped notices. */
+const repeatedLogMilliseconds = 1_000;
 
 /** What a daemon tells of itself, beside its addresses. */
 export type OwnState = Pick<
@@ -41,6 +47,8 @@
   readonly onStreamMessage: (message: StreamMessage, sender: string) => void;
   /** Counts the datagrams that cannot be read. */
   readonly onRefused: () => void;
+  /** Counts the notices that were dropped before any message held them. */
+  readonly onDroppedNotice: (notice: FleetNotice) => void;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
 
@@ -52,12 +60,22 @@
   private timer: NodeJS.Timeout | undefined;
   private sequence = 0;
   private refusalLoggedAt = -Infinity;
+  private droppedCount = 0;
+  private dropLoggedAt = -Infinity;
 
   private constructor(private readonly dependencies: FleetDependencies) {
     const { address, seeds, zone, getRandom, getStandingNotices } = dependencies;
     this.view = FleetView.create(address, seeds);
     const { view } = this;
-    this.gossip = FleetGossip.create({ view, zone, getRandom, getStandingNotices });
+    this.gossip = FleetGossip.create({
+      view,
+      zone,
+      getRandom,
+      getStandingNotices,
+      onDroppedNotice: (notice) => {
+        this.recordDroppedNotice(notice);
+      },
+    });
     this.socket.on("message", (message, { address: host, port }) => {
       this.receive(message, `${host}:${String(port)}`);
     });
@@ -99,6 +117,14 @@
     this.gossip.addNotice(notice, this.dependencies.getNow());
   }
 
+  /**
+   * Gets how many notices of a kind no message has held yet, and since when.
+   * @param kind - Kind of the notices.
+   */
+  getWaitingNotices(kind: FleetNotice["kind"]): WaitingNotices {
+    return this.gossip.getWaitingNotices(kind);
+  }
+
   /**
    * Tells or asks one daemon about a stream.
    * @param target - Address of the daemon.
@@ -171,9 +197,21 @@
 
   private refuse(bytes: number, now: number): void {
     this.dependencies.onRefused();
-    if (now - this.refusalLoggedAt >= refusalLogMilliseconds) {
+    if (now - this.refusalLoggedAt >= repeatedLogMilliseconds) {
       this.refusalLoggedAt = now;
       this.dependencies.record("warn", "fleet.datagram-refused", { bytes });
     }
   }
+
+  private recordDroppedNotice(notice: FleetNotice): void {
+    const now = this.dependencies.getNow();
+    this.dependencies.onDroppedNotice(notice);
+    this.droppedCount += 1;
+    if (now - this.dropLoggedAt >= repeatedLogMilliseconds) {
+      const { droppedCount: count } = this;
+      this.dependencies.record("warn", "fleet.notices-dropped", { count, kind: notice.kind });
+      this.droppedCount = 0;
+      this.dropLoggedAt = now;
+    }
+  }
 }
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -76,6 +76,27 @@
     registers: [this.registry],
   });
 
+  readonly waitingNotices = new Gauge({
+    name: "pistachioway_waiting_notices",
+    help: "Notices to the other daemons that no datagram has held yet, by kind.",
+    labelNames: ["kind"],
+    registers: [this.registry],
+  });
+
+  readonly oldestWaitingNotice = new Gauge({
+    name: "pistachioway_oldest_waiting_notice_seconds",
+    help: "Age of the oldest notice to the other daemons that no datagram has held yet, by kind.",
+    labelNames: ["kind"],
+    registers: [this.registry],
+  });
+
+  readonly droppedNotices = new Counter({
+    name: "pistachioway_dropped_notices_total",
+    help: "Notices to the other daemons that were dropped before any datagram held them, by kind.",
+    labelNames: ["kind"],
+    registers: [this.registry],
+  });
+
   readonly registryEra = new Gauge({
     name: "pistachioway_registry_era",
     help: "Era of the registry; it rises when the registry was restored from a copy. -1 when unknown.",
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -242,7 +242,7 @@
       settings: this.dependencies.settings,
       incarnation: this.incarnation,
       registry: this.registryTask,
-      view: this.fleet.view,
+      fleet: this.fleet,
       ingress: this.ingress,
       reachability: this.reachability,
       forwarding: this.forwarding,
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -1,6 +1,6 @@
-import type { FleetView, RouterStatus } from "@pistachioway/kernel";
+import { noticeKinds, type RouterStatus } from "@pistachioway/kernel";
 import type { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
-import { peerStatePath, type PeerState } from "../fleet/index.js";
+import { peerStatePath, type FleetTask, type PeerState } from "../fleet/index.js";
 import type { IngressServer } from "../ingress/index.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
 import type { RegistryTask } from "../registry/index.js";
@@ -17,7 +17,7 @@
   readonly settings: RouterSettings;
   readonly incarnation: number;
   readonly registry: RegistryTask;
-  readonly view: FleetView;
+  readonly fleet: FleetTask;
   readonly ingress: IngressServer;
   readonly reachability: ReachabilityTask;
   readonly forwarding: Forwarding;
@@ -73,7 +73,7 @@
   }
 
   private getStatusPage(): OperationsPage {
-    const { settings, registry, view, ingress, getNow, incarnation } = this.dependencies;
+    const { settings, registry, fleet, ingress, getNow, incarnation } = this.dependencies;
     const now = getNow();
     const age = registry.getAgeMilliseconds();
     const upstreams = registry.upstreams.getEntries().map((entry) => ({
@@ -97,7 +97,7 @@
       unreachedServices: [...this.dependencies.reachability.getUnreachedServices()],
       forwarded: this.dependencies.forwarding.forwarder.getCounts(),
       takenOver: this.dependencies.forwarding.server.getRunningCount(),
-      peers: view.getLiveStates(now).map(({ name, version }) => ({ name, version })),
+      peers: fleet.view.getLiveStates(now).map(({ name, version }) => ({ name, version })),
       upstreams,
     };
     return toJsonPage(status);
@@ -109,10 +109,21 @@
     metrics.configurationAge.set(Number.isFinite(age) ? age / millisecondsPerSecond : -1);
     metrics.registryEra.set(registry.era.getEra() ?? -1);
     metrics.connections.set(pool.getOpenedCount());
+    this.measureWaitingNotices();
     const text = await metrics.registry.metrics();
     return { status: 200, type: metrics.registry.contentType, text };
   }
 
+  private measureWaitingNotices(): void {
+    const { fleet, metrics, getNow } = this.dependencies;
+    const now = getNow();
+    for (const kind of noticeKinds) {
+      const { count, oldestAddedAt = now } = fleet.getWaitingNotices(kind);
+      metrics.waitingNotices.set({ kind }, count);
+      metrics.oldestWaitingNotice.set({ kind }, (now - oldestAddedAt) / millisecondsPerSecond);
+    }
+  }
+
   private getPeerStatePage(knownVersion: number): OperationsPage {
     const { registry } = this.dependencies;
     const table = registry.getTable();
--- a/packages/daemon/src/router/createFleetTask.ts
+++ b/packages/daemon/src/router/createFleetTask.ts
@@ -62,6 +62,9 @@
     onRefused: () => {
       metrics.refusedDatagrams.inc();
     },
+    onDroppedNotice: ({ kind }) => {
+      metrics.droppedNotices.inc({ kind });
+    },
     record: context.record,
   });
 }
--- a/packages/daemon/tests/fleet/GossipSimulation.ts
+++ b/packages/daemon/tests/fleet/GossipSimulation.ts
@@ -45,6 +45,8 @@
   largestDatagramBytes = 0;
   /** Called for each notice that is new to a daemon, with the daemon's index. */
   onNotice: (daemon: number, notice: FleetNotice) => void = () => undefined;
+  /** Called for each notice that a daemon drops before any of its messages held it, with the daemon's index. */
+  onDroppedNotice: (daemon: number, notice: FleetNotice) => void = () => undefined;
   /** Gets the hashes of the services of which a daemon reaches no upstream, by the daemon's index. */
   getUnreachedServices: (daemon: number) => ReadonlySet<number> = () => new Set();
   /** Checks whether the datagrams of one zone to another are lost. */
@@ -117,6 +119,9 @@
       zone,
       getRandom,
       getStandingNotices: (now) => quarantine.getStandingNotices(now),
+      onDroppedNotice: (notice) => {
+        this.onDroppedNotice(index, notice);
+      },
     });
     const phase =
       Math.floor((getRandom() * roundMilliseconds) / stepMilliseconds) * stepMilliseconds;
--- a/packages/kernel/src/fleet/FleetGossip.ts
+++ b/packages/kernel/src/fleet/FleetGossip.ts
@@ -1,6 +1,6 @@
 import type { FleetView } from "./FleetView.js";
 import type { FleetMessage, FleetNotice, MemberState } from "./messages.js";
-import { NoticeQueue } from "./NoticeQueue.js";
+import { NoticeQueue, type WaitingNotices } from "./NoticeQueue.js";
 import { pickRandom } from "./pickRandom.js";
 
 /** Number of peers that one message is sent to. */
@@ -58,6 +58,8 @@
   readonly getRandom: () => number;
   /** Gets the notices that every message repeats while they hold, for daemons that do not know them. */
   readonly getStandingNotices: (now: number) => readonly FleetNotice[];
+  /** Called with a notice that is dropped before any message held it. */
+  readonly onDroppedNotice?: (notice: FleetNotice) => void;
 }
 
 /**
@@ -68,11 +70,13 @@
  * does not grow with the fleet; only the time until a state has reached all others does.
  */
 export class FleetGossip {
-  private readonly notices = NoticeQueue.create();
+  private readonly notices: NoticeQueue;
   private readonly relaysByAddress = new Map<string, RelayRecord>();
   private round = 0;
 
-  private constructor(private readonly options: FleetGossipOptions) {}
+  private constructor(private readonly options: FleetGossipOptions) {
+    this.notices = NoticeQueue.create(options.onDroppedNotice);
+  }
 
   /**
    * Creates gossip that has sent nothing.
@@ -91,6 +95,14 @@
     this.notices.add(notice, now);
   }
 
+  /**
+   * Gets how many notices of a kind no message has held yet, and since when.
+   * @param kind - Kind of the notices.
+   */
+  getWaitingNotices(kind: FleetNotice["kind"]): WaitingNotices {
+    return this.notices.getWaiting(kind);
+  }
+
   /**
    * Picks the addresses that the message of a round is sent to.
    * @param now - Current time.
--- a/packages/kernel/src/fleet/NoticeQueue.ts
+++ b/packages/kernel/src/fleet/NoticeQueue.ts
@@ -14,17 +14,39 @@
   relays: number;
 }
 
+/** Notices of one kind that no message has held yet. */
+export interface WaitingNotices {
+  readonly count: number;
+  /** When the oldest of them was added; undefined when there is none. */
+  readonly oldestAddedAt: number | undefined;
+}
+
+/** Called with a notice that is dropped before any message held it. */
+export type DroppedNoticeListener = (notice: FleetNotice) => void;
+
 /** The notices that a daemon passes on, each in a limited number of messages. */
 export class NoticeQueue {
   private readonly queuedByKey = new Map<string, QueuedNotice>();
 
-  private constructor() {
-    // Created through the static method.
+  private constructor(private readonly onDropped: DroppedNoticeListener) {}
+
+  /**
+   * Creates an empty queue.
+   * @param onDropped - Called with each notice that is dropped before any message held it.
+   */
+  static create(onDropped: DroppedNoticeListener = () => undefined): NoticeQueue {
+    return new NoticeQueue(onDropped);
   }
 
-  /** Creates an empty queue. */
-  static create(): NoticeQueue {
-    return new NoticeQueue();
+  /**
+   * Gets how many notices of a kind no message has held yet, and since when.
+   * @param kind - Kind of the notices.
+   */
+  getWaiting(kind: FleetNotice["kind"]): WaitingNotices {
+    const waiting = [...this.queuedByKey.values()].filter(
+      ({ notice, relays }) => relays === 0 && notice.kind === kind,
+    );
+    return { count: waiting.length, oldestAddedAt: waiting[0]?.addedAt };
   }
 
   /**
@@ -62,11 +84,14 @@
   }
 
   private dropOld(now: number): void {
-    for (const [key, { addedAt }] of this.queuedByKey) {
+    for (const [key, { notice, addedAt, relays }] of this.queuedByKey) {
       if (now - addedAt < memoryMilliseconds && this.queuedByKey.size <= maxNotices) {
         return;
       }
       this.queuedByKey.delete(key);
+      if (relays === 0) {
+        this.onDropped(notice);
+      }
     }
   }
 }
--- a/packages/kernel/src/fleet/index.ts
+++ b/packages/kernel/src/fleet/index.ts
@@ -1,5 +1,5 @@
 export { choosePeer, type PeerRequirements } from "./choosePeer.js";
 export { FleetGossip, type FleetGossipOptions, type GossipOutcome } from "./FleetGossip.js";
-export { NoticeQueue } from "./NoticeQueue.js";
+export { NoticeQueue, type DroppedNoticeListener, type WaitingNotices } from "./NoticeQueue.js";
 export { FleetView, peerTimeoutMilliseconds } from "./FleetView.js";
-export type { FleetMessage, FleetNotice, MemberState } from "./messages.js";
+export { noticeKinds, type FleetMessage, type FleetNotice, type MemberState } from "./messages.js";
--- a/packages/kernel/src/fleet/messages.ts
+++ b/packages/kernel/src/fleet/messages.ts
@@ -70,6 +70,17 @@
       readonly count: number;
     };
 
+/** All kinds of notices. */
+export const noticeKinds: readonly FleetNotice["kind"][] = [
+  "prefix",
+  "leaving",
+  "resting",
+  "limit",
+  "loss",
+  "served",
+  "quarantine",
+];
+
 /** What one daemon sends to another. */
 export interface FleetMessage {
   /** States of daemons; the first is that of the sender. */
