A router that stops drops datagrams in place of ending by an error

In a router this comes when the grace period ends with requests running. Ruled out: a second stop (the trace shows sendStreamMessage). Now send does nothing after the stop.

--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -59,6 +59,7 @@
   private readonly socket: Socket = createSocket("udp4");
   private timer: NodeJS.Timeout | undefined;
   private sequence = 0;
+  private isStopped = false;
   private refusalLoggedAt = -Infinity;
   private droppedCount = 0;
   private dropLoggedAt = -Infinity;
@@ -106,6 +107,7 @@
   /** Stops the rounds and closes the socket. */
   stop(): void {
     clearInterval(this.timer);
+    this.isStopped = true;
     this.socket.close();
   }
 
@@ -158,6 +160,10 @@
   }
 
   private send(target: string, datagram: Buffer): void {
+    // Requests that outlive the stop still tell of their streams.
+    if (this.isStopped) {
+      return;
+    }
     const [host = "", port = ""] = target.split(":");
     this.socket.send(datagram, Number(port), host, (error) => {
       if (error !== null) {
