Notices of decisions no longer wait behind those on prompt prefixes

Cause: all notices between routers shared one queue, oldest first, 24 a message and 60 a second, whatever the fleet's size, and nearly every stream adds one on a prompt prefix. Losses, limits, rests and leavings waited behind them and were dropped unsent after 10 s. Ruled out for it: loss of datagrams (the test without notices on prefixes delivers).

Now: two lanes. A decision that waits is sent ahead of the round, to six daemons within 50 ms, 300 ms apart; the round's message is smaller by as many bytes. Targets are those last heard of among twice as many.

--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -1,6 +1,8 @@
 import {
   FleetGossip,
   FleetView,
+  isHint,
+  type FleetMessage,
   type FleetNotice,
   type MemberState,
   type WaitingNotices,
@@ -58,6 +60,7 @@
   private readonly gossip: FleetGossip;
   private readonly socket: Socket = createSocket("udp4");
   private timer: NodeJS.Timeout | undefined;
+  private expressTimer: NodeJS.Timeout | undefined;
   private sequence = 0;
   private isStopped = false;
   private refusalLoggedAt = -Infinity;
@@ -107,6 +110,7 @@
   /** Stops the rounds and closes the socket. */
   stop(): void {
     clearInterval(this.timer);
+    clearTimeout(this.expressTimer);
     this.isStopped = true;
     this.socket.close();
   }
@@ -117,6 +121,7 @@
    */
   addNotice(notice: FleetNotice): void {
     this.gossip.addNotice(notice, this.dependencies.getNow());
+    this.scheduleExpress();
   }
 
   /**
@@ -141,11 +146,37 @@
     this.sendMessage(this.gossip.pickTargets(now), now);
   }
 
-  private sendMessage(targets: readonly string[], now: number): void {
-    if (targets.length === 0) {
+  /** Sends a message ahead of the round as soon as one is due. */
+  private scheduleExpress(): void {
+    const expressAt = this.gossip.getExpressAt();
+    if (expressAt === undefined || this.expressTimer !== undefined || this.isStopped) {
       return;
     }
-    const message = this.gossip.createMessage(this.createOwnState(now), now);
+    const milliseconds = Math.max(0, expressAt - this.dependencies.getNow());
+    this.expressTimer = setTimeout(() => {
+      this.expressTimer = undefined;
+      this.runExpress();
+    }, milliseconds);
+  }
+
+  private runExpress(): void {
+    if (this.gossip.getExpressAt() === undefined) {
+      return;
+    }
+    const now = this.dependencies.getNow();
+    const message = this.gossip.createExpressMessage(this.createOwnState(now), now);
+    this.sendDatagram(this.gossip.pickExpressTargets(now), message, now);
+    this.scheduleExpress();
+  }
+
+  private sendMessage(targets: readonly string[], now: number): void {
+    if (targets.length > 0) {
+      const message = this.gossip.createMessage(this.createOwnState(now), now);
+      this.sendDatagram(targets, message, now);
+    }
+  }
+
+  private sendDatagram(targets: readonly string[], message: FleetMessage, now: number): void {
     const datagram = encodeDatagram(message, now);
     targets.forEach((target) => {
       this.send(target, datagram);
@@ -189,6 +220,7 @@
     }
     if (notices.length > 0) {
       this.dependencies.onNotices(notices, message.states[0]?.name ?? "-");
+      this.scheduleExpress();
     }
   }
 
@@ -212,6 +244,9 @@
   private recordDroppedNotice(notice: FleetNotice): void {
     const now = this.dependencies.getNow();
     this.dependencies.onDroppedNotice(notice);
+    if (isHint(notice)) {
+      return;
+    }
     this.droppedCount += 1;
     if (now - this.dropLoggedAt >= repeatedLogMilliseconds) {
       const { droppedCount: count } = this;
--- a/packages/daemon/src/quarantine/CallerQuarantine.ts
+++ b/packages/daemon/src/quarantine/CallerQuarantine.ts
@@ -1,6 +1,7 @@
 import {
   ContentQuarantine,
   getHash,
+  getNoticeBytes,
   NoticeQueue,
   type FleetNotice,
   type Instant,
@@ -31,14 +32,16 @@
   readonly failure: AttemptFailure;
 }
 
-const maxNoticesPerMessage = 24;
+/** Estimated size of the notices in one message. */
+const maxNoticeBytes = 576;
 
 /** Keeps chats and service calls that crash upstreams one after another from the other upstreams. */
 export class CallerQuarantine {
-  private readonly queue = NoticeQueue.create();
+  private readonly queue: NoticeQueue;
   private readonly quarantine: ContentQuarantine;
 
   private constructor(private readonly dependencies: CallerQuarantineDependencies) {
+    this.queue = NoticeQueue.create({ getRandom: Math.random, onDropped: () => undefined });
     this.quarantine = ContentQuarantine.create({
       addFleetNotice: (notice) => {
         if (this.queue.add(notice, dependencies.getNow())) {
@@ -102,7 +105,7 @@
   /** Takes the notices for the next message to the other daemons. */
   takeNotices(): readonly FleetNotice[] {
     const standing = this.quarantine.getStandingNotices(this.dependencies.getNow());
-    return [...standing, ...this.queue.take(maxNoticesPerMessage - standing.length)];
+    return [...standing, ...this.queue.take(maxNoticeBytes - getNoticeBytes(standing))];
   }
 
   /**
--- a/packages/daemon/tests/fleet/GossipSimulation.ts
+++ b/packages/daemon/tests/fleet/GossipSimulation.ts
@@ -78,6 +78,11 @@
         .forEach((member) => {
           this.runRound(member);
         });
+      this.members
+        .filter(({ isRunning, gossip }) => isRunning && isDue(gossip.getExpressAt(), this.now))
+        .forEach((member) => {
+          this.runExpress(member);
+        });
     }
   }
 
@@ -146,9 +151,19 @@
     this.send(member, member.gossip.pickTargets(this.now));
   }
 
+  private runExpress(member: Member): void {
+    member.sequence += 1;
+    const message = member.gossip.createExpressMessage(this.createState(member), this.now);
+    this.sendMessage(member, member.gossip.pickExpressTargets(this.now), message);
+  }
+
   private send(member: Member, targets: readonly string[]): void {
     member.sequence += 1;
     const message = member.gossip.createMessage(this.createState(member), this.now);
+    this.sendMessage(member, targets, message);
+  }
+
+  private sendMessage(member: Member, targets: readonly string[], message: FleetMessage): void {
     const datagram = this.isEncoded ? encodeDatagram(message, this.now) : undefined;
     const bytes = datagram?.length ?? 0;
     this.largestDatagramBytes = Math.max(this.largestDatagramBytes, bytes);
@@ -203,3 +218,7 @@
 function getAddress(index: number): string {
   return `10.${String(1 + (index % 6))}.0.${String(index)}:8305`;
 }
+
+function isDue(instant: number | undefined, now: number): boolean {
+  return instant !== undefined && instant <= now;
+}
--- a/packages/daemon/tests/fleet/NoticeTraffic.ts
+++ b/packages/daemon/tests/fleet/NoticeTraffic.ts
@@ -92,6 +92,13 @@
     this.fleet.members[daemon]?.gossip.addNotice(notice, this.fleet.now);
   }
 
+  /** Lets random running daemons learn a number of losses at once. */
+  addWave(count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.fleet.members[this.pickRunning()]?.gossip.addNotice(this.createLoss(), this.fleet.now);
+    }
+  }
+
   /** Creates a loss of a request that no other one resembles. */
   createLoss(): FleetNotice {
     const [content, upstream, request] = [this.createHash(), this.createHash(), this.createHash()];
--- a/packages/kernel/src/fleet/FleetGossip.ts
+++ b/packages/kernel/src/fleet/FleetGossip.ts
@@ -1,6 +1,8 @@
 import type { FleetView } from "./FleetView.js";
 import type { FleetMessage, FleetNotice, MemberState } from "./messages.js";
-import { NoticeQueue, type WaitingNotices } from "./NoticeQueue.js";
+import type { WaitingNotices } from "./NoticeLane.js";
+import { getNoticeBytes } from "./noticeBytes.js";
+import { NoticeQueue } from "./NoticeQueue.js";
 import { pickRandom } from "./pickRandom.js";
 
 /** Number of peers that one message is sent to. */
@@ -13,20 +15,27 @@
 const usualTargets: TargetCounts = { total: 4, inOtherZones: 1 };
 /** Targets while many daemons have just started and the others do not know them. */
 const joiningTargets: TargetCounts = { total: 10, inOtherZones: 5 };
+/** Targets of a message ahead of the round, which must reach all even while half of them are gone. */
+const expressTargets: TargetCounts = { total: 6, inOtherZones: 2 };
 /** Ratio of the daemons that have joined lately from which rounds are larger. */
 const joiningRatio = 0.15;
 /** Rounds between two messages to an address at which no daemon is known to be live. */
 const roundsPerUnknownAddress = 5;
 /** Estimated size of a message; it must fit into one datagram that is not fragmented. */
 const maxMessageBytes = 1_280;
+/** The same when much was sent ahead of the round. */
+const minMessageBytes = 480;
 const messageBytes = 16;
 const stateBytes = 34;
 const bytesPerRunningCount = 6;
 const bytesPerUnreachedService = 4;
-const prefixNoticeBytes = 16;
-const upstreamNoticeBytes = 32;
-const contentNoticeBytes = 24;
-const maxNoticesPerMessage = 24;
+/** Bytes of a message that notices take at most, so that states of peers are passed on beside them. */
+const maxNoticeBytes = 768;
+/** Time between two messages ahead of the round, and from a notice to its message. */
+const expressIntervalMilliseconds = 300;
+const expressDelayMilliseconds = 50;
+/** Bytes of a message ahead of the round that notices take at most. */
+const maxExpressNoticeBytes = 168;
 const maxRunningCounts = 80;
 /** States of peers in a message when every peer is a target: they help those that are cut off. */
 const relaysInSmallFleet = 1;
@@ -59,7 +68,7 @@
   /** Gets the notices that every message repeats while they hold, for daemons that do not know them. */
   readonly getStandingNotices: (now: number) => readonly FleetNotice[];
   /** Called with a notice that is dropped before any message held it. */
-  readonly onDroppedNotice?: (notice: FleetNotice) => void;
+  readonly onDroppedNotice: (notice: FleetNotice) => void;
 }
 
 /**
@@ -73,9 +82,13 @@
   private readonly notices: NoticeQueue;
   private readonly relaysByAddress = new Map<string, RelayRecord>();
   private round = 0;
+  private expressSentAt = -Infinity;
+  /** Bytes sent ahead of the round since the last one, for each of its targets; its message is smaller by as many. */
+  private expressBytes = 0;
 
   private constructor(private readonly options: FleetGossipOptions) {
-    this.notices = NoticeQueue.create(options.onDroppedNotice);
+    const { getRandom, onDroppedNotice: onDropped } = options;
+    this.notices = NoticeQueue.create({ getRandom, onDropped });
   }
 
   /**
@@ -109,19 +122,33 @@
    */
   pickTargets(now: number): readonly string[] {
     this.round += 1;
-    const { view } = this.options;
-    const live = view.getLiveStates(now);
+    const live = this.options.view.getLiveStates(now);
+    const counts = this.getTargetCounts(live, now);
+    return [...this.pickLive(live, counts), ...this.pickUnknown(live)];
+  }
+
+  /**
+   * Picks the addresses that a message ahead of the round is sent to.
+   * @param now - Current time.
+   */
+  pickExpressTargets(now: number): readonly string[] {
+    return this.pickLive(this.options.view.getLiveStates(now), expressTargets);
+  }
+
+  private pickLive(
+    live: readonly MemberState[],
+    { total, inOtherZones }: TargetCounts,
+  ): readonly string[] {
     const near = live.filter(({ zone }) => zone === this.options.zone);
     const far = live.filter(({ zone }) => zone !== this.options.zone);
-    const { total, inOtherZones } = this.getTargetCounts(live, now);
     const farCount = Math.max(inOtherZones, total - near.length);
     const nearCount = total - Math.min(farCount, far.length);
     const { getRandom } = this.options;
     const targets = [
-      ...pickRandom(near, nearCount, getRandom),
-      ...pickRandom(far, farCount, getRandom),
+      ...pickFresh(near, nearCount, getRandom),
+      ...pickFresh(far, farCount, getRandom),
     ];
-    return [...targets.map(({ address }) => address), ...this.pickUnknown(live)];
+    return targets.map(({ address }) => address);
   }
 
   /**
@@ -132,12 +159,16 @@
   createMessage(own: MemberState, now: number): FleetMessage {
     this.options.view.updatePeakDaemonCount(now);
     const standing = this.options.getStandingNotices(now);
-    const notices = [...standing, ...this.notices.take(maxNoticesPerMessage - standing.length)];
+    const ownBytes = messageBytes + getStateBytes(own);
+    const maxBytes = Math.max(minMessageBytes, maxMessageBytes - this.expressBytes);
+    this.expressBytes = 0;
+    const noticeBytes = Math.min(maxNoticeBytes, maxBytes - ownBytes);
+    const notices = [...standing, ...this.notices.take(noticeBytes - getNoticeBytes(standing))];
     const states = [limitRunning(own)];
-    let bytes = messageBytes + getStateBytes(own) + getNoticeBytes(notices);
+    let bytes = ownBytes + getNoticeBytes(notices);
     for (const state of this.getRelayedStates(now)) {
       bytes += getStateBytes(state);
-      if (bytes > maxMessageBytes) {
+      if (bytes > maxBytes) {
         break;
       }
       this.countRelay(state);
@@ -146,6 +177,33 @@
     return { states, notices };
   }
 
+  /**
+   * Gets when a message ahead of the round is due, because a notice that all daemons decide on waits.
+   * @returns Undefined when none waits.
+   */
+  getExpressAt(): number | undefined {
+    const waitingSince = this.notices.getOldestDecisionAt();
+    return waitingSince === undefined
+      ? undefined
+      : Math.max(
+          waitingSince + expressDelayMilliseconds,
+          this.expressSentAt + expressIntervalMilliseconds,
+        );
+  }
+
+  /**
+   * Creates a message ahead of the round: the own state, and notices that all daemons decide on.
+   * @param own - State of this daemon.
+   * @param now - Current time.
+   */
+  createExpressMessage(own: MemberState, now: number): FleetMessage {
+    this.expressSentAt = now;
+    const notices = this.notices.takeDecisions(maxExpressNoticeBytes);
+    const bytes = messageBytes + getStateBytes(own) + getNoticeBytes(notices);
+    this.expressBytes += (bytes * expressTargets.total) / usualTargets.total;
+    return { states: [limitRunning(own)], notices };
+  }
+
   /**
    * Applies a received message to the view.
    * @param message - Message of a peer.
@@ -221,6 +279,17 @@
   }
 }
 
+/** Picks the daemons last heard of among twice as many random ones, since the others may be gone. */
+function pickFresh(
+  live: readonly MemberState[],
+  count: number,
+  getRandom: () => number,
+): readonly MemberState[] {
+  return [...pickRandom(live, 2 * count, getRandom)]
+    .sort((a, b) => b.sampledAt - a.sampledAt)
+    .slice(0, count);
+}
+
 /** Checks whether a notice is repeated by every daemon that knows it, so that it needs no queue. */
 function isStanding({ kind }: FleetNotice): boolean {
   return kind === "quarantine";
@@ -240,17 +309,3 @@
   const countBytes = Math.min(running.size, maxRunningCounts) * bytesPerRunningCount;
   return stateBytes + textBytes + countBytes + unreachedServices.size * bytesPerUnreachedService;
 }
-
-function getNoticeBytes(notices: readonly FleetNotice[]): number {
-  return notices.reduce((sum, { kind }) => sum + bytesByNotice[kind], 0);
-}
-
-const bytesByNotice: Readonly<Record<FleetNotice["kind"], number>> = {
-  prefix: prefixNoticeBytes,
-  leaving: upstreamNoticeBytes,
-  resting: upstreamNoticeBytes,
-  limit: upstreamNoticeBytes,
-  loss: contentNoticeBytes,
-  served: contentNoticeBytes,
-  quarantine: contentNoticeBytes,
-};
--- a/packages/kernel/src/fleet/NoticeQueue.ts
+++ b/packages/kernel/src/fleet/NoticeQueue.ts
@@ -1,52 +1,58 @@
 import type { FleetNotice } from "./messages.js";
+import { getNoticeBytes } from "./noticeBytes.js";
+import { NoticeLane, type NoticeLaneOptions, type WaitingNotices } from "./NoticeLane.js";
 
-/** Number of rounds in which each daemon passes a notice on. */
-const maxRelays = 3;
-/** Time for which a notice is remembered, so that it is not taken as new again. */
-const memoryMilliseconds = 10_000;
-/** A later use of a prompt block is new if it is this much later than the known one. */
-const minAdvanceMilliseconds = 1_000;
-const maxNotices = 4_096;
+/** Priority of a notice: what the daemons decide on together, or what only saves work. */
+type NoticePriority = "decision" | "hint";
 
-interface QueuedNotice {
-  readonly notice: FleetNotice;
-  readonly addedAt: number;
-  relays: number;
-}
+const priorityByKind: Readonly<Record<FleetNotice["kind"], NoticePriority>> = {
+  leaving: "decision",
+  resting: "decision",
+  limit: "decision",
+  loss: "decision",
+  quarantine: "decision",
+  // A loss must not be faster than what disproves it.
+  served: "decision",
+  prefix: "hint",
+};
 
-/** Notices of one kind that no message has held yet. */
-export interface WaitingNotices {
-  readonly count: number;
-  /** When the oldest of them was added; undefined when there is none. */
-  readonly oldestAddedAt: number | undefined;
-}
+/** Messages in which each daemon passes a notice on: more for what must reach all even while half of them are gone. */
+const maxRelaysByPriority: Readonly<Record<NoticePriority, number>> = {
+  decision: 6,
+  hint: 3,
+};
 
-/** Called with a notice that is dropped before any message held it. */
-export type DroppedNoticeListener = (notice: FleetNotice) => void;
+/** Bytes of a message that hints get although notices of decisions wait, and at most. */
+const reservedHintBytes = 64;
+const maxHintBytes = 256;
 
-/** The notices that a daemon passes on, each in a limited number of messages. */
-export class NoticeQueue {
-  private readonly queuedByKey = new Map<string, QueuedNotice>();
+/** What a queue depends on. */
+export type NoticeQueueOptions = Omit<NoticeLaneOptions, "maxRelays">;
 
-  private constructor(private readonly onDropped: DroppedNoticeListener) {}
+/** Checks whether a daemon that does not know a notice only works more than it had to. */
+export function isHint({ kind }: FleetNotice): boolean {
+  return priorityByKind[kind] === "hint";
+}
 
-  /**
-   * Creates an empty queue.
-   * @param onDropped - Called with each notice that is dropped before any message held it.
-   */
-  static create(onDropped: DroppedNoticeListener = () => undefined): NoticeQueue {
-    return new NoticeQueue(onDropped);
+/** The notices that a daemon passes on, by their priority, so that none of them keeps another from the fleet. */
+export class NoticeQueue {
+  private readonly lanes: Readonly<Record<NoticePriority, NoticeLane>>;
+
+  private constructor(options: NoticeQueueOptions) {
+    const createLane = (priority: NoticePriority): NoticeLane =>
+      NoticeLane.create({ ...options, maxRelays: maxRelaysByPriority[priority] });
+    this.lanes = {
+      decision: createLane("decision"),
+      hint: createLane("hint"),
+    };
   }
 
   /**
-   * Gets how many notices of a kind no message has held yet, and since when.
-   * @param kind - Kind of the notices.
+   * Creates an empty queue.
+   * @param options - What it depends on.
    */
-  getWaiting(kind: FleetNotice["kind"]): WaitingNotices {
-    const waiting = [...this.queuedByKey.values()].filter(
-      ({ notice, relays }) => relays === 0 && notice.kind === kind,
-    );
-    return { count: waiting.length, oldestAddedAt: waiting[0]?.addedAt };
+  static create(options: NoticeQueueOptions): NoticeQueue {
+    return new NoticeQueue(options);
   }
 
   /**
@@ -56,78 +62,42 @@
    * @returns False if it was known.
    */
   add(notice: FleetNotice, now: number): boolean {
-    const key = getKey(notice);
-    const known = this.queuedByKey.get(key);
-    if (known !== undefined && !isNewer(notice, known.notice)) {
-      return false;
-    }
-    // Maps keep insertion order, so deleting first keeps the oldest notice at the front.
-    this.queuedByKey.delete(key);
-    this.queuedByKey.set(key, { notice, addedAt: now, relays: 0 });
-    this.dropOld(now);
-    return true;
+    return this.getLane(notice.kind).add(notice, now);
   }
 
   /**
-   * Takes notices for one message; those that were passed on least come first.
-   * @param count - Maximum number.
+   * Takes notices for one message: those of decisions first, but for what is reserved for hints.
+   * @param maxBytes - Estimated size that all of them have at most.
    */
-  take(count: number): readonly FleetNotice[] {
-    const due = [...this.queuedByKey.values()]
-      .filter(({ relays }) => relays < maxRelays)
-      .sort((a, b) => a.relays - b.relays)
-      .slice(0, count);
-    due.forEach((queued) => {
-      queued.relays += 1;
-    });
-    return due.map(({ notice }) => notice);
+  take(maxBytes: number): readonly FleetNotice[] {
+    const { decision, hint } = this.lanes;
+    const decisions = decision.take(maxBytes - (hint.isEmpty() ? 0 : reservedHintBytes));
+    const free = maxBytes - getNoticeBytes(decisions);
+    return [...decisions, ...hint.take(Math.min(free, maxHintBytes))];
   }
 
-  private dropOld(now: number): void {
-    for (const [key, { notice, addedAt, relays }] of this.queuedByKey) {
-      if (now - addedAt < memoryMilliseconds && this.queuedByKey.size <= maxNotices) {
-        return;
-      }
-      this.queuedByKey.delete(key);
-      if (relays === 0) {
-        this.onDropped(notice);
-      }
-    }
+  /**
+   * Takes notices that all daemons decide on for a message that holds nothing else.
+   * @param maxBytes - Estimated size that all of them have at most.
+   */
+  takeDecisions(maxBytes: number): readonly FleetNotice[] {
+    return this.lanes.decision.take(maxBytes);
   }
-}
 
-function getKey(notice: FleetNotice): string {
-  switch (notice.kind) {
-    case "prefix":
-      return `prefix ${String(notice.block)} ${String(notice.upstream)}`;
-    case "leaving":
-      return `leaving ${notice.id} ${String(notice.bornAt)}`;
-    case "resting":
-      return `resting ${notice.id}`;
-    case "limit":
-      return `limit ${notice.id}`;
-    case "loss": {
-      const { content, upstream, request } = notice;
-      return `loss ${String(content)} ${String(upstream)} ${String(request)}`;
-    }
-    case "served":
-    case "quarantine":
-      return `${notice.kind} ${String(notice.content)}`;
+  /** Gets since when a notice that all daemons decide on waits for its first message, if one does. */
+  getOldestDecisionAt(): number | undefined {
+    return this.lanes.decision.getOldestWaitingAt();
   }
-}
 
-function isNewer(notice: FleetNotice, known: FleetNotice): boolean {
-  if (notice.kind === "prefix" && known.kind === "prefix") {
-    return notice.at > known.at + minAdvanceMilliseconds;
-  }
-  if (notice.kind === "served" && known.kind === "served") {
-    return notice.at > known.at + minAdvanceMilliseconds;
-  }
-  if (notice.kind === "limit" && known.kind === "limit") {
-    return notice.at > known.at && notice.perSecond !== known.perSecond;
+  /**
+   * Gets how many notices of a kind no message has held yet, and since when.
+   * @param kind - Kind of the notices.
+   */
+  getWaiting(kind: FleetNotice["kind"]): WaitingNotices {
+    return this.getLane(kind).getWaiting(kind);
   }
-  if (notice.kind === "resting" && known.kind === "resting") {
-    return notice.endsAt > known.endsAt + minAdvanceMilliseconds;
+
+  private getLane(kind: FleetNotice["kind"]): NoticeLane {
+    return this.lanes[priorityByKind[kind]];
   }
-  return false;
 }
