Routers of different builds understand each other's datagrams

Callers would see, during an upgrade with a cut: routers of the earlier build hear nothing from those of the later one (no losses, no quarantines, no limits).

Now: services that are not reached travel as counts of 0 in the field that all builds read; what is unknown is passed over one by one and counted (pistachioway_skipped_datagram_parts_total). Not understood: builds do not see which services a router of this build does not reach; a peer then says so itself, at once.

--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -49,6 +49,8 @@
   readonly onStreamMessage: (message: StreamMessage, sender: string) => void;
   /** Counts the datagrams that cannot be read. */
   readonly onRefused: () => void;
+  /** Counts the states and notices that cannot be read, such as those of a later build. */
+  readonly onSkippedPart: () => void;
   /** Counts the notices that were dropped before any message held them. */
   readonly onDroppedNotice: (notice: FleetNotice) => void;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
@@ -209,7 +211,7 @@
       this.receiveStreamMessage(bytes, sender, now);
       return;
     }
-    const message = decodeDatagram(bytes, now);
+    const message = decodeDatagram(bytes, now, this.dependencies.onSkippedPart);
     if (message === undefined) {
       this.refuse(bytes.length, now);
       return;
--- a/packages/daemon/src/fleet/datagramCodec.ts
+++ b/packages/daemon/src/fleet/datagramCodec.ts
@@ -2,7 +2,10 @@
 import { Packr } from "msgpackr";
 import { z } from "zod";
 
-/** Version of the format; datagrams of another one are refused. */
+/**
+ * Version of the format; datagrams of another one are refused. Builds run side by side during an upgrade, so a
+ * datagram keeps to what the build before reads: see decision 0015.
+ */
 const formatVersion = 3;
 const maxStates = 64;
 const maxNotices = 64;
@@ -25,23 +28,23 @@
 const maxCount = 0xffff;
 
 /**
- * Name, address, port for operators, zone, incarnation, sequence, age, version, age of the version, counts and
- * services that it does not reach.
+ * Name, address, port for operators, zone, incarnation, sequence, age, version, age of the version, and counts, of
+ * which a count of 0 names a service that the daemon does not reach. Further fields are those of later builds.
  */
-const stateSchema = z.tuple([
-  text,
-  text,
-  z.int().min(1).max(65_535),
-  text,
-  z.int().min(0),
-  z.int().min(0),
-  age,
-  z.int().min(-1),
-  z.int().min(neverConfirmedAge),
-  z.instanceof(Uint8Array).refine(isRunningCounts),
-  /** Hashes of services; left out by a daemon that reaches all of its services. */
-  z.instanceof(Uint8Array).refine(isHashes).optional(),
-]);
+const stateSchema = z
+  .tuple([
+    text,
+    text,
+    z.int().min(1).max(65_535),
+    text,
+    z.int().min(0),
+    z.int().min(0),
+    age,
+    z.int().min(-1),
+    z.int().min(neverConfirmedAge),
+    z.instanceof(Uint8Array).refine(isRunningCounts),
+  ])
+  .rest(z.unknown());
 
 const noticeCodes = {
   prefix: 0,
@@ -55,24 +58,31 @@
 } as const;
 
 const noticeSchema = z.union([
-  z.tuple([z.literal(noticeCodes.prefix), uint32, uint32, age]),
-  z.tuple([z.literal(noticeCodes.leaving), text, z.number()]),
+  z.tuple([z.literal(noticeCodes.prefix), uint32, uint32, age]).rest(z.unknown()),
+  z.tuple([z.literal(noticeCodes.leaving), text, z.number()]).rest(z.unknown()),
   /** The remaining time of the rest is last. */
-  z.tuple([z.literal(noticeCodes.resting), text, z.int().min(0)]),
-  z.tuple([z.literal(noticeCodes.limit), text, z.number().min(0), age]),
-  z.tuple([z.literal(noticeCodes.noLimit), text, age]),
+  z.tuple([z.literal(noticeCodes.resting), text, z.int().min(0)]).rest(z.unknown()),
+  z.tuple([z.literal(noticeCodes.limit), text, z.number().min(0), age]).rest(z.unknown()),
+  z.tuple([z.literal(noticeCodes.noLimit), text, age]).rest(z.unknown()),
   /** Content, upstream and request. */
-  z.tuple([z.literal(noticeCodes.loss), uint32, uint32, uint32, age]),
-  z.tuple([z.literal(noticeCodes.served), uint32, age]),
+  z.tuple([z.literal(noticeCodes.loss), uint32, uint32, uint32, age]).rest(z.unknown()),
+  z.tuple([z.literal(noticeCodes.served), uint32, age]).rest(z.unknown()),
   /** Content, age of its first loss, remaining time and count of its quarantines. */
-  z.tuple([z.literal(noticeCodes.quarantine), uint32, age, z.int().min(0), z.int().min(1)]),
+  z
+    .tuple([z.literal(noticeCodes.quarantine), uint32, age, z.int().min(0), z.int().min(1)])
+    .rest(z.unknown()),
 ]);
 
-const datagramSchema = z.tuple([
-  z.literal(formatVersion),
-  z.array(stateSchema).min(1).max(maxStates),
-  z.array(noticeSchema).max(maxNotices),
-]);
+const datagramSchema = z
+  .tuple([
+    z.literal(formatVersion),
+    z.array(z.unknown()).min(1).max(maxStates),
+    z.array(z.unknown()).max(maxNotices),
+  ])
+  .rest(z.unknown());
+
+/** Called for each part of a message that is passed over. */
+export type SkippedPartListener = () => void;
 
 type EncodedState = z.infer<typeof stateSchema>;
 type EncodedNotice = z.infer<typeof noticeSchema>;
@@ -87,14 +97,26 @@
 }
 
 /**
- * Decodes notices that `encodeNotices` encoded.
+ * Decodes notices that `encodeNotices` encoded. Those of unknown kinds are passed over.
  * @param encoded - Encoded notices.
  * @param now - Local time of arrival.
- * @returns Undefined when they are malformed.
+ * @param onSkipped - Called for each notice that is passed over.
+ * @returns Undefined when they are no list of notices.
  */
-export function decodeNotices(encoded: unknown, now: number): readonly FleetNotice[] | undefined {
-  const notices = z.array(noticeSchema).max(maxNotices).safeParse(encoded).data;
-  return notices?.map((notice) => decodeNotice(notice, now));
+export function decodeNotices(
+  encoded: unknown,
+  now: number,
+  onSkipped: SkippedPartListener = () => undefined,
+): readonly FleetNotice[] | undefined {
+  const notices = z.array(z.unknown()).max(maxNotices).safeParse(encoded).data;
+  return notices?.flatMap((notice) => {
+    const decoded = noticeSchema.safeParse(notice).data;
+    if (decoded === undefined) {
+      onSkipped();
+      return [];
+    }
+    return [decodeNotice(decoded, now)];
+  });
 }
 
 /**
@@ -103,7 +125,7 @@
  * @param now - Local monotonic time of sending.
  */
 export function encodeDatagram({ states, notices }: FleetMessage, now: number): Buffer {
-  const datagram: z.infer<typeof datagramSchema> = [
+  const datagram = [
     formatVersion,
     states.map((state) => encodeState(state, now)),
     notices.map((notice) => encodeNotice(notice, now)),
@@ -112,20 +134,29 @@
 }
 
 /**
- * Decodes a datagram.
+ * Decodes a datagram. States and notices that cannot be read, as those of a later build, are passed over one by one.
+ * Without the state of the sender, which is the first, the other states are left out as well.
  * @param bytes - Bytes that were received.
  * @param now - Local monotonic time of arrival.
+ * @param onSkipped - Called for each part that is passed over.
  * @returns Undefined when the bytes are no message of this format.
  */
-export function decodeDatagram(bytes: Buffer, now: number): FleetMessage | undefined {
+export function decodeDatagram(
+  bytes: Buffer,
+  now: number,
+  onSkipped: SkippedPartListener = () => undefined,
+): FleetMessage | undefined {
   const datagram = datagramSchema.safeParse(unpack(bytes)).data;
   if (datagram === undefined) {
     return undefined;
   }
-  const [, states, notices] = datagram;
+  const [, encodedStates, encodedNotices] = datagram;
+  const states = encodedStates.map((state) => stateSchema.safeParse(state).data);
+  states.filter((state) => state === undefined).forEach(onSkipped);
+  const readable = states.filter((state) => state !== undefined);
   return {
-    states: states.map((state) => decodeState(state, now)),
-    notices: notices.map((notice) => decodeNotice(notice, now)),
+    states: states[0] === undefined ? [] : readable.map((state) => decodeState(state, now)),
+    notices: decodeNotices(encodedNotices, now, onSkipped) ?? [],
   };
 }
 
@@ -151,8 +182,7 @@
     toAge(state.sampledAt, now),
     version,
     isConfirmed ? toAge(state.confirmedAt, now) : neverConfirmedAge,
-    encodeRunning(state.running),
-    ...encodeUnreached(state.unreachedServices),
+    encodeCounts(state),
   ];
 }
 
@@ -160,6 +190,7 @@
   const [name, address, operationsPort, zone, incarnation, sequence] = encoded;
   const [, , , , , , stateAge, version, versionAge, counts, unreached] = encoded;
   const [host = ""] = address.split(":");
+  const { running, unreached: named } = decodeCounts(counts);
   return {
     name,
     address,
@@ -170,8 +201,8 @@
     sampledAt: now - stateAge,
     version,
     confirmedAt: versionAge === neverConfirmedAge ? -Infinity : now - versionAge,
-    running: decodeRunning(counts),
-    unreachedServices: decodeHashes(unreached ?? new Uint8Array()),
+    running,
+    unreachedServices: new Set([...named, ...decodeUnreached(unreached)]),
   };
 }
 
@@ -183,43 +214,48 @@
   return length % hashBytes === 0 && length <= maxUnreachedServices * hashBytes;
 }
 
-/** Encodes the hashes as one field, or none when there are no services. */
-function encodeUnreached(services: ReadonlySet<number>): [Uint8Array<ArrayBuffer>] | [] {
-  if (services.size === 0) {
+/** Decodes the field that some builds have for services that they do not reach. */
+function decodeUnreached(encoded: unknown): readonly number[] {
+  if (!(encoded instanceof Uint8Array) || !isHashes(encoded)) {
     return [];
   }
-  const hashes = [...services].slice(0, maxUnreachedServices);
-  const bytes = Buffer.from(new ArrayBuffer(hashes.length * hashBytes));
-  hashes.forEach((hash, index) => bytes.writeUInt32BE(hash, index * hashBytes));
-  return [bytes];
-}
-
-function decodeHashes(encoded: Uint8Array): ReadonlySet<number> {
   const bytes = Buffer.from(encoded.buffer, encoded.byteOffset, encoded.byteLength);
   const count = bytes.length / hashBytes;
-  return new Set(
-    Array.from({ length: count }, (_, index) => bytes.readUInt32BE(index * hashBytes)),
-  );
+  return Array.from({ length: count }, (_, index) => bytes.readUInt32BE(index * hashBytes));
 }
 
-function encodeRunning(running: ReadonlyMap<number, number>): Uint8Array<ArrayBuffer> {
-  const bytes = Buffer.from(new ArrayBuffer(running.size * runningCountBytes));
-  let offset = 0;
-  for (const [upstream, count] of running) {
-    bytes.writeUInt32BE(upstream, offset);
+/** Encodes the running requests by upstream, and each service that is not reached with a count of 0. */
+function encodeCounts({ running, unreachedServices }: MemberState): Uint8Array<ArrayBuffer> {
+  const unreached = [...unreachedServices].slice(0, maxUnreachedServices);
+  const counts = [...running, ...unreached.map((service) => [service, 0] as const)];
+  const bytes = Buffer.from(new ArrayBuffer(counts.length * runningCountBytes));
+  counts.forEach(([hash, count], index) => {
+    const offset = index * runningCountBytes;
+    bytes.writeUInt32BE(hash, offset);
     bytes.writeUInt16BE(Math.min(count, maxCount), offset + hashBytes);
-    offset += runningCountBytes;
-  }
+  });
   return bytes;
 }
 
-function decodeRunning(encoded: Uint8Array): ReadonlyMap<number, number> {
+interface DecodedCounts {
+  readonly running: ReadonlyMap<number, number>;
+  readonly unreached: ReadonlySet<number>;
+}
+
+function decodeCounts(encoded: Uint8Array): DecodedCounts {
   const bytes = Buffer.from(encoded.buffer, encoded.byteOffset, encoded.byteLength);
   const running = new Map<number, number>();
+  const unreached = new Set<number>();
   for (let offset = 0; offset < bytes.length; offset += runningCountBytes) {
-    running.set(bytes.readUInt32BE(offset), bytes.readUInt16BE(offset + hashBytes));
+    const hash = bytes.readUInt32BE(offset);
+    const count = bytes.readUInt16BE(offset + hashBytes);
+    if (count === 0) {
+      unreached.add(hash);
+    } else {
+      running.set(hash, count);
+    }
   }
-  return running;
+  return { running, unreached };
 }
 
 function encodeNotice(notice: FleetNotice, now: number): EncodedNotice {
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -76,6 +76,12 @@
     registers: [this.registry],
   });
 
+  readonly skippedDatagramParts = new Counter({
+    name: "pistachioway_skipped_datagram_parts_total",
+    help: "States and notices in datagrams that were passed over, such as those of a later build.",
+    registers: [this.registry],
+  });
+
   readonly waitingNotices = new Gauge({
     name: "pistachioway_waiting_notices",
     help: "Notices to the other daemons that no datagram has held yet, by kind.",
--- a/packages/daemon/src/router/createFleetTask.ts
+++ b/packages/daemon/src/router/createFleetTask.ts
@@ -62,6 +62,9 @@
     onRefused: () => {
       metrics.refusedDatagrams.inc();
     },
+    onSkippedPart: () => {
+      metrics.skippedDatagramParts.inc();
+    },
     onDroppedNotice: ({ kind }) => {
       metrics.droppedNotices.inc({ kind });
     },
--- a/packages/daemon/tests/fleet/FleetTask.test.ts
+++ b/packages/daemon/tests/fleet/FleetTask.test.ts
@@ -24,6 +24,7 @@
     onNotices: () => undefined,
     onStreamMessage: () => undefined,
     onRefused: () => undefined,
+    onSkippedPart: () => undefined,
     onDroppedNotice: () => undefined,
     record: () => undefined,
   });
