An earlier refusal that an upstream writes again is not the answer to another request

Callers were told not-run for requests that an upstream ran, or such a request ran at a second one (REFUSED, TWICE). Cause: Exchange looked at the id of an answer only when it was no refusal. Other answers end as lost and close the connection.

Router.test.ts: 503, 429 and 421, of another request and without an id, six tests that failed before; forwarding.test.ts passes.

--- a/packages/daemon/src/exchange/Exchange.ts
+++ b/packages/daemon/src/exchange/Exchange.ts
@@ -38,6 +38,7 @@
 export type ResponseCodec = Pick<HeaderCodec, "readResponse">;
 
 const firstFinalStatus = 200;
+const badRequestStatus = 400;
 /** Codes of errors that tell that the other side ended the connection. */
 const closedByOtherSideCodes: ReadonlySet<string> = new Set([
   "ECONNRESET",
@@ -116,7 +117,7 @@
       return;
     }
     const head = this.codec.readResponse(statusCode, headers);
-    if (head.requestId !== this.request.requestId && !head.isRefusal) {
+    if (!this.isAnswer(head)) {
       this.fail(`the answer is for request "${head.requestId}"`);
       return;
     }
@@ -148,6 +149,15 @@
     }
   }
 
+  /**
+   * Checks whether a response is the answer to the request. An upstream may write an earlier one again; only the
+   * refusal of a request that has lost its id names none.
+   */
+  private isAnswer({ requestId, status, isRefusal }: ResponseHead): boolean {
+    const namesNone = requestId === "" && status === badRequestStatus && isRefusal;
+    return requestId === this.request.requestId || namesNone;
+  }
+
   private fail(detail: string, wasClosedByUpstream = false): void {
     this.isFinished = true;
     this.connection.destroy();
--- a/packages/daemon/src/forwarding/PeerTarget.ts
+++ b/packages/daemon/src/forwarding/PeerTarget.ts
@@ -125,7 +125,8 @@
     const answer = response?.kind === "answer" ? response : undefined;
     return {
       status: answer?.status ?? unavailableStatus,
-      requestId: answer?.requestId ?? "",
+      // A refusal of the peer itself names no request.
+      requestId: answer?.requestId ?? this.options.request.head.id,
       isMisdirected: false,
       isRefusal: response?.kind === "refusal",
       load: undefined,
--- a/packages/daemon/tests/router/Router.test.ts
+++ b/packages/daemon/tests/router/Router.test.ts
@@ -15,6 +15,7 @@
   resetConnection,
   setScripts,
   neverRespond,
+  repeatRefusal,
   type Context,
 } from "./scripts.js";
 import { readResponse, RouterFixture, waitFor } from "./RouterFixture.js";
@@ -96,6 +97,26 @@
   }
 });
 
+// Guards against a request that ran, or may have, being reported as not run or sent again, when an upstream writes an
+// earlier refusal once more (REFUSED, TWICE).
+for (const status of [503, 429, 421]) {
+  test(`does not take a refusal ${String(status)} of another request for its own`, async (context) => {
+    setScripts(context, repeatRefusal(status));
+    await context.fixture.call("/act/1", { id: "q-1", method: "POST", body: "x" });
+    const before = getArrivals(context);
+    const answer = await context.fixture.call("/act/2", { id: "q-2", method: "POST", body: "x" });
+    assert.is(answer.status, 502);
+    assert.is(getArrivals(context) - before, 1);
+  });
+
+  test(`does not take a refusal ${String(status)} that names no request for its own`, async (context) => {
+    setScripts(context, repeatRefusal(status, false));
+    const answer = await context.fixture.call("/act/2", { id: "q-2", method: "POST", body: "x" });
+    assert.is(answer.status, 502);
+    assert.is(getArrivals(context), 1);
+  });
+}
+
 test("repeats an idempotent request at another upstream", async (context) => {
   for (const script of [
     resetConnection,
--- a/packages/daemon/tests/router/scripts.ts
+++ b/packages/daemon/tests/router/scripts.ts
@@ -66,3 +66,19 @@
     script(request, response);
   };
 }
+
+/**
+ * Creates a script that refuses the first request and writes the same refusal again as the answer to each later one,
+ * although it runs that.
+ * @param status - Status of the refusal.
+ * @param hasId - Whether the refusal names the request that it belongs to.
+ */
+export function repeatRefusal(status: number, hasId = true): Script {
+  let firstId: string | undefined;
+  return ({ id }, response) => {
+    firstId ??= id;
+    const idHeader = hasId ? { "request-id": firstId } : {};
+    response.writeHead(status, { ...idHeader, "not-run": "1", "content-length": 0 });
+    response.end();
+  };
+}
