A stream that broke off is continued by the same kind of answer only

Cause: on a stream's route every answer below 400 was taken for the stream. 204, 304 and errors were not (by the test).

Over the hop between routers and in the product's own interface it was not tried.

--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -1,4 +1,4 @@
-import type { AttemptEnd, ResponseHead } from "@pistachioway/kernel";
+import { continuesStream, type AttemptEnd, type ResponseHead } from "@pistachioway/kernel";
 import type { ExchangeFailure, ExchangeListener } from "../exchange/index.js";
 import { Attempt } from "./Attempt.js";
 import type { RequestResponse } from "./RequestResponse.js";
@@ -21,6 +21,8 @@
 /** A request in flight: chooses an upstream, sends the request, relays the response, and retries. */
 export class ActiveRequest {
   private attempt: Attempt | undefined;
+  /** Head of the response that began the stream. */
+  private streamHead: ResponseHead | undefined;
   /** Target of the last attempt; undefined when the last choice found none. */
   private target: AttemptTarget | undefined;
   /** Attempts that may have run. */
@@ -193,6 +195,7 @@
   private startStream({ target }: Attempt, head: ResponseHead, now: number): void {
     if (!this.response.isStarted()) {
       this.firstByteAt = now;
+      this.streamHead = head;
       this.response.startStream(head, target.getReport(now));
     }
   }
@@ -348,7 +351,9 @@
   }
 
   private isStream(head: ResponseHead): boolean {
-    return this.request.approval.route.kind === "stream" && head.status < firstErrorStatus;
+    const { route } = this.request.approval;
+    const isContinuation = this.streamHead === undefined || continuesStream(head, this.streamHead);
+    return route.kind === "stream" && head.status < firstErrorStatus && isContinuation;
   }
 
   /** Records that a target did not get the request; a peer that cannot take it counts as no refusal. */
--- a/packages/daemon/tests/router/scripts.ts
+++ b/packages/daemon/tests/router/scripts.ts
@@ -82,3 +82,19 @@
     response.end();
   };
 }
+
+/**
+ * Creates a script that writes raw bytes and then ends the connection.
+ * @param createText - Creates the text from the request's id.
+ * @param end - Whether the connection is closed in order or reset.
+ */
+export function writeRaw(createText: (id: string) => string, end: "close" | "reset"): Script {
+  return ({ id }, response) => {
+    const { socket } = response;
+    if (end === "close") {
+      socket?.end(createText(id));
+    } else {
+      socket?.write(createText(id), () => socket.resetAndDestroy());
+    }
+  };
+}
--- a/packages/kernel/src/forwarding/index.ts
+++ b/packages/kernel/src/forwarding/index.ts
@@ -1,3 +1,4 @@
+export { continuesStream } from "./continuesStream.js";
 export {
   checkRequest,
   type FreshnessBounds,
