A request that crashes its upstream late in a stream counts as lost

Cause: RequestEvidence.recordLoss took a second of writing as proof for the whole request, although decision 0011 says that it speaks for the blocks only. lateCrash.test.ts: six of six sent before, refused after three upstreams now. promptCrash and repeatedRequest pass as before.

--- a/packages/daemon/src/ingress/RequestEvidence.ts
+++ b/packages/daemon/src/ingress/RequestEvidence.ts
@@ -65,12 +65,15 @@
     if (target.upstream === undefined) {
       return;
     }
+    const { id, bornAt } = target.upstream;
+    const upstream = getHash(`${id} ${String(bornAt)}`);
+    const lost = { content, upstream, request: getHash(head.id) };
     if (firstBodyByteAt !== undefined && now - firstBodyByteAt >= withstoodMilliseconds) {
+      // The upstream withstood the prompt, but not the whole request.
       this.quarantine.recordPromptRead(content, now);
+      this.quarantine.recordLoss({ ...lost, content: { ...content, blocks: [] } }, now);
       return;
     }
-    const { id, bornAt } = target.upstream;
-    const upstream = getHash(`${id} ${String(bornAt)}`);
-    this.quarantine.recordLoss({ content, upstream, request: getHash(head.id) }, now);
+    this.quarantine.recordLoss(lost, now);
   }
 }
