--- a/packages/daemon/src/fleet/datagramCodec.ts
+++ b/packages/daemon/src/fleet/datagramCodec.ts
@@ -57,13 +57,11 @@
   noLimit: 7,
 } as const;
 
-const noticeSchema = z.union([
+const noticeSchemas = [
   z.tuple([z.literal(noticeCodes.prefix), uint32, uint32, age]).rest(z.unknown()),
   z.tuple([z.literal(noticeCodes.leaving), text, z.number()]).rest(z.unknown()),
   /** The remaining time of the rest is last. */
   z.tuple([z.literal(noticeCodes.resting), text, z.int().min(0)]).rest(z.unknown()),
-  z.tuple([z.literal(noticeCodes.limit), text, z.number().min(0), age]).rest(z.unknown()),
-  z.tuple([z.literal(noticeCodes.noLimit), text, age]).rest(z.unknown()),
   /** Content, upstream and request. */
   z.tuple([z.literal(noticeCodes.loss), uint32, uint32, uint32, age]).rest(z.unknown()),
   z.tuple([z.literal(noticeCodes.served), uint32, age]).rest(z.unknown()),
@@ -71,7 +69,9 @@
   z
     .tuple([z.literal(noticeCodes.quarantine), uint32, age, z.int().min(0), z.int().min(1)])
     .rest(z.unknown()),
-]);
+  z.tuple([z.literal(noticeCodes.limit), text, z.number().min(0), age]).rest(z.unknown()),
+  z.tuple([z.literal(noticeCodes.noLimit), text, age]).rest(z.unknown()),
+] as const;
 
 const datagramSchema = z
   .tuple([
@@ -85,7 +85,7 @@
 export type SkippedPartListener = () => void;
 
 type EncodedState = z.infer<typeof stateSchema>;
-type EncodedNotice = z.infer<typeof noticeSchema>;
+type EncodedNotice = z.infer<(typeof noticeSchemas)[number]>;
 
 /**
  * Encodes notices with ages in place of instants.
@@ -110,7 +110,7 @@
 ): readonly FleetNotice[] | undefined {
   const notices = z.array(z.unknown()).max(maxNotices).safeParse(encoded).data;
   return notices?.flatMap((notice) => {
-    const decoded = noticeSchema.safeParse(notice).data;
+    const decoded = parseNotice(notice);
     if (decoded === undefined) {
       onSkipped();
       return [];
@@ -119,6 +119,12 @@
   });
 }
 
+/** Checks a notice by the schema of its kind, whose code is the schema's index. */
+function parseNotice(encoded: unknown): EncodedNotice | undefined {
+  const code: unknown = Array.isArray(encoded) ? encoded[0] : undefined;
+  return typeof code === "number" ? noticeSchemas[code]?.safeParse(encoded).data : undefined;
+}
+
 /**
  * Encodes a message as one datagram.
  * @param message - Message to send.
