review: streams without a length look complete when a router is killed

Cause: CallerResponse.setFraming passes the missing length of an engine's answer on to the client, so that the end of the router's process is the end of the answer.

Ruled out: streams with chunks (their clients see that they were broken off), a planned stop and deadlines (the channel is reset).

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -51,7 +51,14 @@
     if (hasTrouble) {
       installation.record(`trouble: the next ${String(spoiltAnswers)} answers of l-1 have no end`);
       const type = "application/json";
-      const fault = { path: "/talk/", status: 500, type, pieceBytes, bytesPerSecond };
+      const fault = {
+        kind: "endless",
+        path: "/talk/",
+        status: 500,
+        type,
+        pieceBytes,
+        bytesPerSecond,
+      };
       installation.setFault("l-1", { ...fault, count: spoiltAnswers });
     }
     await sleep(6_000);
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -50,7 +50,13 @@
   await sleep(6_000);
   if (hasTrouble) {
     installation.record("trouble: the next answer of l-1 has no end");
-    const fault = { path: "/talk/", type: "text/event-stream", pieceBytes, bytesPerSecond };
+    const fault = {
+      kind: "endless",
+      path: "/talk/",
+      type: "text/event-stream",
+      pieceBytes,
+      bytesPerSecond,
+    };
     installation.setFault("l-1", { ...fault, count: spoiltAnswers });
   }
   await sleep(14_000);
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -42,9 +42,12 @@
   };
   if (isSpoilt) {
     fault.count -= 1;
+  }
+  if (isSpoilt && fault.kind === "endless") {
     sendEndless(response, headersOut, fault);
   } else if (url.startsWith("/talk/")) {
-    sendStream(response, headersOut, Number(headers["last-event-id"] ?? 0), url);
+    const breakAfter = isSpoilt ? fault.events : Infinity;
+    sendStream(response, headersOut, Number(headers["last-event-id"] ?? 0), url, breakAfter);
   } else {
     const workMilliseconds = Number(new URL(url, "http://e").searchParams.get("work") ?? 40);
     setTimeout(() => {
@@ -55,18 +58,37 @@
   }
 }
 
-function sendStream(response, headers, after, url) {
-  const count = Number(new URL(url, "http://e").searchParams.get("events") ?? 40);
-  response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
-  let next = after + 1;
+/** Sends the events of a run after one that the client has; with a length if the request asks for one. */
+function sendStream(response, headers, after, url, breakAfter) {
+  const { searchParams } = new URL(url, "http://e");
+  const last = Number(searchParams.get("events") ?? 40);
+  // What an engine writes differs from what another one would.
+  const text = "y".repeat(50 + (searchParams.has("length") ? Number(id.at(-1)) : 0));
+  const events = Array.from(
+    { length: Math.max(0, last - after) },
+    (_, index) => `id: ${String(after + 1 + index)}\ndata: ${version} ${text}\n\n`,
+  );
+  const bytes = events.reduce((sum, event) => sum + event.length, 0);
+  const framing = searchParams.has("length") ? { "content-length": bytes } : {};
+  if (searchParams.has("unframed")) {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+  }
+  response.writeHead(200, { ...headers, ...framing, "content-type": "text/event-stream" });
+  let sent = 0;
   const timer = setInterval(() => {
-    if (next > count) {
+    const event = events[sent];
+    if (event === undefined) {
       clearInterval(timer);
       response.end();
-      return;
+    } else if (sent >= breakAfter) {
+      response.write(event.slice(0, 20));
+      setTimeout(() => response.socket?.resetAndDestroy(), 5);
+      clearInterval(timer);
+    } else {
+      response.write(event);
+      sent += 1;
     }
-    response.write(`id: ${String(next)}\ndata: ${version} ${"y".repeat(50)}\n\n`);
-    next += 1;
   }, eventGapMilliseconds);
   response.on("close", () => {
     clearInterval(timer);
