--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -6,7 +6,7 @@
 const routerCount = 5;
 const lostCount = 3;
 const darkMilliseconds = 5_000;
-const clientsPerRouter = 60;
+const clientsPerRouter = 80;
 const maxMixed = 2;
 const budgetMilliseconds = 12_000;
 /** A client leaves a stream after such a gap, and takes it up after a pause. */
@@ -21,7 +21,7 @@
     throw new Error("the routers did not become ready");
   }
   await sleep(6_000);
-  for (const id of ["l-4", "l-5", "l-6"]) {
+  for (const id of ["l-4", "l-5", "l-6", "l-7", "l-8"]) {
     await installation.addEngine({ id, service: "llm", version: "v2" });
   }
   installation.record("plan: engines of version v2 are added");
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -4,7 +4,7 @@
 
 const spoiltAnswers = 1;
 const pieceBytes = 65;
-const bytesPerSecond = 1_000_000;
+const bytesPerSecond = 3_000_000;
 /** Of the route whose requests are judged, and the time after it that the rule allows. */
 const timeoutMilliseconds = 800;
 const lateMilliseconds = 500;
