Bound the memory of kept bodies: an answer without end no longer ends the router

Callers saw: a few answers without end in pieces of 4 bytes, the router ends with SIGABRT, and all that it had in flight is reset. Cause: each piece of an answer that is passed on whole was kept as a Buffer of its own. The bound of 8 MiB counts bytes, not objects; nothing bounded the sum over requests. Bodies of callers were kept the same way. Ruled out: endless heads (bounded by the HTTP client), bytes relayed to slow callers (back-pressure). Change: BodyBuffer copies pieces into blocks and bounds bytes and pieces; MemoryBudget bounds the sum, the largest answer fails; bodies that are never passed on are not kept. answer.unbounded, pistachioway_kept_bytes and pistachioway_unbounded_answers_total tell the hypotheses apart. Router.ts gives its registry task to a file of its own, and ActiveRequest the received answer, as both had grown.

--- a/packages/cli/src/logs/explainOutcome.ts
+++ b/packages/cli/src/logs/explainOutcome.ts
@@ -64,6 +64,12 @@
       "The request was complete too late in a planned stop to be answered before the exit; it has not run.",
     advice: "See daemon.stopping; if callers came long after it, check the load balancer.",
   },
+  "memory-used-up": {
+    cause:
+      "The bodies of requests and answers in flight left no memory for this one; it has not run.",
+    advice:
+      "See pistachioway_kept_bytes and answer.unbounded: a faulty upstream, or callers with large bodies.",
+  },
   "deadline-exceeded": {
     cause:
       "No response arrived before the deadline, or before the router stopped; the request may have run.",
--- a/packages/daemon/src/forwarding/ForwardingServer.ts
+++ b/packages/daemon/src/forwarding/ForwardingServer.ts
@@ -94,7 +94,7 @@
       return;
     }
     const arrivedAt = this.dependencies.requestDependencies.getNow();
-    readBody(request, forwarded.bodyBytes, {
+    readBody(response, forwarded.bodyBytes, this.dependencies.requestDependencies.memory, {
       onComplete: (body) => {
         if (response.writableEnded) {
           return;
@@ -111,6 +111,11 @@
           this.refuse(request, writer, "invalid-request", forwarded);
         }
       },
+      onNoMemory: () => {
+        if (!response.writableEnded) {
+          this.refuse(request, writer, "daemon-busy", forwarded);
+        }
+      },
       onIncomplete: () => undefined,
     });
   }
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -1,13 +1,14 @@
 import type { AttemptEnd, ResponseHead } from "@pistachioway/kernel";
 import { describeAnswer, type ExchangeFailure, type ExchangeListener } from "../exchange/index.js";
 import { Attempt } from "./Attempt.js";
+import { describeBound, type AnswerBound } from "./AnswerBody.js";
 import type { RequestResponse } from "./RequestResponse.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { ActiveRequestReport, type ActiveRequestOutcome } from "./ActiveRequestReport.js";
 import type { AcceptedRequest } from "./AcceptedRequest.js";
 import { decideRequestRetry } from "./decideRequestRetry.js";
 import { mayHaveRun } from "./mayHaveRun.js";
-import { RelayedStream } from "./RelayedStream.js";
+import { ReceivedAnswer } from "./ReceivedAnswer.js";
 import { RequestEvidence } from "./RequestEvidence.js";
 import { SlowAttemptMonitor } from "./SlowAttemptMonitor.js";
 import { StreamOrigin } from "./StreamOrigin.js";
@@ -17,7 +18,6 @@
 import { requestDeadline, type TimeLimit } from "./TimeLimit.js";
 
 const serverErrorStatus = 500;
-const maxKeptBytes = 8_388_608;
 
 /** A request in flight: chooses an upstream, sends the request, relays the response, and retries. */
 export class ActiveRequest {
@@ -33,7 +33,7 @@
   private isFinished = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private readonly targets: TargetChooser;
-  private readonly stream: RelayedStream;
+  private readonly answer: ReceivedAnswer;
   private readonly report: ActiveRequestReport;
   private readonly slowAttemptMonitor: SlowAttemptMonitor;
   private readonly evidence: RequestEvidence;
@@ -58,7 +58,14 @@
     private readonly request: AcceptedRequest,
     private readonly response: RequestResponse,
   ) {
-    this.stream = RelayedStream.create(request.approval.route, response);
+    this.answer = ReceivedAnswer.create({
+      route: request.approval.route,
+      response,
+      memory: dependencies.memory,
+      onEvicted: () => {
+        this.handleBound("memory");
+      },
+    });
     this.report = ActiveRequestReport.create(dependencies, request);
     this.evidence = RequestEvidence.create(dependencies.quarantine, request);
     this.origin = StreamOrigin.create(dependencies, request);
@@ -148,6 +155,7 @@
     }
     const attempt = Attempt.create(target);
     this.attempt = attempt;
+    this.answer.clear();
     this.slowAttemptMonitor.start(attempt, this.runs, (slowAttempt) => {
       this.handleSlowAttempt(slowAttempt);
     });
@@ -156,7 +164,7 @@
 
   private getLastEventId(): string | undefined {
     const { forwarded, head } = this.request;
-    return this.stream.prepareContinuation() ?? forwarded?.lastEventId ?? head.lastEventId;
+    return this.answer.stream.prepareContinuation() ?? forwarded?.lastEventId ?? head.lastEventId;
   }
 
   private handleSlowAttempt(attempt: Attempt): void {
@@ -180,10 +188,10 @@
     this.targets.addTriedUpstream(attempt.target.getReport(now).upstream);
     if (head.meaning === "refusal") {
       this.recordNotRun();
-    } else if (this.stream.isPart(head)) {
+    } else if (this.answer.stream.isPart(head)) {
       attempt.startStream();
       this.origin.recordStart(attempt.target.getSoftwareVersion());
-      if (this.stream.start(attempt, head, now)) {
+      if (this.answer.stream.start(attempt, head, now)) {
         this.firstByteAt = now;
       }
     }
@@ -195,18 +203,24 @@
       return;
     }
     attempt.recordBody(chunk, this.dependencies.getNow());
-    if (this.stream.isPart(attempt.head)) {
-      this.stream.relay(attempt, chunk);
-    } else if (attempt.keepChunk(chunk) > maxKeptBytes) {
-      attempt.cancel();
-      const detail = `answer is larger than ${String(maxKeptBytes)} bytes`;
-      this.handleFailure({
-        end: "lost",
-        detail,
-        hasConnectFailed: false,
-        wasClosedByUpstream: false,
-      });
+    const bound = this.answer.push(attempt, attempt.head, chunk);
+    if (bound !== undefined) {
+      this.handleBound(bound);
+    }
+  }
+
+  /** Fails an attempt whose answer exceeds a bound. */
+  private handleBound(bound: AnswerBound): void {
+    const { attempt } = this;
+    if (attempt === undefined) {
+      return;
+    }
+    attempt.cancel();
+    this.report.recordBound(attempt, bound);
+    if (attempt.head?.meaning === "refusal") {
+      this.recordFailure(attempt.target);
     }
+    this.handleFailure(createLoss(describeBound(bound), false));
   }
 
   private handleEnd(): void {
@@ -215,13 +229,7 @@
       return;
     }
     if (attempt.isBrokenOff()) {
-      const detail = "the stream ended inside an event";
-      this.handleFailure({
-        end: "lost",
-        detail,
-        hasConnectFailed: false,
-        wasClosedByUpstream: true,
-      });
+      this.handleFailure(createLoss("the stream ended inside an event", true));
       return;
     }
     const { head, target } = attempt;
@@ -235,7 +243,7 @@
       this.handleUnproven(target, head);
     } else if (head.status >= serverErrorStatus) {
       this.handleServerError(attempt, head);
-    } else if (this.response.isStarted() && !this.stream.isPart(head)) {
+    } else if (this.response.isStarted() && !this.answer.stream.isPart(head)) {
       // The stream was resumed at another upstream, whose response is not a stream.
       this.retryOrFail("failed", `${target.description} answered ${String(head.status)}`);
     } else {
@@ -245,12 +253,8 @@
   }
 
   private complete(attempt: Attempt, head: ResponseHead): void {
-    if (this.stream.isPart(head)) {
-      this.stream.end(attempt);
-    } else {
-      const report = attempt.target.getReport(this.dependencies.getNow());
-      this.response.sendComplete(head, attempt.getBody(), this.request.method === "HEAD", report);
-    }
+    const report = attempt.target.getReport(this.dependencies.getNow());
+    this.answer.complete(attempt, head, this.request.method === "HEAD", report);
     this.finish("answered");
   }
 
@@ -390,6 +394,12 @@
   private finish(outcome: ActiveRequestOutcome): void {
     this.isFinished = true;
     clearTimeout(this.deadlineTimer);
+    this.answer.clear();
     this.report.recordEnd(outcome, this, this.target, this.firstByteAt);
   }
 }
+
+/** Creates the failure of an attempt that may have run and whose answer is not complete. */
+function createLoss(detail: string, wasClosedByUpstream: boolean): ExchangeFailure {
+  return { end: "lost", detail, hasConnectFailed: false, wasClosedByUpstream };
+}
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -2,6 +2,7 @@
   FleetNotice,
   HeaderCodec,
   LimitShare,
+  MemoryBudget,
   PrefixDirectory,
   ContentQuarantine,
   RoutedService,
@@ -39,6 +40,8 @@
   readonly quarantine: ContentQuarantine;
   readonly streams: StreamDirectory;
   readonly metrics: RouterMetrics;
+  /** Memory for bodies that are kept. */
+  readonly memory: MemoryBudget;
   /** Sends requests through peers; undefined for requests that a peer has forwarded, which go no further. */
   readonly forwarder: RequestForwarder | undefined;
   /** Ticks at which attempts are checked for slowness. */
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -1,6 +1,7 @@
 import type { AttemptEnd } from "@pistachioway/kernel";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { toHex } from "../log/toHex.js";
+import type { AnswerBound } from "./AnswerBody.js";
 import { getResumedIdStart, getSharedBlockIds, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { Attempt } from "./Attempt.js";
 import type { AttemptTarget, TargetReport } from "./AttemptTarget.js";
@@ -83,6 +84,24 @@
     this.dependencies.metrics.lostAttempts.inc({ service: this.request.service });
   }
 
+  /**
+   * Records that an attempt is ended because of its answer's size.
+   * @param attempt - The attempt.
+   * @param bound - The bound that the answer exceeds.
+   */
+  recordBound({ target, head }: Attempt, bound: AnswerBound): void {
+    const { getNow, memory, metrics, record } = this.dependencies;
+    record("warn", "answer.unbounded", {
+      request: this.request.head.id,
+      upstream: target.getReport(getNow()).upstream,
+      service: this.request.service,
+      status: head?.status ?? 0,
+      bound,
+      kept: memory.getUsedBytes(),
+    });
+    metrics.unboundedAnswers.inc({ bound });
+  }
+
   /**
    * Records the end of the request.
    * @param outcome - How it ended.
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -13,8 +13,6 @@
   firstBodyByteAt: number | undefined;
   private isStreaming = false;
   private readonly boundary = EventBoundary.create();
-  private readonly chunks: Buffer[] = [];
-  private keptBytes = 0;
   private exchange: Exchange | undefined;
 
   private constructor(readonly target: AttemptTarget) {}
@@ -43,22 +41,6 @@
     return this.exchange?.mayHaveRun() ?? false;
   }
 
-  /**
-   * Keeps bytes of a response that is sent to the caller only when it is complete.
-   * @param chunk - Bytes of its body.
-   * @returns Number of bytes kept so far.
-   */
-  keepChunk(chunk: Buffer): number {
-    this.chunks.push(chunk);
-    this.keptBytes += chunk.length;
-    return this.keptBytes;
-  }
-
-  /** Gets the kept body. */
-  getBody(): Buffer {
-    return Buffer.concat(this.chunks);
-  }
-
   /** Records that bytes of the response were received. */
   recordReceivedBytes(now: number): void {
     this.lastReceivedAt = now;
--- a/packages/daemon/src/ingress/IngressServer.ts
+++ b/packages/daemon/src/ingress/IngressServer.ts
@@ -120,7 +120,7 @@
       return;
     }
     const maxBytes = this.dependencies.getTable()?.limits.bodyBytes ?? 0;
-    readBody(request, maxBytes, {
+    readBody(response, maxBytes, this.dependencies.requestDependencies.memory, {
       onComplete: (body) => {
         const accepted = this.createAcceptedRequest(request, head, decision, body, arrivedAt);
         this.startIfServed(accepted, running, callerResponse);
@@ -135,6 +135,11 @@
           );
         }
       },
+      onNoMemory: () => {
+        if (!response.writableEnded) {
+          this.refuse(callerResponse, head, "memory-used-up", "no memory for the body");
+        }
+      },
       onIncomplete: ({ message }) => {
         this.dependencies.requestDependencies.record("info", "request.incomplete", {
           request: head.id,
--- a/packages/daemon/src/ingress/RequestResponse.ts
+++ b/packages/daemon/src/ingress/RequestResponse.ts
@@ -63,6 +63,18 @@
     this.response.once("drain", onDrain);
   }
 
+  /**
+   * Calls a function once the response has been written or its connection has ended; at once if it has.
+   * @param onClose - Function to call.
+   */
+  onceClosed(onClose: () => void): void {
+    if (this.response.closed) {
+      onClose();
+    } else {
+      this.response.once("close", onClose);
+    }
+  }
+
   /** Ends a complete stream. */
   endStream(): void {
     this.response.end();
--- a/packages/daemon/src/ingress/refusals.ts
+++ b/packages/daemon/src/ingress/refusals.ts
@@ -18,6 +18,7 @@
   | "deadline-exceeded"
   | "not-run-in-time"
   | "daemon-stopping"
+  | "memory-used-up"
   | "internal";
 
 /** Checks whether a text is the name of a refusal. */
@@ -67,5 +68,6 @@
   "deadline-exceeded": { status: 504 },
   "not-run-in-time": { status: 503, retryAfterSeconds: 0.1 },
   "daemon-stopping": { status: 503, retryAfterSeconds: 0.1 },
+  "memory-used-up": { status: 503, retryAfterSeconds: 0.3 },
   internal: { status: 500 },
 };
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -35,6 +35,19 @@
     registers: [this.registry],
   });
 
+  readonly unboundedAnswers = new Counter({
+    name: "pistachioway_unbounded_answers_total",
+    help: "Answers of upstreams that were ended because of their size, by the bound that they exceeded.",
+    labelNames: ["bound"],
+    registers: [this.registry],
+  });
+
+  readonly keptBytes = new Gauge({
+    name: "pistachioway_kept_bytes",
+    help: "Bytes of bodies of callers and upstreams that the process keeps.",
+    registers: [this.registry],
+  });
+
   readonly registryCalls = new Counter({
     name: "pistachioway_registry_calls_total",
     help: "Calls of the registry by call and result.",
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -2,6 +2,7 @@
   PrefixDirectory,
   ContentQuarantine,
   getReleaseDelay,
+  MemoryBudget,
   RouteTable,
   type ClockReading,
   type HeaderCodec,
@@ -10,7 +11,6 @@
   type UpstreamNotice,
   toFleetNotice,
 } from "@pistachioway/kernel";
-import { setTimeout as delay } from "node:timers/promises";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { FleetTask, PeerStateTask } from "../fleet/index.js";
 import {
@@ -22,11 +22,12 @@
 import type { Fields, LogLevel } from "../log/line.js";
 import type { StreamLog } from "../log/StreamLog.js";
 import { RouterMetrics } from "../metrics/RouterMetrics.js";
-import { RegistryTask } from "../registry/index.js";
+import type { RegistryTask } from "../registry/index.js";
 import type { StreamDirectory } from "../streams/index.js";
 import { createFleetTask, toDatagramAddress } from "./createFleetTask.js";
 import { createForwarding, type Forwarding } from "./createForwarding.js";
 import { createPeerStateTask } from "./createPeerStateTask.js";
+import { createRegistryTask } from "./createRegistryTask.js";
 import { createStreamDirectory } from "./createStreamDirectory.js";
 import { getLimitShare } from "./getLimitShare.js";
 import { NoticeLog } from "./NoticeLog.js";
@@ -40,6 +41,8 @@
 const clockErrorMilliseconds = 200;
 /** Interval of the one timer that drives all periodic checks, which wakes the process less often. */
 const tickMilliseconds = 100;
+/** Memory for bodies of callers and upstreams, beside the heap of the smallest host's process. */
+const maxKeptBytes = 67_108_864;
 const ticksPerHousekeeping = 2;
 const ticksPerPeerCheck = 3;
 
@@ -54,6 +57,7 @@
 /** A daemon that routes requests to upstreams by the configuration that a registry publishes. */
 export class Router {
   private readonly metrics = RouterMetrics.create();
+  private readonly memory = MemoryBudget.create(maxKeptBytes);
   private readonly pool = ConnectionPool.create();
   private readonly prefixes = PrefixDirectory.create();
   private readonly quarantine = ContentQuarantine.create({
@@ -91,10 +95,18 @@
     this.notices = NoticeLog.create(this.metrics, (level, event, fields) => {
       this.record(level, event, fields);
     });
-    this.registryTask = this.createRegistryTask();
     const record = (level: LogLevel, event: string, fields: Fields): void => {
       this.record(level, event, fields);
     };
+    this.registryTask = createRegistryTask({
+      registry: dependencies.registry,
+      metrics: this.metrics,
+      getClocks: readClocks,
+      record,
+      onTable: (table) => {
+        this.applyTable(table);
+      },
+    });
     const { registryTask: registry, pool } = this;
     const { upstreams } = registry;
     const getNow = readMonotonicClock;
@@ -199,24 +211,6 @@
     this.forwarding.pool.close();
   }
 
-  private createRegistryTask(): RegistryTask {
-    return RegistryTask.create({
-      registry: this.dependencies.registry,
-      getClocks: readClocks,
-      pause: (milliseconds, signal) =>
-        delay(milliseconds, undefined, { signal }).catch(() => undefined),
-      record: (level, event, fields) => {
-        this.record(level, event, fields);
-      },
-      onTable: (table) => {
-        this.applyTable(table);
-      },
-      onCall: (call, result) => {
-        this.metrics.registryCalls.inc({ call, result });
-      },
-    });
-  }
-
   private createFleetTask(): FleetTask {
     const record = (level: LogLevel, event: string, fields: Fields): void => {
       this.record(level, event, fields);
@@ -247,6 +241,7 @@
       reachability: this.reachability,
       forwarding: this.forwarding,
       pool: this.pool,
+      memory: this.memory,
       metrics: this.metrics,
       getNow: readMonotonicClock,
       isStopping: () => this.plannedStop !== undefined,
@@ -293,6 +288,7 @@
       quarantine: this.quarantine,
       streams: this.streams,
       metrics: this.metrics,
+      memory: this.memory,
       forwarder: undefined,
       ticks: this.ticks,
       zone: settings.process.zone,
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -1,4 +1,4 @@
-import { noticeKinds, type RouterStatus } from "@pistachioway/kernel";
+import { noticeKinds, type MemoryBudget, type RouterStatus } from "@pistachioway/kernel";
 import type { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import { peerStatePath, type FleetTask, type PeerState } from "../fleet/index.js";
 import type { IngressServer } from "../ingress/index.js";
@@ -22,6 +22,7 @@
   readonly reachability: ReachabilityTask;
   readonly forwarding: Forwarding;
   readonly pool: ConnectionPool;
+  readonly memory: MemoryBudget;
   readonly metrics: RouterMetrics;
   readonly getNow: () => number;
   readonly isStopping: () => boolean;
@@ -104,10 +105,11 @@
   }
 
   private async getMetricsPage(): Promise<OperationsPage> {
-    const { registry, metrics, pool } = this.dependencies;
+    const { registry, metrics, memory, pool } = this.dependencies;
     const age = registry.getAgeMilliseconds();
     metrics.configurationAge.set(Number.isFinite(age) ? age / millisecondsPerSecond : -1);
     metrics.registryEra.set(registry.era.getEra() ?? -1);
+    metrics.keptBytes.set(memory.getUsedBytes());
     metrics.connections.set(pool.getOpenedCount());
     this.measureWaitingNotices();
     const text = await metrics.registry.metrics();
--- a/packages/daemon/tests/router/RouterProcess.ts
+++ b/packages/daemon/tests/router/RouterProcess.ts
@@ -35,8 +35,13 @@
    * the machine needs; what the router does itself must end in time.
    * @param store - Store that publishes them.
    * @param upstreamCount - Number of upstreams that the store publishes.
+   * @param nodeOptions - Options of the runtime.
    */
-  static async start({ address }: RegistryStore, upstreamCount: number): Promise<RouterProcess> {
+  static async start(
+    { address }: RegistryStore,
+    upstreamCount: number,
+    nodeOptions: readonly string[] = [],
+  ): Promise<RouterProcess> {
     const folder = await mkdtemp(join(tmpdir(), "pistachioway-stop-"));
     const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = await getFreePorts(4);
     const at = (port: number): string => `"127.0.0.1:${String(port)}"`;
@@ -47,7 +52,7 @@
         `readiness = ${at(readiness)}\noperations = ${at(operations)}\n` +
         `datagrams = ${at(datagrams)}\n[registry]\naddress = "${address}"\n`,
     );
-    const child = spawn(process.execPath, [main, "--settings", file], {
+    const child = spawn(process.execPath, [...nodeOptions, main, "--settings", file], {
       stdio: ["ignore", "pipe", 2],
     });
     const router = new RouterProcess(child, callers, folder);
@@ -78,6 +83,11 @@
     return socket;
   }
 
+  /** Checks whether the process has ended. */
+  hasExited(): boolean {
+    return this.child.exitCode !== null || this.child.signalCode !== null;
+  }
+
   /** Waits until the process has exited, and gets its exit code. */
   waitForExit(): Promise<number | null> {
     return this.exit;
--- /dev/null
+++ b/packages/daemon/tests/router/endlessAnswers.test.ts
@@ -0,0 +1,152 @@
+import {
+  RegistryStore,
+  respondWith,
+  ScriptedUpstream,
+  sendEndless,
+  type EndlessAnswer,
+  type Script,
+} from "@pistachioway/standins";
+import { setTimeout as delay } from "node:timers/promises";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { readResponse, waitFor, type RawResponse } from "./RouterFixture.js";
+import { RouterProcess } from "./RouterProcess.js";
+
+interface Context {
+  store: RegistryStore;
+  upstreams: readonly ScriptedUpstream[];
+  router: RouterProcess;
+}
+
+const test = suite<Context>("endless answers of upstreams");
+
+const timeoutMilliseconds = 5_000;
+/** Less than what the deploy file allows, so that the tests need fewer bytes to fill it. */
+const nodeOptions = ["--max-old-space-size=80"];
+const endlessRequests = 12;
+const soundRequests = 20;
+const soundIntervalMilliseconds = 50;
+
+const json = "application/json";
+const notRun = ["Not-Run", "1"];
+
+/** The endless answers, by what they are, each with the route that gets it. */
+const kinds: Readonly<Record<string, { route: string; answer: EndlessAnswer }>> = {
+  "errors in small pieces": {
+    route: "read",
+    answer: { status: 500, contentType: json, pieceBytes: 4 },
+  },
+  "errors in large pieces": {
+    route: "act",
+    answer: { status: 500, contentType: json, pieceBytes: 60_000 },
+  },
+  "errors without chunks": {
+    route: "stream",
+    answer: { status: 500, contentType: json, pieceBytes: 1_000, isChunked: false },
+  },
+  "answers in small pieces": {
+    route: "act",
+    answer: { status: 200, contentType: json, pieceBytes: 4 },
+  },
+  "refusals in small pieces": {
+    route: "read",
+    answer: { status: 503, contentType: json, pieceBytes: 4, headers: notRun },
+  },
+  "refusals without chunks": {
+    route: "act",
+    answer: { status: 503, contentType: json, pieceBytes: 9, headers: notRun, isChunked: false },
+  },
+};
+
+test.before.each(async (context) => {
+  context.store = RegistryStore.create();
+  context.upstreams = [ScriptedUpstream.create("i-1"), ScriptedUpstream.create("i-2")];
+  await Promise.all([context.store, ...context.upstreams].map((server) => server.listen()));
+  context.store.publishConfiguration({ timeoutMilliseconds });
+  context.upstreams.forEach((upstream) => {
+    context.store.publishUpstream(upstream);
+  });
+  context.router = await RouterProcess.start(context.store, context.upstreams.length, nodeOptions);
+});
+
+test.after.each(async ({ store, upstreams, router }) => {
+  await router.kill();
+  await Promise.all([store, ...upstreams].map((server) => server.close()));
+});
+
+/** Answers requests of paths that end with "endless" so, and all others at once. */
+function spoil({ upstreams }: Context, answer: EndlessAnswer): void {
+  const script: Script = (request, response) => {
+    const respond = request.path.endsWith("endless") ? sendEndless(answer) : respondWith("sound");
+    respond(request, response);
+  };
+  upstreams.forEach((upstream) => {
+    upstream.setScript(script);
+  });
+}
+
+async function call({ router }: Context, path: string, id: string): Promise<RawResponse> {
+  const socket = router.open();
+  socket.write(
+    `POST ${path} HTTP/1.1\r\nHost: chat.example\r\nRequest-Id: ${id}\r\nApi-Key: k-1\r\n` +
+      `Deadline-Ms: ${String(timeoutMilliseconds)}\r\nContent-Length: 1\r\n\r\nx`,
+  );
+  return readResponse(socket);
+}
+
+function startEndless(context: Context, route: string): readonly Promise<RawResponse>[] {
+  return Array.from({ length: endlessRequests }, (_, index) =>
+    call(context, `/${route}/endless`, `e-${String(index)}`),
+  );
+}
+
+/** Sends sound requests one after another while the endless answers come, and counts them by status. */
+async function countSound(context: Context): Promise<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (let index = 0; index < soundRequests; index += 1) {
+    const { status } = await call(context, "/act/sound", `s-${String(index)}`);
+    counts[status] = (counts[status] ?? 0) + 1;
+    await delay(soundIntervalMilliseconds);
+  }
+  return counts;
+}
+
+// Guards against answers without end that fill the heap, so that the process ends with all that it has in flight (LOST).
+for (const [name, { route, answer }] of Object.entries(kinds)) {
+  test(`${name} neither end the process nor keep it from sound requests`, async (context) => {
+    spoil(context, answer);
+    const endless = startEndless(context, route);
+    assert.equal(await countSound(context), { 200: soundRequests });
+    assert.is(context.router.hasExited(), false);
+    await context.router.kill();
+    await Promise.all(endless);
+  });
+}
+
+// Guards against answers that are each within their bound and together fill the memory.
+test("answers that together exceed the memory for bodies fail, and the process lives on", async (context) => {
+  // At this rate all of them grow side by side.
+  const bytesPerSecond = 4_000_000;
+  spoil(context, { status: 500, contentType: json, pieceBytes: 60_000, bytesPerSecond });
+  const endless = startEndless(context, "act");
+  await waitFor(() => context.router.getLines("answer.unbounded").length >= endlessRequests);
+  const responses = await Promise.all(endless);
+  assert.equal(new Set(responses.map(({ status }) => status)), new Set([502]));
+  const lines = context.router.getLines("answer.unbounded");
+  assert.ok(lines.some((line) => line.includes("bound=memory")));
+  assert.equal((await call(context, "/act/sound", "s-last")).status, 200);
+});
+
+// Guards against callers that wait for what will not come.
+test("an endless refusal counts as one: the request is sent elsewhere", async (context) => {
+  const [first, second] = context.upstreams;
+  const refusal = { status: 503, contentType: json, pieceBytes: 9, headers: notRun };
+  first?.setScript(sendEndless(refusal));
+  second?.setScript(respondWith("sound"));
+  for (let index = 0; index < 4; index += 1) {
+    const { status, body } = await call(context, "/act/1", `a-${String(index)}`);
+    assert.equal([status, body], [200, "sound"]);
+  }
+});
+
+test.run();
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./acts/index.js";
 export * from "./admission/index.js";
+export * from "./bytes/index.js";
 export * from "./configuration/index.js";
 export * from "./errors/index.js";
 export * from "./fleet/index.js";
--- a/packages/standins/src/registry/index.ts
+++ b/packages/standins/src/registry/index.ts
@@ -4,6 +4,7 @@
   type PublishedRoute,
   type PublishedRouteKind,
 } from "./configuration.js";
+export { sendEndless, type EndlessAnswer } from "./endlessAnswers.js";
 export {
   RegistryStore,
   type AddressTranslation,
