Bound incomplete events and share the reading: one endless stream no longer stops the router

Callers saw: one stream without an empty line at 1 to 3 MB/s, and no answer, 504 or readiness of the router for 3 s and more. Cause: CompleteEventBuffer joined each piece with all bytes of the event and searched all of them again, and had no bound. Nothing kept a fast connection from taking the whole process. Change: EventBoundary looks at each byte once and is shared by both users; an event has 1 MiB and 65,536 pieces; ReadPacer pauses connections that bring more than their share and reads them in turn; at most 32 informational heads an answer.

--- a/packages/daemon/src/exchange/ConnectionPool.ts
+++ b/packages/daemon/src/exchange/ConnectionPool.ts
@@ -1,18 +1,27 @@
 import { Connection, type ConnectionOptions } from "./Connection.js";
+import { ReadPacer } from "./ReadPacer.js";
 
 /** Keeps the idle connections to upstreams or peers, by address. */
 export class ConnectionPool {
   private readonly idleByAddress = new Map<string, Connection[]>();
   private openedCount = 0;
 
-  private constructor(private readonly options: ConnectionOptions) {}
+  private constructor(
+    private readonly options: ConnectionOptions,
+    /** Shares the time of the process among the connections that are read. */
+    readonly pacer: ReadPacer,
+  ) {}
 
   /**
    * Creates an empty pool.
    * @param options - Options of its connections.
+   * @param pacer - Shares the time of the process among all connections that are read.
    */
-  static create(options: ConnectionOptions = {}): ConnectionPool {
-    return new ConnectionPool(options);
+  static create(
+    options: ConnectionOptions = {},
+    pacer = ReadPacer.createDefault(),
+  ): ConnectionPool {
+    return new ConnectionPool(options, pacer);
   }
 
   /** Gets the number of connections opened so far. */
--- a/packages/daemon/src/exchange/Exchange.ts
+++ b/packages/daemon/src/exchange/Exchange.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "undici";
 import type { Connection } from "./Connection.js";
 import type { ConnectionPool } from "./ConnectionPool.js";
+import type { ReadTurn } from "./ReadTurn.js";
 import { describeAnswer } from "./describeAnswer.js";
 
 /** A request as it is sent to an upstream. */
@@ -41,6 +42,8 @@
 export type ResponseCodec = Pick<HeaderCodec, "readResponse">;
 
 const firstFinalStatus = 200;
+/** Heads before the final one that an answer may have. */
+const maxInformationalHeads = 32;
 /** Codes of errors that tell that the other side ended the connection. */
 const closedByOtherSideCodes: ReadonlySet<string> = new Set([
   "ECONNRESET",
@@ -54,6 +57,12 @@
   private wasSent = false;
   private isFinished = false;
   private wasRefused = false;
+  private informationalHeads = 0;
+  /** Whether the listener does not want to read on. */
+  private isPaused = false;
+  /** Whether other connections are read first. */
+  private isWaiting = false;
+  private readonly turn: ReadTurn;
 
   private constructor(
     private readonly pool: ConnectionPool,
@@ -61,7 +70,18 @@
     private readonly request: OutgoingRequest,
     private readonly codec: ResponseCodec,
     private readonly listener: ExchangeListener,
-  ) {}
+  ) {
+    this.turn = pool.pacer.addTurn(
+      () => {
+        this.isWaiting = true;
+        this.controller?.pause();
+      },
+      () => {
+        this.isWaiting = false;
+        this.readOn();
+      },
+    );
+  }
 
   /**
    * Sends a request.
@@ -91,19 +111,21 @@
   /** Cancels the request by closing its connection, which the upstream notices. */
   cancel(): void {
     if (!this.isFinished) {
-      this.isFinished = true;
+      this.finish();
       this.connection.destroy();
     }
   }
 
   /** Stops reading the response until resumed. */
   pause(): void {
+    this.isPaused = true;
     this.controller?.pause();
   }
 
   /** Continues to read the response. */
   resume(): void {
-    this.controller?.resume();
+    this.isPaused = false;
+    this.readOn();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -116,7 +138,11 @@
     statusCode: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (this.isFinished || statusCode < firstFinalStatus) {
+    if (this.isFinished) {
+      return;
+    }
+    if (statusCode < firstFinalStatus) {
+      this.countInformationalHead();
       return;
     }
     const head = this.codec.readResponse(statusCode, headers, this.request.requestId);
@@ -131,6 +157,7 @@
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (!this.isFinished) {
       this.listener.onData(chunk);
+      this.turn.addPiece(chunk.length);
     }
   }
 
@@ -142,7 +169,7 @@
       this.fail("the connection broke before the end of the answer", true);
       return;
     }
-    this.isFinished = true;
+    this.finish();
     if (this.wasRefused) {
       this.connection.addRefusedRequest(this.request.requestId);
     }
@@ -156,8 +183,26 @@
     }
   }
 
-  private fail(detail: string, wasClosedByUpstream = false): void {
+  private countInformationalHead(): void {
+    this.informationalHeads += 1;
+    if (this.informationalHeads > maxInformationalHeads) {
+      this.fail("the answer has too many informational heads");
+    }
+  }
+
+  private readOn(): void {
+    if (!this.isPaused && !this.isWaiting) {
+      this.controller?.resume();
+    }
+  }
+
+  private finish(): void {
     this.isFinished = true;
+    this.turn.end();
+  }
+
+  private fail(detail: string, wasClosedByUpstream = false): void {
+    this.finish();
     const hasConnectFailed = !this.wasSent && this.connection.hasConnectFailed();
     this.connection.destroy();
     const end = this.wasSent ? "lost" : "notSent";
--- a/packages/daemon/src/exchange/index.ts
+++ b/packages/daemon/src/exchange/index.ts
@@ -7,3 +7,5 @@
   type ExchangeListener,
   type OutgoingRequest,
 } from "./Exchange.js";
+export { ReadPacer, type ReadPacerDependencies } from "./ReadPacer.js";
+export type { ReadTurn } from "./ReadTurn.js";
--- a/packages/daemon/src/ingress/AnswerBody.ts
+++ b/packages/daemon/src/ingress/AnswerBody.ts
@@ -5,8 +5,8 @@
   type ResponseHead,
 } from "@pistachioway/kernel";
 
-/** What an answer exceeds. */
-export type AnswerBound = BodyBound;
+/** What an answer exceeds: a bound of its body, or that of one event of its stream. */
+export type AnswerBound = BodyBound | "event";
 
 const answerLimits = { maxBytes: 8_388_608, maxPieces: 65_536 };
 /** Bounds of the body of an answer that is never passed on, which is read so that its connection can be used again. */
@@ -16,6 +16,7 @@
   bytes: "the answer is too large",
   pieces: "the answer has too many pieces",
   memory: "the memory for bodies is used up",
+  event: "an event of the stream is too large",
 };
 
 /**
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -54,7 +54,9 @@
    */
   recordBody(chunk: Buffer, now: number): void {
     this.firstBodyByteAt ??= now;
-    this.boundary.push(chunk);
+    if (this.isUnframedStream()) {
+      this.boundary.push(chunk);
+    }
     this.recordReceivedBytes(now);
   }
 
@@ -63,7 +65,7 @@
    * framing only an incomplete event shows it.
    */
   isBrokenOff(): boolean {
-    return this.isStreaming && this.head?.isFramed === false && !this.boundary.isAtEnd();
+    return this.isUnframedStream() && !this.boundary.isAtEnd();
   }
 
   /** Records that the response is a stream. */
@@ -91,4 +93,8 @@
   resume(): void {
     this.exchange?.resume();
   }
+
+  private isUnframedStream(): boolean {
+    return this.isStreaming && this.head?.isFramed === false;
+  }
 }
--- a/packages/daemon/src/ingress/CompleteEventBuffer.ts
+++ b/packages/daemon/src/ingress/CompleteEventBuffer.ts
@@ -1,4 +1,9 @@
-const newline = 0x0a;
+import { BodyBuffer, type MemoryShare } from "@pistachioway/kernel";
+import type { AnswerBound } from "./AnswerBody.js";
+import { EventBoundary } from "./EventBoundary.js";
+
+/** Bounds of one event that is not complete. */
+const eventLimits = { maxBytes: 1_048_576, maxPieces: 65_536 };
 const empty = Buffer.alloc(0);
 
 /**
@@ -6,28 +11,35 @@
  * breaks inside an event can be resumed at another upstream.
  */
 export class CompleteEventBuffer {
-  private incomplete: Buffer = empty;
+  private readonly incomplete: BodyBuffer;
+  private boundary = EventBoundary.create();
   private lastCompleted: Buffer = empty;
   private lastEventId: string | undefined;
 
-  private constructor() {
-    // Created through the static method.
+  private constructor(share: MemoryShare) {
+    this.incomplete = BodyBuffer.create(eventLimits, share);
   }
 
-  /** Creates an empty buffer. */
-  static create(): CompleteEventBuffer {
-    return new CompleteEventBuffer();
+  /**
+   * Creates an empty buffer.
+   * @param share - Memory that the incomplete event is kept in.
+   */
+  static create(share: MemoryShare): CompleteEventBuffer {
+    return new CompleteEventBuffer(share);
   }
 
   /**
-   * Adds bytes of the stream and gets the events that are complete now.
+   * Adds bytes of the stream and gets the events that are complete now. Each byte is looked at once.
    * @param chunk - Next bytes.
+   * @returns The complete events, or the bound that the incomplete event exceeds.
    */
-  push(chunk: Buffer): Buffer {
-    const bytes = this.incomplete.length === 0 ? chunk : Buffer.concat([this.incomplete, chunk]);
-    const end = findLastEventEnd(bytes);
-    this.incomplete = end === bytes.length ? empty : bytes.subarray(end);
-    const completed = end === bytes.length ? bytes : bytes.subarray(0, end);
+  push(chunk: Buffer): Buffer | AnswerBound {
+    const end = this.boundary.push(chunk);
+    const completed = end === 0 ? empty : this.complete(chunk.subarray(0, end));
+    const bound = end < chunk.length ? this.incomplete.push(chunk.subarray(end)) : undefined;
+    if (bound !== undefined) {
+      return bound === "memory" ? "memory" : "event";
+    }
     if (completed.length > 0) {
       this.lastCompleted = completed;
     }
@@ -36,11 +48,17 @@
 
   /** Gets the bytes after the last complete event, and removes them from the buffer. */
   takeIncomplete(): Buffer {
-    const rest = this.incomplete;
-    this.incomplete = empty;
+    const rest = this.incomplete.toBuffer();
+    this.clear();
     return rest;
   }
 
+  /** Removes the bytes after the last complete event. */
+  clear(): void {
+    this.incomplete.clear();
+    this.boundary = EventBoundary.create();
+  }
+
   /** Gets the id of the last complete event that has one. */
   getLastEventId(): string | undefined {
     const text = this.lastCompleted.toString("latin1");
@@ -49,18 +67,14 @@
     this.lastCompleted = empty;
     return this.lastEventId;
   }
-}
 
-/** Finds the end of the last complete event, which an empty line ends; 0 when there is none. */
-function findLastEventEnd(bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
-    if (bytes[index] !== newline) {
-      continue;
-    }
-    const before = bytes[index - 1];
-    if (before === newline || (before === 0x0d && bytes[index - 2] === newline)) {
-      return index + 1;
+  /** Gets the kept bytes and those that complete their event. */
+  private complete(bytes: Buffer): Buffer {
+    const completed =
+      this.incomplete.length === 0 ? bytes : Buffer.concat([this.incomplete.toBuffer(), bytes]);
+    if (this.incomplete.length > 0) {
+      this.incomplete.clear();
     }
+    return completed;
   }
-  return 0;
 }
--- a/packages/daemon/src/ingress/EventBoundary.ts
+++ b/packages/daemon/src/ingress/EventBoundary.ts
@@ -1,10 +1,12 @@
-/** Longest end of an event, which is two line ends. */
-const maxEndLength = 4;
-const eventEnd = /\n\r?\n$/;
+const newline = 0x0a;
+const carriageReturn = 0x0d;
 
-/** Tells whether a stream of server-sent events is at the end of an event. */
+/** Finds the ends of server-sent events in a stream that arrives in pieces. An empty line ends an event. */
 export class EventBoundary {
-  private tail = Buffer.alloc(0);
+  /** The last byte and the one before it; 0 at the start. */
+  private last = 0;
+  private beforeLast = 0;
+  private isAtEventEnd = false;
 
   private constructor() {
     // Created through the static method.
@@ -18,14 +20,43 @@
   /**
    * Adds bytes of the stream.
    * @param chunk - Next bytes.
+   * @returns Number of its bytes up to the end of the last complete event; 0 when none ends in it.
    */
-  push(chunk: Buffer): void {
-    const bytes = chunk.length >= maxEndLength ? chunk : Buffer.concat([this.tail, chunk]);
-    this.tail = Buffer.from(bytes.subarray(-maxEndLength));
+  push(chunk: Buffer): number {
+    const end = this.findLastEnd(chunk);
+    if (chunk.length > 0) {
+      this.isAtEventEnd = end === chunk.length;
+      this.beforeLast = chunk.at(-2) ?? this.last;
+      this.last = chunk.at(-1) ?? 0;
+    }
+    return end;
   }
 
   /** Checks whether the last event is complete; false for a stream without events. */
   isAtEnd(): boolean {
-    return eventEnd.test(this.tail.toString("latin1"));
+    return this.isAtEventEnd;
+  }
+
+  private findLastEnd(chunk: Buffer): number {
+    let index = chunk.lastIndexOf(newline);
+    while (index >= 0) {
+      const before = this.getByte(chunk, index - 1);
+      const isEmptyLine =
+        before === newline ||
+        (before === carriageReturn && this.getByte(chunk, index - 2) === newline);
+      if (isEmptyLine) {
+        return index + 1;
+      }
+      index = index === 0 ? -1 : chunk.lastIndexOf(newline, index - 1);
+    }
+    return 0;
+  }
+
+  /** Gets a byte of a chunk; at a negative index, one that came before it. */
+  private getByte(chunk: Buffer, index: number): number {
+    if (index >= 0) {
+      return chunk[index] ?? 0;
+    }
+    return index === -1 ? this.last : this.beforeLast;
   }
 }
--- a/packages/daemon/src/ingress/ReceivedAnswer.ts
+++ b/packages/daemon/src/ingress/ReceivedAnswer.ts
@@ -26,7 +26,7 @@
     options: ReceivedAnswerOptions,
   ) {
     const share = options.memory.addShare(options.onEvicted);
-    this.stream = RelayedStream.create(options.route, response);
+    this.stream = RelayedStream.create(options.route, response, share);
     this.body = AnswerBody.create(share);
   }
 
@@ -43,11 +43,9 @@
    * @returns The bound that the answer exceeds; undefined when the bytes were taken.
    */
   push(attempt: Attempt, head: ResponseHead, chunk: Buffer): AnswerBound | undefined {
-    if (this.stream.isPart(head)) {
-      this.stream.relay(attempt, chunk);
-      return undefined;
-    }
-    return this.body.push(head, chunk);
+    return this.stream.isPart(head)
+      ? this.stream.relay(attempt, chunk)
+      : this.body.push(head, chunk);
   }
 
   /** Ends the response to the caller with the complete answer. */
@@ -64,6 +62,7 @@
 
   /** Drops what was received of an attempt, unless it is being passed on. */
   clear(): void {
+    this.stream.clear();
     this.body.clearUnused();
   }
 }
--- a/packages/daemon/src/ingress/RelayedStream.ts
+++ b/packages/daemon/src/ingress/RelayedStream.ts
@@ -1,4 +1,10 @@
-import { continuesStream, type RequestRoute, type ResponseHead } from "@pistachioway/kernel";
+import {
+  continuesStream,
+  type MemoryShare,
+  type RequestRoute,
+  type ResponseHead,
+} from "@pistachioway/kernel";
+import type { AnswerBound } from "./AnswerBody.js";
 import type { Attempt } from "./Attempt.js";
 import { CompleteEventBuffer } from "./CompleteEventBuffer.js";
 import type { RequestResponse } from "./RequestResponse.js";
@@ -15,18 +21,20 @@
   private constructor(
     private readonly route: RequestRoute,
     private readonly response: RequestResponse,
+    share: MemoryShare,
   ) {
     const isResumable = route.kind === "stream" && route.isResumable;
-    this.eventBuffer = isResumable ? CompleteEventBuffer.create() : undefined;
+    this.eventBuffer = isResumable ? CompleteEventBuffer.create(share) : undefined;
   }
 
   /**
    * Creates a stream that has not begun.
    * @param route - Route of the request.
    * @param response - Response to the caller.
+   * @param share - Memory that an incomplete event is kept in.
    */
-  static create(route: RequestRoute, response: RequestResponse): RelayedStream {
-    return new RelayedStream(route, response);
+  static create(route: RequestRoute, response: RequestResponse, share: MemoryShare): RelayedStream {
+    return new RelayedStream(route, response, share);
   }
 
   /** Checks whether an upstream's response begins the stream, or goes on with it. */
@@ -49,9 +57,17 @@
     return true;
   }
 
-  /** Passes on bytes that an attempt has received, and stops reading while the caller reads more slowly. */
-  relay(attempt: Attempt, chunk: Buffer): void {
-    this.write(attempt, this.eventBuffer?.push(chunk) ?? chunk);
+  /**
+   * Passes on bytes that an attempt has received, and stops reading while the caller reads more slowly.
+   * @returns The bound that an incomplete event exceeds; undefined when the bytes were taken.
+   */
+  relay(attempt: Attempt, chunk: Buffer): AnswerBound | undefined {
+    const bytes = this.eventBuffer?.push(chunk) ?? chunk;
+    if (typeof bytes === "string") {
+      return bytes;
+    }
+    this.write(attempt, bytes);
+    return undefined;
   }
 
   /** Ends the complete stream. */
@@ -66,10 +82,15 @@
    */
   prepareContinuation(): string | undefined {
     const lastEventId = this.response.isStarted() ? this.eventBuffer?.getLastEventId() : undefined;
-    this.eventBuffer?.takeIncomplete();
+    this.clear();
     return lastEventId;
   }
 
+  /** Drops the bytes of an incomplete event. */
+  clear(): void {
+    this.eventBuffer?.clear();
+  }
+
   private write(attempt: Attempt, bytes: Buffer): void {
     if (bytes.length > 0 && !this.response.write(bytes)) {
       attempt.pause();
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -48,6 +48,12 @@
     registers: [this.registry],
   });
 
+  readonly pausedConnections = new Gauge({
+    name: "pistachioway_paused_connections",
+    help: "Connections that wait to be read on, because they bring more than their share.",
+    registers: [this.registry],
+  });
+
   readonly registryCalls = new Counter({
     name: "pistachioway_registry_calls_total",
     help: "Calls of the registry by call and result.",
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -35,6 +35,7 @@
 import { PlannedStop } from "./PlannedStop.js";
 import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
+import { StallLog } from "./StallLog.js";
 import { TickLag } from "./TickLag.js";
 
 /** Clock error that is allowed for when a revoked key must stop being accepted. */
@@ -88,6 +89,7 @@
   private timer: NodeJS.Timeout | undefined;
   private tickCount = 0;
   private readonly tickLag = TickLag.create(tickMilliseconds, this.startedAt);
+  private readonly stalls: StallLog;
   private plannedStop: PlannedStop | undefined;
   private isClosed = false;
 
@@ -107,6 +109,7 @@
         this.applyTable(table);
       },
     });
+    this.stalls = StallLog.create({ memory: this.memory, pacer: this.pool.pacer, record });
     const { registryTask: registry, pool } = this;
     const { upstreams } = registry;
     const getNow = readMonotonicClock;
@@ -334,7 +337,7 @@
 
   private runTick(): void {
     this.tickCount += 1;
-    this.tickLag.recordTick(readMonotonicClock());
+    this.stalls.recordTick(this.tickLag.recordTick(readMonotonicClock()));
     this.reachability.check();
     this.ticks.run();
     if (this.tickCount % ticksPerHousekeeping === 0) {
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -110,6 +110,7 @@
     metrics.configurationAge.set(Number.isFinite(age) ? age / millisecondsPerSecond : -1);
     metrics.registryEra.set(registry.era.getEra() ?? -1);
     metrics.keptBytes.set(memory.getUsedBytes());
+    metrics.pausedConnections.set(pool.pacer.getWaitingCount());
     metrics.connections.set(pool.getOpenedCount());
     this.measureWaitingNotices();
     const text = await metrics.registry.metrics();
--- a/packages/daemon/src/router/TickLag.ts
+++ b/packages/daemon/src/router/TickLag.ts
@@ -22,10 +22,14 @@
     return new TickLag(intervalMilliseconds, now);
   }
 
-  /** Records that the timer has ticked. */
-  recordTick(now: number): void {
+  /**
+   * Records that the timer has ticked.
+   * @returns Lateness of the tick, in milliseconds.
+   */
+  recordTick(now: number): number {
     this.lagMilliseconds = now - this.tickedAt - this.intervalMilliseconds;
     this.tickedAt = now;
+    return this.lagMilliseconds;
   }
 
   /** Checks whether the last tick, or one that is still due, is late. */
--- a/packages/daemon/src/router/createForwarding.ts
+++ b/packages/daemon/src/router/createForwarding.ts
@@ -35,7 +35,8 @@
   { view, requestDependencies, getTable, isDraining, isBusy }: ForwardingContext,
 ): Forwarding {
   const [localAddress = ""] = listeners.datagrams.split(":");
-  const pool = ConnectionPool.create({ localAddress, maxHeaderBytes: maxForwardedHeadBytes });
+  const options = { localAddress, maxHeaderBytes: maxForwardedHeadBytes };
+  const pool = ConnectionPool.create(options, requestDependencies.pool.pacer);
   const { upstreams, onNotices, metrics, getNow, getRandom, getVersion, record } =
     requestDependencies;
   const forwarder = PeerForwarder.create({
--- a/packages/daemon/tests/router/endlessAnswers.test.ts
+++ b/packages/daemon/tests/router/endlessAnswers.test.ts
@@ -28,6 +28,8 @@
 const soundIntervalMilliseconds = 50;
 
 const json = "application/json";
+const eventStream = "text/event-stream";
+const event = "id: 1\ndata: piece\n\n";
 const notRun = ["Not-Run", "1"];
 
 /** The endless answers, by what they are, each with the route that gets it. */
@@ -56,6 +58,22 @@
     route: "act",
     answer: { status: 503, contentType: json, pieceBytes: 9, headers: notRun, isChunked: false },
   },
+  "streams without events": {
+    route: "stream",
+    answer: { status: 200, contentType: eventStream, pieceBytes: 65 },
+  },
+  "streams of empty lines that end no event": {
+    route: "stream",
+    answer: { status: 200, contentType: eventStream, pieceBytes: 64, text: "a\n" },
+  },
+  "streams of events": {
+    route: "stream",
+    answer: { status: 200, contentType: eventStream, pieceBytes: event.length, text: event },
+  },
+  "streams that cannot be resumed": {
+    route: "once",
+    answer: { status: 200, contentType: eventStream, pieceBytes: 4 },
+  },
 };
 
 test.before.each(async (context) => {
@@ -111,7 +129,7 @@
   return counts;
 }
 
-// Guards against answers without end that fill the heap, so that the process ends with all that it has in flight (LOST).
+// Guards against answers without end that fill the heap (LOST) or keep the process from all else (CONFIG).
 for (const [name, { route, answer }] of Object.entries(kinds)) {
   test(`${name} neither end the process nor keep it from sound requests`, async (context) => {
     spoil(context, answer);
