A stream without a record is never taken for one of the first version

Callers saw: after the loss of three of five machines one in ten of their streams of v2 went on at an engine of v1, as if whole. Cause: getFormerVersion took the absence of a record for proof, but asked the routers that are live now; those that were told were lost. A router that nobody answered, or whose list had two versions, also believed a list that could be 3 s old, its own or a peer's. Change: streams of the first version are told when a second appears (OwnStreams); five keepers, told again when they start again; who takes a stream up tells them too; hasSeveral overrules onlyVersion ("" on the wire, which earlier builds take for another version); without an informed answer a list newer than the question must prove it (VersionQuestion). An answer no longer overwrites an own record. Tests: getFormerVersion is gone, so two checks of VersionHistory.test.ts that asked for the faulty rule are replaced by what must hold instead: the version that was alone is not the only one of streams that still run.

--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -255,6 +255,7 @@
   private complete(attempt: Attempt, head: ResponseHead): void {
     const report = attempt.target.getReport(this.dependencies.getNow());
     this.answer.complete(attempt, head, this.request.method === "HEAD", report);
+    this.origin.recordEnd();
     this.finish("answered");
   }
 
--- a/packages/daemon/src/ingress/StreamOrigin.ts
+++ b/packages/daemon/src/ingress/StreamOrigin.ts
@@ -71,6 +71,14 @@
     }
   }
 
+  /** Records that the caller has received the stream whole. */
+  recordEnd(): void {
+    const { approval, head } = this.request;
+    if (approval.route.kind === "stream") {
+      this.dependencies.streams.removeStream(head.resumedRequestId ?? head.id);
+    }
+  }
+
   /** Records that the stream has begun at an upstream of a software version, if that is known. */
   recordStart(version: string | undefined): void {
     this.version ??= version;
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -117,9 +117,12 @@
     this.fleet = this.createFleetTask();
     const { view } = this.fleet;
     this.peerStates = createPeerStateTask({ view, registry, getClocks: readClocks, record });
-    const { datagrams } = dependencies.settings.listeners;
-    const { isFirstStart } = dependencies.settings.process;
-    this.streams = createStreamDirectory(datagrams, isFirstStart, this.fleet, readMonotonicClock);
+    this.streams = createStreamDirectory({
+      address: dependencies.settings.listeners.datagrams,
+      isFirstStart: dependencies.settings.process.isFirstStart,
+      fleet: this.fleet,
+      getNow,
+    });
     this.requestDependencies = this.createActiveRequestDependencies();
     this.forwarding = this.createForwarding();
     this.ingress = this.createIngress();
--- a/packages/daemon/src/router/createStreamDirectory.ts
+++ b/packages/daemon/src/router/createStreamDirectory.ts
@@ -1,23 +1,32 @@
 import type { FleetTask } from "../fleet/index.js";
 import { StreamDirectory } from "../streams/index.js";
 
+/** What the directory of a router depends on. */
+export interface StreamDirectoryContext {
+  /** Address at which the router receives datagrams. */
+  readonly address: string;
+  /** Whether the whole installation starts for the first time. */
+  readonly isFirstStart: boolean;
+  /** Sends the datagrams and knows the other routers. */
+  readonly fleet: FleetTask;
+  /** Reads the monotonic clock, in milliseconds. */
+  readonly getNow: () => number;
+}
+
 /**
  * Creates the directory of streams of a router, which talks to the others by datagrams.
- * @param address - Address at which the router receives datagrams.
- * @param isFirstStart - Whether the whole installation starts for the first time.
- * @param fleet - Sends the datagrams and knows the other routers.
- * @param getNow - Reads the monotonic clock, in milliseconds.
+ * @param context - What it depends on.
  */
-export function createStreamDirectory(
-  address: string,
-  isFirstStart: boolean,
-  fleet: FleetTask,
-  getNow: () => number,
-): StreamDirectory {
+export function createStreamDirectory({
+  address,
+  isFirstStart,
+  fleet,
+  getNow,
+}: StreamDirectoryContext): StreamDirectory {
   return StreamDirectory.create({
     address,
     isFirstStart,
-    getPeerAddresses: () => fleet.view.getLiveStates(getNow()).map((state) => state.address),
+    getPeers: () => fleet.view.getLiveStates(getNow()),
     send: (target, message) => {
       fleet.sendStreamMessage(target, message);
     },
--- a/packages/daemon/src/streams/StreamDirectory.ts
+++ b/packages/daemon/src/streams/StreamDirectory.ts
@@ -1,11 +1,14 @@
 import {
-  maxViewLagMilliseconds,
+  askedKeeperCount,
   pickKeepers,
   StreamVersions,
+  toldKeeperCount,
   VersionHistory,
   type RegistryList,
 } from "@pistachioway/kernel";
+import { OwnStreams, type Peer } from "./OwnStreams.js";
 import { isSendable, type StreamMessage } from "./streamMessages.js";
+import { VersionQuestion, type OwnKnowledge, type VersionListener } from "./VersionQuestion.js";
 
 /** What the directory depends on. */
 export interface StreamDirectoryDependencies {
@@ -13,8 +16,8 @@
   readonly address: string;
   /** Whether the whole installation starts for the first time, so that no stream has begun before. */
   readonly isFirstStart: boolean;
-  /** Gets the addresses of the other live daemons. */
-  readonly getPeerAddresses: () => readonly string[];
+  /** Gets the other live daemons. */
+  readonly getPeers: () => readonly Peer[];
   readonly send: (target: string, message: StreamMessage) => void;
   /** Calls a function after a time; the result cancels it. */
   readonly schedule: (milliseconds: number, run: () => void) => () => void;
@@ -22,61 +25,52 @@
   readonly getNow: () => number;
 }
 
-/** Receives the software version at which a stream began; undefined when nobody knows it. */
-export type VersionListener = (version: string | undefined) => void;
-
-interface Question {
-  readonly service: string;
-  /** Whether its id is that of the request which began the stream, so that keepers without a record tell something. */
-  readonly isNamed: boolean;
-  readonly listeners: VersionListener[];
-  /** Peers that have not answered. */
-  readonly waiting: Set<string>;
-  /** Versions of which a peer knows that the service had no other of late. */
-  readonly onlyVersions: Set<string>;
-  /** Shortest time for which a daemon without a record has kept versions. */
-  keptMilliseconds: number;
+/** A question with the timers that end it. */
+interface OpenQuestion {
+  readonly question: VersionQuestion;
   cancelTimers: () => void;
-}
-
-/** A stream that began at this daemon. */
-interface OwnStream {
-  readonly version: string;
-  readonly begunAt: number;
-  /** Addresses of the daemons that were told. */
-  readonly told: Set<string>;
+  /** True once only a list that is newer than the question can prove the version. */
+  awaitsList: boolean;
 }
 
 /** Time after which a question is sent again, as a datagram may be lost. */
 const repeatMilliseconds = 60;
 const answerTimeoutMilliseconds = 120;
+/** Time after which a list that is newer than a question is not waited for any longer. */
+const listTimeoutMilliseconds = 2_000;
 /** Shortest time between two questions for the only version of a service. */
 const onlyVersionIntervalMilliseconds = 2_000;
-/** Time after its start in which a stream is told to daemons that become its keepers. */
-const ownStreamMilliseconds = 10_000;
 
 /**
  * Finds the software version at which a stream began, for callers that resume it at any daemon.
  *
- * While a service may have several versions, the daemon that begins a stream tells a few others, which are
- * picked by a hash of the request's id. The daemon at which the caller resumes it asks them. Without a
- * record only a daemon that knows all versions which served of late can tell: the only one, or the one that was
- * alone before, if no keeper has a record and all have kept them since.
+ * While others could not tell by themselves, the daemon that has a stream tells a few of them, which are picked by a
+ * hash of the request's id. The daemon at which the caller resumes it asks the first of those that are left. Without a
+ * record only lists can tell: the service has had one version only, and nobody who answers knows of another.
  */
 export class StreamDirectory {
   private readonly versions = StreamVersions.create();
   private readonly history: VersionHistory;
-  private readonly questionsById = new Map<string, Question>();
-  private readonly ownStreamsById = new Map<string, OwnStream>();
+  private readonly ownStreams: OwnStreams;
+  private readonly questionsById = new Map<string, OpenQuestion>();
   /** When others were last asked for the only version of a service. */
   private readonly askedAtByService = new Map<string, number>();
-  /** The live daemons when keepers were last told of own streams. */
-  private toldAddresses = "";
   private readonly startedAt: number;
+  private hadPeers = false;
+  /** Time at which the registry's list was last known to be current. */
+  private listConfirmedAt = -Infinity;
 
   private constructor(private readonly dependencies: StreamDirectoryDependencies) {
     this.startedAt = dependencies.getNow();
     this.history = VersionHistory.create(dependencies.isFirstStart);
+    this.ownStreams = OwnStreams.create({
+      getKeepers: (id) => this.getKeepers(id, toldKeeperCount),
+      isUncertain: (service) =>
+        this.history.getOnlyVersion(service, dependencies.getNow()) === undefined,
+      tell: ({ id, version }, { address }) => {
+        dependencies.send(address, { kind: "keep", id, version });
+      },
+    });
   }
 
   /**
@@ -93,9 +87,12 @@
    */
   recordList(list: RegistryList): void {
     const now = this.dependencies.getNow();
+    const peers = this.dependencies.getPeers();
+    this.hadPeers ||= peers.length > 0;
+    this.listConfirmedAt = now - list.ageMilliseconds;
     this.history.recordList(list, now);
-    this.dropOldOwnStreams(now);
-    this.tellNewKeepers();
+    this.ownStreams.tellMissing(peers, now);
+    this.settleByList();
   }
 
   /**
@@ -107,15 +104,23 @@
   addStream(id: string, service: string, version: string): void {
     const now = this.dependencies.getNow();
     this.versions.add(id, version, now);
-    if (this.history.getOnlyVersion(service, now) !== version && isSendable(id + version)) {
-      const stream = { version, begunAt: now, told: new Set<string>() };
-      this.ownStreamsById.delete(id);
-      this.ownStreamsById.set(id, stream);
-      this.tellKeepers(id, stream);
+    if (!isSendable(id + version)) {
+      return;
+    }
+    this.ownStreams.add(id, service, version, now);
+    if (this.history.getOnlyVersion(service, now) === undefined) {
       this.askWhetherOnly(id, service, now);
     }
   }
 
+  /**
+   * Records that the caller has received a stream whole.
+   * @param id - Id of the request that began it.
+   */
+  removeStream(id: string): void {
+    this.ownStreams.remove(id);
+  }
+
   /**
    * Finds the version at which a stream began; the listener may be called at once.
    * @param id - Id of the request that began the stream.
@@ -128,12 +133,14 @@
       listener(known);
       return;
     }
-    const question = this.questionsById.get(id);
-    if (question === undefined) {
-      this.ask(id, service, true, listener);
-    } else {
-      question.listeners.push(listener);
-    }
+    this.ask(id, service, (found) => {
+      const version = this.versions.get(id) ?? found;
+      if (version !== undefined) {
+        // This daemon has the stream now, and may be gone before its end.
+        this.addStream(id, service, version);
+      }
+      listener(version);
+    });
   }
 
   /**
@@ -143,12 +150,7 @@
    * @param listener - Receives the version.
    */
   findOnlyVersion(id: string, service: string, listener: VersionListener): void {
-    const known = this.history.getOnlyVersion(service, this.dependencies.getNow());
-    if (known === undefined) {
-      this.ask(id, service, false, listener);
-    } else {
-      listener(known);
-    }
+    this.ask(id, service, listener);
   }
 
   /**
@@ -162,61 +164,71 @@
       case "keep":
         this.versions.add(id, message.version, this.dependencies.getNow());
         break;
-      case "ask": {
-        const version = this.versions.get(id);
-        const now = this.dependencies.getNow();
-        const onlyVersion = this.history.getOnlyVersion(message.service, now);
-        const keptMilliseconds = this.getKeptMilliseconds();
+      case "ask":
         this.dependencies.send(sender, {
           kind: "answer",
           id,
-          version,
-          onlyVersion,
-          keptMilliseconds,
+          version: this.versions.get(id),
+          ...this.getOwnKnowledge(message.service),
+          keptMilliseconds: Math.round(this.dependencies.getNow() - this.startedAt),
         });
         break;
-      }
       case "answer":
         this.handleAnswer(message, sender);
         break;
     }
   }
 
-  private getKeepers(id: string): readonly string[] {
-    const { address, getPeerAddresses } = this.dependencies;
-    return pickKeepers(id, [address, ...getPeerAddresses()]).filter((each) => each !== address);
+  private getOwnKnowledge(service: string): OwnKnowledge {
+    const now = this.dependencies.getNow();
+    return {
+      onlyVersion: this.history.getOnlyVersion(service, now),
+      hasSeveral: this.history.hasSeveralVersions(service, now),
+    };
+  }
+
+  private getKeepers(id: string, count: number): readonly Peer[] {
+    const { address, getPeers } = this.dependencies;
+    const peersByAddress = new Map(getPeers().map((peer) => [peer.address, peer]));
+    return pickKeepers(id, [...peersByAddress.keys()], count + 1)
+      .filter((each) => each !== address)
+      .slice(0, count)
+      .flatMap((each) => peersByAddress.get(each) ?? []);
   }
 
-  private ask(id: string, service: string, isNamed: boolean, listener: VersionListener): void {
-    const keepers = isSendable(id) ? this.getKeepers(id) : [];
-    const question: Question = {
-      service,
-      isNamed,
-      listeners: [listener],
-      waiting: new Set(keepers),
-      onlyVersions: new Set(),
-      keptMilliseconds: this.getKeptMilliseconds(),
-      cancelTimers: () => undefined,
-    };
-    if (keepers.length === 0) {
-      this.settle(id, question, this.getUnrecordedVersion(question));
+  private ask(id: string, service: string, listener: VersionListener): void {
+    const open = this.questionsById.get(id);
+    if (open !== undefined) {
+      open.question.addListener(listener);
       return;
     }
+    const { getNow, schedule, send } = this.dependencies;
+    const keepers = isSendable(id) ? this.getKeepers(id, askedKeeperCount) : [];
+    const addresses = keepers.map(({ address }) => address);
+    const question = VersionQuestion.create(service, getNow(), addresses);
+    question.addListener(listener);
     const sendQuestion = (): void => {
       question.waiting.forEach((keeper) => {
-        this.dependencies.send(keeper, { kind: "ask", id, service });
+        send(keeper, { kind: "ask", id, service });
       });
     };
-    const { schedule } = this.dependencies;
-    const cancelRepeat = schedule(repeatMilliseconds, sendQuestion);
-    const cancelTimeout = schedule(answerTimeoutMilliseconds, () => {
-      this.settle(id, question, this.getUnrecordedVersion(question));
-    });
-    question.cancelTimers = () => {
-      cancelRepeat();
-      cancelTimeout();
+    const added: OpenQuestion = { question, cancelTimers: () => undefined, awaitsList: false };
+    this.questionsById.set(id, added);
+    if (keepers.length === 0) {
+      this.handleAllAnswers(id, added);
+      return;
+    }
+    const cancels = [
+      schedule(repeatMilliseconds, sendQuestion),
+      schedule(answerTimeoutMilliseconds, () => {
+        this.handleAllAnswers(id, added);
+      }),
+    ];
+    added.cancelTimers = () => {
+      cancels.forEach((cancel) => {
+        cancel();
+      });
     };
-    this.questionsById.set(id, question);
     sendQuestion();
   }
 
@@ -225,91 +237,60 @@
     const askedAt = this.askedAtByService.get(service) ?? -Infinity;
     if (now - askedAt >= onlyVersionIntervalMilliseconds && !this.questionsById.has(id)) {
       this.askedAtByService.set(service, now);
-      this.ask(id, service, false, () => undefined);
+      this.ask(id, service, () => undefined);
     }
   }
 
-  private handleAnswer(
-    { id, version, onlyVersion, keptMilliseconds }: Extract<StreamMessage, { kind: "answer" }>,
-    sender: string,
-  ): void {
-    const question = this.questionsById.get(id);
-    if (question?.waiting.delete(sender) !== true) {
+  private handleAnswer(answer: Extract<StreamMessage, { kind: "answer" }>, sender: string): void {
+    const { id, version, onlyVersion } = answer;
+    const open = this.questionsById.get(id);
+    if (open?.question.waiting.delete(sender) !== true) {
       return;
     }
-    question.keptMilliseconds = Math.min(question.keptMilliseconds, keptMilliseconds);
+    const { question } = open;
+    question.addAnswer(answer);
     if (onlyVersion !== undefined) {
-      question.onlyVersions.add(onlyVersion);
       this.history.learnOnlyVersion(question.service, onlyVersion, this.dependencies.getNow());
     }
-    if (version !== undefined || question.waiting.size === 0) {
-      this.settle(id, question, version ?? this.getUnrecordedVersion(question));
-    }
-  }
-
-  /** Gets the version of a stream that no daemon which answered has a record of, if it can only be one. */
-  private getUnrecordedVersion(question: Question): string | undefined {
-    const { service, onlyVersions } = question;
-    const own = this.history.getOnlyVersion(service, this.dependencies.getNow());
-    const versions = new Set(own === undefined ? onlyVersions : [own, ...onlyVersions]);
-    const [version] = versions;
-    return versions.size === 1 ? version : this.getFormerVersion(question);
-  }
-
-  /** Gets the version that was alone before others came, if all keepers have kept versions since. */
-  private getFormerVersion(question: Question): string | undefined {
-    const { service, isNamed, waiting, keptMilliseconds } = question;
-    const now = this.dependencies.getNow();
-    const former = this.history.getFormerVersion(service, now);
-    if (former === undefined || waiting.size > 0 || !isNamed) {
-      return undefined;
-    }
-    const neededMilliseconds = now - former.until + maxViewLagMilliseconds;
-    return keptMilliseconds >= neededMilliseconds ? former.version : undefined;
-  }
-
-  private getKeptMilliseconds(): number {
-    return Math.round(this.dependencies.getNow() - this.startedAt);
-  }
-
-  private dropOldOwnStreams(now: number): void {
-    for (const [id, { begunAt }] of this.ownStreamsById) {
-      if (now - begunAt < ownStreamMilliseconds) {
-        return;
-      }
-      this.ownStreamsById.delete(id);
+    if (version !== undefined) {
+      this.settle(id, open, version);
+    } else if (question.waiting.size === 0 || open.awaitsList) {
+      this.handleAllAnswers(id, open);
     }
   }
 
-  /** Tells daemons that were not known, or not live, when own streams began. */
-  private tellNewKeepers(): void {
-    const addresses = this.dependencies.getPeerAddresses().join(" ");
-    if (addresses === this.toldAddresses) {
+  /** Settles a question to which no further answer is awaited, or waits for a list that proves the version. */
+  private handleAllAnswers(id: string, open: OpenQuestion): void {
+    const { question } = open;
+    const version = question.getUnrecordedVersion(this.getOwnKnowledge(question.service));
+    if (version === undefined || !this.hadPeers || !question.needsCurrentList()) {
+      this.settle(id, open, version);
       return;
     }
-    this.toldAddresses = addresses;
-    this.ownStreamsById.forEach((stream, id) => {
-      this.tellKeepers(id, stream);
-    });
+    if (!open.awaitsList) {
+      open.awaitsList = true;
+      open.cancelTimers();
+      open.cancelTimers = this.dependencies.schedule(listTimeoutMilliseconds, () => {
+        this.settle(id, open, undefined);
+      });
+    }
   }
 
-  private tellKeepers(id: string, { version, told }: OwnStream): void {
-    for (const keeper of this.getKeepers(id)) {
-      if (!told.has(keeper)) {
-        told.add(keeper);
-        this.dependencies.send(keeper, { kind: "keep", id, version });
+  /** Settles the questions that were asked before the registry's list was last known to be current. */
+  private settleByList(): void {
+    for (const [id, open] of this.questionsById) {
+      if (open.awaitsList && open.question.askedAt <= this.listConfirmedAt) {
+        const { question } = open;
+        const own = this.getOwnKnowledge(question.service);
+        this.settle(id, open, question.getUnrecordedVersion(own));
       }
     }
   }
 
-  private settle(id: string, question: Question, version: string | undefined): void {
-    this.questionsById.delete(id);
-    question.cancelTimers();
-    if (version !== undefined) {
-      this.versions.add(id, version, this.dependencies.getNow());
+  private settle(id: string, open: OpenQuestion, version: string | undefined): void {
+    open.cancelTimers();
+    if (this.questionsById.delete(id)) {
+      open.question.settle(version);
     }
-    question.listeners.forEach((listener) => {
-      listener(version);
-    });
   }
 }
--- a/packages/daemon/src/streams/index.ts
+++ b/packages/daemon/src/streams/index.ts
@@ -1,3 +1,4 @@
+export type { Peer } from "./OwnStreams.js";
 export { StreamDirectory, type StreamDirectoryDependencies } from "./StreamDirectory.js";
 export {
   decodeStreamMessage,
--- a/packages/daemon/src/streams/streamMessages.ts
+++ b/packages/daemon/src/streams/streamMessages.ts
@@ -9,6 +9,9 @@
 const streamMarker = 0xc1;
 const codes = { keep: 0, ask: 1, answer: 2 } as const;
 
+/** In place of the only version of a service: its sender knows of several. Builds without it take it for another one. */
+const severalVersions = "";
+
 /**
  * Id of the stream, then its software version or its service. An answer has null when the version is not known,
  * then the only version of the service, or null, and the milliseconds for which its sender has kept versions.
@@ -30,6 +33,8 @@
       readonly version: string | undefined;
       /** The only version that the service had of late, if the sender knows. */
       readonly onlyVersion: string | undefined;
+      /** Whether the sender knows that the service had several versions of late. */
+      readonly hasSeveral: boolean;
       /** Time for which the sender has kept the versions that it was told. */
       readonly keptMilliseconds: number;
     };
@@ -61,7 +66,7 @@
         codes.answer,
         message.id,
         message.version ?? null,
-        message.onlyVersion ?? null,
+        message.hasSeveral ? severalVersions : (message.onlyVersion ?? null),
         message.keptMilliseconds,
       ];
   }
@@ -85,7 +90,7 @@
   if (datagram === undefined) {
     return undefined;
   }
-  const [code, id, argument] = datagram;
+  const [code, id, argument, onlyVersion] = datagram;
   switch (code) {
     case codes.keep:
       return { kind: "keep", id, version: argument };
@@ -96,7 +101,8 @@
         kind: "answer",
         id,
         version: argument ?? undefined,
-        onlyVersion: datagram[3] ?? undefined,
+        onlyVersion: onlyVersion === severalVersions ? undefined : (onlyVersion ?? undefined),
+        hasSeveral: onlyVersion === severalVersions,
         keptMilliseconds: datagram[4],
       };
   }
--- a/packages/daemon/tests/fleet/StreamSimulation.ts
+++ b/packages/daemon/tests/fleet/StreamSimulation.ts
@@ -142,9 +142,7 @@
     return StreamDirectory.create({
       address: this.getAddress(daemon),
       isFirstStart: this.now === 0,
-      getPeerAddresses: () =>
-        this.fleet.members[daemon]?.view.getLiveStates(this.now).map(({ address }) => address) ??
-        [],
+      getPeers: () => this.fleet.members[daemon]?.view.getLiveStates(this.now) ?? [],
       send: (target, message) => {
         this.sendMessage(daemon, target, message);
       },
@@ -206,6 +204,11 @@
       .forEach((stream) => {
         this.breakOff(stream);
       });
+    this.running
+      .filter(({ endsAt }) => endsAt <= this.now)
+      .forEach(({ id, daemon }) => {
+        this.directories[daemon]?.removeStream(id);
+      });
     this.running = this.running.filter(({ endsAt }) => endsAt > this.now);
   }
 
--- a/packages/daemon/tests/streams/streamMessages.test.ts
+++ b/packages/daemon/tests/streams/streamMessages.test.ts
@@ -18,6 +18,7 @@
     id: "9c41d07be2a35f68",
     version: "v1.2",
     onlyVersion: undefined,
+    hasSeveral: false,
     keptMilliseconds: 0,
   },
   {
@@ -25,6 +26,15 @@
     id: "9c41d07be2a35f68",
     version: undefined,
     onlyVersion: "v1",
+    hasSeveral: false,
+    keptMilliseconds: 90_000,
+  },
+  {
+    kind: "answer",
+    id: "9c41d07be2a35f68",
+    version: undefined,
+    onlyVersion: undefined,
+    hasSeveral: true,
     keptMilliseconds: 90_000,
   },
 ];
@@ -36,7 +46,7 @@
   assert.ok(datagrams.every((datagram) => decodeDatagram(datagram, 0) === undefined));
   assert.equal(
     datagrams.map(({ length }) => length),
-    [25, 28, 27, 29],
+    [25, 28, 27, 29, 27],
   );
 });
 
--- a/packages/kernel/src/streams/VersionHistory.ts
+++ b/packages/kernel/src/streams/VersionHistory.ts
@@ -8,25 +8,12 @@
   readonly ageMilliseconds: number;
 }
 
-/** The only version of a service until another one came. */
-export interface FormerVersion {
-  readonly version: string;
-  /** When the other one was listed first. */
-  readonly until: number;
-}
-
-/** When a software version was listed. */
-interface ListedVersion {
-  readonly version: string;
-  readonly firstAt: number;
-  lastAt: number;
-}
-
 /** What a daemon has seen of one service. */
 interface ServiceHistory {
-  /** Since when the daemon knows all lists, without a gap. */
+  /** Since when the daemon knows all changes, without a gap. */
   knownSince: number;
-  readonly listedByVersion: Map<string, ListedVersion>;
+  /** When each software version was listed last. */
+  readonly listedAtByVersion: Map<string, number>;
 }
 
 /**
@@ -36,9 +23,11 @@
  */
 export class VersionHistory {
   private readonly historiesByService = new Map<string, ServiceHistory>();
+  /** Whether the newest list is current. */
+  private isCurrent = false;
 
   private constructor(
-    /** Since when all lists are known, if the next one is the first: -Infinity when nothing was before. */
+    /** Since when all changes are known, if the next list is the first: -Infinity when nothing was before. */
     private knownSince: number | undefined,
   ) {}
 
@@ -56,19 +45,22 @@
    * @param now - Current time.
    */
   recordList(list: RegistryList, now: number): void {
-    if (list.ageMilliseconds > freshListMilliseconds) {
-      this.forget();
+    this.isCurrent = list.ageMilliseconds <= freshListMilliseconds;
+    if (!this.isCurrent) {
+      this.recordGap(now);
       return;
     }
     this.knownSince ??= now;
-    const known = new Set(this.historiesByService.keys());
-    for (const { service, softwareVersion: version } of list.upstreams) {
-      const { knownSince, listedByVersion } = this.getHistory(service, this.knownSince);
-      const firstAt = known.has(service) ? now : knownSince;
-      const listed = listedByVersion.get(version) ?? { version, firstAt, lastAt: now };
-      listed.lastAt = now;
-      listedByVersion.set(version, listed);
-    }
+    list.upstreams.forEach((upstream) => {
+      this.recordUpstream(upstream, now);
+    });
+  }
+
+  private recordUpstream({ service, softwareVersion }: Upstream, now: number): void {
+    const knownSince = this.knownSince ?? now;
+    const history = this.historiesByService.get(service) ?? createHistory(knownSince);
+    history.listedAtByVersion.set(softwareVersion, now);
+    this.historiesByService.set(service, history);
   }
 
   /**
@@ -82,7 +74,7 @@
     const history = this.historiesByService.get(service);
     if (
       history !== undefined &&
-      [...history.listedByVersion.keys()].every((each) => each === version)
+      getRecentVersions(history, now).every((each) => each === version)
     ) {
       history.knownSince = Math.min(history.knownSince, now - streamLifetimeMilliseconds);
     }
@@ -96,54 +88,45 @@
    */
   getOnlyVersion(service: string, now: number): string | undefined {
     const history = this.historiesByService.get(service);
-    if (history === undefined || now - history.knownSince < streamLifetimeMilliseconds) {
+    const isKnown = history !== undefined && now - history.knownSince >= streamLifetimeMilliseconds;
+    if (!this.isCurrent || !isKnown) {
       return undefined;
     }
-    const recent = getListedSince(history, now - streamLifetimeMilliseconds);
-    return recent.length === 1 ? recent[0]?.version : undefined;
+    const recent = getRecentVersions(history, now);
+    return recent.length === 1 ? recent[0] : undefined;
   }
 
   /**
-   * Gets the version at which a stream that still runs began, if it began before the service had others.
+   * Checks whether this daemon knows of several software versions at which streams of a service that still run can have
+   * begun.
    * @param service - Name of the service.
    * @param now - Current time.
-   * @returns Undefined when no such stream can run any more, or when the daemon cannot know.
    */
-  getFormerVersion(service: string, now: number): FormerVersion | undefined {
+  hasSeveralVersions(service: string, now: number): boolean {
     const history = this.historiesByService.get(service);
-    if (history === undefined) {
-      return undefined;
-    }
-    const [first, second] = getListedSince(history, now - 2 * streamLifetimeMilliseconds).sort(
-      (a, b) => a.firstAt - b.firstAt,
-    );
-    if (first === undefined || second === undefined) {
-      return undefined;
-    }
-    const until = second.firstAt;
-    const wasAlone = until - first.firstAt >= streamLifetimeMilliseconds;
-    const mayStillRun = now - until < streamLifetimeMilliseconds;
-    return wasAlone && mayStillRun ? { version: first.version, until } : undefined;
+    return history !== undefined && getRecentVersions(history, now).length > 1;
   }
 
-  /** A list that is not current may lack a version; only the one before the first has lacked nothing. */
-  private forget(): void {
+  /** Versions may have come and gone unseen until now. */
+  private recordGap(now: number): void {
     const hasLists = this.historiesByService.size > 0;
-    this.historiesByService.clear();
-    this.knownSince = hasLists ? undefined : this.knownSince;
-  }
-
-  private getHistory(service: string, knownSince: number): ServiceHistory {
-    const known = this.historiesByService.get(service);
-    if (known !== undefined) {
-      return known;
+    this.knownSince = hasLists ? now : this.knownSince;
+    for (const history of this.historiesByService.values()) {
+      history.knownSince = now;
     }
-    const added = { knownSince, listedByVersion: new Map<string, ListedVersion>() };
-    this.historiesByService.set(service, added);
-    return added;
   }
 }
 
-function getListedSince({ listedByVersion }: ServiceHistory, since: number): ListedVersion[] {
-  return [...listedByVersion.values()].filter(({ lastAt }) => lastAt >= since);
+function createHistory(knownSince: number): ServiceHistory {
+  return { knownSince, listedAtByVersion: new Map<string, number>() };
+}
+
+/** Gets the versions that were listed while streams that still run can have begun, and drops the others. */
+function getRecentVersions({ listedAtByVersion }: ServiceHistory, now: number): readonly string[] {
+  for (const [version, listedAt] of listedAtByVersion) {
+    if (listedAt < now - streamLifetimeMilliseconds) {
+      listedAtByVersion.delete(version);
+    }
+  }
+  return [...listedAtByVersion.keys()];
 }
--- a/packages/kernel/src/streams/index.ts
+++ b/packages/kernel/src/streams/index.ts
@@ -1,4 +1,4 @@
-export { maxViewLagMilliseconds } from "./constants.js";
+export { askedKeeperCount, streamLifetimeMilliseconds, toldKeeperCount } from "./constants.js";
 export { pickKeepers } from "./pickKeepers.js";
 export { StreamVersions } from "./StreamVersions.js";
-export { VersionHistory, type FormerVersion, type RegistryList } from "./VersionHistory.js";
+export { VersionHistory, type RegistryList } from "./VersionHistory.js";
--- a/packages/kernel/tests/streams/VersionHistory.test.ts
+++ b/packages/kernel/tests/streams/VersionHistory.test.ts
@@ -70,14 +70,27 @@
   );
 });
 
-test("the version that was alone is known until its streams have ended", (context) => {
+// Guards against streams without a record that were taken for streams of the version that came first (ORDER).
+test("once another version has come, the one that was alone is not the only one of streams that still run", (context) => {
   record(context, 0, [["v1", -lifetime]]);
   record(context, 1_000, [
     ["v1", -lifetime],
     ["v2", 900],
   ]);
-  assert.equal(context.history.getFormerVersion(service, 1_000), { version: "v1", until: 1_000 });
-  assert.is(context.history.getFormerVersion(service, 1_000 + lifetime), undefined);
+  record(context, 2_000, [["v1", -lifetime]]);
+  const { history } = context;
+  const times = [1_000, 1_000 + lifetime, 1_001 + lifetime];
+  assert.equal(
+    times.map((now) => [
+      history.hasSeveralVersions(service, now),
+      history.getOnlyVersion(service, now),
+    ]),
+    [
+      [true, undefined],
+      [true, undefined],
+      [false, "v1"],
+    ],
+  );
 });
 
 test("of two versions that were listed when a daemon started neither was alone", (context) => {
@@ -87,10 +100,10 @@
   ]);
   assert.equal(
     [
-      context.history.getFormerVersion(service, 0),
+      context.history.hasSeveralVersions(service, 0),
       context.history.getOnlyVersion(service, lifetime),
     ],
-    [undefined, undefined],
+    [true, undefined],
   );
 });
 
@@ -100,11 +113,20 @@
   assert.is(context.history.getOnlyVersion(service, 4_000), undefined);
   record(context, 5_000, [["v1", -lifetime]]);
   assert.equal(
-    [5_000, 4_999 + lifetime, 5_000 + lifetime].map((now) =>
+    [5_000, 3_999 + lifetime, 4_000 + lifetime].map((now) =>
       context.history.getOnlyVersion(service, now),
     ),
     [undefined, undefined, "v1"],
   );
 });
 
+test("a version that has left long ago does not keep a daemon from learning", (context) => {
+  record(context, 0, [["v1", -lifetime]]);
+  record(context, 1_000, [["v2", 900]]);
+  record(context, 100_000, [["v2", 900]], 4_000);
+  record(context, 100_001, [["v2", 900]]);
+  context.history.learnOnlyVersion(service, "v2", 100_001);
+  assert.is(context.history.getOnlyVersion(service, 100_001), "v2");
+});
+
 test.run();
