An outage of the registry no longer makes routers forget the versions of a service

Callers saw: after 3.5 s without the store and a restart of one machine, 503 stream-version-unknown for every stream that they took up, though the service had one version all along. Cause: VersionHistory forgot everything once the list was 3 s old, at all routers at once, and routers had told nobody of their streams, as they had been certain when these began. Ruled out: the list does come back within a second; questions are answered, with nothing. Change: an old list proves nothing, and nothing is forgotten; only a complete read (a lost history, another era) leaves a gap (RegistryTask counts them). Versions that come and go in one update are recorded. While the registry cannot be read, and in a planned stop, routers tell their running streams.

--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -9,6 +9,7 @@
   type Registry,
   type RegistryChange,
   type RegistryUpdate,
+  type Upstream,
 } from "@pistachioway/kernel";
 import { CallDeadline } from "../deadlines/index.js";
 import type { PeerState } from "../fleet/index.js";
@@ -38,6 +39,8 @@
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
   /** Called with each newer configuration, which is in force from then on. */
   readonly onTable: (table: RouteTable) => void;
+  /** Called with each upstream that is listed, also one that leaves again in the same update. */
+  readonly onUpstream: (upstream: Upstream) => void;
   /** Counts calls by result. */
   readonly onCall: (call: "read" | "watch", result: "ok" | "failed" | "historyLost") => void;
 }
@@ -52,6 +55,7 @@
   /** True from a restoration of the registry until the next confirmation. */
   private isConfirmationPending = false;
   private position: number | undefined;
+  private readCount = 0;
   private failureCount = 0;
   /**
    * How long the next watch waits, in whole milliseconds. The pause before it is subtracted, because
@@ -80,6 +84,11 @@
     return this.lease.getAgeMilliseconds(this.dependencies.getClocks());
   }
 
+  /** Gets the number of complete reads; what changed before one, since the last answer, is not known. */
+  getReadCount(): number {
+    return this.readCount;
+  }
+
   /** Reads and watches the registry until the task is stopped. */
   async run(): Promise<void> {
     const { signal } = this.stopped;
@@ -128,7 +137,7 @@
     }
     this.lease.renew(requestedAt, now, state.ageMilliseconds);
     state.upstreams.forEach((upstream) => {
-      this.upstreams.addUpstream(upstream, now.monotonic);
+      this.addUpstream(upstream, now.monotonic);
     });
     this.removeMissing(new Set(state.upstreams.map(({ id }) => id)));
   }
@@ -230,6 +239,7 @@
       }
     });
     if (isFullRead) {
+      this.readCount += 1;
       const upstreams = update.changes.flatMap((change) =>
         change.kind === "upstream" ? [change.upstream.id] : [],
       );
@@ -276,7 +286,7 @@
         record("error", "configuration.refused", { detail: change.detail });
         break;
       case "upstream":
-        this.upstreams.addUpstream(change.upstream, now);
+        this.addUpstream(change.upstream, now);
         record("info", "upstream.changed", {
           upstream: change.upstream.id,
           service: change.upstream.service,
@@ -296,6 +306,11 @@
     }
   }
 
+  private addUpstream(upstream: Upstream, now: number): void {
+    this.upstreams.addUpstream(upstream, now);
+    this.dependencies.onUpstream(upstream);
+  }
+
   /** Removes the upstreams that are missing from a complete list. */
   private removeMissing(listedIds: ReadonlySet<string>): void {
     const now = this.dependencies.getClocks().monotonic;
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -108,6 +108,9 @@
       onTable: (table) => {
         this.applyTable(table);
       },
+      onUpstream: (upstream) => {
+        this.streams.recordUpstream(upstream);
+      },
     });
     this.stalls = StallLog.create({ memory: this.memory, pacer: this.pool.pacer, record });
     const { registryTask: registry, pool } = this;
@@ -121,6 +124,7 @@
       address: dependencies.settings.listeners.datagrams,
       isFirstStart: dependencies.settings.process.isFirstStart,
       fleet: this.fleet,
+      isAtRisk: () => registry.isUnreachable() || this.plannedStop !== undefined,
       getNow,
     });
     this.requestDependencies = this.createActiveRequestDependencies();
@@ -367,7 +371,8 @@
   private recordList(): void {
     const upstreams = this.registryTask.upstreams.getEntries().map(({ record }) => record);
     const ageMilliseconds = this.registryTask.getAgeMilliseconds();
-    this.streams.recordList({ upstreams, ageMilliseconds });
+    const readCount = this.registryTask.getReadCount();
+    this.streams.recordList({ upstreams, ageMilliseconds, readCount });
   }
 
   private tellFleet(notices: readonly UpstreamNotice[]): void {
--- a/packages/daemon/src/router/createRegistryTask.ts
+++ b/packages/daemon/src/router/createRegistryTask.ts
@@ -1,4 +1,4 @@
-import type { ClockReading, Registry, RouteTable } from "@pistachioway/kernel";
+import type { ClockReading, Registry, RouteTable, Upstream } from "@pistachioway/kernel";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Fields, LogLevel } from "../log/line.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
@@ -12,6 +12,8 @@
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
   /** Applies a configuration that comes into force. */
   readonly onTable: (table: RouteTable) => void;
+  /** Receives each upstream that is listed. */
+  readonly onUpstream: (upstream: Upstream) => void;
 }
 
 /**
@@ -19,7 +21,7 @@
  * @param context - What it depends on.
  */
 export function createRegistryTask(context: RegistryTaskContext): RegistryTask {
-  const { registry, metrics, getClocks, record, onTable } = context;
+  const { registry, metrics, getClocks, record, onTable, onUpstream } = context;
   return RegistryTask.create({
     registry,
     getClocks,
@@ -27,6 +29,7 @@
       delay(milliseconds, undefined, { signal }).catch(() => undefined),
     record,
     onTable,
+    onUpstream,
     onCall: (call, result) => {
       metrics.registryCalls.inc({ call, result });
     },
--- a/packages/daemon/src/router/createStreamDirectory.ts
+++ b/packages/daemon/src/router/createStreamDirectory.ts
@@ -9,6 +9,8 @@
   readonly isFirstStart: boolean;
   /** Sends the datagrams and knows the other routers. */
   readonly fleet: FleetTask;
+  /** Checks whether the router cannot read the registry, or stops. */
+  readonly isAtRisk: () => boolean;
   /** Reads the monotonic clock, in milliseconds. */
   readonly getNow: () => number;
 }
@@ -21,12 +23,14 @@
   address,
   isFirstStart,
   fleet,
+  isAtRisk,
   getNow,
 }: StreamDirectoryContext): StreamDirectory {
   return StreamDirectory.create({
     address,
     isFirstStart,
     getPeers: () => fleet.view.getLiveStates(getNow()),
+    isAtRisk,
     send: (target, message) => {
       fleet.sendStreamMessage(target, message);
     },
--- a/packages/daemon/src/streams/StreamDirectory.ts
+++ b/packages/daemon/src/streams/StreamDirectory.ts
@@ -5,6 +5,7 @@
   toldKeeperCount,
   VersionHistory,
   type RegistryList,
+  type Upstream,
 } from "@pistachioway/kernel";
 import { OwnStreams, type Peer } from "./OwnStreams.js";
 import { isSendable, type StreamMessage } from "./streamMessages.js";
@@ -18,6 +19,8 @@
   readonly isFirstStart: boolean;
   /** Gets the other live daemons. */
   readonly getPeers: () => readonly Peer[];
+  /** Checks whether this daemon may be gone, or miss versions, before it could tell others of its streams. */
+  readonly isAtRisk: () => boolean;
   readonly send: (target: string, message: StreamMessage) => void;
   /** Calls a function after a time; the result cancels it. */
   readonly schedule: (milliseconds: number, run: () => void) => () => void;
@@ -66,6 +69,7 @@
     this.ownStreams = OwnStreams.create({
       getKeepers: (id) => this.getKeepers(id, toldKeeperCount),
       isUncertain: (service) =>
+        dependencies.isAtRisk() ||
         this.history.getOnlyVersion(service, dependencies.getNow()) === undefined,
       tell: ({ id, version }, { address }) => {
         dependencies.send(address, { kind: "keep", id, version });
@@ -95,6 +99,14 @@
     this.settleByList();
   }
 
+  /**
+   * Records that an upstream is listed, also one that leaves before the next list is recorded.
+   * @param upstream - The upstream.
+   */
+  recordUpstream(upstream: Upstream): void {
+    this.history.recordUpstream(upstream, this.dependencies.getNow());
+  }
+
   /**
    * Records that a stream begins at an upstream, before its first event can have reached the caller.
    * @param id - Id of the request.
--- a/packages/daemon/tests/registry/RegistrySimulation.ts
+++ b/packages/daemon/tests/registry/RegistrySimulation.ts
@@ -85,6 +85,7 @@
         return Promise.resolve();
       },
       record: () => undefined,
+      onUpstream: () => undefined,
       onTable: () => undefined,
       onCall: () => undefined,
     });
--- a/packages/daemon/tests/registry/RegistryTask.test.ts
+++ b/packages/daemon/tests/registry/RegistryTask.test.ts
@@ -54,6 +54,7 @@
       return Promise.resolve();
     },
     record: () => undefined,
+    onUpstream: () => undefined,
     onTable: () => undefined,
     onCall: () => undefined,
   });
--- a/packages/daemon/tests/registry/silentRegistry.test.ts
+++ b/packages/daemon/tests/registry/silentRegistry.test.ts
@@ -47,6 +47,7 @@
     getClocks,
     pause: () => Promise.resolve(),
     record: () => undefined,
+    onUpstream: () => undefined,
     onTable: () => undefined,
     onCall: (call, result) => {
       results.push(`${call} ${result}`);
