Refuse upstreams whose address cannot be connected to, and cut long values in log lines

Reported by another operator: one odd entry among those of the engines, and the machines that read the list ended or stopped following it. Seen here: no process ended with 108 odd entries, 7 odd keys and 36 odd configurations. But an entry with a port above 65,535 made probes and requests throw, caught by the process's last handler only (daemon.fault), and the request waited for its deadline; and log lines repeated texts of any length (20,135 characters). Change: the schema of upstreams checks the address and bounds names; values in log lines are cut at 800 characters.

--- a/packages/daemon/src/log/line.ts
+++ b/packages/daemon/src/log/line.ts
@@ -7,8 +7,11 @@
 /** Severity of a log line. */
 export type LogLevel = "error" | "warn" | "info" | "debug";
 
+/** Length up to which a value is written, as texts may come from outside; in characters. */
+const maxValueLength = 800;
+
 /**
- * Formats one line of key=value pairs. Values with spaces, quotes or equals signs are quoted.
+ * Formats one line of key=value pairs. Values with spaces, quotes or equals signs are quoted, and long ones are cut.
  * @param fields - Fields of the line, in order.
  */
 export function formatLine(fields: Fields): string {
@@ -18,6 +21,6 @@
 }
 
 function toText(value: FieldValue): string {
-  const text = String(value);
+  const text = String(value).slice(0, maxValueLength);
   return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
 }
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -4,7 +4,6 @@
   getReleaseDelay,
   MemoryBudget,
   RouteTable,
-  type ClockReading,
   type HeaderCodec,
   type FreshnessBounds,
   type Registry,
@@ -35,6 +34,7 @@
 import { PlannedStop } from "./PlannedStop.js";
 import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
+import { readClocks, readMonotonicClock } from "./clocks.js";
 import { StallLog } from "./StallLog.js";
 import { TickLag } from "./TickLag.js";
 
@@ -388,11 +388,3 @@
     this.dependencies.log.write(level, event, fields);
   }
 }
-
-function readMonotonicClock(): number {
-  return performance.now();
-}
-
-function readClocks(): ClockReading {
-  return { monotonic: performance.now(), wall: Date.now() };
-}
--- a/packages/daemon/tests/router/RouterProcess.ts
+++ b/packages/daemon/tests/router/RouterProcess.ts
@@ -73,7 +73,12 @@
 
   /** Gets the log lines of an event. */
   getLines(event: string): readonly string[] {
-    return this.output.split("\n").filter((line) => line.includes(`event=${event} `));
+    return this.getAllLines().filter((line) => line.includes(`event=${event} `));
+  }
+
+  /** Gets all lines of the log. */
+  getAllLines(): readonly string[] {
+    return this.output.split("\n");
   }
 
   /** Opens a connection as a caller. */
--- a/packages/kernel/src/upstreams/schema.ts
+++ b/packages/kernel/src/upstreams/schema.ts
@@ -1,14 +1,27 @@
+import { isIPv4 } from "node:net";
 import { z } from "zod";
 
+const maxPort = 65_535;
+/** Length of names in an upstream's record, which travel in heads of messages; in characters. */
+const maxNameLength = 256;
+const name = z.string().max(maxNameLength);
+
+/** Checks whether a text is an IPv4 address and a port that a connection can be opened to. */
+function isConnectable(text: string): boolean {
+  const [host = "", port = "", ...rest] = text.split(":");
+  const number = /^\d{1,5}$/.test(port) ? Number(port) : 0;
+  return rest.length === 0 && isIPv4(host) && number > 0 && number <= maxPort;
+}
+
 /** One upstream of a service, as it publishes itself in the registry. */
 export const upstreamSchema = z.object({
-  id: z.string().min(1),
-  service: z.string().min(1),
+  id: name.min(1),
+  service: name.min(1),
   /** IPv4 address and port. */
-  address: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/),
-  zone: z.string(),
+  address: z.string().refine(isConnectable, "must be an IPv4 address and a port"),
+  zone: name,
   /** Version of its software; empty when it is not published. */
-  softwareVersion: z.string().default(""),
+  softwareVersion: name.default(""),
   /** Requests that it runs concurrently. */
   slots: z.int().positive(),
   state: z.enum(["ready", "draining"]),
--- a/packages/standins/src/registry/index.ts
+++ b/packages/standins/src/registry/index.ts
@@ -1,5 +1,6 @@
 export {
   createPublishedConfiguration,
+  publishedService,
   type PublishedConfigurationOptions,
   type PublishedRoute,
   type PublishedRouteKind,
