--- a/packages/cli/src/daemons/OperationsClient.ts
+++ b/packages/cli/src/daemons/OperationsClient.ts
@@ -1,4 +1,5 @@
 import {
+  collectText,
   eventPageSchema,
   explanationSchema,
   routerStatusSchema,
@@ -101,7 +102,7 @@
       const response = await request(`http://${this.address}${path}`, {
         signal: AbortSignal.timeout(timeoutMilliseconds),
       });
-      const text = await response.body.text();
+      const text = await collectText(response.body);
       return this.parseResponse(path, response.statusCode, text, schema);
     } catch (error) {
       return Result.err(new UnreachableDaemonError(this.address, getReason(error)));
--- a/packages/daemon/src/chat/ChatAttempt.ts
+++ b/packages/daemon/src/chat/ChatAttempt.ts
@@ -102,7 +102,7 @@
   }
 
   private async handleErrorStatus(response: AttemptResponse): Promise<ChatAttemptResult> {
-    const body = await readWholeBody(response.body, maxResponseBytes);
+    const body = await readWholeBody(response, maxResponseBytes);
     const detail = `answered ${String(response.status)}`;
     if (response.status < 500 && body !== undefined) {
       const text = body.toString("utf8").slice(0, 500);
@@ -113,7 +113,7 @@
   }
 
   private async relayWholeResponse(response: AttemptResponse): Promise<ChatAttemptResult> {
-    const body = await readWholeBody(response.body, maxResponseBytes);
+    const body = await readWholeBody(response, maxResponseBytes);
     if (this.chat.request.signal.aborted) {
       return this.disconnect();
     }
--- a/packages/daemon/src/chat/ServerSentEventParser.ts
+++ b/packages/daemon/src/chat/ServerSentEventParser.ts
@@ -9,10 +9,27 @@
 /** The data of the event that ends a complete stream. */
 export const terminalData = "[DONE]";
 
+/** Bounds of an event that is not complete; in characters, and in the pieces that it comes in. */
+const maxEventLength = 1_048_576;
+const maxEventPieces = 65_536;
+const eventEnd = "\n\n";
+
+/** An event of a stream is so large that it is no event. */
+export class EventTooLargeError extends Error {
+  readonly code = "event-too-large";
+
+  /** Creates the error. */
+  static create(): EventTooLargeError {
+    return new EventTooLargeError(`an event is longer than ${String(maxEventLength)} characters`);
+  }
+}
+
 /** Splits a stream of bytes into complete server-sent events. Incomplete events are buffered. */
 export class ServerSentEventParser {
   private readonly decoder = new TextDecoder("utf-8", { fatal: false });
-  private unparsedText = "";
+  /** Texts of the event that is not complete. */
+  private pieces: string[] = [];
+  private length = 0;
 
   private constructor() {
     // Created through the static method.
@@ -24,18 +41,42 @@
   }
 
   /**
-   * Adds bytes and gets the events that they complete.
+   * Adds bytes and gets the events that they complete. Throws an {@link EventTooLargeError}.
    * @param bytes - Next chunk of the stream.
    */
   addBytes(bytes: Uint8Array): ServerSentEvent[] {
-    this.unparsedText += this.decoder.decode(bytes, { stream: true });
+    const piece = this.decoder.decode(bytes, { stream: true });
+    const lastCharacter = this.pieces.at(-1)?.at(-1) ?? "";
+    const hasEnd = (lastCharacter + piece).includes(eventEnd);
+    this.addPiece(piece);
+    return hasEnd ? this.takeEvents() : [];
+  }
+
+  private addPiece(piece: string): void {
+    if (piece === "") {
+      return;
+    }
+    this.pieces.push(piece);
+    this.length += piece.length;
+    if (this.length > maxEventLength || this.pieces.length > maxEventPieces) {
+      throw EventTooLargeError.create();
+    }
+  }
+
+  private takeEvents(): ServerSentEvent[] {
     const events: ServerSentEvent[] = [];
-    let end = this.unparsedText.indexOf("\n\n");
+    const text = this.pieces.join("");
+    let start = 0;
+    let end = text.indexOf(eventEnd);
     while (end >= 0) {
-      events.push(parseEvent(this.unparsedText.slice(0, end + 2)));
-      this.unparsedText = this.unparsedText.slice(end + 2);
-      end = this.unparsedText.indexOf("\n\n");
+      const next = end + eventEnd.length;
+      events.push(parseEvent(text.slice(start, next)));
+      start = next;
+      end = text.indexOf(eventEnd, start);
     }
+    const rest = text.slice(start);
+    this.pieces = rest === "" ? [] : [rest];
+    this.length = rest.length;
     return events;
   }
 }
--- a/packages/daemon/src/daemon/probeHost.ts
+++ b/packages/daemon/src/daemon/probeHost.ts
@@ -1,4 +1,9 @@
-import type { Instant, Observation, ProbeEffect } from "@pistachioway/kernel";
+import {
+  collectText,
+  type Instant,
+  type Observation,
+  type ProbeEffect,
+} from "@pistachioway/kernel";
 import { request } from "undici";
 import { z } from "zod";
 
@@ -28,7 +33,7 @@
     const response = await request(`http://${address}${probePaths[role]}`, {
       signal: AbortSignal.timeout(probeTimeoutMilliseconds),
     });
-    const text = await response.body.text();
+    const text = await collectText(response.body);
     if (role === "engine" && response.statusCode === okStatus) {
       return { host, ...(readLoad(text) ?? { observation: "answered", at }) };
     }
--- a/packages/daemon/src/fleet/peerState.ts
+++ b/packages/daemon/src/fleet/peerState.ts
@@ -1,4 +1,4 @@
-import { routingSchema, upstreamSchema } from "@pistachioway/kernel";
+import { collectText, routingSchema, upstreamSchema } from "@pistachioway/kernel";
 import { get } from "node:http";
 import { z } from "zod";
 
@@ -14,7 +14,12 @@
   era: z.int().optional(),
   /** Omitted when the peer has this version. */
   routing: routingSchema.optional(),
-  upstreams: z.array(upstreamSchema),
+  /** Records that this build does not accept are passed over. */
+  upstreams: z
+    .array(z.unknown())
+    .transform((records) =>
+      records.flatMap((record) => upstreamSchema.safeParse(record).data ?? []),
+    ),
 });
 
 export type PeerState = z.infer<typeof peerStateSchema>;
@@ -36,16 +41,12 @@
 async function fetchText(url: string): Promise<string> {
   return new Promise((resolve, reject) => {
     const request = get(url, { agent: false, timeout: responseTimeoutMilliseconds }, (response) => {
-      const chunks: Buffer[] = [];
-      response.on("data", (chunk: Buffer) => chunks.push(chunk));
-      response.on("error", reject);
-      response.on("end", () => {
-        if (response.statusCode === okStatus) {
-          resolve(Buffer.concat(chunks).toString("utf8"));
-        } else {
-          reject(new Error(`status ${String(response.statusCode)} from ${url}`));
-        }
-      });
+      if (response.statusCode === okStatus) {
+        collectText(response).then(resolve, reject);
+      } else {
+        response.destroy();
+        reject(new Error(`status ${String(response.statusCode)} from ${url}`));
+      }
     });
     request.on("timeout", () => {
       request.destroy(
--- a/packages/daemon/src/orders/OrderTask.ts
+++ b/packages/daemon/src/orders/OrderTask.ts
@@ -1,4 +1,5 @@
 import {
+  collectText,
   observedEngineStateSchema,
   ordersPlugin,
   type EngineOrder,
@@ -118,7 +119,7 @@
         body: order === undefined ? null : JSON.stringify(order),
         signal: AbortSignal.timeout(callTimeoutMilliseconds),
       });
-      const text = await response.body.text();
+      const text = await collectText(response.body);
       return { status: response.statusCode, document: text === "" ? {} : JSON.parse(text) };
     } catch {
       return undefined;
--- a/packages/daemon/src/peers/PeerClient.ts
+++ b/packages/daemon/src/peers/PeerClient.ts
@@ -1,4 +1,5 @@
 import {
+  collectText,
   parseHealthReports,
   type HostList,
   type HealthReport,
@@ -204,7 +205,7 @@
     const signal = init?.signal ?? null;
     const options = { method: "POST", headers, body, signal, dispatcher: this.agent };
     const answer = await fetch(url, options);
-    const text = await answer.text();
+    const text = answer.body === null ? "" : await collectText(answer.body);
     const answerMac = answer.headers.get(peerHeaders.mac) ?? "";
     if (answer.status === unauthorizedStatus && answerMac === "") {
       throw new PeerRefusedError(peer.name, text);
--- a/packages/daemon/src/services/ServiceClient.ts
+++ b/packages/daemon/src/services/ServiceClient.ts
@@ -168,7 +168,7 @@
     if (response.kind === "failure") {
       return response;
     }
-    const body = await readWholeBody(response.body, maxResponseBytes);
+    const body = await readWholeBody(response, maxResponseBytes);
     if (body === undefined || !hasMatchingDigest(response.headers, body)) {
       const detail = "the answer was cut off or mixed with another";
       return { kind: "failure", class: "lost", detail, isLeaving: false };
--- a/packages/daemon/src/upstreams/Connections.ts
+++ b/packages/daemon/src/upstreams/Connections.ts
@@ -1,11 +1,16 @@
+import { MemoryBudget } from "@pistachioway/kernel";
 import { Pool } from "undici";
 
 const connectionsPerHost = 512;
 const connectTimeoutMilliseconds = 1_000;
 const idleTimeoutMilliseconds = 4_000;
+/** Memory for bodies of upstreams that are not complete. */
+const maxKeptBytes = 67_108_864;
 
 /** Keeps the connections to upstream hosts, one pool for each address. */
 export class Connections {
+  /** Memory that bodies are kept in until they are complete. */
+  readonly memory = MemoryBudget.create(maxKeptBytes);
   private readonly poolsByAddress = new Map<string, Pool>();
 
   private constructor(
--- a/packages/daemon/src/upstreams/sendAttempt.ts
+++ b/packages/daemon/src/upstreams/sendAttempt.ts
@@ -1,4 +1,4 @@
-import type { Instant } from "@pistachioway/kernel";
+import { collectBody, type Instant, type MemoryBudget } from "@pistachioway/kernel";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
@@ -33,6 +33,8 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: Readable;
+  /** Memory that bodies are kept in until they are complete. */
+  readonly memory: MemoryBudget;
 }
 
 /** An attempt that got no response. */
@@ -48,7 +50,7 @@
   readonly isLeaving: boolean;
 }
 
-const maxRefusalBytes = 4_096;
+const refusalLimits = { maxBytes: 65_536, maxPieces: 1_024 };
 
 /**
  * Sends a request to an upstream and resolves to the head of the response or to a typed failure.
@@ -91,7 +93,7 @@
 ): Promise<AttemptResponse | AttemptFailure> {
   const meaning = getResponseMeaning(response, request.attemptId);
   if (meaning === "refusal") {
-    return await toRefusal(request, response);
+    return await toRefusal(connections, request, response);
   }
   if (meaning === "foreign" && connections.checksResponses) {
     connections.discard(request.address);
@@ -105,14 +107,16 @@
     status: response.statusCode,
     headers: response.headers,
     body: response.body,
+    memory: connections.memory,
   };
 }
 
 async function toRefusal(
+  { memory }: Connections,
   { address }: AttemptRequest,
   response: Dispatcher.ResponseData,
 ): Promise<AttemptFailure> {
-  const refusal = await readRefusal(response);
+  const refusal = await readRefusal(response, memory);
   const detail = `upstream ${address} refused: ${refusal}`;
   return { ...toFailure("refused", detail), isLeaving: refusal === "leaving" };
 }
@@ -136,8 +140,13 @@
   return { ...toFailure("lost", detail), status };
 }
 
-async function readRefusal(response: Dispatcher.ResponseData): Promise<string> {
-  const text = (await response.body.text()).slice(0, maxRefusalBytes);
+/** Reads why a request was refused; a body that is too large names no reason. Rejects when it is interrupted. */
+async function readRefusal(
+  { body }: Dispatcher.ResponseData,
+  memory: MemoryBudget,
+): Promise<string> {
+  const content = await collectBody(body, refusalLimits, memory);
+  const text = content.toString("utf8");
   try {
     const document = JSON.parse(text) as { error?: { type?: unknown } };
     return typeof document.error?.type === "string" ? document.error.type : "unspecified";
--- a/packages/daemon/tests/upstreams/resend.test.ts
+++ b/packages/daemon/tests/upstreams/resend.test.ts
@@ -81,7 +81,7 @@
   if (result.kind === "failure") {
     return result.class;
   }
-  await readWholeBody(result.body, maxBodyBytes);
+  await readWholeBody(result, maxBodyBytes);
   return result.kind;
 }
 
--- a/packages/daemon/tests/upstreams/sendAttempt.test.ts
+++ b/packages/daemon/tests/upstreams/sendAttempt.test.ts
@@ -74,7 +74,7 @@
   const result = await sendAttempt(connections, createRequest(upstream.address), Date.now);
   const status = result.status === undefined ? "" : ` ${String(result.status)}`;
   if (result.kind === "answer") {
-    await readWholeBody(result.body, maxBodyBytes);
+    await readWholeBody(result, maxBodyBytes);
   }
   await connections.close();
   await upstream.close();
@@ -136,4 +136,29 @@
   assert.equal(classes, ["refused", "mismatch"]);
 });
 
+// Guards against an endless refusal, whose bytes were all kept until the deadline.
+test("a refusal without end is one, and is not read on", async () => {
+  const piece = "z".repeat(maxBodyBytes);
+  const head = `HTTP/1.1 503 X\r\n${own}\r\n${notRun}\r\n\r\n`;
+  let hasClosed = false;
+  const upstream = await RawUpstream.listen(({ socket }) => {
+    socket.write(head);
+    const timer = setInterval(() => socket.write(piece.repeat(64)), 5);
+    socket.on("error", () => undefined);
+    socket.once("close", () => {
+      hasClosed = true;
+      clearInterval(timer);
+    });
+  });
+  const connections = Connections.create();
+  const result = await sendAttempt(connections, createRequest(upstream.address), Date.now);
+  assert.is(result.kind === "failure" ? result.class : "answer", "refused");
+  while (!hasClosed) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  assert.is(connections.memory.getUsedBytes(), 0);
+  await connections.close();
+  await upstream.close();
+});
+
 test.run();
