--- a/packages/experiments/src/outcomes/answerFaults.ts
+++ b/packages/experiments/src/outcomes/answerFaults.ts
@@ -1,3 +1,4 @@
+import { writeEndlessly } from "@pistachioway/standins";
 import type { EngineExchange } from "./EngineExchange.js";
 import {
   formatHead,
@@ -26,6 +27,10 @@
 export const promiseStatuses: readonly number[] = [408, 421, 429, 503];
 const unavailableStatus = 503;
 const badRequestStatus = 400;
+const okStatus = 200;
+const errorStatus = 500;
+/** Rate of each answer without end. */
+const endlessBytesPerSecond = 6_000_000;
 const refusalStatuses: readonly number[] = [...promiseStatuses, badRequestStatus];
 /** Time from the start of the work until an earlier refusal is written. */
 const strayMilliseconds = 5;
@@ -105,6 +110,12 @@
     { variant: "running", answer: answerAtDeadline },
     { variant: "queued", answer: runAtDeadline },
   ],
+  /** The engine runs the request, and its answer has no end: an error, or a stream without an event. */
+  endless: [4, 60_000].map((pieceBytes) =>
+    createAfterRun(String(pieceBytes), (exchange) => {
+      writeEndlessAnswer(exchange, pieceBytes);
+    }),
+  ),
   /** No fault: the engine has not run what it refuses. */
   refusing: [{ variant: "503", answer: refuse }],
 } as const satisfies Readonly<Record<string, readonly AnswerFault[]>>;
@@ -135,6 +146,18 @@
   );
 }
 
+function writeEndlessAnswer(exchange: EngineExchange, pieceBytes: number): void {
+  const { id, work, channel } = exchange;
+  const type = work.isStream ? "text/event-stream" : "application/json";
+  const fields = [
+    ...getRunFields(id),
+    ["Content-Type", type],
+    ["Transfer-Encoding", "chunked"],
+  ] as const;
+  exchange.write(formatHead(work.isStream ? okStatus : errorStatus, fields));
+  writeEndlessly(channel.socket, { pieceBytes, bytesPerSecond: endlessBytesPerSecond });
+}
+
 function cutAfterHead(status: number): Answer {
   return ({ id, channel }) => {
     const fields = [...getRunFields(id), ["Content-Length", "100"]] as const;
--- a/packages/experiments/src/soak/faultyAnswers.ts
+++ b/packages/experiments/src/soak/faultyAnswers.ts
@@ -1,4 +1,4 @@
-import type { ReceivedRequest } from "@pistachioway/standins";
+import { sendEndless, type ReceivedRequest } from "@pistachioway/standins";
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { Random } from "../bench/Random.js";
 import { getBody } from "./bodies.js";
@@ -8,7 +8,7 @@
 export interface FaultContext {
   /** Id of the call, which is in the response's stamp and body. */
   readonly callId: string;
-  readonly request: Pick<ReceivedRequest, "id">;
+  readonly request: Pick<ReceivedRequest, "id" | "path">;
   readonly response: ServerResponse;
   readonly random: Random;
   /** Answers the request as it should be. */
@@ -23,6 +23,13 @@
 const strayStatuses: readonly number[] = [badRequestStatus, ...promiseStatuses];
 /** Time from a stray refusal to the answer that was due. */
 const strayMilliseconds = 20;
+/** Rate of each answer without end, so that many of them leave the soak's own process time. */
+const endlessBytesPerSecond = 6_000_000;
+const endlessError = {
+  status: 500,
+  contentType: "application/json",
+  bytesPerSecond: endlessBytesPerSecond,
+};
 
 /** Answers to requests that have run, by the mode of their upstream. */
 export const faultyAnswers: Readonly<
@@ -48,6 +55,10 @@
   "stated-twice": (context) => {
     respond(context, pick(promiseStatuses, context.random), { "not-run": ["1", "1"] });
   },
+  endless: ({ request, response }) => {
+    sendEndless({ ...endlessError, pieceBytes: 4 })(request, response);
+  },
+  "endless-event": sendEndlessEvent,
 };
 
 /** Responds with a complete body and the stamp of the run. */
@@ -72,6 +83,19 @@
   }
 }
 
+/** Sends a stream that another upstream may resume without an event, and any other answer as an error. */
+function sendEndlessEvent({ callId, request, response }: FaultContext): void {
+  const stream = {
+    status: okStatus,
+    contentType: "text/event-stream",
+    stamp: `stamp-${callId}`,
+    pieceBytes: 65,
+    bytesPerSecond: endlessBytesPerSecond,
+  };
+  const isResumable = request.path.startsWith("/stream/");
+  sendEndless(isResumable ? stream : { ...endlessError, pieceBytes: 60_000 })(request, response);
+}
+
 /** Writes a head that announces a body, and closes the connection. */
 function breakAfterHead({ callId, request, response, random }: FaultContext): void {
   const status = pick(promiseStatuses, random);
--- a/packages/experiments/src/soak/upstreamModes.ts
+++ b/packages/experiments/src/soak/upstreamModes.ts
@@ -10,6 +10,8 @@
  *   answer: that of another request, one without an id, or that of the same request on the same connection.
  * - `stated-result`, `stated-empty`, `stated-twice`: they run the request and answer with a statement that it did not
  *   run: on a result, without a value, or with two values.
+ * - `endless`: they run the request and answer with an error without end, in small pieces; `endless-event`: with a stream that
+ *   has no event and no end, or with an error in large pieces.
  * - `early`: they answer while the body still comes, and run the request, or refuse it properly, afterwards.
  */
 export const upstreamModes = [
@@ -28,6 +30,8 @@
   "stated-result",
   "stated-empty",
   "stated-twice",
+  "endless",
+  "endless-event",
   "early",
 ] as const;
 
--- a/packages/experiments/tests/soak/upstreamModes.test.ts
+++ b/packages/experiments/tests/soak/upstreamModes.test.ts
@@ -35,6 +35,10 @@
 test("an answer before the end of the body proves no more than one after it", () =>
   runModesOrThrow("early"));
 
+// Guards against answers without end that fill the heap, or keep the routers from all else (LOST, CONFIG).
+test("answers without end cost no other requests", () =>
+  runModesOrThrow("endless", "endless-event"));
+
 // Guards against refusals that are no longer believed.
 test("upstreams that refuse properly break no promise", () => runModesOrThrow("refusing"));
 
--- a/packages/standins/src/registry/index.ts
+++ b/packages/standins/src/registry/index.ts
@@ -5,7 +5,12 @@
   type PublishedRoute,
   type PublishedRouteKind,
 } from "./configuration.js";
-export { sendEndless, type EndlessAnswer } from "./endlessAnswers.js";
+export {
+  sendEndless,
+  writeEndlessly,
+  type EndlessAnswer,
+  type EndlessBody,
+} from "./endlessAnswers.js";
 export {
   RegistryStore,
   type AddressTranslation,
