--- a/packages/daemon/tests/router/endlessAnswers.test.ts
+++ b/packages/daemon/tests/router/endlessAnswers.test.ts
@@ -1,26 +1,17 @@
-import {
-  RegistryStore,
-  respondWith,
-  ScriptedUpstream,
-  sendEndless,
-  type EndlessAnswer,
-  type Script,
-} from "@pistachioway/standins";
+import { respondWith, sendEndless, type EndlessAnswer, type Script } from "@pistachioway/standins";
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { readResponse, waitFor, type RawResponse } from "./RouterFixture.js";
-import { RouterProcess } from "./RouterProcess.js";
-
-interface Context {
-  store: RegistryStore;
-  upstreams: readonly ScriptedUpstream[];
-  router: RouterProcess;
-}
+import {
+  callProcess,
+  setUpProcess,
+  tearDownProcess,
+  type ProcessContext,
+} from "./ProcessContext.js";
+import { waitFor, type RawResponse } from "./RouterFixture.js";
 
-const test = suite<Context>("endless answers of upstreams");
+const test = suite<ProcessContext>("endless answers of upstreams");
 
-const timeoutMilliseconds = 5_000;
 /** Less than what the deploy file allows, so that the tests need fewer bytes to fill it. */
 const nodeOptions = ["--max-old-space-size=80"];
 const endlessRequests = 12;
@@ -77,23 +68,13 @@
 };
 
 test.before.each(async (context) => {
-  context.store = RegistryStore.create();
-  context.upstreams = [ScriptedUpstream.create("i-1"), ScriptedUpstream.create("i-2")];
-  await Promise.all([context.store, ...context.upstreams].map((server) => server.listen()));
-  context.store.publishConfiguration({ timeoutMilliseconds });
-  context.upstreams.forEach((upstream) => {
-    context.store.publishUpstream(upstream);
-  });
-  context.router = await RouterProcess.start(context.store, context.upstreams.length, nodeOptions);
+  await setUpProcess(context, { upstreamCount: 2, listedCount: 2, nodeOptions });
 });
 
-test.after.each(async ({ store, upstreams, router }) => {
-  await router.kill();
-  await Promise.all([store, ...upstreams].map((server) => server.close()));
-});
+test.after.each(tearDownProcess);
 
 /** Answers requests of paths that end with "endless" so, and all others at once. */
-function spoil({ upstreams }: Context, answer: EndlessAnswer): void {
+function spoil({ upstreams }: ProcessContext, answer: EndlessAnswer): void {
   const script: Script = (request, response) => {
     const respond = request.path.endsWith("endless") ? sendEndless(answer) : respondWith("sound");
     respond(request, response);
@@ -103,26 +84,17 @@
   });
 }
 
-async function call({ router }: Context, path: string, id: string): Promise<RawResponse> {
-  const socket = router.open();
-  socket.write(
-    `POST ${path} HTTP/1.1\r\nHost: chat.example\r\nRequest-Id: ${id}\r\nApi-Key: k-1\r\n` +
-      `Deadline-Ms: ${String(timeoutMilliseconds)}\r\nContent-Length: 1\r\n\r\nx`,
-  );
-  return readResponse(socket);
-}
-
-function startEndless(context: Context, route: string): readonly Promise<RawResponse>[] {
+function startEndless(context: ProcessContext, route: string): readonly Promise<RawResponse>[] {
   return Array.from({ length: endlessRequests }, (_, index) =>
-    call(context, `/${route}/endless`, `e-${String(index)}`),
+    callProcess(context, `/${route}/endless`, `e-${String(index)}`),
   );
 }
 
 /** Sends sound requests one after another while the endless answers come, and counts them by status. */
-async function countSound(context: Context): Promise<Record<string, number>> {
+async function countSound(context: ProcessContext): Promise<Record<string, number>> {
   const counts: Record<string, number> = {};
   for (let index = 0; index < soundRequests; index += 1) {
-    const { status } = await call(context, "/act/sound", `s-${String(index)}`);
+    const { status } = await callProcess(context, "/act/sound", `s-${String(index)}`);
     counts[status] = (counts[status] ?? 0) + 1;
     await delay(soundIntervalMilliseconds);
   }
@@ -152,7 +124,7 @@
   assert.equal(new Set(responses.map(({ status }) => status)), new Set([502]));
   const lines = context.router.getLines("answer.unbounded");
   assert.ok(lines.some((line) => line.includes("bound=memory")));
-  assert.equal((await call(context, "/act/sound", "s-last")).status, 200);
+  assert.equal((await callProcess(context, "/act/sound", "s-last")).status, 200);
 });
 
 // Guards against callers that wait for what will not come.
@@ -162,7 +134,7 @@
   first?.setScript(sendEndless(refusal));
   second?.setScript(respondWith("sound"));
   for (let index = 0; index < 4; index += 1) {
-    const { status, body } = await call(context, "/act/1", `a-${String(index)}`);
+    const { status, body } = await callProcess(context, "/act/1", `a-${String(index)}`);
     assert.equal([status, body], [200, "sound"]);
   }
 });
--- a/packages/daemon/tests/router/faultyAnswers.test.ts
+++ b/packages/daemon/tests/router/faultyAnswers.test.ts
@@ -1,8 +1,15 @@
-import { ScriptedUpstream, streamEvents } from "@pistachioway/standins";
+import { refuseRequest, respondWith, ScriptedUpstream, streamEvents } from "@pistachioway/standins";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { RouterFixture, type RawResponse } from "./RouterFixture.js";
-import { firstThen, setScripts, writeRaw, type Context } from "./scripts.js";
+import { RouterFixture, waitFor, type RawResponse } from "./RouterFixture.js";
+import {
+  firstThen,
+  neverRespond,
+  resetConnection,
+  setScripts,
+  writeRaw,
+  type Context,
+} from "./scripts.js";
 
 const test = suite<Context>("faulty answers of upstreams");
 
@@ -91,4 +98,35 @@
   }
 }
 
+/** Gets the memory that a router uses for bodies. */
+function getKeptBytes({ router }: RouterFixture): number {
+  const { memory } = router as unknown as { memory: { getUsedBytes: () => number } };
+  return memory.getUsedBytes();
+}
+
+// Guards against memory of bodies that is never returned, which would in time refuse all requests.
+test("the memory of bodies is returned, however requests end", async (context) => {
+  const { fixture } = context;
+  const scripts = [
+    respondWith("x".repeat(20_000)),
+    streamEvents(3, "complete"),
+    streamEvents(3, "broken"),
+    refuseRequest,
+    resetConnection,
+    neverRespond,
+  ];
+  for (const script of scripts) {
+    setScripts(context, script);
+    const calls = ["/read/1", "/act/1", "/stream/1", "/once/1"].map((path) =>
+      fixture.call(path, { method: "POST", body: "x".repeat(5_000) }),
+    );
+    const abandoned = fixture.open();
+    abandoned.write("POST /act/2 HTTP/1.1\r\nHost: chat.example\r\nRequest-Id: q-2\r\n");
+    abandoned.write("Api-Key: k-1\r\nContent-Length: 9000\r\n\r\nincomplete");
+    await Promise.all(calls);
+    abandoned.destroy();
+    await waitFor(() => getKeptBytes(fixture) === 0);
+  }
+});
+
 test.run();
--- a/packages/daemon/tests/router/oddEntries.test.ts
+++ b/packages/daemon/tests/router/oddEntries.test.ts
@@ -1,21 +1,17 @@
-import {
-  createPublishedConfiguration,
-  publishedService,
-  RegistryStore,
-  ScriptedUpstream,
-} from "@pistachioway/standins";
+import { createPublishedConfiguration, publishedService } from "@pistachioway/standins";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { readResponse, waitFor, type RawResponse } from "./RouterFixture.js";
+import {
+  callProcess,
+  processTimeoutMilliseconds,
+  setUpProcess,
+  tearDownProcess,
+  type ProcessContext,
+} from "./ProcessContext.js";
+import { waitFor } from "./RouterFixture.js";
 import { RouterProcess } from "./RouterProcess.js";
 
-interface Context {
-  store: RegistryStore;
-  upstreams: readonly ScriptedUpstream[];
-  router: RouterProcess;
-}
-
-const test = suite<Context>("odd entries in the registry");
+const test = suite<ProcessContext>("odd entries in the registry");
 
 const requestCount = 24;
 /** Entries that look sound and cannot be reached are found out by requests and probes. */
@@ -82,22 +78,12 @@
 ];
 
 test.before.each(async (context) => {
-  context.store = RegistryStore.create();
-  context.upstreams = ["i-1", "i-2", "i-3"].map((id) => ScriptedUpstream.create(id));
-  await Promise.all([context.store, ...context.upstreams].map((server) => server.listen()));
-  context.store.publishConfiguration({ timeoutMilliseconds: 5_000 });
-  context.upstreams.slice(0, 2).forEach((upstream) => {
-    context.store.publishUpstream(upstream);
-  });
-  context.router = await RouterProcess.start(context.store, 2);
+  await setUpProcess(context, { upstreamCount: 3, listedCount: 2 });
 });
 
-test.after.each(async ({ store, upstreams, router }) => {
-  await router.kill();
-  await Promise.all([store, ...upstreams].map((server) => server.close()));
-});
+test.after.each(tearDownProcess);
 
-function putOddEntries({ store }: Context): void {
+function putOddEntries({ store }: ProcessContext): void {
   oddEntries.forEach((text, index) => {
     store.put(`servers/odd-${String(index)}`, text);
   });
@@ -106,17 +92,8 @@
   });
 }
 
-async function call({ router }: Context, id: string): Promise<RawResponse> {
-  const socket = router.open();
-  socket.write(
-    `GET /read/1 HTTP/1.1\r\nHost: chat.example\r\nRequest-Id: ${id}\r\nApi-Key: k-1\r\n` +
-      `Deadline-Ms: 5000\r\n\r\n`,
-  );
-  return readResponse(socket);
-}
-
 /** Checks that a router serves, that it follows the registry, and that its log lines are bounded. */
-async function assertFollows(context: Context): Promise<void> {
+async function assertFollows(context: ProcessContext): Promise<void> {
   const third = context.upstreams[2];
   assert.ok(third);
   context.store.publishUpstream(third);
@@ -127,7 +104,7 @@
   await Promise.all(servers.map((upstream) => upstream.close()));
   let served = 0;
   for (let index = 0; served < requestCount; index += 1) {
-    const { status } = await call(context, `q-${String(index)}`);
+    const { status } = await callProcess(context, "/read/1", `q-${String(index)}`);
     assert.ok(status > 0, "each request is answered");
     served += status === 200 ? 1 : 0;
     assert.ok(index < maxRequests, `${String(served)} of ${String(index)} requests were served`);
@@ -156,7 +133,10 @@
   oddConfigurations.forEach((text) => {
     context.store.put("op/config", text);
   });
-  context.store.publishConfiguration({ version: 20, timeoutMilliseconds: 5_000 });
+  context.store.publishConfiguration({
+    version: 20,
+    timeoutMilliseconds: processTimeoutMilliseconds,
+  });
   await waitFor(() =>
     context.router.getLines("configuration.in-force").some((line) => line.includes("version=20")),
   );
--- a/packages/kernel/src/bytes/MemoryShare.ts
+++ b/packages/kernel/src/bytes/MemoryShare.ts
@@ -46,8 +46,6 @@
 
   /** Tells the holder that the budget takes the share back. */
   evict(): void {
-    const { onEvicted } = this;
-    this.onEvicted = undefined;
-    onEvicted?.();
+    this.onEvicted?.();
   }
 }
--- a/packages/kernel/tests/bytes/MemoryBudget.test.ts
+++ b/packages/kernel/tests/bytes/MemoryBudget.test.ts
@@ -26,6 +26,18 @@
   assert.is(budget.getUsedBytes(), 30);
 });
 
+test("a share that was taken back can be used and taken back again", () => {
+  const budget = MemoryBudget.create(100);
+  let evictions = 0;
+  const share = budget.addShare(() => (evictions += 1));
+  const other = budget.addShare();
+  for (let round = 1; round <= 2; round += 1) {
+    assert.equal([share.take(60), other.take(50)], [true, true]);
+    assert.is(evictions, round);
+    other.release();
+  }
+});
+
 test("what is in use is not taken back", () => {
   const budget = MemoryBudget.create(100);
   const evicted: string[] = [];
