stop.test.ts waits for the end of a connection from before it can come

Cause: if the whole answer has been read before the caller pauses, the connection closes during the 3.5 s in which it reads nothing, before the test listens for that. Shown: with 500 ms before the pause the test hangs (killed after 60 s); with the listener attached first it passes so, and without the delay (8 of 8 each). What it checks is unchanged. Ruled out: a router that does not stop (its listeners and timers were gone).

--- a/packages/daemon/tests/router/stop.test.ts
+++ b/packages/daemon/tests/router/stop.test.ts
@@ -209,10 +209,10 @@
   socket.on("data", (chunk: Buffer) => (bytes += chunk.length));
   socket.write(createLongRequest("/act/1", "q-1"));
   await waitFor(() => bytes > 0);
+  const closed = new Promise((resolve) => socket.once("close", resolve));
   socket.pause();
   const stopped = fixture.router.stop();
   await delay(3_500);
-  const closed = new Promise((resolve) => socket.once("close", resolve));
   socket.resume();
   await closed;
   assert.ok(bytes > largeBodyBytes, `${String(bytes)} bytes came`);
