--- a/packages/daemon/src/exchange/ReadTurn.ts
+++ b/packages/daemon/src/exchange/ReadTurn.ts
@@ -13,11 +13,16 @@
 /** Bytes that the work for one piece of any size is counted as. */
 const bytesPerPiece = 256;
 
-/** What one connection may bring until others are read first. */
+/**
+ * Counts what the answer on one connection brings, and pauses it when that is more than its turn allows. Turns follow one
+ * another until the answer ends.
+ */
 export class ReadTurn {
   private endsAt = -Infinity;
   private usedBytes = 0;
+  /** Whether the answer has ended. */
   private isOver = false;
+  /** Whether the connection is paused until its next turn. */
   private isWaiting = false;
 
   private constructor(private readonly options: ReadTurnOptions) {}
--- a/packages/daemon/src/ingress/AnswerBody.ts
+++ b/packages/daemon/src/ingress/AnswerBody.ts
@@ -32,6 +32,7 @@
   private buffer: BodyBuffer | undefined;
   private discardedBytes = 0;
   private discardedPieces = 0;
+  /** Whether the body is being passed on, so that its memory is in use until the caller has it. */
   private isTaken = false;
 
   private constructor(private readonly share: MemoryShare) {}
--- a/packages/daemon/src/streams/OwnStreams.ts
+++ b/packages/daemon/src/streams/OwnStreams.ts
@@ -29,7 +29,7 @@
   readonly stream: OwnStream;
   /** The starts of daemons that were told. */
   readonly told: Set<string>;
-  /** Change of the fleet up to which all keepers were told. */
+  /** Value of `change` when all keepers were told last; -1 before. */
   toldChange: number;
 }
 
@@ -39,8 +39,9 @@
 /** The streams of this daemon, whose versions others are told while these could not know them otherwise. */
 export class OwnStreams {
   private readonly statesById = new Map<string, OwnStreamState>();
-  /** Counts the changes of the fleet. */
+  /** Number of times that the live daemons, or their starts, were others than before. */
   private change = 0;
+  /** The starts of the live daemons, as one text to compare. */
   private fleet = "";
 
   private constructor(private readonly options: OwnStreamsOptions) {}
--- a/packages/daemon/src/streams/VersionQuestion.ts
+++ b/packages/daemon/src/streams/VersionQuestion.ts
@@ -17,8 +17,12 @@
   private readonly listeners: VersionListener[] = [];
   /** Versions of which a peer knows that the service had no other of late. */
   private readonly onlyVersions = new Set<string>();
+  /** Whether a peer knows that the service had several versions, so that no list proves one. */
   private wasDenied = false;
-  /** Whether a peer that could have a record has answered that it has none. */
+  /**
+   * Whether a peer has answered that could have a record, or knows all lists of late. One that has just started is no
+   * such peer: it remembers nothing.
+   */
   private hasInformedAnswer = false;
 
   private constructor(
--- a/packages/daemon/tests/router/streamsAfterOutage.test.ts
+++ b/packages/daemon/tests/router/streamsAfterOutage.test.ts
@@ -62,6 +62,18 @@
   await Promise.all(engines.map((engine) => engine.close()));
 });
 
+/** Begins streams at the first router, and cuts all routers off from the registry. */
+async function beginOutage(context: Context): Promise<readonly string[]> {
+  const ids = await beginStreams(context, getFirst(context));
+  context.store.setMode("reset");
+  return ids;
+}
+
+function getFirst({ routers: [first] }: Context): RouterFixture {
+  assert.ok(first);
+  return first;
+}
+
 /** Begins streams at a router; their callers read them until it is killed. */
 async function beginStreams(context: Context, router: RouterFixture): Promise<readonly string[]> {
   const ids = Array.from({ length: streamCount }, (_, index) => `s-${String(index)}`);
@@ -99,26 +111,20 @@
 // Guards against streams that nobody knows after an outage, although there was one version all along (LOST).
 test("go on when their router is lost after it", async (context) => {
   const { routers, store } = context;
-  const [first] = routers;
-  assert.ok(first);
-  const ids = await beginStreams(context, first);
-  store.setMode("reset");
+  const ids = await beginOutage(context);
   await delay(outageMilliseconds);
   store.setMode("up");
   await delay(1_500);
-  first.kill();
+  getFirst(context).kill();
   assert.equal(await takeUp(routers, ids), { 200: streamCount });
 });
 
 // The same where what changed meanwhile cannot be read any more.
 test("go on when the history is gone and their router is lost meanwhile", async (context) => {
   const { routers, store } = context;
-  const [first] = routers;
-  assert.ok(first);
-  const ids = await beginStreams(context, first);
-  store.setMode("reset");
+  const ids = await beginOutage(context);
   await delay(800);
-  first.kill();
+  getFirst(context).kill();
   await delay(outageMilliseconds);
   store.discardHistory();
   store.setMode("up");
@@ -127,13 +133,10 @@
 });
 
 test("go on while the registry is still away", async (context) => {
-  const { routers, store } = context;
-  const [first] = routers;
-  assert.ok(first);
-  const ids = await beginStreams(context, first);
-  store.setMode("reset");
+  const { routers } = context;
+  const ids = await beginOutage(context);
   await delay(800);
-  first.kill();
+  getFirst(context).kill();
   assert.equal(await takeUp(routers, ids), { 200: streamCount });
 });
 
