Streams to callers are always sent in chunks, however their upstream delimits them

Cause: the answer to the caller had the framing of the first upstream's answer. Without length and chunks the end of the router's process is the end of the answer. With a length the events of the upstream that goes on are cut at that number.

Change: the head of a stream has no length, and its body is sent in chunks. Whole answers keep their form. The check of streams.test.ts that an unframed stream ends with its connection asked for the fault; it asks for the last chunk now, and for none where the stream was broken off.

streamFraming.test.ts: on the code before 4 of 15 fail: unframed streams look complete 12 of 12 when the router is killed, and those that go on after a length end at event 30 of 40. Now 15 of 15 hold. Class: the hop to the caller lets another hop decide when its message ends.

--- a/packages/daemon/src/ingress/CallerResponse.ts
+++ b/packages/daemon/src/ingress/CallerResponse.ts
@@ -62,27 +62,31 @@
     }
     if (head.isFramed) {
       headers.push("Content-Length", String(body.length));
+    } else {
+      this.endWithConnection();
     }
-    this.setFraming(head);
     this.response.writeHead(head.status, this.withConnection(headers));
     this.response.end(body);
   }
 
+  /**
+   * Writes the head of a stream, which is sent in chunks however the upstream delimits it: only the last chunk ends it, so
+   * that neither the end of this process nor that of an upstream looks like the end of the stream. Callers of HTTP/1.0
+   * know no chunks; their streams end with the connection.
+   */
   startStream(head: ResponseHead): void {
-    this.setFraming(head);
-    this.response.writeHead(head.status, this.withConnection([...head.passedHeaders]));
+    const headers = withoutLength(head.passedHeaders);
+    this.response.writeHead(head.status, this.withConnection(headers));
     this.response.flushHeaders();
   }
 
   /**
-   * Keeps a response delimited by the end of its connection when the upstream's response was. The
-   * upstream may have cut it off, and a content length or a last chunk would mark it as complete.
+   * Delimits a whole answer by the end of its connection, as its upstream did. The upstream may have cut it off, and a
+   * content length or a last chunk would mark it as complete.
    */
-  private setFraming(head: ResponseHead): void {
-    if (!head.isFramed) {
-      this.response.useChunkedEncodingByDefault = false;
-      this.response.shouldKeepAlive = false;
-    }
+  private endWithConnection(): void {
+    this.response.useChunkedEncodingByDefault = false;
+    this.response.shouldKeepAlive = false;
   }
 
   private withConnection(headers: string[]): string[] {
