The end of a connection ends an answer only while its upstream still accepts connections

Cause: the kernel ends the connections of a process that has crashed in order, and that end was taken for the end of the answer.

Change: before such an end counts, a connection to the upstream is opened. If none opens in two tries, the answer is lost: it goes on elsewhere where the route allows it, or is broken off. The rest of a stream may be empty, as after a crash behind the last event. answer.unframed-end and pistachioway_unframed_answers_total tell what such ends were taken for. Considered: resuming at each such end (a run and budget for each stream, and engines that answer so answer all so); other connections of the same upstream (one that is paused does not show its end).

What stays: an upstream that is back within the milliseconds of the check, and one that ends its answers early while it goes on serving.

--- a/packages/daemon/src/exchange/ReachabilityTask.ts
+++ b/packages/daemon/src/exchange/ReachabilityTask.ts
@@ -59,6 +59,23 @@
     this.probe(this.reach.takeProbes(now));
   }
 
+  /**
+   * Opens a connection to an upstream and closes it unused. A second try follows the first one, which a pause of this
+   * process may have cut short.
+   * @returns Whether it opened.
+   */
+  async canReach(entry: UpstreamEntry): Promise<boolean> {
+    const { address } = entry.record;
+    const isReached = (await canConnect(address)) || (await canConnect(address));
+    const now = this.dependencies.getNow();
+    if (isReached) {
+      this.reach.recordConnected(entry, now);
+    } else {
+      this.recordConnectFailure(entry);
+    }
+    return isReached;
+  }
+
   private runCheck(now: number): void {
     const { silent, changes } = this.reach.check(now);
     silent.forEach((entry) => {
--- a/packages/daemon/src/forwarding/PeerTarget.ts
+++ b/packages/daemon/src/forwarding/PeerTarget.ts
@@ -99,6 +99,11 @@
     this.options.onFinish();
   }
 
+  /** What a peer passes on has a length or chunks; the peer has checked the end of the upstream's answer. */
+  isStillServing(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
   recordSuccess(): void {
     // The counts of the upstream are the peer's.
   }
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -6,6 +6,7 @@
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { ActiveRequestReport, type ActiveRequestOutcome } from "./ActiveRequestReport.js";
 import type { AcceptedRequest } from "./AcceptedRequest.js";
+import { createLoss, findEndFailure } from "./findEndFailure.js";
 import { decideRequestRetry } from "./decideRequestRetry.js";
 import { mayHaveRun } from "./mayHaveRun.js";
 import { ReceivedAnswer } from "./ReceivedAnswer.js";
@@ -111,7 +112,7 @@
   /** Cancels the request, because the caller has closed its connection. */
   handleCallerClosed(): void {
     if (!this.isFinished) {
-      this.recordFailureIfUnresponsive();
+      this.slowAttemptMonitor.recordFailureIfUnresponsive(this.attempt);
       this.cancelAttempt();
       this.finish("abandoned");
     }
@@ -187,7 +188,8 @@
     attempt.target.recordHead(head, now);
     this.targets.addTriedUpstream(attempt.target.getReport(now).upstream);
     if (head.meaning === "refusal") {
-      this.recordNotRun();
+      this.runs -= 1;
+      this.refusals += 1;
     } else if (this.answer.stream.isPart(head)) {
       attempt.startStream();
       this.origin.recordStart(attempt.target.getSoftwareVersion());
@@ -228,11 +230,28 @@
     if (attempt?.head === undefined) {
       return;
     }
-    if (attempt.isBrokenOff()) {
-      this.handleFailure(createLoss("the stream ended inside an event", true));
+    if (attempt.head.meaning === "final" && attempt.endsWithConnection()) {
+      void this.checkEnd(attempt, attempt.head);
+    } else {
+      this.handleAnswer(attempt, attempt.head);
+    }
+  }
+
+  private async checkEnd(attempt: Attempt, head: ResponseHead): Promise<void> {
+    const failure = await findEndFailure(attempt, this.report);
+    if (this.attempt !== attempt) {
       return;
     }
-    const { head, target } = attempt;
+    if (failure === undefined) {
+      this.handleAnswer(attempt, head);
+    } else {
+      this.handleFailure(failure);
+    }
+  }
+
+  /** Handles the complete answer of an attempt. */
+  private handleAnswer(attempt: Attempt, head: ResponseHead): void {
+    const { target } = attempt;
     this.endAttempt();
     if (target.upstream !== undefined) {
       this.evidence.recordAnswer(head, this.dependencies.getNow());
@@ -240,7 +259,10 @@
     if (head.meaning === "refusal") {
       this.retryOrFail("refused", `${target.description} refused with ${describeAnswer(head)}`);
     } else if (head.meaning === "unproven") {
-      this.handleUnproven(target, head);
+      // Its status says what its upstream has not stated, so that it must not be passed on.
+      this.recordFailure(target);
+      const answer = describeAnswer(head);
+      this.retryOrFail("failed", `${target.description} gave no proof with ${answer}`);
     } else if (head.status >= serverErrorStatus) {
       this.handleServerError(attempt, head);
     } else if (this.response.isStarted() && !this.answer.stream.isPart(head)) {
@@ -259,12 +281,6 @@
     this.finish("answered");
   }
 
-  /** Handles an answer that must not be passed on, as its status says what its upstream has not stated. */
-  private handleUnproven(target: AttemptTarget, head: ResponseHead): void {
-    this.recordFailure(target);
-    this.retryOrFail("failed", `${target.description} gave no proof with ${describeAnswer(head)}`);
-  }
-
   /** Retries at another upstream where that is allowed, else relays the upstream's error response. */
   private handleServerError(attempt: Attempt, head: ResponseHead): void {
     this.recordFailure(attempt.target);
@@ -341,7 +357,7 @@
     }
     const { attempt } = this;
     const hasPerhapsRun = mayHaveRun(this.runs, attempt);
-    this.recordFailureIfUnresponsive();
+    this.slowAttemptMonitor.recordFailureIfUnresponsive(this.attempt);
     this.cancelAttempt();
     if (this.response.isStarted()) {
       this.abort(cutOutcome);
@@ -364,23 +380,10 @@
     this.refusals += target.upstream === undefined ? 0 : 1;
   }
 
-  private recordNotRun(): void {
-    this.runs -= 1;
-    this.refusals += 1;
-  }
-
   private recordFailure(target: AttemptTarget): void {
     target.recordFailure(this.dependencies.getNow());
   }
 
-  /** Records a failure of a target that has sent nothing for the stall timeout. */
-  private recordFailureIfUnresponsive(): void {
-    const { attempt } = this;
-    if (attempt !== undefined && this.slowAttemptMonitor.isUnresponsive(attempt)) {
-      this.recordFailure(attempt.target);
-    }
-  }
-
   private endAttempt(): void {
     this.slowAttemptMonitor.stop();
     this.attempt?.finish();
@@ -399,8 +402,3 @@
     this.report.recordEnd(outcome, this, this.target, this.firstByteAt);
   }
 }
-
-/** Creates the failure of an attempt that may have run and whose answer is not complete. */
-function createLoss(detail: string, wasClosedByUpstream: boolean): ExchangeFailure {
-  return { end: "lost", detail, hasConnectFailed: false, wasClosedByUpstream };
-}
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -102,6 +102,22 @@
     metrics.unboundedAnswers.inc({ bound });
   }
 
+  /**
+   * Records what the end of the connection of an answer without length or chunks was taken for.
+   * @param attempt - The attempt.
+   * @param isEnd - Whether it was taken for the end of the answer.
+   */
+  recordUnframedEnd({ target }: Attempt, isEnd: boolean): void {
+    const { getNow, metrics, record } = this.dependencies;
+    const end = isEnd ? "complete" : "crash";
+    metrics.unframedAnswers.inc({ end });
+    record(isEnd ? "debug" : "info", "answer.unframed-end", {
+      request: this.request.head.id,
+      upstream: target.getReport(getNow()).upstream,
+      end,
+    });
+  }
+
   /**
    * Records the end of the request.
    * @param outcome - How it ended.
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -12,6 +12,8 @@
   /** When the first byte of the body was received; monotonic milliseconds. */
   firstBodyByteAt: number | undefined;
   private isStreaming = false;
+  /** Whether the request asks for the rest of a stream, which may have no events left. */
+  private isContinuation = false;
   private readonly boundary = EventBoundary.create();
   private exchange: Exchange | undefined;
 
@@ -33,6 +35,7 @@
    */
   send(now: number, lastEventId: string | undefined, listener: ExchangeListener): void {
     this.lastReceivedAt = now;
+    this.isContinuation = lastEventId !== undefined;
     this.exchange = this.target.send(lastEventId, listener);
   }
 
@@ -65,7 +68,18 @@
    * framing only an incomplete event shows it.
    */
   isBrokenOff(): boolean {
-    return this.isUnframedStream() && !this.boundary.isAtEnd();
+    const isEmpty = this.firstBodyByteAt === undefined;
+    const mayEnd = this.boundary.isAtEnd() || (isEmpty && this.isContinuation);
+    return this.isUnframedStream() && !mayEnd;
+  }
+
+  /**
+   * Checks whether nothing but the end of the connection marks the end of the response, so that a crash of its sender looks
+   * like that.
+   */
+  endsWithConnection(): boolean {
+    const hasBody = this.isStreaming || this.firstBodyByteAt !== undefined;
+    return hasBody && this.head?.isFramed === false;
   }
 
   /** Records that the response is a stream. */
--- a/packages/daemon/src/ingress/AttemptTarget.ts
+++ b/packages/daemon/src/ingress/AttemptTarget.ts
@@ -45,6 +45,11 @@
   readonly startStream: () => void;
   /** Records the end of the attempt; `hadStream` when its response had started as a stream. */
   readonly finish: (hadStream: boolean) => void;
+  /**
+   * Checks whether the end of the connection may be the end of the answer: only while its sender still accepts
+   * connections, since those of a process that has crashed end in the same way.
+   */
+  readonly isStillServing: () => Promise<boolean>;
   readonly recordSuccess: () => void;
   readonly recordFailure: (now: number) => void;
   /** Records that the request was not sent, for want of a connection or otherwise. */
--- a/packages/daemon/src/ingress/SlowAttemptMonitor.ts
+++ b/packages/daemon/src/ingress/SlowAttemptMonitor.ts
@@ -62,11 +62,14 @@
   }
 
   /**
-   * Checks whether a target has sent nothing for so long that it counts as failed.
-   * @param attempt - Attempt at the target.
+   * Records a failure of a target that has sent nothing for the stall timeout.
+   * @param attempt - Attempt at the target; undefined when none is under way.
    */
-  isUnresponsive(attempt: Attempt): boolean {
-    return this.getNow() - attempt.lastReceivedAt > stallTimeoutMilliseconds;
+  recordFailureIfUnresponsive(attempt: Attempt | undefined): void {
+    const now = this.getNow();
+    if (attempt !== undefined && now - attempt.lastReceivedAt > stallTimeoutMilliseconds) {
+      attempt.target.recordFailure(now);
+    }
   }
 
   private isSlow({ target, head, lastReceivedAt }: Attempt): boolean {
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -98,6 +98,10 @@
     this.entry.finishRequest(hadStream);
   }
 
+  isStillServing(): Promise<boolean> {
+    return this.dependencies.reachability.canReach(this.entry);
+  }
+
   recordSuccess(): void {
     this.entry.recordSuccess();
   }
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -35,6 +35,13 @@
     registers: [this.registry],
   });
 
+  readonly unframedAnswers = new Counter({
+    name: "pistachioway_unframed_answers_total",
+    help: "Answers without length or chunks whose connection ended, by what that was taken for.",
+    labelNames: ["end"],
+    registers: [this.registry],
+  });
+
   readonly unboundedAnswers = new Counter({
     name: "pistachioway_unbounded_answers_total",
     help: "Answers of upstreams that were ended because of their size, by the bound that they exceeded.",
--- a/packages/daemon/tests/router/streamFraming.test.ts
+++ b/packages/daemon/tests/router/streamFraming.test.ts
@@ -1,4 +1,4 @@
-import { ScriptedUpstream } from "@pistachioway/standins";
+import { respondWith, ScriptedUpstream, type Script } from "@pistachioway/standins";
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
@@ -9,7 +9,7 @@
   type ProcessContext,
 } from "./ProcessContext.js";
 import { RouterFixture, waitFor } from "./RouterFixture.js";
-import { framings, streamFramed } from "./framedStreams.js";
+import { framings, streamFramed, type Framing } from "./framedStreams.js";
 import { firstThen, setScripts, type Context } from "./scripts.js";
 import { readStream, type SeenStream } from "./StreamCaller.js";
 
@@ -72,6 +72,11 @@
   return readStream({ port: fixture.callersPort, path: `/${route}/1`, id: "q-1" });
 }
 
+/** Ends an upstream as its crash does: it accepts no connections, and those that are open end. */
+async function crash({ upstreams }: Context, address: string): Promise<void> {
+  await upstreams.find((upstream) => upstream.address === address)?.close();
+}
+
 const wholeIds = Array.from({ length: lastEvent }, (_, index) => index + 1);
 const whole: SeenStream = { status: 200, ids: wholeIds, rest: "", isComplete: true };
 
@@ -87,8 +92,37 @@
   }
 }
 
-// Guards against streams that are sent again although their upstream has ended them (BUDGET).
+/** Streams some events, and then ends the process of their upstream. */
+function crashAfter(context: Context, framing: Framing, pausedAfter: number): Script {
+  return (request, response) => {
+    const { localAddress = "", localPort = 0 } = response.socket ?? {};
+    streamFramed({ framing, lastEvent, pausedAfter })(request, response);
+    setTimeout(() => {
+      void crash(context, `${localAddress}:${String(localPort)}`);
+    }, eventMilliseconds);
+  };
+}
+
+// Guards against the crash of an upstream between two events that is taken for the end of its stream (ORDER).
 for (const framing of framings) {
+  ended(`go on after a crash between two events of an answer with ${framing}`, async (context) => {
+    const goOn = streamFramed({ framing, lastEvent, text: "a longer text" });
+    setScripts(context, firstThen(crashAfter(context, framing, 5), goOn));
+    assert.equal(await callStream(context, "stream"), whole);
+  });
+
+  ended(`are complete after a crash behind their last event, with ${framing}`, async (context) => {
+    const goOn = streamFramed({ framing, lastEvent });
+    setScripts(context, firstThen(crashAfter(context, framing, lastEvent), goOn));
+    assert.equal(await callStream(context, "stream"), whole);
+  });
+
+  ended(`that may not go on are broken off after a crash, with ${framing}`, async (context) => {
+    setScripts(context, crashAfter(context, framing, 5));
+    const seen = await callStream(context, "once");
+    assert.equal([seen.ids, seen.isComplete], [[1, 2, 3, 4, 5], false]);
+  });
+
   ended(
     `are complete when an upstream that goes on serving ends them, with ${framing}`,
     async (context) => {
@@ -101,4 +135,33 @@
   );
 }
 
+/** Runs a request and ends its upstream's process within the answer, which has neither a length nor chunks. */
+function crashWithin(context: Context): Script {
+  return ({ id }, response) => {
+    const { localAddress = "", localPort = 0 } = response.socket ?? {};
+    response.socket?.write(
+      `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Stamp: stamp-${id}\r\nConnection: close\r\n\r\na part`,
+    );
+    setTimeout(() => {
+      void crash(context, `${localAddress}:${String(localPort)}`);
+    }, eventMilliseconds);
+  };
+}
+
+// Guards against a part of a whole answer that is passed on as the answer when its upstream crashes (MIXED).
+ended("is no whole answer when its upstream crashes within it", async (context) => {
+  setScripts(context, firstThen(crashWithin(context), respondWith("whole")));
+  const read = await context.fixture.call("/read/1", { id: "q-1" });
+  assert.equal([read.status, read.body], [200, "whole"]);
+});
+
+ended(
+  "leaves open whether a request has run when its upstream crashes within the answer",
+  async (context) => {
+    setScripts(context, crashWithin(context));
+    const act = await context.fixture.call("/act/1", { id: "q-1", method: "POST", body: "x" });
+    assert.is(act.status, 502);
+  },
+);
+
 ended.run();
