A start has an end: listeners are tried again, and what still fails ends the process

What was seen: a router started while another socket had one of its addresses stayed half a router for good. Held callers' address: ready, and nobody served; readiness: never ready; operations, forwarding or metrics: ready, without ticks and fleet; datagrams: ready, deaf to its peers.

Cause: Router.start awaited all listeners together; the first that failed rejected, unhandledRejection logged it, and what came after never ran. The datagrams' socket was bound once, its failure only logged, and the next send bound it to any port.

Class: a start that has no end. Nothing is sent before the datagrams' socket is bound. Later errors of a server (a connection that cannot be accepted) are logged as listener.failed: listenOn left a handler that swallowed the first, and the second was an uncaught exception. A signal during the start ends it at once.

FleetTask.test.ts awaits the start, which is asynchronous now; it checks the same.

--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -8,6 +8,7 @@
   type WaitingNotices,
 } from "@pistachioway/kernel";
 import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
 import type { Fields, LogLevel } from "../log/line.js";
 import {
   decodeStreamMessage,
@@ -64,7 +65,8 @@
   private timer: NodeJS.Timeout | undefined;
   private expressTimer: NodeJS.Timeout | undefined;
   private sequence = 0;
-  private isStopped = false;
+  /** True while the socket is bound: sending before would bind it to any port. */
+  private isOpen = false;
   private refusalLoggedAt = -Infinity;
   private droppedCount = 0;
   private dropLoggedAt = -Infinity;
@@ -86,7 +88,9 @@
       this.receive(message, `${host}:${String(port)}`);
     });
     this.socket.on("error", (error) => {
-      this.dependencies.record("warn", "fleet.socket-failed", { detail: error.message });
+      if (this.isOpen) {
+        this.dependencies.record("warn", "fleet.socket-failed", { detail: error.message });
+      }
     });
   }
 
@@ -98,12 +102,13 @@
     return new FleetTask(dependencies);
   }
 
-  /** Binds the socket and starts the rounds. */
-  start(): void {
+  /** Binds the socket and starts the rounds; rejects when the socket cannot be bound, after which it can be tried again. */
+  async start(): Promise<void> {
     const [host = "", port = ""] = this.dependencies.address.split(":");
-    this.socket.bind(Number(port), host, () => {
-      this.runRound();
-    });
+    this.socket.bind(Number(port), host);
+    await once(this.socket, "listening");
+    this.isOpen = true;
+    this.runRound();
     this.timer = setInterval(() => {
       this.runRound();
     }, roundMilliseconds);
@@ -113,7 +118,7 @@
   stop(): void {
     clearInterval(this.timer);
     clearTimeout(this.expressTimer);
-    this.isStopped = true;
+    this.isOpen = false;
     this.socket.close();
   }
 
@@ -151,7 +156,7 @@
   /** Sends a message ahead of the round as soon as one is due. */
   private scheduleExpress(): void {
     const expressAt = this.gossip.getExpressAt();
-    if (expressAt === undefined || this.expressTimer !== undefined || this.isStopped) {
+    if (expressAt === undefined || this.expressTimer !== undefined || !this.isOpen) {
       return;
     }
     const milliseconds = Math.max(0, expressAt - this.dependencies.getNow());
@@ -194,7 +199,7 @@
 
   private send(target: string, datagram: Buffer): void {
     // Requests that outlive the stop still tell of their streams.
-    if (this.isStopped) {
+    if (!this.isOpen) {
       return;
     }
     const [host = "", port = ""] = target.split(":");
--- a/packages/daemon/src/ingress/RequestServer.ts
+++ b/packages/daemon/src/ingress/RequestServer.ts
@@ -24,9 +24,13 @@
     return new RequestServer(server, running);
   }
 
-  /** Starts to listen. */
-  async listen(address: string): Promise<void> {
-    await listenOn(this.server, address);
+  /**
+   * Starts to listen.
+   * @param address - IPv4 address and port.
+   * @param onError - Called with each later error of the listener.
+   */
+  async listen(address: string, onError: (error: Error) => void): Promise<void> {
+    await listenOn(this.server, address, onError);
   }
 
   /**
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -61,6 +61,13 @@
     registers: [this.registry],
   });
 
+  readonly listenAttempts = new Counter({
+    name: "pistachioway_listen_attempts_total",
+    help: "Attempts to listen at the start, by listener and result.",
+    labelNames: ["listener", "result"],
+    registers: [this.registry],
+  });
+
   readonly registryCalls = new Counter({
     name: "pistachioway_registry_calls_total",
     help: "Calls of the registry by call and result.",
--- a/packages/daemon/src/router/OperationsServer.ts
+++ b/packages/daemon/src/router/OperationsServer.ts
@@ -39,9 +39,13 @@
     return new OperationsServer(pages, onError);
   }
 
-  /** Starts to listen. */
-  async listen(address: string): Promise<void> {
-    await listenOn(this.server, address);
+  /**
+   * Starts to listen.
+   * @param address - IPv4 address and port.
+   * @param onError - Called with each later error of the listener.
+   */
+  async listen(address: string, onError: (error: Error) => void): Promise<void> {
+    await listenOn(this.server, address, onError);
   }
 
   /** Stops listening and closes every connection. */
--- a/packages/daemon/src/router/PlannedStop.ts
+++ b/packages/daemon/src/router/PlannedStop.ts
@@ -19,6 +19,8 @@
   /** When the stop signal may have come, which is before its handling if the process stood still. */
   readonly signalledAt: number;
   readonly graceMilliseconds: number;
+  /** Whether the daemon may have reported ready; if it did not, listening ends at once. */
+  readonly mayHaveBeenReady: boolean;
   /** Reads the monotonic clock, in milliseconds. */
   readonly getNow: () => number;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
@@ -41,11 +43,12 @@
   private readonly exitsAt: number;
 
   private constructor(private readonly dependencies: PlannedStopDependencies) {
-    const { signalledAt, graceMilliseconds, getNow } = dependencies;
+    const { signalledAt, graceMilliseconds, mayHaveBeenReady, getNow } = dependencies;
     const startedAt = getNow();
     this.exitsAt = signalledAt + graceMilliseconds - exitMarginMilliseconds;
     this.serviceEndsAt = Math.max(startedAt, this.exitsAt - responseMarginMilliseconds);
-    this.listeningEndsAt = Math.min(startedAt + unreadyDelayMilliseconds, this.serviceEndsAt);
+    const unreadyDelay = mayHaveBeenReady ? unreadyDelayMilliseconds : 0;
+    this.listeningEndsAt = Math.min(startedAt + unreadyDelay, this.serviceEndsAt);
   }
 
   /**
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -18,6 +18,7 @@
   TickListeners,
   type ActiveRequestDependencies,
 } from "../ingress/index.js";
+import type { ListenerStart } from "../listening/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 import type { StreamLog } from "../log/StreamLog.js";
 import { RouterMetrics } from "../metrics/RouterMetrics.js";
@@ -25,16 +26,18 @@
 import type { StreamDirectory } from "../streams/index.js";
 import { createFleetTask, toDatagramAddress } from "./createFleetTask.js";
 import { createForwarding, type Forwarding } from "./createForwarding.js";
+import { createListenerStart } from "./createListenerStart.js";
 import { createPeerStateTask } from "./createPeerStateTask.js";
 import { createRegistryTask } from "./createRegistryTask.js";
 import { createStreamDirectory } from "./createStreamDirectory.js";
 import { getLimitShare } from "./getLimitShare.js";
 import { NoticeLog } from "./NoticeLog.js";
-import { OperationsServer } from "./OperationsServer.js";
+import { OperationsServers } from "./OperationsServers.js";
 import { PlannedStop } from "./PlannedStop.js";
 import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
 import { readClocks, readMonotonicClock } from "./clocks.js";
+import { runHousekeeping } from "./runHousekeeping.js";
 import { StallLog } from "./StallLog.js";
 import { TickLag } from "./TickLag.js";
 
@@ -80,9 +83,8 @@
   private readonly requestDependencies: ActiveRequestDependencies;
   private readonly forwarding: Forwarding;
   private readonly ingress: IngressServer;
-  private readonly readiness: OperationsServer;
-  private readonly operations: OperationsServer;
-  private readonly metricsServer: OperationsServer;
+  private readonly servers: OperationsServers;
+  private readonly listenerStart: ListenerStart;
   private readonly incarnation = Date.now();
   private readonly startedAt = readMonotonicClock();
   private readonly ticks = TickListeners.create();
@@ -130,13 +132,10 @@
     this.requestDependencies = this.createActiveRequestDependencies();
     this.forwarding = this.createForwarding();
     this.ingress = this.createIngress();
-    const onError = (error: Error): void => {
-      this.record("error", "operations.failed", { detail: error.message });
-    };
-    const pages = this.createPages();
-    this.readiness = OperationsServer.create(pages.getReadiness(), onError);
-    this.operations = OperationsServer.create(pages.getAll(), onError);
-    this.metricsServer = OperationsServer.create(pages.getMetrics(), onError);
+    this.servers = OperationsServers.create(this.createPages(), ({ message }) => {
+      this.record("error", "operations.failed", { detail: message });
+    });
+    this.listenerStart = this.createListenerStart();
   }
 
   /**
@@ -147,23 +146,25 @@
     return new Router(dependencies);
   }
 
-  /** Starts to listen and to watch the registry. */
+  /**
+   * Starts to listen and to watch the registry. Resolves when the start is complete, or when the router is stopped.
+   * @throws ListenerError when a needed listener cannot listen in time.
+   */
   async start(): Promise<void> {
-    const { process: self, listeners } = this.dependencies.settings;
+    const { process: self } = this.dependencies.settings;
     this.record("info", "daemon.starting", { zone: self.zone, incarnation: this.incarnation });
     void this.registryTask.run();
-    await Promise.all([
-      this.ingress.requests.listen(listeners.callers),
-      this.forwarding.server.requests.listen(listeners.datagrams),
-      this.readiness.listen(listeners.readiness),
-      this.operations.listen(listeners.operations),
-      listeners.metrics === undefined || this.metricsServer.listen(listeners.metrics),
-    ]);
-    this.fleet.start();
     this.timer = setInterval(() => {
       this.runTick();
     }, tickMilliseconds);
-    this.record("info", "daemon.listening", { callers: listeners.callers });
+    await this.listenerStart.run();
+    if (this.listenerStart.isComplete()) {
+      this.record("info", "daemon.listening", {
+        ...this.listenerStart.getAddresses(),
+        attempts: this.listenerStart.getAttemptCount(),
+        milliseconds: Math.round(readMonotonicClock() - this.startedAt),
+      });
+    }
   }
 
   /**
@@ -176,12 +177,14 @@
       servers: [this.ingress.requests, this.forwarding.server.requests],
       signalledAt: this.tickLag.getEarliest(readMonotonicClock()),
       graceMilliseconds: this.dependencies.settings.limits.graceMilliseconds,
+      mayHaveBeenReady: this.listenerStart.isComplete(),
       getNow: readMonotonicClock,
       record: (level, event, fields) => {
         this.record(level, event, fields);
       },
     });
     this.record("info", "daemon.stopping", { running: this.ingress.requests.getRunningCount() });
+    await this.listenerStart.stop();
     const isIdle = await this.plannedStop.run();
     this.close();
     this.record("info", "daemon.stopped", { idle: isIdle });
@@ -210,13 +213,12 @@
     }
     this.isClosed = true;
     clearInterval(this.timer);
+    void this.listenerStart.stop();
     this.ingress.requests.close();
     this.forwarding.server.requests.close();
     this.registryTask.stop();
     this.fleet.stop();
-    this.readiness.close();
-    this.operations.close();
-    this.metricsServer.close();
+    this.servers.close();
     this.pool.close();
     this.forwarding.pool.close();
   }
@@ -254,10 +256,26 @@
       memory: this.memory,
       metrics: this.metrics,
       getNow: readMonotonicClock,
+      isStarted: () => this.listenerStart.isComplete(),
       isStopping: () => this.plannedStop !== undefined,
     });
   }
 
+  private createListenerStart(): ListenerStart {
+    return createListenerStart(this.dependencies.settings, {
+      servers: this.servers,
+      fleet: this.fleet,
+      forwarding: this.forwarding.server.requests,
+      callers: this.ingress.requests,
+      metrics: this.metrics,
+      startedAt: this.startedAt,
+      getNow: readMonotonicClock,
+      record: (level, event, fields) => {
+        this.record(level, event, fields);
+      },
+    });
+  }
+
   private getVersion(): number {
     return this.registryTask.getTable()?.version ?? -1;
   }
@@ -356,23 +374,9 @@
   }
 
   private runHousekeeping(): void {
-    const now = readMonotonicClock();
-    this.recordList();
-    for (const id of this.registryTask.upstreams.removeExpired(now)) {
-      this.record("info", "upstream.lapsed", { upstream: id });
-    }
-    this.registryTask.upstreams.addReleased(now);
-    const runningOnPeers = this.fleet.view.getRunningCounts(now);
-    for (const entry of this.registryTask.upstreams.getEntries()) {
-      entry.runningOnOtherDaemons = runningOnPeers.get(entry.hash) ?? 0;
-    }
-  }
-
-  private recordList(): void {
-    const upstreams = this.registryTask.upstreams.getEntries().map(({ record }) => record);
-    const ageMilliseconds = this.registryTask.getAgeMilliseconds();
-    const readCount = this.registryTask.getReadCount();
-    this.streams.recordList({ upstreams, ageMilliseconds, readCount });
+    const { registryTask: registry, streams } = this;
+    const record = this.record.bind(this);
+    runHousekeeping({ registry, view: this.fleet.view, streams, record }, readMonotonicClock());
   }
 
   private tellFleet(notices: readonly UpstreamNotice[]): void {
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -25,6 +25,8 @@
   readonly memory: MemoryBudget;
   readonly metrics: RouterMetrics;
   readonly getNow: () => number;
+  /** Checks whether the start is complete: every needed listener listens. */
+  readonly isStarted: () => boolean;
   readonly isStopping: () => boolean;
 }
 
@@ -61,10 +63,10 @@
   }
 
   private isReady(): boolean {
-    const { revokeMilliseconds } = this.dependencies.settings.configuration;
-    const isFresh =
-      this.dependencies.registry.getAgeMilliseconds() < revokeMilliseconds * unreadyAgeRatio;
-    return !this.dependencies.isStopping() && isFresh;
+    const { settings, registry, isStarted, isStopping } = this.dependencies;
+    const { revokeMilliseconds } = settings.configuration;
+    const isFresh = registry.getAgeMilliseconds() < revokeMilliseconds * unreadyAgeRatio;
+    return isStarted() && !isStopping() && isFresh;
   }
 
   private getReadinessPage(): OperationsPage {
--- a/packages/daemon/src/router/runRouter.ts
+++ b/packages/daemon/src/router/runRouter.ts
@@ -1,12 +1,12 @@
 import { headerCodec, StoreClient } from "@pistachioway/platform";
 import { readFile, stat } from "node:fs/promises";
 import { createStandardOutput, StreamLog } from "../log/StreamLog.js";
+import { ProcessEnd } from "./ProcessEnd.js";
 import { Router } from "./Router.js";
 import { parseRouterSettings } from "./parseRouterSettings.js";
 
 const settingsExitCode = 2;
-const forcedExitCode = 3;
-const cutOffExitCode = 4;
+const startExitCode = 5;
 const settingsCheckIntervalMilliseconds = 2_000;
 
 /**
@@ -31,27 +31,29 @@
     codec: headerCodec,
     log,
   });
-  stopOnSignals(router, log);
+  const end = ProcessEnd.create(router, log);
+  process.on("SIGTERM", (signal) => {
+    end.handleSignal(signal);
+  });
+  process.on("SIGINT", (signal) => {
+    end.handleSignal(signal);
+  });
   logUncaughtErrors(log);
   watchSettings(file, router, log);
-  await router.start();
+  await startRouter(router, end);
 }
 
-/** Stops gracefully at the first signal, and at a second one as soon as every request has a response. */
-function stopOnSignals(router: Router, log: StreamLog): void {
-  let isStopping = false;
-  const stop = (signal: NodeJS.Signals): void => {
-    if (isStopping) {
-      log.write("error", "daemon.forced-stop", { signal });
-      router.endRequests();
-      void log.close().then(() => process.exit(forcedExitCode));
-      return;
-    }
-    isStopping = true;
-    void router.stop().then((isIdle) => process.exit(isIdle ? 0 : cutOffExitCode));
-  };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
+/** Starts a router, and ends the process if that is impossible. */
+async function startRouter(router: Router, end: ProcessEnd): Promise<void> {
+  try {
+    await router.start();
+  } catch (error) {
+    end.fail(
+      "daemon.start-failed",
+      error instanceof Error ? error : new Error(String(error)),
+      startExitCode,
+    );
+  }
 }
 
 function logUncaughtErrors(log: StreamLog): void {
--- a/packages/daemon/tests/fleet/FleetTask.test.ts
+++ b/packages/daemon/tests/fleet/FleetTask.test.ts
@@ -31,9 +31,9 @@
 }
 
 // Guards against a process that ends by itself because a stream that outlives its router's close tells its version.
-test("a message after the stop is dropped", () => {
+test("a message after the stop is dropped", async () => {
   const fleet = create();
-  fleet.start();
+  await fleet.start();
   fleet.stop();
   assert.not.throws(() => {
     fleet.sendStreamMessage("127.0.0.1:9", { kind: "keep", id: "r-1", version: "v1" });
--- a/packages/daemon/tests/router/RouterProcess.ts
+++ b/packages/daemon/tests/router/RouterProcess.ts
@@ -16,18 +16,38 @@
 const loadTimeoutMilliseconds = 60_000;
 const loadCheckMilliseconds = 20;
 
+/** Addresses of a router's listeners: one host, and a port for each. */
+export interface RouterAddresses {
+  readonly host: string;
+  readonly callers: number;
+  readonly readiness: number;
+  readonly operations: number;
+  /** Port of datagrams (UDP) and of forwarded requests (TCP). */
+  readonly datagrams: number;
+  /** Port of the listener for metrics, if there is one. */
+  readonly metrics?: number;
+}
+
+/** What differs between routers that are launched. */
+export interface LaunchOptions {
+  /** Addresses of daemons that may run; none by default. */
+  readonly seeds?: readonly string[];
+  readonly nodeOptions?: readonly string[];
+}
+
 /** A router in a process of its own. */
 export class RouterProcess {
   private output = "";
+  private isOutputComplete = false;
   private readonly exit: Promise<number | null>;
 
   private constructor(
     private readonly child: ChildProcess,
-    /** Port of the callers' listener. */
-    readonly callers: number,
+    readonly addresses: RouterAddresses,
     private readonly folder: string,
   ) {
     child.stdout?.on("data", (chunk: Buffer) => (this.output += chunk.toString()));
+    child.once("close", () => (this.isOutputComplete = true));
     this.exit = once(child, "exit").then(([code]) => code as number | null);
   }
 
@@ -43,20 +63,8 @@
     upstreamCount: number,
     nodeOptions: readonly string[] = [],
   ): Promise<RouterProcess> {
-    const folder = await mkdtemp(join(tmpdir(), "pistachioway-stop-"));
-    const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = await getFreePorts(4);
-    const at = (port: number): string => `"127.0.0.1:${String(port)}"`;
-    const file = join(folder, "router.toml");
-    await writeFile(
-      file,
-      `[process]\nname = "r"\nzone = "north"\n[listeners]\ncallers = ${at(callers)}\n` +
-        `readiness = ${at(readiness)}\noperations = ${at(operations)}\n` +
-        `datagrams = ${at(datagrams)}\n[registry]\naddress = "${address}"\n`,
-    );
-    const child = spawn(process.execPath, [...nodeOptions, main, "--settings", file], {
-      stdio: ["ignore", "pipe", 2],
-    });
-    const router = new RouterProcess(child, callers, folder);
+    const addresses = await chooseAddresses("127.0.0.1");
+    const router = await RouterProcess.launch(addresses, address, { nodeOptions });
     const isReady = (): boolean =>
       router.getLines("configuration.in-force").length > 0 &&
       router.getLines("upstream.changed").length >= upstreamCount;
@@ -72,6 +80,47 @@
     return router;
   }
 
+  /**
+   * Starts a router, and does not wait for anything that it does.
+   * @param addresses - Addresses of its listeners.
+   * @param registry - Address of the store.
+   * @param options - Seeds of the fleet, and options of the runtime.
+   */
+  static async launch(
+    addresses: RouterAddresses,
+    registry: string,
+    { seeds = [], nodeOptions = [] }: LaunchOptions = {},
+  ): Promise<RouterProcess> {
+    const folder = await mkdtemp(join(tmpdir(), "pistachioway-stop-"));
+    const file = join(folder, "router.toml");
+    await writeFile(file, createSettings(addresses, registry, seeds));
+    const child = spawn(process.execPath, [...nodeOptions, main, "--settings", file], {
+      stdio: ["ignore", "pipe", 2],
+    });
+    return new RouterProcess(child, addresses, folder);
+  }
+
+  /** Waits until the program runs; throws when the process exits before, or does not run it at all. */
+  async waitUntilLoaded(): Promise<void> {
+    const deadline = performance.now() + loadTimeoutMilliseconds;
+    while (this.getLines("daemon.starting").length === 0) {
+      if (this.child.exitCode !== null || performance.now() > deadline) {
+        throw new Error(`the router did not start, exit code ${String(this.child.exitCode)}`);
+      }
+      await delay(loadCheckMilliseconds);
+    }
+  }
+
+  /** Port of the callers' listener. */
+  get callers(): number {
+    return this.addresses.callers;
+  }
+
+  /** Gets the exit code once all output has been read; null after a signal, and undefined while the process runs. */
+  getExitCode(): number | null | undefined {
+    return this.isOutputComplete ? this.child.exitCode : undefined;
+  }
+
   /** Gets the log lines of an event. */
   getLines(event: string): readonly string[] {
     return this.getAllLines().filter((line) => line.includes(`event=${event} `));
@@ -84,7 +133,7 @@
 
   /** Opens a connection as a caller. */
   open(): Socket {
-    const socket = connect(this.callers, "127.0.0.1");
+    const socket = connect(this.addresses.callers, this.addresses.host);
     socket.on("error", () => undefined);
     return socket;
   }
@@ -114,17 +163,6 @@
     this.child.kill("SIGCONT");
   }
 
-  /** Waits until the program runs; throws when the process exits before, or does not run it at all. */
-  private async waitUntilLoaded(): Promise<void> {
-    const deadline = performance.now() + loadTimeoutMilliseconds;
-    while (this.getLines("daemon.starting").length === 0) {
-      if (this.child.exitCode !== null || performance.now() > deadline) {
-        throw new Error(`the router did not start, exit code ${String(this.child.exitCode)}`);
-      }
-      await delay(loadCheckMilliseconds);
-    }
-  }
-
   /** Kills the process if it still runs, and gets its exit code; null when it was killed. */
   async kill(): Promise<number | null> {
     this.child.kill("SIGKILL");
@@ -133,3 +171,24 @@
     return code;
   }
 }
+
+/** Chooses free ports for the listeners of a router on a host of loopback. */
+export async function chooseAddresses(host: string): Promise<RouterAddresses> {
+  const [callers = 0, readiness = 0, operations = 0, datagrams = 0] = await getFreePorts(4);
+  return { host, callers, readiness, operations, datagrams };
+}
+
+function createSettings(
+  { host, callers, readiness, operations, datagrams, metrics }: RouterAddresses,
+  registry: string,
+  seeds: readonly string[],
+): string {
+  const at = (port: number): string => JSON.stringify(`${host}:${String(port)}`);
+  const metricsLine = metrics === undefined ? "" : `metrics = ${at(metrics)}\n`;
+  return (
+    `[process]\nname = "r-${host}"\nzone = "north"\n[listeners]\ncallers = ${at(callers)}\n` +
+    `readiness = ${at(readiness)}\noperations = ${at(operations)}\n` +
+    `datagrams = ${at(datagrams)}\n${metricsLine}[registry]\naddress = "${registry}"\n` +
+    `[peers]\nseeds = ${JSON.stringify(seeds)}\n`
+  );
+}
