An end of a connection that is paused ends its answer

Callers saw: an answer without a length that came in one burst, or an unframed stream to a caller that read slowly, stayed open after its upstream had ended it: reads were sent again after 1.2 s or got 504 at their deadline, streams were cut at theirs. The log had daemon.fault (assert(!this.paused)).

Cause: undici's parser throws when the connection of a paused response ends or is reset, if the end delimits the response or the head has Connection: close. Connections are paused by ReadPacer (64 KiB in 10 ms) and by slow callers of streams. The exchange then never ends.

Change: at the end of its socket, when all bytes were read, an exchange ends its pauses before the client learns of it. A reset gets a code that the client takes for no end.

Class: a library that tells an end by throwing where nothing listens.

--- a/packages/daemon/src/exchange/Connection.ts
+++ b/packages/daemon/src/exchange/Connection.ts
@@ -55,7 +55,7 @@
     onClosed: (connection: Connection) => void,
     options: ConnectionOptions,
   ): Connection {
-    const state = { wasBroken: false, hasConnectFailed: false };
+    const state = { wasBroken: false, hasConnectFailed: false, onEnded: () => undefined };
     return new Connection(`http://${address}`, state, onClosed, options);
   }
 
@@ -88,8 +88,18 @@
     return this.socketState.hasConnectFailed;
   }
 
-  /** Sends a request; the handler receives the response or the failure. */
-  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+  /**
+   * Sends a request.
+   * @param options - The request.
+   * @param handler - Receives the response or the failure.
+   * @param onEnded - Called when all bytes were read and the connection has ended; must not leave the response paused.
+   */
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+    onEnded: () => void,
+  ): void {
+    this.socketState.onEnded = onEnded;
     this.client.dispatch(options, handler);
   }
 
--- a/packages/daemon/src/exchange/Exchange.ts
+++ b/packages/daemon/src/exchange/Exchange.ts
@@ -62,6 +62,8 @@
   private isPaused = false;
   /** Whether other connections are read first. */
   private isWaiting = false;
+  /** Whether the connection has ended and all its bytes were read. */
+  private isAtEnd = false;
   private readonly turn: ReadTurn;
 
   private constructor(
@@ -74,7 +76,7 @@
     this.turn = pool.pacer.addTurn(
       () => {
         this.isWaiting = true;
-        this.controller?.pause();
+        this.stopReading();
       },
       () => {
         this.isWaiting = false;
@@ -99,7 +101,10 @@
     const connection = pool.acquire(request.address, request.requestId);
     const exchange = new Exchange(pool, connection, request, codec, listener);
     const { method, path, headers, body = null } = request;
-    connection.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, exchange);
+    const options = { method: method as Dispatcher.HttpMethod, path, headers, body };
+    connection.dispatch(options, exchange, () => {
+      exchange.takeEnd();
+    });
     return exchange;
   }
 
@@ -119,7 +124,7 @@
   /** Stops reading the response until resumed. */
   pause(): void {
     this.isPaused = true;
-    this.controller?.pause();
+    this.stopReading();
   }
 
   /** Continues to read the response. */
@@ -190,6 +195,18 @@
     }
   }
 
+  /** Ends all pauses, as there is nothing left to read but the end: the HTTP client cannot take that while it is paused. */
+  private takeEnd(): void {
+    this.isAtEnd = true;
+    this.controller?.resume();
+  }
+
+  private stopReading(): void {
+    if (!this.isAtEnd) {
+      this.controller?.pause();
+    }
+  }
+
   private readOn(): void {
     if (!this.isPaused && !this.isWaiting) {
       this.controller?.resume();
--- a/packages/daemon/src/exchange/connect.ts
+++ b/packages/daemon/src/exchange/connect.ts
@@ -11,13 +11,19 @@
   wasBroken: boolean;
   /** True once the last try to open a socket has failed. */
   hasConnectFailed: boolean;
+  /** Called when the other side has ended the socket in order and all its bytes were read, before the HTTP client learns it. */
+  onEnded: () => void;
 }
 
+/** Code of a broken socket that the HTTP client takes for no end of an answer; the client has others for its own errors. */
+const brokenCode = "EPIPE";
+const resetCode = "ECONNRESET";
+
 /**
  * Creates a connector that opens sockets and records when one breaks.
  *
  * A response without a length ends with its connection. The HTTP client treats a reset as that end
- * too, so resets are recorded here.
+ * too, so resets are recorded here and get another code. It throws at either end of a response that is paused.
  * @param state - Where a broken socket is recorded.
  * @param localAddress - Address of this host to connect from; any by default.
  */
@@ -43,15 +49,19 @@
       socket.off("error", onEarlyError);
       state.wasBroken = false;
       state.hasConnectFailed = false;
-      recordSocketErrors(socket, state);
+      recordEnds(socket, state);
       callback(null, socket);
     });
   };
 }
 
-function recordSocketErrors(socket: Socket, state: SocketState): void {
-  socket.on("error", () => {
+function recordEnds(socket: Socket, state: SocketState): void {
+  socket.on("error", (error: NodeJS.ErrnoException) => {
     state.wasBroken = true;
+    error.code = error.code === resetCode ? brokenCode : error.code;
+  });
+  socket.on("end", () => {
+    state.onEnded();
   });
 }
 
