Answers that can have no body are never streams that broke off

Callers saw: HEAD, and an answer of status 204, on a route of streams whose upstream names no length: reset after two runs (raw upstream, fixture). Cause: an unframed stream without a byte counts as broken inside its first event, also where the head is the whole answer. Change: allowsBody tells such answers in one place, for what is written and for what is read. streamFraming.test.ts: on the code before both new tests fail, 28 of 28 hold now.

--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -154,7 +154,7 @@
     if (target.upstream !== undefined) {
       this.origin.recordSend(target.upstream);
     }
-    const attempt = Attempt.create(target);
+    const attempt = Attempt.create(target, this.request.method === "HEAD");
     this.attempt = attempt;
     this.answer.clear();
     this.slowAttemptMonitor.start(attempt, this.runs, (slowAttempt) => {
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -1,6 +1,7 @@
 import type { ResponseHead } from "@pistachioway/kernel";
 import type { Exchange, ExchangeListener } from "../exchange/index.js";
 import type { AttemptTarget } from "./AttemptTarget.js";
+import { allowsBody } from "./allowsBody.js";
 import { EventBoundary } from "./EventBoundary.js";
 
 /** One attempt to send a request to one target. */
@@ -17,14 +18,18 @@
   private readonly boundary = EventBoundary.create();
   private exchange: Exchange | undefined;
 
-  private constructor(readonly target: AttemptTarget) {}
+  private constructor(
+    readonly target: AttemptTarget,
+    private readonly isHeadOnly: boolean,
+  ) {}
 
   /**
    * Creates an attempt that is not sent yet.
    * @param target - Where the request is sent.
+   * @param isHeadOnly - Whether the request's method allows no response body.
    */
-  static create(target: AttemptTarget): Attempt {
-    return new Attempt(target);
+  static create(target: AttemptTarget, isHeadOnly: boolean): Attempt {
+    return new Attempt(target, isHeadOnly);
   }
 
   /**
@@ -79,7 +84,7 @@
    */
   endsWithConnection(): boolean {
     const hasBody = this.isStreaming || this.firstBodyByteAt !== undefined;
-    return hasBody && this.head?.isFramed === false;
+    return hasBody && this.hasUnframedBody();
   }
 
   /** Records that the response is a stream. */
@@ -109,6 +114,11 @@
   }
 
   private isUnframedStream(): boolean {
-    return this.isStreaming && this.head?.isFramed === false;
+    return this.isStreaming && this.hasUnframedBody();
+  }
+
+  private hasUnframedBody(): boolean {
+    const { head } = this;
+    return head?.isFramed === false && allowsBody(head.status, this.isHeadOnly);
   }
 }
--- a/packages/daemon/src/ingress/CallerResponse.ts
+++ b/packages/daemon/src/ingress/CallerResponse.ts
@@ -1,10 +1,9 @@
 import type { ResponseHead } from "@pistachioway/kernel";
 import type { ServerResponse } from "node:http";
+import { allowsBody } from "./allowsBody.js";
 import { refusalResponses, type RefusalName } from "./refusals.js";
 import { RequestResponse } from "./RequestResponse.js";
 
-const statusesWithoutBody = new Set([204, 304]);
-
 /** Writes the response to a caller's request. */
 export class CallerResponse extends RequestResponse {
   private constructor(
@@ -55,7 +54,7 @@
 
   sendComplete(head: ResponseHead, body: Buffer, isHeadOnly: boolean): void {
     const headers = withoutLength(head.passedHeaders);
-    if (isHeadOnly || statusesWithoutBody.has(head.status)) {
+    if (!allowsBody(head.status, isHeadOnly)) {
       this.response.writeHead(head.status, this.withConnection([...head.passedHeaders]));
       this.response.end();
       return;
--- a/packages/daemon/tests/router/streamFraming.test.ts
+++ b/packages/daemon/tests/router/streamFraming.test.ts
@@ -10,7 +10,7 @@
 } from "./ProcessContext.js";
 import { RouterFixture, waitFor } from "./RouterFixture.js";
 import { framings, streamFramed, type Framing } from "./framedStreams.js";
-import { firstThen, setScripts, type Context } from "./scripts.js";
+import { firstThen, getArrivals, setScripts, writeRaw, type Context } from "./scripts.js";
 import { readStream, type SeenStream } from "./StreamCaller.js";
 
 const killed = suite<ProcessContext>("streams whose router is killed");
@@ -135,12 +135,12 @@
   );
 }
 
-/** Runs a request and ends its upstream's process within the answer, which has neither a length nor chunks. */
-function crashWithin(context: Context): Script {
+/** Runs a request and ends its upstream's process after a part of the answer, which has neither a length nor chunks. */
+function crashAfterPart(context: Context, part: string): Script {
   return ({ id }, response) => {
     const { localAddress = "", localPort = 0 } = response.socket ?? {};
     response.socket?.write(
-      `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Stamp: stamp-${id}\r\nConnection: close\r\n\r\na part`,
+      `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Stamp: stamp-${id}\r\nConnection: close\r\n\r\n${part}`,
     );
     setTimeout(() => {
       void crash(context, `${localAddress}:${String(localPort)}`);
@@ -148,20 +148,39 @@
   };
 }
 
-// Guards against a part of a whole answer that is passed on as the answer when its upstream crashes (MIXED).
-ended("is no whole answer when its upstream crashes within it", async (context) => {
-  setScripts(context, firstThen(crashWithin(context), respondWith("whole")));
-  const read = await context.fixture.call("/read/1", { id: "q-1" });
-  assert.equal([read.status, read.body], [200, "whole"]);
-});
+for (const [when, part] of Object.entries({
+  "within it": "a part",
+})) {
+  // Guards against a part of a whole answer that is passed on as the answer when its upstream crashes (MIXED).
+  ended(`is no whole answer when its upstream crashes ${when}`, async (context) => {
+    setScripts(context, firstThen(crashAfterPart(context, part), respondWith("whole")));
+    const read = await context.fixture.call("/read/1", { id: "q-1" });
+    assert.equal([read.status, read.body], [200, "whole"]);
+  });
+
+  ended(
+    `leaves open whether a request has run when its upstream crashes in the answer, ${when}`,
+    async (context) => {
+      setScripts(context, crashAfterPart(context, part));
+      const act = await context.fixture.call("/act/1", { id: "q-1", method: "POST", body: "x" });
+      assert.is(act.status, 502);
+    },
+  );
+}
 
-ended(
-  "leaves open whether a request has run when its upstream crashes within the answer",
-  async (context) => {
-    setScripts(context, crashWithin(context));
-    const act = await context.fixture.call("/act/1", { id: "q-1", method: "POST", body: "x" });
-    assert.is(act.status, 502);
-  },
-);
+// Guards against answers that can have no body being taken for streams that broke off inside an event.
+for (const [name, method, status] of [
+  ["to HEAD", "HEAD", "200 OK"],
+  ["of status 204", "POST", "204 No Content"],
+] as const) {
+  ended(`takes an answer ${name} on a route of streams as whole`, async (context) => {
+    const createText = (id: string): string =>
+      `HTTP/1.1 ${status}\r\nRequest-Id: ${id}\r\nResponse-Stamp: stamp-${id}\r\nConnection: close\r\n\r\n`;
+    setScripts(context, writeRaw(createText, "close"));
+    await context.fixture.call("/stream/1", { id: "q-1", method });
+    assert.is(getArrivals(context), 1);
+    assert.ok(context.fixture.logLines.some((line) => line.includes("outcome=answered")));
+  });
+}
 
 ended.run();
