A crash before the first byte of a whole answer without a length is no empty answer

Callers saw: 200 with an empty body as the whole answer, for reads and for acts, when an upstream crashed between the head and the first byte of an answer that names no length (raw upstream, fixture). Cost: one connection for an answer with neither length nor body.

--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -80,11 +80,11 @@
 
   /**
    * Checks whether nothing but the end of the connection marks the end of the response, so that a crash of its sender looks
-   * like that.
+   * like that, even before the first byte of the body.
    */
   endsWithConnection(): boolean {
-    const hasBody = this.isStreaming || this.firstBodyByteAt !== undefined;
-    return hasBody && this.hasUnframedBody();
+    const { head } = this;
+    return head?.isFramed === false && allowsBody(head.status, this.isHeadOnly);
   }
 
   /** Records that the response is a stream. */
@@ -114,11 +114,6 @@
   }
 
   private isUnframedStream(): boolean {
-    return this.isStreaming && this.hasUnframedBody();
-  }
-
-  private hasUnframedBody(): boolean {
-    const { head } = this;
-    return head?.isFramed === false && allowsBody(head.status, this.isHeadOnly);
+    return this.isStreaming && this.endsWithConnection();
   }
 }
--- a/packages/daemon/tests/router/streamFraming.test.ts
+++ b/packages/daemon/tests/router/streamFraming.test.ts
@@ -150,6 +150,7 @@
 
 for (const [when, part] of Object.entries({
   "within it": "a part",
+  "before its first byte": "",
 })) {
   // Guards against a part of a whole answer that is passed on as the answer when its upstream crashes (MIXED).
   ended(`is no whole answer when its upstream crashes ${when}`, async (context) => {
