--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -1,6 +1,7 @@
 import type { ResponseHead } from "@pistachioway/kernel";
 import type { Exchange, ExchangeListener } from "../exchange/index.js";
 import type { AttemptTarget } from "./AttemptTarget.js";
+import { allowsBody } from "./allowsBody.js";
 import { EventBoundary } from "./EventBoundary.js";
 
 /** One attempt to send a request to one target. */
@@ -17,14 +18,18 @@
   private readonly boundary = EventBoundary.create();
   private exchange: Exchange | undefined;
 
-  private constructor(readonly target: AttemptTarget) {}
+  private constructor(
+    readonly target: AttemptTarget,
+    private readonly isHeadOnly: boolean,
+  ) {}
 
   /**
    * Creates an attempt that is not sent yet.
    * @param target - Where the request is sent.
+   * @param isHeadOnly - Whether the request's method allows no response body.
    */
-  static create(target: AttemptTarget): Attempt {
-    return new Attempt(target);
+  static create(target: AttemptTarget, isHeadOnly: boolean): Attempt {
+    return new Attempt(target, isHeadOnly);
   }
 
   /**
@@ -75,11 +80,11 @@
 
   /**
    * Checks whether nothing but the end of the connection marks the end of the response, so that a crash of its sender looks
-   * like that.
+   * like that, even before the first byte of the body.
    */
   endsWithConnection(): boolean {
-    const hasBody = this.isStreaming || this.firstBodyByteAt !== undefined;
-    return hasBody && this.head?.isFramed === false;
+    const { head } = this;
+    return head?.isFramed === false && allowsBody(head.status, this.isHeadOnly);
   }
 
   /** Records that the response is a stream. */
@@ -109,6 +114,6 @@
   }
 
   private isUnframedStream(): boolean {
-    return this.isStreaming && this.head?.isFramed === false;
+    return this.isStreaming && this.endsWithConnection();
   }
 }
