A stream goes on only where the ids of its events tell, and at an upstream that does so

Callers saw: two runs in one answer that ends as complete, events 1 to 3 and then 1 to 6 again ('a number went back'). It takes a break of the upstream behind a piece that holds no id: a comment that keeps the connection alive, a retry field, an empty line, an event without an id. Or an upstream that is asked to go on and begins again, repeats its last event or leaves one out. Cause: the last id was looked for in the last piece only, and read only at a retry; without it the next upstream began from the start. Where the next upstream began was never looked at. Class: the joint of two runs was trusted, not checked. Now: EventPosition reads each complete event as it is passed on. A stream whose last event has no id (or one that no header carries) is broken off; one of which only comments were passed on begins again. The first id of a continuation must be greater than the one it was asked for, and the next one where all ids so far followed by one (three times at least); else the attempt fails (stream.misplaced), goes on elsewhere or the stream is broken off. A break costs a resumption, a second run costs the answer. ActiveRequest, AnswerBody, ActiveRequestReport and AcceptedRequest change a little with it.

--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -49,6 +49,14 @@
   return resumedRequestId?.slice(0, maxNamedIdLength);
 }
 
+/**
+ * Gets the id of the last event of the stream that the caller had received before a request.
+ * @param request - The request.
+ */
+export function getReceivedEventId({ forwarded, head }: AcceptedRequest): string | undefined {
+  return forwarded?.lastEventId ?? head.lastEventId;
+}
+
 /**
  * Gets the id of the last prompt block that the requests of a chat share: the one before the
  * request's own block, or the only block.
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -1,11 +1,11 @@
 import type { AttemptEnd, ResponseHead } from "@pistachioway/kernel";
 import { describeAnswer, type ExchangeFailure, type ExchangeListener } from "../exchange/index.js";
 import { Attempt } from "./Attempt.js";
-import { describeBound, type AnswerBound } from "./AnswerBody.js";
+import { describeFault, type AnswerFault } from "./AnswerBody.js";
 import type { RequestResponse } from "./RequestResponse.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { ActiveRequestReport, type ActiveRequestOutcome } from "./ActiveRequestReport.js";
-import type { AcceptedRequest } from "./AcceptedRequest.js";
+import { getReceivedEventId, type AcceptedRequest } from "./AcceptedRequest.js";
 import { createLoss, findEndFailure } from "./findEndFailure.js";
 import { decideRequestRetry } from "./decideRequestRetry.js";
 import { mayHaveRun } from "./mayHaveRun.js";
@@ -64,7 +64,7 @@
       response,
       memory: dependencies.memory,
       onEvicted: () => {
-        this.handleBound("memory");
+        this.handleFault("memory");
       },
     });
     this.report = ActiveRequestReport.create(dependencies, request);
@@ -160,12 +160,8 @@
     this.slowAttemptMonitor.start(attempt, this.runs, (slowAttempt) => {
       this.handleSlowAttempt(slowAttempt);
     });
-    attempt.send(now, this.getLastEventId(), this.listener);
-  }
-
-  private getLastEventId(): string | undefined {
-    const { forwarded, head } = this.request;
-    return this.answer.stream.prepareContinuation() ?? forwarded?.lastEventId ?? head.lastEventId;
+    const receivedEventId = getReceivedEventId(this.request);
+    attempt.send(now, this.answer.stream.prepareContinuation(receivedEventId), this.listener);
   }
 
   private handleSlowAttempt(attempt: Attempt): void {
@@ -205,24 +201,24 @@
       return;
     }
     attempt.recordBody(chunk, this.dependencies.getNow());
-    const bound = this.answer.push(attempt, attempt.head, chunk);
-    if (bound !== undefined) {
-      this.handleBound(bound);
+    const fault = this.answer.push(attempt, attempt.head, chunk);
+    if (fault !== undefined) {
+      this.handleFault(fault);
     }
   }
 
-  /** Fails an attempt whose answer exceeds a bound. */
-  private handleBound(bound: AnswerBound): void {
+  /** Fails an attempt whose answer must not be taken. */
+  private handleFault(fault: AnswerFault): void {
     const { attempt } = this;
     if (attempt === undefined) {
       return;
     }
     attempt.cancel();
-    this.report.recordBound(attempt, bound);
+    this.report.recordFault(attempt, fault);
     if (attempt.head?.meaning === "refusal") {
       this.recordFailure(attempt.target);
     }
-    this.handleFailure(createLoss(describeBound(bound), false));
+    this.handleFailure(createLoss(describeFault(fault), false));
   }
 
   private handleEnd(): void {
@@ -325,7 +321,8 @@
 
   private mayRetry(end: AttemptEnd, detail: string): boolean {
     this.lastFailure = detail;
-    const decision = decideRequestRetry(this.dependencies, this.request, end, this);
+    const isResumable = this.answer.stream.isResumable();
+    const decision = isResumable && decideRequestRetry(this.dependencies, this.request, end, this);
     if (decision === "retry") {
       this.report.recordRetry(end, this);
     }
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -1,7 +1,7 @@
 import type { AttemptEnd } from "@pistachioway/kernel";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { toHex } from "../log/toHex.js";
-import type { AnswerBound } from "./AnswerBody.js";
+import type { AnswerBound, AnswerFault } from "./AnswerBody.js";
 import { getResumedIdStart, getSharedBlockIds, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { Attempt } from "./Attempt.js";
 import type { AttemptTarget, TargetReport } from "./AttemptTarget.js";
@@ -85,11 +85,19 @@
   }
 
   /**
-   * Records that an attempt is ended because of its answer's size.
+   * Records that an attempt is ended because of its answer's size, or because that is not the rest of the stream.
    * @param attempt - The attempt.
-   * @param bound - The bound that the answer exceeds.
+   * @param fault - What is wrong with the answer.
    */
-  recordBound({ target, head }: Attempt, bound: AnswerBound): void {
+  recordFault(attempt: Attempt, fault: AnswerFault): void {
+    if (fault === "misplaced") {
+      this.recordMisplaced(attempt);
+    } else {
+      this.recordBound(attempt, fault);
+    }
+  }
+
+  private recordBound({ target, head }: Attempt, bound: AnswerBound): void {
     const { getNow, memory, metrics, record } = this.dependencies;
     record("warn", "answer.unbounded", {
       request: this.request.head.id,
@@ -102,6 +110,14 @@
     metrics.unboundedAnswers.inc({ bound });
   }
 
+  private recordMisplaced({ target }: Attempt): void {
+    this.dependencies.record("warn", "stream.misplaced", {
+      request: this.request.head.id,
+      upstream: target.getReport(this.dependencies.getNow()).upstream,
+      service: this.request.service,
+    });
+  }
+
   /**
    * Records what the end of the connection of an answer without length or chunks was taken for.
    * @param attempt - The attempt.
--- a/packages/daemon/src/ingress/AnswerBody.ts
+++ b/packages/daemon/src/ingress/AnswerBody.ts
@@ -8,23 +8,27 @@
 /** What an answer exceeds: a bound of its body, or that of one event of its stream. */
 export type AnswerBound = BodyBound | "event";
 
+/** Why an answer is not read to its end: it exceeds a bound, or its stream does not go on after the last event. */
+export type AnswerFault = AnswerBound | "misplaced";
+
 const answerLimits = { maxBytes: 8_388_608, maxPieces: 65_536 };
 /** Bounds of the body of an answer that is never passed on, which is read so that its connection can be used again. */
 const discardedLimits = { maxBytes: 65_536, maxPieces: 1_024 };
 
-const boundDescriptions: Readonly<Record<AnswerBound, string>> = {
+const faultDescriptions: Readonly<Record<AnswerFault, string>> = {
   bytes: "the answer is too large",
   pieces: "the answer has too many pieces",
   memory: "the memory for bodies is used up",
   event: "an event of the stream is too large",
+  misplaced: "the stream did not go on after its last event",
 };
 
 /**
  * Describes why an answer was not read to its end.
- * @param bound - The bound that it exceeds.
+ * @param fault - What is wrong with it.
  */
-export function describeBound(bound: AnswerBound): string {
-  return boundDescriptions[bound];
+export function describeFault(fault: AnswerFault): string {
+  return faultDescriptions[fault];
 }
 
 /** The body of an answer that is passed on only when it is complete. */
--- a/packages/daemon/src/ingress/CompleteEventBuffer.ts
+++ b/packages/daemon/src/ingress/CompleteEventBuffer.ts
@@ -1,6 +1,7 @@
 import { BodyBuffer, type MemoryShare } from "@pistachioway/kernel";
-import type { AnswerBound } from "./AnswerBody.js";
+import type { AnswerFault } from "./AnswerBody.js";
 import { EventBoundary } from "./EventBoundary.js";
+import { EventPosition } from "./EventPosition.js";
 
 /** Bounds of one event that is not complete. */
 const eventLimits = { maxBytes: 1_048_576, maxPieces: 65_536 };
@@ -13,8 +14,7 @@
 export class CompleteEventBuffer {
   private readonly incomplete: BodyBuffer;
   private boundary = EventBoundary.create();
-  private lastCompleted: Buffer = empty;
-  private lastEventId: string | undefined;
+  private readonly position = EventPosition.create();
 
   private constructor(share: MemoryShare) {
     this.incomplete = BodyBuffer.create(eventLimits, share);
@@ -31,19 +31,17 @@
   /**
    * Adds bytes of the stream and gets the events that are complete now. Each byte is looked at once.
    * @param chunk - Next bytes.
-   * @returns The complete events, or the bound that the incomplete event exceeds.
+   * @returns The complete events, or why none are released.
    */
-  push(chunk: Buffer): Buffer | AnswerBound {
+  push(chunk: Buffer): Buffer | AnswerFault {
     const end = this.boundary.push(chunk);
     const completed = end === 0 ? empty : this.complete(chunk.subarray(0, end));
     const bound = end < chunk.length ? this.incomplete.push(chunk.subarray(end)) : undefined;
     if (bound !== undefined) {
       return bound === "memory" ? "memory" : "event";
     }
-    if (completed.length > 0) {
-      this.lastCompleted = completed;
-    }
-    return completed;
+    const isNext = completed.length === 0 || this.position.add(completed);
+    return isNext ? completed : "misplaced";
   }
 
   /** Gets the bytes after the last complete event, and removes them from the buffer. */
@@ -61,11 +59,21 @@
 
   /** Gets the id of the last complete event that has one. */
   getLastEventId(): string | undefined {
-    const text = this.lastCompleted.toString("latin1");
-    const ids = [...text.matchAll(/^id: ?(.*)$/gm)];
-    this.lastEventId = ids.at(-1)?.[1]?.trim() ?? this.lastEventId;
-    this.lastCompleted = empty;
-    return this.lastEventId;
+    return this.position.getLastEventId();
+  }
+
+  /** Checks whether another upstream can be told where to go on. */
+  isResumable(): boolean {
+    return this.position.isResumable();
+  }
+
+  /**
+   * Expects that an upstream goes on after an event, and removes the bytes after the last complete one.
+   * @param id - Id of the event; undefined at the start of the stream.
+   */
+  expectAfter(id: string | undefined): void {
+    this.clear();
+    this.position.expectAfter(id);
   }
 
   /** Gets the kept bytes and those that complete their event. */
--- a/packages/daemon/src/ingress/ReceivedAnswer.ts
+++ b/packages/daemon/src/ingress/ReceivedAnswer.ts
@@ -1,5 +1,5 @@
 import type { MemoryBudget, RequestRoute, ResponseHead } from "@pistachioway/kernel";
-import { AnswerBody, type AnswerBound } from "./AnswerBody.js";
+import { AnswerBody, type AnswerFault } from "./AnswerBody.js";
 import type { Attempt } from "./Attempt.js";
 import type { TargetReport } from "./AttemptTarget.js";
 import { RelayedStream } from "./RelayedStream.js";
@@ -40,9 +40,9 @@
 
   /**
    * Takes bytes that an attempt has received.
-   * @returns The bound that the answer exceeds; undefined when the bytes were taken.
+   * @returns Why the bytes were not taken; undefined when they were.
    */
-  push(attempt: Attempt, head: ResponseHead, chunk: Buffer): AnswerBound | undefined {
+  push(attempt: Attempt, head: ResponseHead, chunk: Buffer): AnswerFault | undefined {
     return this.stream.isPart(head)
       ? this.stream.relay(attempt, chunk)
       : this.body.push(head, chunk);
--- a/packages/daemon/src/ingress/RelayedStream.ts
+++ b/packages/daemon/src/ingress/RelayedStream.ts
@@ -4,7 +4,7 @@
   type RequestRoute,
   type ResponseHead,
 } from "@pistachioway/kernel";
-import type { AnswerBound } from "./AnswerBody.js";
+import type { AnswerFault } from "./AnswerBody.js";
 import type { Attempt } from "./Attempt.js";
 import { CompleteEventBuffer } from "./CompleteEventBuffer.js";
 import type { RequestResponse } from "./RequestResponse.js";
@@ -59,9 +59,9 @@
 
   /**
    * Passes on bytes that an attempt has received, and stops reading while the caller reads more slowly.
-   * @returns The bound that an incomplete event exceeds; undefined when the bytes were taken.
+   * @returns Why the bytes were not taken; undefined when they were.
    */
-  relay(attempt: Attempt, chunk: Buffer): AnswerBound | undefined {
+  relay(attempt: Attempt, chunk: Buffer): AnswerFault | undefined {
     const bytes = this.eventBuffer?.push(chunk) ?? chunk;
     if (typeof bytes === "string") {
       return bytes;
@@ -76,13 +76,19 @@
     this.response.endStream();
   }
 
+  /** Checks whether another upstream can be told where to go on, so that no event comes twice or is left out. */
+  isResumable(): boolean {
+    return this.eventBuffer?.isResumable() ?? true;
+  }
+
   /**
-   * Gets the id of the last event that was passed on; undefined when there is none. The next upstream sends the event
-   * in which the stream broke again, from its start.
+   * Prepares for the answer of the next upstream, which sends the event in which the stream broke again, from its start.
+   * @param requestedId - Id of the last event that the caller had received before this request.
+   * @returns Id of the event after which the upstream must go on; undefined at the start of the stream.
    */
-  prepareContinuation(): string | undefined {
-    const lastEventId = this.response.isStarted() ? this.eventBuffer?.getLastEventId() : undefined;
-    this.clear();
+  prepareContinuation(requestedId: string | undefined): string | undefined {
+    const lastEventId = this.eventBuffer?.getLastEventId() ?? requestedId;
+    this.eventBuffer?.expectAfter(lastEventId);
     return lastEventId;
   }
 
