Lines of streams may end with CR alone, and a byte order mark hides no event

Callers saw: of a stream whose lines end with CR nothing until its end, and at a break a second run instead of the rest (an answer with neither a length nor chunks counted as broken off); events behind a byte order mark were not known by their id, and one in the middle of an answer made the caller's parser lose a field. Cause: only LF and CR LF were known as line ends. Ruled out: events, line ends and characters that are split over pieces, and CR LF (tests that passed before). EventBoundary knows the three line ends of server-sent events; an LF CR waits for its LF. A mark at the start of a continuation is left out.

--- a/packages/daemon/src/ingress/CompleteEventBuffer.ts
+++ b/packages/daemon/src/ingress/CompleteEventBuffer.ts
@@ -6,6 +6,7 @@
 /** Bounds of one event that is not complete. */
 const eventLimits = { maxBytes: 1_048_576, maxPieces: 65_536 };
 const empty = Buffer.alloc(0);
+const byteOrderMark = Buffer.from([0xef, 0xbb, 0xbf]);
 
 /**
  * Buffers a stream of server-sent events and releases only complete events, so that a stream that
@@ -15,6 +16,10 @@
   private readonly incomplete: BodyBuffer;
   private boundary = EventBoundary.create();
   private readonly position = EventPosition.create();
+  /** Whether events were released. */
+  private hasBegun = false;
+  /** Whether the next event is the first one of an upstream that goes on with the stream. */
+  private isContinuing = false;
 
   private constructor(share: MemoryShare) {
     this.incomplete = BodyBuffer.create(eventLimits, share);
@@ -35,7 +40,7 @@
    */
   push(chunk: Buffer): Buffer | AnswerFault {
     const end = this.boundary.push(chunk);
-    const completed = end === 0 ? empty : this.complete(chunk.subarray(0, end));
+    const completed = end === 0 ? empty : this.withoutMark(this.complete(chunk.subarray(0, end)));
     const bound = end < chunk.length ? this.incomplete.push(chunk.subarray(end)) : undefined;
     if (bound !== undefined) {
       return bound === "memory" ? "memory" : "event";
@@ -73,6 +78,7 @@
    */
   expectAfter(id: string | undefined): void {
     this.clear();
+    this.isContinuing = this.hasBegun;
     this.position.expectAfter(id);
   }
 
@@ -85,4 +91,13 @@
     }
     return completed;
   }
+
+  /** Removes the byte order mark with which an upstream begins, where it would be in the middle of the caller's stream. */
+  private withoutMark(events: Buffer): Buffer {
+    const hasMark =
+      this.isContinuing && events.subarray(0, byteOrderMark.length).equals(byteOrderMark);
+    this.hasBegun = true;
+    this.isContinuing = false;
+    return hasMark ? events.subarray(byteOrderMark.length) : events;
+  }
 }
--- a/packages/daemon/src/ingress/EventBoundary.ts
+++ b/packages/daemon/src/ingress/EventBoundary.ts
@@ -1,7 +1,10 @@
 const newline = 0x0a;
 const carriageReturn = 0x0d;
 
-/** Finds the ends of server-sent events in a stream that arrives in pieces. An empty line ends an event. */
+/**
+ * Finds the ends of server-sent events in a stream that arrives in pieces. An empty line ends an event. Lines end with LF, CR
+ * LF or CR; after an LF a CR does not end an event by itself, since its LF may be in the next piece.
+ */
 export class EventBoundary {
   /** The last byte and the one before it; 0 at the start. */
   private last = 0;
@@ -38,20 +41,33 @@
   }
 
   private findLastEnd(chunk: Buffer): number {
-    let index = chunk.lastIndexOf(newline);
-    while (index >= 0) {
-      const before = this.getByte(chunk, index - 1);
-      const isEmptyLine =
-        before === newline ||
-        (before === carriageReturn && this.getByte(chunk, index - 2) === newline);
-      if (isEmptyLine) {
+    let lineFeed = chunk.lastIndexOf(newline);
+    let carriage = chunk.lastIndexOf(carriageReturn);
+    while (lineFeed >= 0 || carriage >= 0) {
+      const index = Math.max(lineFeed, carriage);
+      if (this.isEmptyLine(chunk, index)) {
         return index + 1;
       }
-      index = index === 0 ? -1 : chunk.lastIndexOf(newline, index - 1);
+      if (index === lineFeed) {
+        lineFeed = findBefore(chunk, newline, index);
+      } else {
+        carriage = findBefore(chunk, carriageReturn, index);
+      }
     }
     return 0;
   }
 
+  /** Checks whether nothing is between the end of a line and that of the line before. */
+  private isEmptyLine(chunk: Buffer, index: number): boolean {
+    const before = this.getByte(chunk, index - 1);
+    if (chunk[index] === carriageReturn) {
+      return before === carriageReturn;
+    }
+    const isPair = before === carriageReturn;
+    const lineEnd = isPair ? this.getByte(chunk, index - 2) : before;
+    return lineEnd === newline || (isPair && lineEnd === carriageReturn);
+  }
+
   /** Gets a byte of a chunk; at a negative index, one that came before it. */
   private getByte(chunk: Buffer, index: number): number {
     if (index >= 0) {
@@ -60,3 +76,7 @@
     return index === -1 ? this.last : this.beforeLast;
   }
 }
+
+function findBefore(chunk: Buffer, byte: number, index: number): number {
+  return index === 0 ? -1 : chunk.lastIndexOf(byte, index - 1);
+}
--- a/packages/daemon/tests/ingress/CompleteEventBuffer.test.ts
+++ b/packages/daemon/tests/ingress/CompleteEventBuffer.test.ts
@@ -40,10 +40,12 @@
 
 /** Gets the part of a text up to the end of its last event. */
 function getComplete(text: string): string {
-  return [...text.matchAll(/\n(?=\r?\n)/g)].reduce((end, { index }) => {
-    const next = text.indexOf("\n", index + 1) + 1;
-    return text.slice(0, Math.max(end.length, next));
-  }, "");
+  const eventEnds = ["\n\n", "\n\r\n", "\r\r", "\r\r\n"];
+  const lastEnds = eventEnds.map((eventEnd) => {
+    const index = text.lastIndexOf(eventEnd);
+    return index < 0 ? 0 : index + eventEnd.length;
+  });
+  return text.slice(0, Math.max(...lastEnds));
 }
 
 test("releases the same events however a stream is split", () => {
