Soak, outcomes: answers with a length and with neither, crashes of upstreams between two bytes

Streams to callers ended as complete too early (ORDER), and neither the soak nor outcomes had an upstream whose answers have a length or name no end; links accepted connections for an upstream that was gone. Each answer of the soak draws its framing (chunks, length, none), whole answers come in halves, each upstream writes events of its own length, and the kind upstream-crashed ends its connections while its links refuse; replaced upstreams end so as well. findStreamFault reads what callers have: events of the upstreams that ran the call, ids that rise by one, the last event of a complete answer, bytes that are no event.

Soak kind address-in-use and promise whole-starts: a router is killed and started while another socket has one of its addresses; not drawn by default yet.

--- a/packages/experiments/src/fleet/ManagedProcess.ts
+++ b/packages/experiments/src/fleet/ManagedProcess.ts
@@ -34,12 +34,32 @@
     readReadyLine: ReadyLineReader,
     nodeOptions: readonly string[] = [],
   ): Promise<ManagedProcess> {
+    const { started, ready } = ManagedProcess.spawn(name, file, args, readReadyLine, nodeOptions);
+    await ready;
+    return started;
+  }
+
+  /**
+   * Starts a process as `start` does.
+   * @param name - Name of the process in error messages.
+   * @param file - JavaScript file to run.
+   * @param args - Command-line arguments.
+   * @param readReadyLine - Parses the ready line; receives every line of output.
+   * @param nodeOptions - Options of the Node.js process.
+   * @returns The process, which may never be ready; `ready` rejects when it exits before.
+   */
+  static spawn(
+    name: string,
+    file: string,
+    args: readonly string[],
+    readReadyLine: ReadyLineReader,
+    nodeOptions: readonly string[] = [],
+  ): { readonly started: ManagedProcess; readonly ready: Promise<void> } {
     const child = spawn(process.execPath, [...nodeOptions, file, ...args], {
       stdio: ["ignore", "pipe", "pipe"],
     });
     const started = new ManagedProcess(name, child);
-    await started.waitUntilReady(readReadyLine);
-    return started;
+    return { started, ready: started.waitUntilReady(readReadyLine) };
   }
 
   /** Checks whether the process has not exited. */
@@ -68,6 +88,11 @@
     this.child.kill(signal);
   }
 
+  /** Gets the exit code; null while the process runs, and when a signal ended it. */
+  getExitCode(): number | null {
+    return this.child.exitCode;
+  }
+
   /** Waits until the process has exited and gets its exit code; null when a signal ended it. */
   async waitForExit(): Promise<number | null> {
     if (this.isRunning()) {
--- a/packages/experiments/src/outcomes/Engine.ts
+++ b/packages/experiments/src/outcomes/Engine.ts
@@ -125,7 +125,13 @@
 
   private createExchange(request: EngineRequest, channel: EngineChannel): EngineExchange {
     const channels = { channel, refusingChannel: this.refusingChannels.get(request.id) };
-    return EngineExchange.create(request, channels, this.getWork(request), this.report);
+    return EngineExchange.create(
+      request,
+      channels,
+      this.getWork(request),
+      this.report,
+      this.options.ids[0],
+    );
   }
 
   /** Gets the work on a request; its time is spread exponentially. */
--- a/packages/experiments/src/outcomes/OutcomeInstallation.ts
+++ b/packages/experiments/src/outcomes/OutcomeInstallation.ts
@@ -1,4 +1,5 @@
 import { RegistryStore } from "@pistachioway/standins";
+import { setTimeout as delay } from "node:timers/promises";
 import { Random } from "../bench/Random.js";
 import { pickFreePorts } from "../soak/Installation.js";
 import { RouterProcess } from "../soak/RouterProcess.js";
@@ -77,10 +78,15 @@
     await this.store.close();
   }
 
-  /** Kills an engine and starts it under its address with new ids. */
-  async restartEngine(engine: EngineProcess): Promise<void> {
+  /**
+   * Kills an engine and starts it under its address with new ids.
+   * @param engine - The engine.
+   * @param milliseconds - Time between its end and its start.
+   */
+  async restartEngine(engine: EngineProcess, milliseconds = 0): Promise<void> {
     const { ids } = engine;
     await engine.kill();
+    await delay(milliseconds);
     await engine.start();
     this.publish(engine);
     setTimeout(() => {
@@ -134,14 +140,18 @@
   }
 }
 
+/** Answers of the engines to which a fault of processes matters. */
+const processAnswers: Readonly<Partial<Record<FaultName, FaultName>>> = {
+  /** A paused router matters to requests whose answers come near the deadline. */
+  paused: "slow",
+  crash: "framing",
+};
+
 /** Gets the weights of the faults of the engines' answers in a run. */
 function getWeights(fault: FaultName, { weights }: OutcomeOptions): FaultWeights {
   if (fault === "mixture") {
     return weights ?? Object.fromEntries(answerFaultNames.map((name) => [name, 1]));
   }
-  // A paused router matters to requests whose answers come near the deadline.
-  const answerFault = answerFaultNames.find(
-    (name) => name === (fault === "paused" ? "slow" : fault),
-  );
+  const answerFault = answerFaultNames.find((name) => name === (processAnswers[fault] ?? fault));
   return answerFault === undefined ? {} : { [answerFault]: 1 };
 }
--- a/packages/experiments/src/outcomes/answerFaults.ts
+++ b/packages/experiments/src/outcomes/answerFaults.ts
@@ -116,6 +116,13 @@
       writeEndlessAnswer(exchange, pieceBytes);
     }),
   ),
+  /** No fault: a length, or only the end of the channel, marks the end of the answer, which comes in pieces. */
+  framing: (["length", "none"] as const).map((variant) => ({
+    variant,
+    answer: (exchange: EngineExchange) => {
+      exchange.answerFramed(variant);
+    },
+  })),
   /** No fault: the engine has not run what it refuses. */
   refusing: [{ variant: "503", answer: refuse }],
 } as const satisfies Readonly<Record<string, readonly AnswerFault[]>>;
--- a/packages/experiments/src/outcomes/disturb.ts
+++ b/packages/experiments/src/outcomes/disturb.ts
@@ -4,6 +4,8 @@
 import type { FaultName, ProcessFaultName } from "./schema.js";
 
 const pauseMilliseconds = 1_000;
+/** Time from the crash of an engine to its next start. */
+const crashMilliseconds = 500;
 const meanIntervalMilliseconds = 1_500;
 
 /** Disturbs one process of an installation, and resolves when it works again. */
@@ -14,6 +16,9 @@
   queue: ({ engines }, random) => pause(pick(engines, random)),
   restart: (installation, random) => installation.restartEngine(pick(installation.engines, random)),
   paused: ({ routers }, random) => pause(pick(routers, random)),
+  /** An engine ends, also between two events, and nobody accepts connections for it for some time. */
+  crash: (installation, random) =>
+    installation.restartEngine(pick(installation.engines, random), crashMilliseconds),
 };
 
 /**
--- a/packages/experiments/src/outcomes/main.ts
+++ b/packages/experiments/src/outcomes/main.ts
@@ -7,7 +7,7 @@
 const usageExitCode = 2;
 const interruptedExitCode = 130;
 
-/** Runs one fault or all; exits with 1 if a request ran that had been refused, or ran twice. */
+/** Runs one fault or all; exits with 1 if a request ran that had been refused, or ran twice, or a stream ended too early. */
 async function main(): Promise<void> {
   const options = outcomeOptionsSchema.safeParse(readArguments());
   if (!options.success) {
@@ -27,7 +27,7 @@
   if (json) {
     process.stdout.write(`${JSON.stringify({ ...options.data, results })}\n`);
   }
-  const isBroken = results.some(({ refused, twice }) => refused + twice > 0);
+  const isBroken = results.some(({ refused, twice, early }) => refused + twice + early > 0);
   process.exit(isBroken ? failedExitCode : 0);
 }
 
@@ -65,6 +65,7 @@
     twice,
     repeated,
     mixed,
+    early,
     served,
     forwarded,
     builds,
@@ -78,6 +79,7 @@
     TWICE: twice,
     repeated,
     mixed,
+    early,
   };
   const buildCounts = Object.entries(builds).map(
     ([path, each]) => [`build.${path}`, formatPath(each)] as const,
--- a/packages/experiments/src/outcomes/schema.ts
+++ b/packages/experiments/src/outcomes/schema.ts
@@ -3,7 +3,7 @@
 import { sites, type SiteName } from "./sites.js";
 
 /** Faults of processes: engines or routers are stopped, killed or paused. */
-export const processFaultNames = ["queue", "restart", "paused"] as const;
+export const processFaultNames = ["queue", "restart", "paused", "crash"] as const;
 export type ProcessFaultName = (typeof processFaultNames)[number];
 
 export const answerFaultNames = Object.keys(answerFaults) as AnswerFaultName[];
--- a/packages/experiments/src/soak/RouterProcess.ts
+++ b/packages/experiments/src/soak/RouterProcess.ts
@@ -26,7 +26,8 @@
 /** Separates the outputs of the processes of a router. */
 const restartLine = "--- started again ---";
 
-const builtProgram: RouterProgram = {
+/** Runs the built sources. */
+export const builtProgram: RouterProgram = {
   file: fileURLToPath(new URL("routerMain.js", import.meta.resolve("@pistachioway/daemon"))),
   nodeOptions: [],
   onLine: () => undefined,
@@ -68,7 +69,17 @@
 
   /** Gets the address that callers connect to. */
   get callerAddress(): string {
-    return `${this.host}:${String(this.ports.callers)}`;
+    return this.getAddress("callers");
+  }
+
+  /** Gets the address of a listener. */
+  getAddress(listener: keyof RouterPorts): string {
+    return `${this.host}:${String(this.ports[listener])}`;
+  }
+
+  /** Gets the exit code of the last process; null while it runs, and when a signal ended it. */
+  getExitCode(): number | null {
+    return this.process?.getExitCode() ?? null;
   }
 
   /** Gets the whole output of all processes of this router, in the order of their starts. */
@@ -97,7 +108,9 @@
       return line.includes(readyEvent) ? {} : undefined;
     };
     try {
-      this.process = await ManagedProcess.start(this.name, main, args, parseLine, nodeOptions);
+      const process = ManagedProcess.spawn(this.name, main, args, parseLine, nodeOptions);
+      this.process = process.started;
+      await process.ready;
       this.isStopping = false;
     } finally {
       await rm(folder, { recursive: true, force: true });
--- a/packages/experiments/src/soak/Soak.ts
+++ b/packages/experiments/src/soak/Soak.ts
@@ -11,6 +11,7 @@
   type PreparedDisturbance,
 } from "./disturbances.js";
 import { Installation } from "./Installation.js";
+import { findHalfStart } from "./findHalfStart.js";
 import { findViolations } from "./findViolations.js";
 import { LateCaller, type EarlyPart } from "./LateCaller.js";
 import type { RouterProcess } from "./RouterProcess.js";
@@ -112,7 +113,8 @@
     ];
     try {
       await this.disturb();
-      return this.createResult(await this.recover());
+      const recoveryDeadlineAt = await this.recover();
+      return this.createResult(recoveryDeadlineAt, await this.findHalfStarts());
     } finally {
       this.stallWatch.stop();
       this.end.abort();
@@ -132,6 +134,16 @@
     });
   }
 
+  /** Finds what each router does not do after the recovery. */
+  private async findHalfStarts(): Promise<readonly string[]> {
+    const { routers, routerNames } = this.installation;
+    const failures = routers.map(async (router) => {
+      const failure = await findHalfStart(router, routerNames);
+      return failure === undefined ? [] : [`router "${router.name}" ${failure}`];
+    });
+    return (await Promise.all(failures)).flat();
+  }
+
   /** Starts callers of every router, which have numbers of their own. */
   private startCallers(
     countPerRouter: number,
@@ -144,7 +156,7 @@
     );
   }
 
-  private createResult(recoveryDeadlineAt: number): SoakResult {
+  private createResult(recoveryDeadlineAt: number, halfStarts: readonly string[]): SoakResult {
     const { calls, options } = this;
     const { stalls } = this.stallWatch;
     const disturbances = [...this.disturbances, ...stalls.map(createStallDisturbance)];
@@ -167,6 +179,7 @@
       acknowledgements,
       upstreams,
       unexpectedExits,
+      halfStarts,
       recoveryDeadlineAt,
     };
     return {
--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -3,8 +3,9 @@
 import type { Random } from "../bench/Random.js";
 import type { Installation } from "./Installation.js";
 import type { RouterProcess } from "./RouterProcess.js";
-import { routerCutName, storeName, type DisturbanceName } from "./schema.js";
+import { routerCutName, startName, storeName, type DisturbanceName } from "./schema.js";
 import type { SoakUpstream } from "./SoakUpstream.js";
+import { startOnOccupiedAddress } from "./startOnOccupiedAddress.js";
 import { upstreamModes, type UpstreamMode } from "./upstreamModes.js";
 
 /** The installation to disturb, and the random source of the run. */
@@ -49,6 +50,8 @@
 const lingerMilliseconds = 2_500;
 /** Time without the store after an unseen revocation; longer than a revoked key may be accepted. */
 const storeCutMilliseconds = 8_000;
+/** Time for which the entry of an upstream that has crashed stays in the registry. */
+const staleEntryMilliseconds = 1_500;
 /** Longest age of the copy from which the store is restored. */
 const maxCopyAgeMilliseconds = 3_000;
 const maxRestoreMilliseconds = 1_000;
@@ -59,6 +62,9 @@
 const minUpstreams = 2;
 const minKeys = 3;
 
+/** Kinds that no run draws, as the router does not hold them yet (KNOWN-RED.txt, issue 45). */
+const undrawnNames = new Set<DisturbanceName>([startName]);
+
 /** Probability that a run uses a kind; below 1, so that some runs spare the routers or the store. */
 const kindProbability = 0.5;
 
@@ -74,8 +80,9 @@
   if (names !== undefined) {
     return disturbanceKinds.filter(({ name }) => names.includes(name));
   }
-  const kinds = disturbanceKinds.filter(() => random.getUniform() < kindProbability);
-  return kinds.length === 0 ? disturbanceKinds : kinds;
+  const candidates = disturbanceKinds.filter(({ name }) => !undrawnNames.has(name));
+  const kinds = candidates.filter(() => random.getUniform() < kindProbability);
+  return kinds.length === 0 ? candidates : kinds;
 }
 
 /**
@@ -179,6 +186,8 @@
   },
   { name: "key-revoked", isPlanned: true, prepare: prepareRevocation },
   { name: "key-revoked-unseen", isPlanned: false, prepare: prepareUnseenRevocation },
+  { name: "upstream-crashed", isPlanned: false, prepare: prepareCrash },
+  createRouterKind(startName, false, startOnOccupiedAddress),
 ];
 
 function createRouterKind(
@@ -277,7 +286,26 @@
   await delay(drainMilliseconds);
   installation.removeUpstream(upstream);
   await delay(lingerMilliseconds);
-  await upstream.server.close();
+  await installation.endUpstream(upstream);
+}
+
+/** The process of an upstream ends between two bytes of its answers; a new one replaces it, and its entry expires later. */
+function prepareCrash({
+  installation,
+  random,
+}: DisturbanceContext): PreparedDisturbance | undefined {
+  const upstream = pick(installation.upstreams, random);
+  if (installation.upstreams.length <= minUpstreams || upstream.isDraining || upstream.isLeaving) {
+    return undefined;
+  }
+  upstream.isDraining = true;
+  const run = async (): Promise<void> => {
+    await installation.endUpstream(upstream);
+    await installation.addUpstream();
+    await delay(staleEntryMilliseconds);
+    installation.removeUpstream(upstream);
+  };
+  return { target: upstream.id, run };
 }
 
 /** Drains an upstream, adds a new one, and removes and closes the drained one later. */
--- a/packages/experiments/src/soak/index.ts
+++ b/packages/experiments/src/soak/index.ts
@@ -1,5 +1,6 @@
 export { awaitRecovery } from "./awaitRecovery.js";
-export { getBody, getStream } from "./bodies.js";
+export { getBody, getEvent, getStream } from "./bodies.js";
+export { findStreamFault } from "./findStreamFault.js";
 export { findViolations } from "./findViolations.js";
 export {
   soakOptionsSchema,
--- a/packages/experiments/src/soak/main.ts
+++ b/packages/experiments/src/soak/main.ts
@@ -45,6 +45,7 @@
       kinds: { type: "string" },
       recoverySeconds: { type: "string" },
       modes: { type: "string" },
+      router: { type: "string" },
       logs: { type: "string" },
       json: { type: "boolean" },
     },
--- a/packages/experiments/src/soak/schema.ts
+++ b/packages/experiments/src/soak/schema.ts
@@ -4,6 +4,9 @@
 /** Name of the disturbance in which a router reaches no upstream. */
 export const routerCutName = "router-cut-from-upstreams";
 
+/** Name of the disturbance in which a router starts while another socket has one of its addresses. */
+export const startName = "address-in-use";
+
 /** Names of the kinds of disturbances. */
 const disturbanceNames = [
   "kill",
@@ -22,6 +25,8 @@
   "configuration",
   "key-revoked",
   "key-revoked-unseen",
+  "upstream-crashed",
+  startName,
 ] as const;
 
 export type DisturbanceName = (typeof disturbanceNames)[number];
@@ -48,6 +53,8 @@
     .transform((names) => names.split(","))
     .pipe(z.array(z.enum(disturbanceNames)).min(1))
     .optional(),
+  /** JavaScript file of the router, such as the bundle of another build; by default that of the built sources. */
+  router: z.string().min(1).optional(),
   callersPerRouter: z.coerce.number().int().min(1).max(100).default(8),
   lateCallersPerRouter: z.coerce.number().int().min(0).max(100).default(2),
   /** Folder for the logs of runs in which a promise broke. */
@@ -138,6 +145,8 @@
   readonly upstreams: readonly string[];
   /** Routers that exited although they were not stopped, and disturbances that failed. */
   readonly unexpectedExits: readonly string[];
+  /** What routers did not do after the recovery although they ran, with their names. */
+  readonly halfStarts: readonly string[];
   /** End of the recovery time after the last disturbance; calls sent from then on must succeed. */
   readonly recoveryDeadlineAt: number;
 }
--- a/packages/experiments/tests/outcomes/OutcomeMeter.test.ts
+++ b/packages/experiments/tests/outcomes/OutcomeMeter.test.ts
@@ -1,6 +1,6 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { OutcomeMeter, sites, type CallerAnswer } from "@pistachioway/experiments";
+import { getStream, OutcomeMeter, sites, type CallerAnswer } from "@pistachioway/experiments";
 
 const test = suite("OutcomeMeter");
 
@@ -12,6 +12,7 @@
   routeName: string,
   status: number,
   build = "1",
+  received: Partial<CallerAnswer> = {},
 ): void {
   const route = routes.find(({ name }) => name === routeName);
   const answer: CallerAnswer = {
@@ -20,6 +21,7 @@
     body: "",
     retryAfterSeconds: 0,
     wasUnread: false,
+    ...received,
   };
   if (route !== undefined) {
     meter.addAttempt({ id, operation: 1, route, build, answer });
@@ -104,4 +106,27 @@
   });
 });
 
+// Guards against streams that end too early and count as served (ORDER).
+test("counts streams that end as complete too early, or with bytes that are no event", () => {
+  const meter = OutcomeMeter.create();
+  const whole = getStream("q-0", "e-1");
+  const short = whole.slice(0, whole.length - getStream("q-0", "e-1", 6).length);
+  const bodies = [whole, short, `${short}id: 7`, `${short}${short}`];
+  for (const [index, body] of bodies.entries()) {
+    const id = `q-${String(index)}`;
+    meter.addRun(id, "e-1");
+    addAttempt(meter, id, "note", 200, "1", { body: body.replaceAll("q-0", id) });
+  }
+  meter.addRun("q-9", "e-1");
+  addAttempt(meter, "q-9", "note", 200, "1", {
+    body: short.replaceAll("q-0", "q-9"),
+    isWhole: false,
+  });
+  const { mixed, early, examples } = meter.getCounts();
+  assert.equal(
+    { mixed, early, examples },
+    { mixed: 3, early: 2, examples: { mixed: "q-1", early: "q-1" } },
+  );
+});
+
 test.run();
