An upstream that leaves may stop to listen before its last answer ends

Callers would lose (LOST): whole answers without length and chunks that may not be sent again, when an upstream that leaves closes its listener first and then finishes. Cause: a refused connection was taken for a crash also where the upstream had announced its end.

--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -1,6 +1,7 @@
 import {
   applyResponseHead,
   findPrefixHolder,
+  isRepeatable,
   type RequestApproval,
   type ResponseHead,
   type Upstream,
@@ -98,7 +99,14 @@
     this.entry.finishRequest(hadStream);
   }
 
+  /**
+   * An upstream that leaves may stop accepting connections before its last answers, so that only a request that can be sent
+   * again is taken for broken off.
+   */
   isStillServing(): Promise<boolean> {
+    if (!this.entry.isInService() && !isRepeatable(this.request.approval.route)) {
+      return Promise.resolve(true);
+    }
     return this.dependencies.reachability.canReach(this.entry);
   }
 
--- a/packages/daemon/tests/router/streamFraming.test.ts
+++ b/packages/daemon/tests/router/streamFraming.test.ts
@@ -1,4 +1,9 @@
-import { respondWith, ScriptedUpstream, type Script } from "@pistachioway/standins";
+import {
+  announceLeaving,
+  respondWith,
+  ScriptedUpstream,
+  type Script,
+} from "@pistachioway/standins";
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
@@ -135,6 +140,30 @@
   );
 }
 
+/** Streams whole answers without length and chunks, while its upstream leaves and accepts no further connections. */
+function leaveBeforeEnd({ upstreams }: Context): Script {
+  const stream = streamFramed({ framing: "neither", lastEvent, eventMilliseconds: 5 });
+  return announceLeaving((request, response) => {
+    const address = `127.0.0.1:${String(response.socket?.localPort)}`;
+    upstreams.find((upstream) => upstream.address === address)?.stopListening();
+    stream(request, response);
+  });
+}
+
+// Guards against whole answers of upstreams that stop in order being thrown away (LOST).
+for (const route of ["stream", "once"] as const) {
+  ended(
+    `of /${route} are whole when an upstream that leaves stops to listen first`,
+    async (context) => {
+      setScripts(
+        context,
+        firstThen(leaveBeforeEnd(context), streamFramed({ framing: "chunks", lastEvent })),
+      );
+      assert.equal(await callStream(context, route), whole);
+    },
+  );
+}
+
 /** Runs a request and ends its upstream's process after a part of the answer, which has neither a length nor chunks. */
 function crashAfterPart(context: Context, part: string): Script {
   return ({ id }, response) => {
--- a/packages/standins/src/registry/ScriptedUpstream.ts
+++ b/packages/standins/src/registry/ScriptedUpstream.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 
 /** A request received by the upstream. */
 export interface ReceivedRequest {
@@ -75,6 +76,11 @@
     await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
   }
 
+  /** Accepts no further connections, and leaves those that are open as they are. */
+  stopListening(): void {
+    NetServer.prototype.close.call(this.server);
+  }
+
   /** Closes the listener and every connection. */
   async close(): Promise<void> {
     this.server.closeAllConnections();
