--- a/packages/daemon/tests/router/streamFraming.test.ts
+++ b/packages/daemon/tests/router/streamFraming.test.ts
@@ -207,9 +207,14 @@
     const createText = (id: string): string =>
       `HTTP/1.1 ${status}\r\nRequest-Id: ${id}\r\nResponse-Stamp: stamp-${id}\r\nConnection: close\r\n\r\n`;
     setScripts(context, writeRaw(createText, "close"));
-    await context.fixture.call("/stream/1", { id: "q-1", method });
-    assert.is(getArrivals(context), 1);
+    const caller = context.fixture.open();
+    caller.write(
+      `${method} /stream/1 HTTP/1.1\r\nHost: chat.example\r\nRequest-Id: q-1\r\nApi-Key: k-1\r\n\r\n`,
+    );
+    await waitFor(() => context.fixture.logLines.some((line) => line.includes("outcome=")));
+    caller.destroy();
     assert.ok(context.fixture.logLines.some((line) => line.includes("outcome=answered")));
+    assert.is(getArrivals(context), 1);
   });
 }
 
