A process that has lost a task says so and ends

What was seen, by reading and in heldAddresses.test.ts: a task that ends or throws always (ticks, fleet rounds, the loop that follows the registry) was only logged as daemon.fault; the process lived on, ready, without it.

Cause: uncaughtException and unhandledRejection are logged for all that nobody catches; nobody asks whether tasks go on. A throw in one part of the tick also kept the parts after it from running.

Class: a process that does not know its own tasks. TaskWatch runs each turn, counts failures in a row (20), sees a loop end, and a loop that completes nothing for 300 of the process's own ticks; then a typed TaskError, planned stop, exit code 6. It reads no clock, so a frozen or busy process is not taken for a broken one. A stop that fails ends the process too.

Evidence: lostTasks.test.ts (real processes whose sends of datagrams throw). Before: 0 of 2. After: 2 of 2. On a throw in each send the fleet's round failed 20 times, exit 6; on one throw it went on. TaskWatch.test.ts 6 of 6. Not played: a freeze beside a failing task.

--- a/packages/daemon/src/fleet/FleetTask.ts
+++ b/packages/daemon/src/fleet/FleetTask.ts
@@ -54,6 +54,8 @@
   readonly onSkippedPart: () => void;
   /** Counts the notices that were dropped before any message held them. */
   readonly onDroppedNotice: (notice: FleetNotice) => void;
+  /** Runs a turn of a periodic task. */
+  readonly runTurn: (task: string, turn: () => void) => void;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
 
@@ -149,8 +151,10 @@
   }
 
   private runRound(): void {
-    const now = this.dependencies.getNow();
-    this.sendMessage(this.gossip.pickTargets(now), now);
+    this.dependencies.runTurn("fleet", () => {
+      const now = this.dependencies.getNow();
+      this.sendMessage(this.gossip.pickTargets(now), now);
+    });
   }
 
   /** Sends a message ahead of the round as soon as one is due. */
@@ -162,7 +166,9 @@
     const milliseconds = Math.max(0, expressAt - this.dependencies.getNow());
     this.expressTimer = setTimeout(() => {
       this.expressTimer = undefined;
-      this.runExpress();
+      this.dependencies.runTurn("fleet-express", () => {
+        this.runExpress();
+      });
     }, milliseconds);
   }
 
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -68,6 +68,13 @@
     registers: [this.registry],
   });
 
+  readonly failedTurns = new Counter({
+    name: "pistachioway_failed_turns_total",
+    help: "Turns of the process's own periodic tasks that failed, by task.",
+    labelNames: ["task"],
+    registers: [this.registry],
+  });
+
   readonly registryCalls = new Counter({
     name: "pistachioway_registry_calls_total",
     help: "Calls of the registry by call and result.",
--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -56,6 +56,7 @@
   private isConfirmationPending = false;
   private position: number | undefined;
   private readCount = 0;
+  private turnCount = 0;
   private failureCount = 0;
   /**
    * How long the next watch waits, in whole milliseconds. The pause before it is subtracted, because
@@ -89,12 +90,18 @@
     return this.readCount;
   }
 
+  /** Gets the number of calls that have ended, with or without a response. */
+  getTurnCount(): number {
+    return this.turnCount;
+  }
+
   /** Reads and watches the registry until the task is stopped. */
   async run(): Promise<void> {
     const { signal } = this.stopped;
     while (!signal.aborted) {
       const startedAt = this.dependencies.getClocks().monotonic;
       const isOk = await this.callRegistry();
+      this.turnCount += 1;
       const pause = isOk ? this.getPauseMilliseconds(startedAt) : this.getRetryMilliseconds();
       this.waitMilliseconds = watchTimeoutMilliseconds - pause;
       if (pause > 0 && !signal.aborted) {
--- a/packages/daemon/src/router/ProcessEnd.ts
+++ b/packages/daemon/src/router/ProcessEnd.ts
@@ -1,4 +1,5 @@
 import type { StreamLog } from "../log/StreamLog.js";
+import { getMessage } from "./TaskError.js";
 import type { Router } from "./Router.js";
 
 const forcedExitCode = 3;
@@ -51,9 +52,13 @@
 
   private stop(failureExitCode?: number): void {
     this.isStopping = true;
-    void this.router.stop().then((isIdle) => {
-      process.exit(failureExitCode ?? (isIdle ? 0 : cutOffExitCode));
-    });
+    this.router.stop().then(
+      (isIdle) => process.exit(failureExitCode ?? (isIdle ? 0 : cutOffExitCode)),
+      (error: unknown) => {
+        this.log.write("error", "daemon.stop-failed", { detail: getMessage(error) });
+        this.exit(failureExitCode ?? cutOffExitCode);
+      },
+    );
   }
 
   private exit(exitCode: number): void {
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -28,27 +28,25 @@
 import { createForwarding, type Forwarding } from "./createForwarding.js";
 import { createListenerStart } from "./createListenerStart.js";
 import { createPeerStateTask } from "./createPeerStateTask.js";
+import { createPeriodicTasks, tickMilliseconds } from "./createPeriodicTasks.js";
 import { createRegistryTask } from "./createRegistryTask.js";
 import { createStreamDirectory } from "./createStreamDirectory.js";
 import { getLimitShare } from "./getLimitShare.js";
 import { NoticeLog } from "./NoticeLog.js";
 import { OperationsServers } from "./OperationsServers.js";
+import type { PeriodicTasks } from "./PeriodicTasks.js";
 import { PlannedStop } from "./PlannedStop.js";
 import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
 import { readClocks, readMonotonicClock } from "./clocks.js";
-import { runHousekeeping } from "./runHousekeeping.js";
-import { StallLog } from "./StallLog.js";
+import type { TaskError } from "./TaskError.js";
+import { TaskWatch } from "./TaskWatch.js";
 import { TickLag } from "./TickLag.js";
 
 /** Clock error that is allowed for when a revoked key must stop being accepted. */
 const clockErrorMilliseconds = 200;
-/** Interval of the one timer that drives all periodic checks, which wakes the process less often. */
-const tickMilliseconds = 100;
 /** Memory for bodies of callers and upstreams, beside the heap of the smallest host's process. */
 const maxKeptBytes = 67_108_864;
-const ticksPerHousekeeping = 2;
-const ticksPerPeerCheck = 3;
 
 /** Dependencies of a router. */
 export interface RouterDependencies {
@@ -56,6 +54,8 @@
   readonly registry: Registry;
   readonly codec: HeaderCodec;
   readonly log: StreamLog;
+  /** Called once, when a task of the router does not go on. */
+  readonly onTaskFailed: (error: TaskError) => void;
 }
 
 /** A daemon that routes requests to upstreams by the configuration that a registry publishes. */
@@ -73,6 +73,7 @@
       this.notices.recordQuarantine(change, readMonotonicClock());
     },
   });
+  private readonly tasks: TaskWatch;
   private readonly notices: NoticeLog;
   private readonly registryTask: RegistryTask;
   private readonly reachability: ReachabilityTask;
@@ -88,20 +89,25 @@
   private readonly incarnation = Date.now();
   private readonly startedAt = readMonotonicClock();
   private readonly ticks = TickListeners.create();
-  private timer: NodeJS.Timeout | undefined;
-  private tickCount = 0;
   private readonly tickLag = TickLag.create(tickMilliseconds, this.startedAt);
-  private readonly stalls: StallLog;
+  private readonly periodicTasks: PeriodicTasks;
   private plannedStop: PlannedStop | undefined;
   private isClosed = false;
 
+  private readonly record = (level: LogLevel, event: string, fields: Fields): void => {
+    this.dependencies.log.write(level, event, fields);
+  };
+
   private constructor(private readonly dependencies: RouterDependencies) {
-    this.notices = NoticeLog.create(this.metrics, (level, event, fields) => {
-      this.record(level, event, fields);
+    this.notices = NoticeLog.create(this.metrics, this.record);
+    const { record } = this;
+    this.tasks = TaskWatch.create({
+      onFailed: dependencies.onTaskFailed,
+      onFailedTurn: (task) => {
+        this.metrics.failedTurns.inc({ task });
+      },
+      record,
     });
-    const record = (level: LogLevel, event: string, fields: Fields): void => {
-      this.record(level, event, fields);
-    };
     this.registryTask = createRegistryTask({
       registry: dependencies.registry,
       metrics: this.metrics,
@@ -114,7 +120,6 @@
         this.streams.recordUpstream(upstream);
       },
     });
-    this.stalls = StallLog.create({ memory: this.memory, pacer: this.pool.pacer, record });
     const { registryTask: registry, pool } = this;
     const { upstreams } = registry;
     const getNow = readMonotonicClock;
@@ -129,6 +134,19 @@
       isAtRisk: () => registry.isUnreachable() || this.plannedStop !== undefined,
       getNow,
     });
+    this.periodicTasks = createPeriodicTasks({
+      reachability: this.reachability,
+      requestTicks: this.ticks,
+      registry,
+      view,
+      streams: this.streams,
+      peerStates: this.peerStates,
+      memory: this.memory,
+      pacer: pool.pacer,
+      lag: this.tickLag,
+      watch: this.tasks,
+      record,
+    });
     this.requestDependencies = this.createActiveRequestDependencies();
     this.forwarding = this.createForwarding();
     this.ingress = this.createIngress();
@@ -153,10 +171,13 @@
   async start(): Promise<void> {
     const { process: self } = this.dependencies.settings;
     this.record("info", "daemon.starting", { zone: self.zone, incarnation: this.incarnation });
-    void this.registryTask.run();
-    this.timer = setInterval(() => {
-      this.runTick();
-    }, tickMilliseconds);
+    const { registryTask, tasks } = this;
+    void tasks.runLoop(
+      "registry",
+      () => registryTask.run(),
+      () => registryTask.getTurnCount(),
+    );
+    this.periodicTasks.start();
     await this.listenerStart.run();
     if (this.listenerStart.isComplete()) {
       this.record("info", "daemon.listening", {
@@ -179,9 +200,7 @@
       graceMilliseconds: this.dependencies.settings.limits.graceMilliseconds,
       mayHaveBeenReady: this.listenerStart.isComplete(),
       getNow: readMonotonicClock,
-      record: (level, event, fields) => {
-        this.record(level, event, fields);
-      },
+      record: this.record,
     });
     this.record("info", "daemon.stopping", { running: this.ingress.requests.getRunningCount() });
     await this.listenerStart.stop();
@@ -212,7 +231,8 @@
       return;
     }
     this.isClosed = true;
-    clearInterval(this.timer);
+    this.tasks.stop();
+    this.periodicTasks.stop();
     void this.listenerStart.stop();
     this.ingress.requests.close();
     this.forwarding.server.requests.close();
@@ -224,9 +244,7 @@
   }
 
   private createFleetTask(): FleetTask {
-    const record = (level: LogLevel, event: string, fields: Fields): void => {
-      this.record(level, event, fields);
-    };
+    const { record } = this;
     return createFleetTask(this.dependencies.settings, {
       incarnation: this.incarnation,
       registry: this.registryTask,
@@ -239,6 +257,9 @@
         this.streams.receive(message, sender);
       },
       getNow: readMonotonicClock,
+      runTurn: (task, turn) => {
+        this.tasks.run(task, turn);
+      },
       record,
     });
   }
@@ -270,9 +291,7 @@
       metrics: this.metrics,
       startedAt: this.startedAt,
       getNow: readMonotonicClock,
-      record: (level, event, fields) => {
-        this.record(level, event, fields);
-      },
+      record: this.record,
     });
   }
 
@@ -334,9 +353,7 @@
       getDaemonCount: () => this.fleet.view.getPeakDaemonCount(),
       getVersion: () => this.getVersion(),
       getAgeMilliseconds: () => this.registryTask.getAgeMilliseconds(),
-      record: (level, event, fields) => {
-        this.record(level, event, fields);
-      },
+      record: this.record,
     };
   }
 
@@ -360,25 +377,6 @@
     });
   }
 
-  private runTick(): void {
-    this.tickCount += 1;
-    this.stalls.recordTick(this.tickLag.recordTick(readMonotonicClock()));
-    this.reachability.check();
-    this.ticks.run();
-    if (this.tickCount % ticksPerHousekeeping === 0) {
-      this.runHousekeeping();
-    }
-    if (this.tickCount % ticksPerPeerCheck === 0) {
-      void this.peerStates.check();
-    }
-  }
-
-  private runHousekeeping(): void {
-    const { registryTask: registry, streams } = this;
-    const record = this.record.bind(this);
-    runHousekeeping({ registry, view: this.fleet.view, streams, record }, readMonotonicClock());
-  }
-
   private tellFleet(notices: readonly UpstreamNotice[]): void {
     for (const notice of notices) {
       const fleetNotice = toFleetNotice(this.registryTask.upstreams, notice);
@@ -387,8 +385,4 @@
       }
     }
   }
-
-  private record(level: LogLevel, event: string, fields: Fields): void {
-    this.dependencies.log.write(level, event, fields);
-  }
 }
--- a/packages/daemon/src/router/createFleetTask.ts
+++ b/packages/daemon/src/router/createFleetTask.ts
@@ -27,6 +27,8 @@
   readonly onStreamMessage: (message: StreamMessage, sender: string) => void;
   /** Reads the monotonic clock, in milliseconds. */
   readonly getNow: () => number;
+  /** Runs a turn of a periodic task. */
+  readonly runTurn: (task: string, turn: () => void) => void;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
 
@@ -68,6 +70,7 @@
     onDroppedNotice: ({ kind }) => {
       metrics.droppedNotices.inc({ kind });
     },
+    runTurn: context.runTurn,
     record: context.record,
   });
 }
--- a/packages/daemon/src/router/runRouter.ts
+++ b/packages/daemon/src/router/runRouter.ts
@@ -7,6 +7,7 @@
 
 const settingsExitCode = 2;
 const startExitCode = 5;
+const taskExitCode = 6;
 const settingsCheckIntervalMilliseconds = 2_000;
 
 /**
@@ -30,6 +31,9 @@
     registry: StoreClient.create(registry.address),
     codec: headerCodec,
     log,
+    onTaskFailed: (error) => {
+      end.fail("daemon.task-failed", error, taskExitCode);
+    },
   });
   const end = ProcessEnd.create(router, log);
   process.on("SIGTERM", (signal) => {
--- a/packages/daemon/tests/fleet/FleetTask.test.ts
+++ b/packages/daemon/tests/fleet/FleetTask.test.ts
@@ -26,6 +26,9 @@
     onRefused: () => undefined,
     onSkippedPart: () => undefined,
     onDroppedNotice: () => undefined,
+    runTurn: (_task, turn) => {
+      turn();
+    },
     record: () => undefined,
   });
 }
--- a/packages/daemon/tests/router/ProcessContext.ts
+++ b/packages/daemon/tests/router/ProcessContext.ts
@@ -20,12 +20,14 @@
   readonly listedCount: number;
   /** Options of the runtime. */
   readonly nodeOptions?: readonly string[];
+  /** Addresses of daemons that may run; none by default. */
+  readonly seeds?: readonly string[];
 }
 
 /** Starts store, upstreams and router of a test. */
 export async function setUpProcess(
   context: ProcessContext,
-  { upstreamCount, listedCount, nodeOptions }: ProcessOptions,
+  { upstreamCount, listedCount, nodeOptions, seeds }: ProcessOptions,
 ): Promise<void> {
   context.store = RegistryStore.create();
   context.upstreams = Array.from({ length: upstreamCount }, (_, index) =>
@@ -36,7 +38,7 @@
   context.upstreams.slice(0, listedCount).forEach((upstream) => {
     context.store.publishUpstream(upstream);
   });
-  context.router = await RouterProcess.start(context.store, listedCount, nodeOptions);
+  context.router = await RouterProcess.start(context.store, listedCount, nodeOptions, seeds);
 }
 
 /** Ends what `setUpProcess` has started. */
--- a/packages/daemon/tests/router/RouterFixture.ts
+++ b/packages/daemon/tests/router/RouterFixture.ts
@@ -148,6 +148,9 @@
       registry: storeClient,
       codec,
       log: StreamLog.create(output, () => performance.now(), "info", {}),
+      onTaskFailed: (error) => {
+        throw error;
+      },
     });
     setBusy(router, false);
     const fixture = new RouterFixture(
--- a/packages/daemon/tests/router/RouterProcess.ts
+++ b/packages/daemon/tests/router/RouterProcess.ts
@@ -57,14 +57,16 @@
    * @param store - Store that publishes them.
    * @param upstreamCount - Number of upstreams that the store publishes.
    * @param nodeOptions - Options of the runtime.
+   * @param seeds - Addresses of daemons that may run.
    */
   static async start(
     { address }: RegistryStore,
     upstreamCount: number,
     nodeOptions: readonly string[] = [],
+    seeds: readonly string[] = [],
   ): Promise<RouterProcess> {
     const addresses = await chooseAddresses("127.0.0.1");
-    const router = await RouterProcess.launch(addresses, address, { nodeOptions });
+    const router = await RouterProcess.launch(addresses, address, { nodeOptions, seeds });
     const isReady = (): boolean =>
       router.getLines("configuration.in-force").length > 0 &&
       router.getLines("upstream.changed").length >= upstreamCount;
