A standstill of the process no longer makes an open connection count as failed

Callers could lose: a request as not sent, or a whole stream without length as that of a crash, when the router's process stood still for more than the 250 ms of a connection: its timer ran before the event that the connection had opened. A second try (canReach) hid one standstill only.

--- a/packages/daemon/src/exchange/connect.ts
+++ b/packages/daemon/src/exchange/connect.ts
@@ -35,17 +35,13 @@
     const target = { host: hostname, port: Number(port), noDelay: true };
     const socket = openSocket(localAddress === undefined ? target : { ...target, localAddress });
     socket.setKeepAlive(true, keepAliveDelayMilliseconds);
-    const timer = setTimeout(() => {
-      socket.destroy(new Error(`no connection within ${String(connectTimeoutMilliseconds)} ms`));
-    }, connectTimeoutMilliseconds);
+    limitConnectTime(socket);
     const onEarlyError = (error: Error): void => {
-      clearTimeout(timer);
       state.hasConnectFailed = true;
       callback(error, null);
     };
     socket.once("error", onEarlyError);
     socket.once("connect", () => {
-      clearTimeout(timer);
       socket.off("error", onEarlyError);
       state.wasBroken = false;
       state.hasConnectFailed = false;
@@ -55,6 +51,22 @@
   };
 }
 
+/** Ends a socket that is not connected in time. What came while this process stood still is taken before. */
+function limitConnectTime(socket: Socket): void {
+  const timer = setTimeout(() => {
+    setImmediate(() => {
+      if (socket.connecting) {
+        socket.destroy(new Error(`no connection within ${String(connectTimeoutMilliseconds)} ms`));
+      }
+    });
+  }, connectTimeoutMilliseconds);
+  const stop = (): void => {
+    clearTimeout(timer);
+  };
+  socket.once("connect", stop);
+  socket.once("close", stop);
+}
+
 function recordEnds(socket: Socket, state: SocketState): void {
   socket.on("error", (error: NodeJS.ErrnoException) => {
     state.wasBroken = true;
@@ -72,7 +84,7 @@
 export async function canConnect(address: string): Promise<boolean> {
   const [host = "", port = ""] = address.split(":");
   const socket = openSocket({ host, port: Number(port) });
-  const timer = setTimeout(() => socket.destroy(), connectTimeoutMilliseconds);
+  limitConnectTime(socket);
   const isConnected = await new Promise<boolean>((resolve) => {
     socket.once("connect", () => {
       resolve(true);
@@ -84,7 +96,6 @@
       resolve(false);
     });
   });
-  clearTimeout(timer);
   socket.destroy();
   return isConnected;
 }
--- a/packages/daemon/src/exchange/index.ts
+++ b/packages/daemon/src/exchange/index.ts
@@ -1,4 +1,5 @@
 export { describeAnswer } from "./describeAnswer.js";
+export { canConnect } from "./connect.js";
 export { ConnectionPool } from "./ConnectionPool.js";
 export { ReachabilityTask } from "./ReachabilityTask.js";
 export {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,7 +6,13 @@
 export type { Settings } from "./settings/index.js";
 export * from "./streams/index.js";
 export { decodeDatagram, encodeDatagram } from "./fleet/datagramCodec.js";
-export { ConnectionPool, Exchange, ReadPacer, type ExchangeListener } from "./exchange/index.js";
+export {
+  canConnect,
+  ConnectionPool,
+  Exchange,
+  ReadPacer,
+  type ExchangeListener,
+} from "./exchange/index.js";
 export { FleetTask } from "./fleet/FleetTask.js";
 export { CompleteEventBuffer } from "./ingress/CompleteEventBuffer.js";
 export type { ActiveRequestOutcome } from "./ingress/index.js";
