A stream that ends inside an event was broken off, whatever marks its end

Callers saw: a complete answer that ends with a part of an event, if its upstream sends a last chunk, or as many bytes as it named, inside an event. Cause: only streams with neither were looked at; the part was passed on as the end of the answer. Class: the end of a transfer taken for the end of the stream. Now such a stream goes on at another upstream, or else is reset; the end counts as no crash. Only answers of type text/event-stream with a body. An upstream that leaves out the empty line behind its last event loses by it: the rule of the format is that callers drop such an event.

--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -226,7 +226,8 @@
     if (attempt?.head === undefined) {
       return;
     }
-    if (attempt.head.meaning === "final" && attempt.endsWithConnection()) {
+    const isDoubtful = attempt.endsWithConnection() || attempt.endsInsideEvent();
+    if (attempt.head.meaning === "final" && isDoubtful) {
       void this.checkEnd(attempt, attempt.head);
     } else {
       this.handleAnswer(attempt, attempt.head);
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -1,4 +1,4 @@
-import type { ResponseHead } from "@pistachioway/kernel";
+import { isEventStream, type ResponseHead } from "@pistachioway/kernel";
 import type { Exchange, ExchangeListener } from "../exchange/index.js";
 import type { AttemptTarget } from "./AttemptTarget.js";
 import { EventBoundary } from "./EventBoundary.js";
@@ -57,7 +57,7 @@
    */
   recordBody(chunk: Buffer, now: number): void {
     this.firstBodyByteAt ??= now;
-    if (this.isUnframedStream()) {
+    if (this.isStreaming) {
       this.boundary.push(chunk);
     }
     this.recordReceivedBytes(now);
@@ -73,6 +73,14 @@
     return this.isUnframedStream() && !mayEnd;
   }
 
+  /** Checks whether a stream of events ends with bytes that are no event, although its upstream has marked its end. */
+  endsInsideEvent(): boolean {
+    const hasEvents = this.isStreaming && this.firstBodyByteAt !== undefined;
+    return (
+      hasEvents && !this.boundary.isAtEnd() && this.head !== undefined && isEventStream(this.head)
+    );
+  }
+
   /**
    * Checks whether nothing but the end of the connection marks the end of the response, so that a crash of its sender looks
    * like that.
--- a/packages/daemon/src/ingress/findEndFailure.ts
+++ b/packages/daemon/src/ingress/findEndFailure.ts
@@ -3,9 +3,10 @@
 import type { Attempt } from "./Attempt.js";
 
 /**
- * Finds out why the end of a connection is not the end of the answer that it delimits. A stream that ends inside an event
- * was broken off. Any other end is that of the answer only while its upstream still accepts connections.
- * @param attempt - Attempt whose answer has neither a length nor chunks.
+ * Finds out why the end of what was received is not the end of the answer. A stream that ends inside an event was broken
+ * off, even where its length or last chunk has come. Any other end of a connection is that of the answer only while its
+ * upstream still accepts connections.
+ * @param attempt - Attempt whose answer has neither a length nor chunks, or ends inside an event.
  * @param report - Receives what the end was taken for.
  * @returns The failure; undefined when the answer is complete.
  */
@@ -13,8 +14,8 @@
   attempt: Attempt,
   report: ActiveRequestReport,
 ): Promise<ExchangeFailure | undefined> {
-  if (attempt.isBrokenOff()) {
-    return createLoss("the stream ended inside an event", true);
+  if (attempt.isBrokenOff() || attempt.endsInsideEvent()) {
+    return createLoss("the stream ended inside an event", attempt.endsWithConnection());
   }
   const isStillServing = await attempt.target.isStillServing();
   report.recordUnframedEnd(attempt, isStillServing);
--- a/packages/kernel/src/forwarding/index.ts
+++ b/packages/kernel/src/forwarding/index.ts
@@ -1,4 +1,4 @@
-export { continuesStream } from "./continuesStream.js";
+export { continuesStream, isEventStream } from "./continuesStream.js";
 export {
   checkRequest,
   type FreshnessBounds,
