Chats take all line ends and comments of event streams, and end with their last event

Callers saw: chats that are broken off when their engine ends lines with CR LF or CR (no event was ever found), sends a comment to keep the connection alive, or sends anything behind its last event in the same piece (taken for another stream).

--- a/packages/daemon/src/chat/ServerSentEventParser.ts
+++ b/packages/daemon/src/chat/ServerSentEventParser.ts
@@ -12,7 +12,10 @@
 /** Bounds of an event that is not complete; in characters, and in the pieces that it comes in. */
 const maxEventLength = 1_048_576;
 const maxEventPieces = 65_536;
-const eventEnd = "\n\n";
+/** An empty line behind another line; after an LF a CR alone does not count, since its LF may follow. */
+const eventEnd = /\n\r?\n|\r\r\n?/;
+const maxEventEndLength = 3;
+const lineEnd = /\r\n|\n|\r/;
 
 /** An event of a stream is so large that it is no event. */
 export class EventTooLargeError extends Error {
@@ -30,6 +33,8 @@
   /** Texts of the event that is not complete. */
   private pieces: string[] = [];
   private length = 0;
+  /** Last characters that may belong to the end of an event. */
+  private tail = "";
 
   private constructor() {
     // Created through the static method.
@@ -46,8 +51,8 @@
    */
   addBytes(bytes: Uint8Array): ServerSentEvent[] {
     const piece = this.decoder.decode(bytes, { stream: true });
-    const lastCharacter = this.pieces.at(-1)?.at(-1) ?? "";
-    const hasEnd = (lastCharacter + piece).includes(eventEnd);
+    const hasEnd = eventEnd.test(this.tail + piece);
+    this.tail = (this.tail + piece.slice(1 - maxEventEndLength)).slice(1 - maxEventEndLength);
     this.addPiece(piece);
     return hasEnd ? this.takeEvents() : [];
   }
@@ -67,14 +72,13 @@
     const events: ServerSentEvent[] = [];
     const text = this.pieces.join("");
     let start = 0;
-    let end = text.indexOf(eventEnd);
-    while (end >= 0) {
-      const next = end + eventEnd.length;
+    for (const { 0: end, index } of text.matchAll(new RegExp(eventEnd, "g"))) {
+      const next = index + end.length;
       events.push(parseEvent(text.slice(start, next)));
       start = next;
-      end = text.indexOf(eventEnd, start);
     }
     const rest = text.slice(start);
+    this.tail = rest.slice(1 - maxEventEndLength);
     this.pieces = rest === "" ? [] : [rest];
     this.length = rest.length;
     return events;
@@ -84,7 +88,7 @@
 function parseEvent(text: string): ServerSentEvent {
   let id: string | undefined;
   const data: string[] = [];
-  for (const line of text.split("\n")) {
+  for (const line of text.split(lineEnd)) {
     if (line.startsWith("data:")) {
       data.push(line.slice("data:".length).trimStart());
     } else if (line.startsWith("id:")) {
--- a/packages/daemon/src/chat/StreamRelay.ts
+++ b/packages/daemon/src/chat/StreamRelay.ts
@@ -61,7 +61,7 @@
     const parser = ServerSentEventParser.create();
     try {
       for await (const bytes of body) {
-        const events = parser.addBytes(bytes as Uint8Array);
+        const events = getUpToTerminal(parser.addBytes(bytes as Uint8Array));
         const accepted = this.acceptConsecutive(events);
         await this.writeAll(accepted);
         if (accepted.length < events.length) {
@@ -83,8 +83,11 @@
     return rejectedIndex < 0 ? [...events] : events.slice(0, rejectedIndex);
   }
 
-  /** Accepts an event that continues this attempt's stream; returns false for any other. */
+  /** Accepts a comment, or an event that continues this attempt's stream; returns false for any other. */
   private acceptIfNext(event: ServerSentEvent): boolean {
+    if (event.id === undefined && event.data === "") {
+      return true;
+    }
     if (event.data === terminalData) {
       return this.lastUsage !== undefined || !this.dependencies.isChecked;
     }
@@ -114,6 +117,12 @@
   }
 }
 
+/** Gets events up to the one that ends the stream; what an engine sends behind it belongs to nothing. */
+function getUpToTerminal(events: readonly ServerSentEvent[]): readonly ServerSentEvent[] {
+  const index = events.findIndex(({ data }) => data === terminalData);
+  return index < 0 ? events : events.slice(0, index + 1);
+}
+
 /** Checks whether an event reports usage; such an event has the offset of the token before it. */
 function hasUsage(event: ServerSentEvent): boolean {
   return event.data.includes('"usage"');
