The end of a connection ends a service's answer only while its host goes on serving

Callers of the product's own interface saw: a part of an answer as a whole one, if a host that answers with neither a length, chunks nor a digest crashes within it, or resets its connection (which the HTTP client takes for the end). Now such an answer counts as lost unless the host still accepts connections and none to its address was reset since the call was sent: a reset of another connection makes it lost as well, which costs a run, and never passes on a part.

--- a/packages/daemon/src/services/ServiceClient.ts
+++ b/packages/daemon/src/services/ServiceClient.ts
@@ -169,7 +169,8 @@
       return response;
     }
     const body = await readWholeBody(response, maxResponseBytes);
-    if (body === undefined || !hasMatchingDigest(response.headers, body)) {
+    const isWhole = body !== undefined && (await response.isComplete());
+    if (!isWhole || !hasMatchingDigest(response.headers, body)) {
       const detail = "the answer was cut off or mixed with another";
       return { kind: "failure", class: "lost", detail, isLeaving: false };
     }
--- a/packages/daemon/src/upstreams/Connections.ts
+++ b/packages/daemon/src/upstreams/Connections.ts
@@ -1,5 +1,5 @@
 import { MemoryBudget } from "@pistachioway/kernel";
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 
 const connectionsPerHost = 512;
 const connectTimeoutMilliseconds = 1_000;
@@ -12,6 +12,8 @@
   /** Memory that bodies are kept in until they are complete. */
   readonly memory = MemoryBudget.create(maxKeptBytes);
   private readonly poolsByAddress = new Map<string, Pool>();
+  /** Number of connections to each address that were reset or have failed. */
+  private readonly breaksByAddress = new Map<string, number>();
 
   private constructor(
     /** False only in a test that switches the validation of responses off. */
@@ -35,11 +37,22 @@
     if (existing !== undefined) {
       return existing;
     }
-    const pool = createPool(address);
+    const pool = createPool(address, () => {
+      this.breaksByAddress.set(address, this.getBreaks(address) + 1);
+    });
     this.poolsByAddress.set(address, pool);
     return pool;
   }
 
+  /**
+   * Gets how many connections to an address were reset or have failed, rather than being ended in order. The HTTP client
+   * takes a reset for the end of an answer without a length.
+   * @param address - IPv4 address and port.
+   */
+  getBreaks(address: string): number {
+    return this.breaksByAddress.get(address) ?? 0;
+  }
+
   /**
    * Discards the pool of an address, so that none of its connections serves a later request.
    * Requests in flight on its connections finish first.
@@ -62,6 +75,7 @@
     for (const address of this.poolsByAddress.keys()) {
       if (!addresses.has(address)) {
         this.discard(address);
+        this.breaksByAddress.delete(address);
       }
     }
   }
@@ -74,12 +88,23 @@
   }
 }
 
-function createPool(address: string): Pool {
+function createPool(address: string, onBreak: () => void): Pool {
+  const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
   return new Pool(`http://${address}`, {
     connections: connectionsPerHost,
     // Responses to pipelined requests could arrive out of order.
     pipelining: 1,
-    connect: { timeout: connectTimeoutMilliseconds },
+    connect: (options, callback) => {
+      connect(options, (...result) => {
+        result[1]?.on("error", ({ syscall }: NodeJS.ErrnoException) => {
+          // The HTTP client destroys sockets that were ended in order with errors of its own.
+          if (syscall !== undefined) {
+            onBreak();
+          }
+        });
+        callback(...result);
+      });
+    },
     keepAliveTimeout: idleTimeoutMilliseconds,
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/packages/daemon/src/upstreams/sendAttempt.ts
+++ b/packages/daemon/src/upstreams/sendAttempt.ts
@@ -3,6 +3,7 @@
 import type { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import { CallDeadline } from "../deadlines/index.js";
+import { AnswerEnd } from "./AnswerEnd.js";
 import type { Connections } from "./Connections.js";
 import { discardBody } from "./discardBody.js";
 import { getResponseMeaning } from "./getResponseMeaning.js";
@@ -35,6 +36,8 @@
   readonly body: Readable;
   /** Memory that bodies are kept in until they are complete. */
   readonly memory: MemoryBudget;
+  /** Checks, once the body has ended, whether that is the end of the answer. */
+  readonly isComplete: () => Promise<boolean>;
 }
 
 /** An attempt that got no response. */
@@ -68,6 +71,7 @@
     return toFailure("neverSent", "deadline had passed before the attempt");
   }
   const deadline = CallDeadline.create(timeoutMilliseconds, request.signal);
+  const end = AnswerEnd.create(connections, request.address);
   try {
     const pool = connections.getPool(request.address);
     const response = await WaitingRequest.create(pool, deadline.signal).send({
@@ -79,7 +83,7 @@
     response.body.once("close", () => {
       deadline.release();
     });
-    return await validateResponse(connections, request, response);
+    return await validateResponse(connections, request, response, end);
   } catch (error) {
     deadline.release();
     return toErrorFailure(error, deadline.hasPassed());
@@ -90,6 +94,7 @@
   connections: Connections,
   request: AttemptRequest,
   response: Dispatcher.ResponseData,
+  end: AnswerEnd,
 ): Promise<AttemptResponse | AttemptFailure> {
   const meaning = getResponseMeaning(response, request.attemptId);
   if (meaning === "refusal") {
@@ -102,12 +107,10 @@
   if (meaning === "unproven" && connections.checksResponses) {
     return toUnprovenFailure(request, response);
   }
+  const { statusCode: status, headers, body } = response;
   return {
-    kind: "answer",
-    status: response.statusCode,
-    headers: response.headers,
-    body: response.body,
-    memory: connections.memory,
+    ...{ kind: "answer", status, headers, body, memory: connections.memory },
+    isComplete: () => end.isComplete({ method: request.method, status, headers }),
   };
 }
 
