--- a/packages/daemon/tests/router/RouterProcess.ts
+++ b/packages/daemon/tests/router/RouterProcess.ts
@@ -104,6 +104,11 @@
     this.child.kill("SIGTERM");
   }
 
+  /** Sends the signal at which the process reads its settings again. */
+  reload(): void {
+    this.child.kill("SIGHUP");
+  }
+
   /** Stops the process where it stands, until it is resumed. */
   pause(): void {
     this.child.kill("SIGSTOP");
