Settings that are not there yet are read again, and signals are kept from the first line on

Cause: the file was read once, its error not caught, and signals were handled only after the whole program was loaded and the settings were read. Class: as for a start without an end (decision 0020).

Now the file is read again for 3 s with one line for each reason, then exit code 2 and the line of a SettingsError; SignalInbox stands before the rest of the program is loaded, and hands on what came.

--- a/packages/daemon/src/router/runRouter.ts
+++ b/packages/daemon/src/router/runRouter.ts
@@ -1,34 +1,61 @@
 import { headerCodec, StoreClient } from "@pistachioway/platform";
-import { readFile, stat } from "node:fs/promises";
+import { stat } from "node:fs/promises";
+import { formatLine } from "../log/line.js";
 import { createStandardOutput, StreamLog } from "../log/StreamLog.js";
+import { readMonotonicClock } from "./clocks.js";
 import { ProcessEnd } from "./ProcessEnd.js";
+import { readSettings, readSettingsOnce } from "./readSettings.js";
 import { Router } from "./Router.js";
-import { parseRouterSettings } from "./parseRouterSettings.js";
+import type { RouterSettings } from "./settings.js";
+import type { SignalInbox } from "./SignalInbox.js";
 
 const settingsExitCode = 2;
 const startExitCode = 5;
 const taskExitCode = 6;
 const settingsCheckIntervalMilliseconds = 2_000;
+/** Time in which a settings file that is missing or half written can still be completed. */
+const settingsTimeoutMilliseconds = 3_000;
 
 /**
  * Runs a daemon that reads the platform's registry, until a signal stops it.
  * @param file - Path of the settings file.
+ * @param signals - Signals of the process.
  */
-export async function runRouter(file: string): Promise<void> {
-  const settings = parseRouterSettings(await readFile(file, "utf8"), file);
+export async function runRouter(file: string, signals: SignalInbox): Promise<void> {
+  signals.handle((signal) => {
+    // Settings are yet to be read, so that only a stop has something to do.
+    if (signal !== "SIGHUP") {
+      process.exit(0);
+    }
+  });
+  const settings = await readSettings(file, {
+    deadline: readMonotonicClock() + settingsTimeoutMilliseconds,
+    getNow: readMonotonicClock,
+    onRefused: ({ message }) => {
+      const fields = { level: "warn", event: "settings.refused", detail: message };
+      process.stdout.write(`${formatLine({ at: new Date().toISOString(), ...fields })}\n`);
+    },
+  });
   if (settings.isErr) {
     process.stderr.write(`${settings.error.message}\n`);
-    process.exitCode = settingsExitCode;
-    return;
+    process.exit(settingsExitCode);
   }
-  const { process: self, log: logSettings, registry } = settings.value;
+  await startRouter(file, settings.value, signals);
+}
+
+/** Starts a router, and ends the process if that is impossible. */
+async function startRouter(
+  file: string,
+  settings: RouterSettings,
+  signals: SignalInbox,
+): Promise<void> {
   const output = createStandardOutput();
-  const log = StreamLog.create(output, () => performance.now(), logSettings.level, {
-    daemon: self.name,
+  const log = StreamLog.create(output, readMonotonicClock, settings.log.level, {
+    daemon: settings.process.name,
   });
   const router = Router.create({
-    settings: settings.value,
-    registry: StoreClient.create(registry.address),
+    settings,
+    registry: StoreClient.create(settings.registry.address),
     codec: headerCodec,
     log,
     onTaskFailed: (error) => {
@@ -36,27 +63,20 @@
     },
   });
   const end = ProcessEnd.create(router, log);
-  process.on("SIGTERM", (signal) => {
-    end.handleSignal(signal);
-  });
-  process.on("SIGINT", (signal) => {
-    end.handleSignal(signal);
-  });
   logUncaughtErrors(log);
-  watchSettings(file, router, log);
-  await startRouter(router, end);
-}
-
-/** Starts a router, and ends the process if that is impossible. */
-async function startRouter(router: Router, end: ProcessEnd): Promise<void> {
+  const reload = watchSettings(file, router, log);
+  signals.handle((signal) => {
+    if (signal === "SIGHUP") {
+      reload();
+    } else {
+      end.handleSignal(signal);
+    }
+  });
   try {
     await router.start();
   } catch (error) {
-    end.fail(
-      "daemon.start-failed",
-      error instanceof Error ? error : new Error(String(error)),
-      startExitCode,
-    );
+    const failure = error instanceof Error ? error : new Error(String(error));
+    end.fail("daemon.start-failed", failure, startExitCode);
   }
 }
 
@@ -70,11 +90,14 @@
   });
 }
 
-/** Reloads the settings at SIGHUP, and when the modification time of the file changes. */
-function watchSettings(file: string, router: Router, log: StreamLog): void {
+/**
+ * Reloads the settings when the modification time of the file changes.
+ * @returns Function that reloads them at once.
+ */
+function watchSettings(file: string, router: Router, log: StreamLog): () => void {
   let writtenAt: number | undefined;
   const reload = async (): Promise<void> => {
-    const settings = parseRouterSettings(await readFile(file, "utf8"), file);
+    const settings = await readSettingsOnce(file);
     settings.match({
       Ok: (value) => {
         router.reload(value);
@@ -95,10 +118,10 @@
     }
     writtenAt = mtimeMs;
   };
-  process.on("SIGHUP", () => {
-    reload().catch(report);
-  });
   setInterval(() => {
     check().catch(report);
   }, settingsCheckIntervalMilliseconds).unref();
+  return () => {
+    reload().catch(report);
+  };
 }
--- a/packages/daemon/src/routerMain.ts
+++ b/packages/daemon/src/routerMain.ts
@@ -1,14 +1,16 @@
 import { parseArgs } from "node:util";
-import { runRouter } from "./router/runRouter.js";
+import { SignalInbox } from "./router/SignalInbox.js";
 
 const usage = "usage: pistachioway-router [--settings FILE], or FILE in PISTACHIOWAY_BOOT";
 const usageExitCode = 2;
 
+// Signals are kept before the rest of the program is loaded, which takes a while.
+const signals = SignalInbox.create();
 const { values } = parseArgs({ options: { settings: { type: "string" } } });
 const file = values.settings ?? process.env["PISTACHIOWAY_BOOT"];
 if (file === undefined) {
   process.stderr.write(`${usage}\n`);
-  process.exitCode = usageExitCode;
-} else {
-  await runRouter(file);
+  process.exit(usageExitCode);
 }
+const { runRouter } = await import("./router/runRouter.js");
+await runRouter(file, signals);
--- a/packages/daemon/tests/router/RouterProcess.ts
+++ b/packages/daemon/tests/router/RouterProcess.ts
@@ -180,7 +180,8 @@
   return { host, callers, readiness, operations, datagrams };
 }
 
-function createSettings(
+/** Creates the text of a settings file. */
+export function createSettings(
   { host, callers, readiness, operations, datagrams, metrics }: RouterAddresses,
   registry: string,
   seeds: readonly string[],
