--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,6 +15,7 @@
 } from "./exchange/index.js";
 export { FleetTask } from "./fleet/FleetTask.js";
 export { CompleteEventBuffer } from "./ingress/CompleteEventBuffer.js";
+export { TickListeners } from "./ingress/index.js";
 export type { ActiveRequestOutcome } from "./ingress/index.js";
 export { StreamLog, type LogOutput } from "./log/StreamLog.js";
 export { RegistryTask } from "./registry/index.js";
--- a/packages/daemon/src/ingress/TickListeners.ts
+++ b/packages/daemon/src/ingress/TickListeners.ts
@@ -2,13 +2,14 @@
 export class TickListeners {
   private readonly listeners = new Set<() => void>();
 
-  private constructor() {
-    // Created through the static method.
-  }
+  private constructor(private readonly onFailed: (error: unknown) => void) {}
 
-  /** Creates an empty set. */
-  static create(): TickListeners {
-    return new TickListeners();
+  /**
+   * Creates an empty set.
+   * @param onFailed - Called with what a function throws; it is not called again.
+   */
+  static create(onFailed: (error: unknown) => void): TickListeners {
+    return new TickListeners(onFailed);
   }
 
   /**
@@ -24,10 +25,22 @@
     this.listeners.delete(listener);
   }
 
-  /** Calls every function; those that are added meanwhile are called at the next tick. */
+  /**
+   * Calls every function; those that are added meanwhile are called at the next tick. One that fails keeps no other from
+   * being called.
+   */
   run(): void {
     for (const listener of [...this.listeners]) {
+      this.call(listener);
+    }
+  }
+
+  private call(listener: () => void): void {
+    try {
       listener();
+    } catch (error) {
+      this.remove(listener);
+      this.onFailed(error);
     }
   }
 }
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -88,7 +88,10 @@
   private readonly listenerStart: ListenerStart;
   private readonly incarnation = Date.now();
   private readonly startedAt = readMonotonicClock();
-  private readonly ticks = TickListeners.create();
+  private readonly ticks = TickListeners.create((error) => {
+    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.record("error", "request.check-failed", { detail });
+  });
   private readonly tickLag = TickLag.create(tickMilliseconds, this.startedAt);
   private readonly periodicTasks: PeriodicTasks;
   private plannedStop: PlannedStop | undefined;
