Soak: routers that start while another socket has an address are drawn by default

The kind address-in-use kills a router and starts it while one of its five addresses (callers, readiness, operations, forwarding over TCP, datagrams) is taken for 0.3 to 12 s; a start that exits with code 5 is repeated, one that does not listen 10 s after the release is a failure. After the recovery each router must be ready, give its status, know all peers and serve half of its calls (whole-starts).

--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -62,9 +62,6 @@
 const minUpstreams = 2;
 const minKeys = 3;
 
-/** Kinds that no run draws, as the router does not hold them yet (KNOWN-RED.txt, issue 45). */
-const undrawnNames = new Set<DisturbanceName>([startName]);
-
 /** Probability that a run uses a kind; below 1, so that some runs spare the routers or the store. */
 const kindProbability = 0.5;
 
@@ -80,9 +77,8 @@
   if (names !== undefined) {
     return disturbanceKinds.filter(({ name }) => names.includes(name));
   }
-  const candidates = disturbanceKinds.filter(({ name }) => !undrawnNames.has(name));
-  const kinds = candidates.filter(() => random.getUniform() < kindProbability);
-  return kinds.length === 0 ? candidates : kinds;
+  const kinds = disturbanceKinds.filter(() => random.getUniform() < kindProbability);
+  return kinds.length === 0 ? disturbanceKinds : kinds;
 }
 
 /**
--- a/packages/experiments/src/soak/findViolations.ts
+++ b/packages/experiments/src/soak/findViolations.ts
@@ -2,6 +2,7 @@
 import { findStreamFault } from "./findStreamFault.js";
 import {
   routerCutName,
+  startName,
   storeName,
   type CallKind,
   type CallRecord,
@@ -29,7 +30,7 @@
 /** Statuses by which a router states that the request did not run. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 /** Disturbances that interrupt a router, which may then forget what upstreams announced. */
-const interruptions = new Set(["kill", "stop", "pause"]);
+const interruptions = new Set(["kill", "stop", "pause", startName]);
 /** Time after the wish for a rest from which requests count. */
 const restDelayMilliseconds = 500;
 /** Requests that an upstream may get from one router while it rests. */
--- a/packages/experiments/src/soak/startOnOccupiedAddress.ts
+++ b/packages/experiments/src/soak/startOnOccupiedAddress.ts
@@ -6,7 +6,8 @@
 /** Exit code of a router that could not listen in time. */
 export const listenerExitCode = 5;
 const minOccupiedMilliseconds = 300;
-const maxOccupiedMilliseconds = 4_000;
+/** Longest time; longer than a router tries to listen. */
+const maxOccupiedMilliseconds = 12_000;
 /** Time from the release of the address within which the router must listen, or have exited and been started again. */
 const maxStartMilliseconds = 10_000;
 
@@ -20,7 +21,8 @@
   const listener = occupiedListeners[random.getIndex(occupiedListeners.length)];
   const { port, protocol } = listener ?? occupiedListeners[0];
   const spread = maxOccupiedMilliseconds - minOccupiedMilliseconds;
-  const milliseconds = minOccupiedMilliseconds + random.getUniform() * spread;
+  // Most times are short.
+  const milliseconds = minOccupiedMilliseconds + random.getUniform() ** 2 * spread;
   await router.stop("SIGKILL");
   const release = await occupyAddress(protocol, router.getAddress(port));
   const end = new AbortController();
