--- a/packages/daemon/src/exchange/index.ts
+++ b/packages/daemon/src/exchange/index.ts
@@ -1,3 +1,4 @@
+export { allowsBody } from "./allowsBody.js";
 export { describeAnswer } from "./describeAnswer.js";
 export { canConnect } from "./connect.js";
 export { ConnectionPool } from "./ConnectionPool.js";
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -1,7 +1,6 @@
 import { isEventStream, type ResponseHead } from "@pistachioway/kernel";
-import type { Exchange, ExchangeListener } from "../exchange/index.js";
+import { allowsBody, type Exchange, type ExchangeListener } from "../exchange/index.js";
 import type { AttemptTarget } from "./AttemptTarget.js";
-import { allowsBody } from "./allowsBody.js";
 import { EventBoundary } from "./EventBoundary.js";
 
 /** One attempt to send a request to one target. */
--- a/packages/daemon/src/ingress/CallerResponse.ts
+++ b/packages/daemon/src/ingress/CallerResponse.ts
@@ -1,6 +1,6 @@
 import type { ResponseHead } from "@pistachioway/kernel";
 import type { ServerResponse } from "node:http";
-import { allowsBody } from "./allowsBody.js";
+import { allowsBody } from "../exchange/index.js";
 import { refusalResponses, type RefusalName } from "./refusals.js";
 import { RequestResponse } from "./RequestResponse.js";
 
--- a/packages/daemon/src/router/SignalInbox.ts
+++ b/packages/daemon/src/router/PendingSignals.ts
@@ -7,7 +7,7 @@
  * Keeps the signals of the process until something handles them. Without it, a signal that comes while the program is
  * loaded would end the process.
  */
-export class SignalInbox {
+export class PendingSignals {
   private readonly pending: DaemonSignal[] = [];
   private handler: (signal: DaemonSignal) => void = (signal) => {
     this.pending.push(signal);
@@ -21,9 +21,9 @@
     }
   }
 
-  /** Creates the inbox of this process; it receives signals from now on. */
-  static create(): SignalInbox {
-    return new SignalInbox();
+  /** Creates the signals of this process, which are kept from now on. */
+  static create(): PendingSignals {
+    return new PendingSignals();
   }
 
   /**
--- a/packages/daemon/src/router/createPeriodicTasks.ts
+++ b/packages/daemon/src/router/createPeriodicTasks.ts
@@ -45,7 +45,7 @@
   const tickRequests = (): void => {
     requestTicks.run();
   };
-  const keepHouse = (): void => {
+  const doHousekeeping = (): void => {
     runHousekeeping(context, readMonotonicClock());
   };
   const checkPeers = (): Promise<void> => peerStates.check();
@@ -54,7 +54,7 @@
     tasks: [
       { name: "upstream-checks", ticksPerTurn: 1, run: checkUpstreams },
       { name: "request-ticks", ticksPerTurn: 1, run: tickRequests },
-      { name: "housekeeping", ticksPerTurn: ticksPerHousekeeping, run: keepHouse },
+      { name: "housekeeping", ticksPerTurn: ticksPerHousekeeping, run: doHousekeeping },
       { name: "peer-states", ticksPerTurn: ticksPerPeerCheck, run: checkPeers },
     ],
     lag,
--- a/packages/daemon/src/router/runRouter.ts
+++ b/packages/daemon/src/router/runRouter.ts
@@ -7,7 +7,7 @@
 import { readSettings, readSettingsOnce } from "./readSettings.js";
 import { Router } from "./Router.js";
 import type { RouterSettings } from "./settings.js";
-import type { SignalInbox } from "./SignalInbox.js";
+import type { PendingSignals } from "./PendingSignals.js";
 
 const settingsExitCode = 2;
 const startExitCode = 5;
@@ -21,7 +21,7 @@
  * @param file - Path of the settings file.
  * @param signals - Signals of the process.
  */
-export async function runRouter(file: string, signals: SignalInbox): Promise<void> {
+export async function runRouter(file: string, signals: PendingSignals): Promise<void> {
   signals.handle((signal) => {
     // Settings are yet to be read, so that only a stop has something to do.
     if (signal !== "SIGHUP") {
@@ -47,7 +47,7 @@
 async function startRouter(
   file: string,
   settings: RouterSettings,
-  signals: SignalInbox,
+  signals: PendingSignals,
 ): Promise<void> {
   const output = createStandardOutput();
   const log = StreamLog.create(output, readMonotonicClock, settings.log.level, {
--- a/packages/daemon/src/routerMain.ts
+++ b/packages/daemon/src/routerMain.ts
@@ -1,11 +1,11 @@
 import { parseArgs } from "node:util";
-import { SignalInbox } from "./router/SignalInbox.js";
+import { PendingSignals } from "./router/PendingSignals.js";
 
 const usage = "usage: pistachioway-router [--settings FILE], or FILE in PISTACHIOWAY_BOOT";
 const usageExitCode = 2;
 
 // Signals are kept before the rest of the program is loaded, which takes a while.
-const signals = SignalInbox.create();
+const signals = PendingSignals.create();
 const { values } = parseArgs({ options: { settings: { type: "string" } } });
 const file = values.settings ?? process.env["PISTACHIOWAY_BOOT"];
 if (file === undefined) {
--- a/packages/daemon/src/upstreams/AnswerEnd.ts
+++ b/packages/daemon/src/upstreams/AnswerEnd.ts
@@ -1,9 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { canConnect } from "../exchange/connect.js";
+import { allowsBody, canConnect } from "../exchange/index.js";
 import type { Connections } from "./Connections.js";
 
-const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
-
 /** What decides whether something else than the end of the connection marks the end of an answer. */
 export interface AnswerHead {
   readonly method: string;
@@ -47,6 +45,6 @@
 
 function isFramed({ method, status, headers }: AnswerHead): boolean {
   const hasChunks = headers["transfer-encoding"]?.toLowerCase().endsWith("chunked") ?? false;
-  const hasBody = method !== "HEAD" && !statusesWithoutBody.has(status);
-  return !hasBody || hasChunks || headers["content-length"] !== undefined;
+  const mayHaveBody = allowsBody(status, method === "HEAD");
+  return !mayHaveBody || hasChunks || headers["content-length"] !== undefined;
 }
