--- a/packages/daemon/src/exchange/ReachabilityTask.ts
+++ b/packages/daemon/src/exchange/ReachabilityTask.ts
@@ -5,7 +5,7 @@
   type UpstreamTable,
 } from "@pistachioway/kernel";
 import type { Fields, LogLevel } from "../log/line.js";
-import { canConnect } from "./connect.js";
+import { canConnect, isStillServing } from "./connect.js";
 import type { ConnectionPool } from "./ConnectionPool.js";
 
 /** After a longer pause of this process, missing responses do not show that an upstream is down. */
@@ -60,13 +60,11 @@
   }
 
   /**
-   * Opens a connection to an upstream and closes it unused. A second try follows the first one, which a pause of this
-   * process may have cut short.
-   * @returns Whether it opened.
+   * Checks whether an upstream goes on serving although one of its connections has ended.
+   * @param entry - The upstream.
    */
-  async canReach(entry: UpstreamEntry): Promise<boolean> {
-    const { address } = entry.record;
-    const isReached = (await canConnect(address)) || (await canConnect(address));
+  async isStillServing(entry: UpstreamEntry): Promise<boolean> {
+    const isReached = await isStillServing(entry.record.address);
     const now = this.dependencies.getNow();
     if (isReached) {
       this.reach.recordConnected(entry, now);
--- a/packages/daemon/src/exchange/index.ts
+++ b/packages/daemon/src/exchange/index.ts
@@ -1,6 +1,6 @@
 export { allowsBody } from "./allowsBody.js";
 export { describeAnswer } from "./describeAnswer.js";
-export { canConnect } from "./connect.js";
+export { canConnect, isStillServing } from "./connect.js";
 export { ConnectionPool } from "./ConnectionPool.js";
 export { ReachabilityTask } from "./ReachabilityTask.js";
 export {
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -107,7 +107,7 @@
     if (!this.entry.isInService() && !isRepeatable(this.request.approval.route)) {
       return Promise.resolve(true);
     }
-    return this.dependencies.reachability.canReach(this.entry);
+    return this.dependencies.reachability.isStillServing(this.entry);
   }
 
   recordSuccess(): void {
--- a/packages/daemon/src/upstreams/AnswerEnd.ts
+++ b/packages/daemon/src/upstreams/AnswerEnd.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { allowsBody, canConnect } from "../exchange/index.js";
+import { allowsBody, isStillServing } from "../exchange/index.js";
 import type { Connections } from "./Connections.js";
 
 /** What decides whether something else than the end of the connection marks the end of an answer. */
@@ -39,7 +39,7 @@
       return true;
     }
     const wasBroken = this.connections.getBreaks(this.address) !== this.breaks;
-    return !wasBroken && ((await canConnect(this.address)) || (await canConnect(this.address)));
+    return !wasBroken && (await isStillServing(this.address));
   }
 }
 
--- a/packages/daemon/tests/router/streamFraming.test.ts
+++ b/packages/daemon/tests/router/streamFraming.test.ts
@@ -23,6 +23,7 @@
 const streamCount = 12;
 const lastEvent = 40;
 const eventMilliseconds = 50;
+const listenerEndMilliseconds = 20;
 
 killed.before.each(async (context) => {
   await setUpProcess(context, { upstreamCount: 2, listedCount: 2 });
@@ -140,6 +141,29 @@
   );
 }
 
+/** Ends the connections of an upstream, and its listener some time later, as the end of its process may. */
+function crashSlowly({ upstreams }: Context): Script {
+  return (request, response) => {
+    const address = `127.0.0.1:${String(response.socket?.localPort)}`;
+    const upstream = upstreams.find((each) => each.address === address);
+    streamFramed({ framing: "neither", lastEvent, pausedAfter: 5 })(request, response);
+    setTimeout(() => {
+      upstream?.endConnections();
+      setTimeout(() => upstream?.stopListening(), listenerEndMilliseconds);
+    }, eventMilliseconds);
+  };
+}
+
+// Guards against the crash of a process whose listener ends after its connections being taken for the end of a stream (ORDER).
+ended(
+  "go on after a crash in which the upstream accepts connections a little longer",
+  async (context) => {
+    const goOn = streamFramed({ framing: "chunks", lastEvent });
+    setScripts(context, firstThen(crashSlowly(context), goOn));
+    assert.equal(await callStream(context, "stream"), whole);
+  },
+);
+
 /** Streams whole answers without length and chunks, while its upstream leaves and accepts no further connections. */
 function leaveBeforeEnd({ upstreams }: Context): Script {
   const stream = streamFramed({ framing: "neither", lastEvent, eventMilliseconds: 5 });
--- a/packages/standins/src/registry/ScriptedUpstream.ts
+++ b/packages/standins/src/registry/ScriptedUpstream.ts
@@ -81,6 +81,11 @@
     NetServer.prototype.close.call(this.server);
   }
 
+  /** Ends every connection, and still accepts others. */
+  endConnections(): void {
+    this.server.closeAllConnections();
+  }
+
   /** Closes the listener and every connection. */
   async close(): Promise<void> {
     this.server.closeAllConnections();
