--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createCallersApplication } from "../callers/index.js";
 import { RequestServer } from "../ingress/index.js";
+import { ListenerStart, type Listener } from "../listening/index.js";
 import { createOperationsApplication } from "../operations/index.js";
 import type { Settings } from "../settings/index.js";
 import { TaskGraph } from "./TaskGraph.js";
@@ -20,6 +21,8 @@
 
 /** Guard that makes a stop wait for the requests in flight. */
 const drainGuard = "stop-drain";
+/** Time in which the listeners listen. */
+const listenTimeoutMilliseconds = 10_000;
 const tickIntervalMilliseconds = 50;
 /** Time for the successor to announce to all daemons that it holds the table of acts. */
 const successorAnnouncementMilliseconds = 1_500;
@@ -67,22 +70,52 @@
     return holder.daemon;
   }
 
-  /** Opens the listeners and starts to read the platform. Resolves when the listeners are open. */
+  /**
+   * Opens the listeners and starts to read the platform. Resolves when the listeners are open.
+   * @throws ListenerError when one of them cannot listen in time.
+   */
   async start(): Promise<ListenAddresses> {
-    const { listeners } = this.settings;
-    const links = await this.tasks.links.open();
-    const operations = await listen(this.operations, listeners.operations);
-    const callers = await listen(this.callers, listeners.callers);
+    const listening = await this.openListeners();
     this.tasks.platform.start();
     this.ticker = setInterval(() => {
       this.tick();
     }, tickIntervalMilliseconds);
     this.tick();
-    const listening = { callers, operations, ...links };
     this.tasks.recorder.record("daemon.listening", { ...listening }, "info");
     return listening;
   }
 
+  /** Opens the listeners, callers last; each is tried again for a time. */
+  private async openListeners(): Promise<ListenAddresses> {
+    const { links, recorder } = this.tasks;
+    const { listeners } = this.settings;
+    const opened = { callers: "", operations: "", peers: "", datagrams: "" };
+    const create = (name: keyof ListenAddresses, open: () => Promise<string>): Listener => ({
+      name,
+      address: listeners[name],
+      isNeeded: true,
+      listen: async () => {
+        opened[name] = await open();
+      },
+    });
+    const start = ListenerStart.create({
+      listeners: [
+        create("datagrams", () => links.openDatagrams()),
+        create("peers", () => links.openCalls()),
+        create("operations", () => listen(this.operations, listeners.operations)),
+        create("callers", () => listen(this.callers, listeners.callers)),
+      ],
+      deadline: performance.now() + listenTimeoutMilliseconds,
+      getNow: () => performance.now(),
+      onAttempt: () => undefined,
+      record: (level, event, fields) => {
+        recorder.record(event, fields, level);
+      },
+    });
+    await start.run();
+    return opened;
+  }
+
   /** Gets the phase of the daemon's lifecycle. */
   getPhase(): "starting" | "ready" | "draining" {
     return this.phase;
--- a/packages/daemon/src/gossip/PeerLinks.ts
+++ b/packages/daemon/src/gossip/PeerLinks.ts
@@ -43,12 +43,6 @@
   readonly onPart: (from: DatagramSender, part: ReceivedPart) => void;
 }
 
-/** The addresses that peers reach this daemon at. */
-export interface LinkAddresses {
-  readonly peers: string;
-  readonly datagrams: string;
-}
-
 /** Traffic of the datagram socket; bytes include those of the IPv4 and UDP headers. */
 export interface LinkCounters {
   readonly sentDatagrams: number;
@@ -87,34 +81,36 @@
     return new PeerLinks(dependencies);
   }
 
-  /** Opens the sockets. */
-  async open(): Promise<LinkAddresses> {
-    const { settings, startedAt, getNow, handlers, onPart } = this.dependencies;
-    const common = {
-      daemon: settings.process.name,
-      key: settings.peers.key,
-      getNow,
-      isPeer: (name: string) => this.isPeer(name),
-      onDropped: (reason: DropReason, from: string) => {
-        this.countDropped(reason, from);
-      },
-    };
-    const { datagrams, peers } = settings.listeners;
-    this.socket = await DatagramSocket.create(datagrams, {
-      ...common,
+  /**
+   * Opens the socket for datagrams; it can be tried again when it rejects.
+   * @returns Address that the socket is bound to.
+   */
+  async openDatagrams(): Promise<string> {
+    const { settings, startedAt, onPart } = this.dependencies;
+    this.socket = await DatagramSocket.create(settings.listeners.datagrams, {
+      ...this.getSharedOptions(),
       incarnation: startedAt,
       onPart,
     });
-    this.listener = await PeerListener.create(peers, {
-      ...common,
+    return this.socket.getAddress();
+  }
+
+  /**
+   * Opens the listener for calls; it can be tried again when it rejects.
+   * @returns Address that the listener is bound to.
+   */
+  async openCalls(): Promise<string> {
+    const { settings, handlers, recorder } = this.dependencies;
+    this.listener = await PeerListener.create(settings.listeners.peers, {
+      ...this.getSharedOptions(),
       bodyBytes: settings.limits.bodyBytes * 2,
       handlers,
       onError: (error) => {
         const detail = error instanceof Error ? error.message : String(error);
-        this.dependencies.recorder.record("peer.call-failed", { detail }, "warn");
+        recorder.record("peer.call-failed", { detail }, "warn");
       },
     });
-    return { peers: this.listener.getAddress(), datagrams: this.socket.getAddress() };
+    return this.listener.getAddress();
   }
 
   /**
@@ -279,6 +275,19 @@
     return peerAddress === undefined ? undefined : { name, peerAddress };
   }
 
+  private getSharedOptions() {
+    const { settings, getNow } = this.dependencies;
+    return {
+      daemon: settings.process.name,
+      key: settings.peers.key,
+      getNow,
+      isPeer: (name: string) => this.isPeer(name),
+      onDropped: (reason: DropReason, from: string) => {
+        this.countDropped(reason, from);
+      },
+    };
+  }
+
   private countDropped(reason: DropReason, from: string): void {
     this.dependencies.metrics.droppedMessages.inc({ reason });
     this.dependencies.recorder.record("peer.message-dropped", { reason, from }, "debug");
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -9,6 +9,8 @@
 const settingsExitCode = 2;
 const forcedExitCode = 3;
 const cutOffExitCode = 4;
+const startExitCode = 5;
+const stopSignals = ["SIGTERM", "SIGINT"] as const;
 
 async function main(): Promise<void> {
   const { values } = parseArgs({ options: { settings: { type: "string" } } });
@@ -24,9 +26,19 @@
     process.exitCode = settingsExitCode;
     return;
   }
+  const log = Log.create(settings.value.log.level, {});
   const daemon = await Daemon.create(settings.value);
-  await daemon.start();
-  stopOnSignals(daemon, Log.create(settings.value.log.level, {}));
+  const exitAtSignal = (): void => process.exit(0);
+  stopSignals.forEach((signal) => process.on(signal, exitAtSignal));
+  try {
+    await daemon.start();
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    log.write("error", "daemon.start-failed", { detail });
+    process.exit(startExitCode);
+  }
+  stopSignals.forEach((signal) => process.off(signal, exitAtSignal));
+  stopOnSignals(daemon, log);
 }
 
 /** Stops gracefully at the first signal, and at once at a second one. */
@@ -40,8 +52,7 @@
     isStopping = true;
     void daemon.stop().then((isIdle) => process.exit(isIdle ? 0 : cutOffExitCode));
   };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
+  stopSignals.forEach((signal) => process.on(signal, stop));
 }
 
 await main();
