--- a/packages/daemon/tests/router/concurrentStreams.test.ts
+++ b/packages/daemon/tests/router/concurrentStreams.test.ts
@@ -1,31 +1,15 @@
-import { ScriptedUpstream } from "@pistachioway/standins";
+import { createStreamSuite } from "./createStreamSuite.js";
 import { setTimeout as delay } from "node:timers/promises";
-import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { processTimeoutMilliseconds } from "./ProcessContext.js";
-import { RouterFixture } from "./RouterFixture.js";
 import { framings, streamFramed } from "./framedStreams.js";
 import { setScripts, type Context } from "./scripts.js";
 import { readStream, type SeenStream } from "./StreamCaller.js";
 
-const test = suite<Context>("streams that are taken up while they run");
+const test = createStreamSuite("streams that are taken up while they run");
 
 const lastEvent = 20;
 const eventMilliseconds = 20;
 
-test.before.each(async (context) => {
-  context.upstreams = [ScriptedUpstream.create("i-1"), ScriptedUpstream.create("i-2")];
-  context.fixture = await RouterFixture.create(context.upstreams);
-  context.fixture.store.publishConfiguration({
-    version: 2,
-    timeoutMilliseconds: processTimeoutMilliseconds,
-  });
-});
-
-test.after.each(async ({ fixture, upstreams }) => {
-  await fixture.close(upstreams);
-});
-
 function createWhole(after: number): SeenStream {
   const ids = Array.from({ length: lastEvent - after }, (_, index) => after + index + 1);
   return { status: 200, ids, rest: "", isComplete: true };
--- a/packages/daemon/tests/router/streamContinuation.test.ts
+++ b/packages/daemon/tests/router/streamContinuation.test.ts
@@ -1,9 +1,5 @@
-import { ScriptedUpstream } from "@pistachioway/standins";
-import { suite } from "uvu";
+import { createStreamSuite } from "./createStreamSuite.js";
 import * as assert from "uvu/assert";
-import { processTimeoutMilliseconds } from "./ProcessContext.js";
-import { RouterFixture } from "./RouterFixture.js";
-import { type Context } from "./scripts.js";
 import {
   callStream,
   createEvents,
@@ -15,20 +11,7 @@
   withoutStatus,
 } from "./streamPieces.js";
 
-const test = suite<Context>("streams that go on at an upstream");
-
-test.before.each(async (context) => {
-  context.upstreams = [ScriptedUpstream.create("i-1"), ScriptedUpstream.create("i-2")];
-  context.fixture = await RouterFixture.create(context.upstreams);
-  context.fixture.store.publishConfiguration({
-    version: 2,
-    timeoutMilliseconds: processTimeoutMilliseconds,
-  });
-});
-
-test.after.each(async ({ fixture, upstreams }) => {
-  await fixture.close(upstreams);
-});
+const test = createStreamSuite("streams that go on at an upstream");
 
 // Guards against a second run from its start behind events of the first one, after a piece without an id (ORDER).
 for (const piece of [": keep-alive\n\n", "retry: 500\n\n", "\n", "event: ping\n\n"]) {
--- a/packages/daemon/tests/router/streamEnds.test.ts
+++ b/packages/daemon/tests/router/streamEnds.test.ts
@@ -1,25 +1,8 @@
-import { ScriptedUpstream } from "@pistachioway/standins";
-import { suite } from "uvu";
+import { createStreamSuite } from "./createStreamSuite.js";
 import * as assert from "uvu/assert";
-import { processTimeoutMilliseconds } from "./ProcessContext.js";
-import { RouterFixture } from "./RouterFixture.js";
-import { type Context } from "./scripts.js";
 import { callStream, createEvents, goOn, streamPieces, whole } from "./streamPieces.js";
 
-const test = suite<Context>("streams that end inside an event");
-
-test.before.each(async (context) => {
-  context.upstreams = [ScriptedUpstream.create("i-1"), ScriptedUpstream.create("i-2")];
-  context.fixture = await RouterFixture.create(context.upstreams);
-  context.fixture.store.publishConfiguration({
-    version: 2,
-    timeoutMilliseconds: processTimeoutMilliseconds,
-  });
-});
-
-test.after.each(async ({ fixture, upstreams }) => {
-  await fixture.close(upstreams);
-});
+const test = createStreamSuite("streams that end inside an event");
 
 // Guards against a stream that ends inside an event and looks complete, as its upstream sent the last chunk (ORDER).
 test("go on when an answer in chunks ends inside an event", async (context) => {
--- a/packages/daemon/tests/router/streamFraming.test.ts
+++ b/packages/daemon/tests/router/streamFraming.test.ts
@@ -1,19 +1,10 @@
-import {
-  announceLeaving,
-  respondWith,
-  ScriptedUpstream,
-  type Script,
-} from "@pistachioway/standins";
+import { createStreamSuite } from "./createStreamSuite.js";
+import { announceLeaving, respondWith, type Script } from "@pistachioway/standins";
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import {
-  processTimeoutMilliseconds,
-  setUpProcess,
-  tearDownProcess,
-  type ProcessContext,
-} from "./ProcessContext.js";
-import { RouterFixture, waitFor } from "./RouterFixture.js";
+import { setUpProcess, tearDownProcess, type ProcessContext } from "./ProcessContext.js";
+import { waitFor } from "./RouterFixture.js";
 import { framings, streamFramed, type Framing } from "./framedStreams.js";
 import { firstThen, getArrivals, setScripts, writeRaw, type Context } from "./scripts.js";
 import { readStream, type SeenStream } from "./StreamCaller.js";
@@ -58,20 +49,7 @@
 
 killed.run();
 
-const ended = suite<Context>("streams whose upstream ends");
-
-ended.before.each(async (context) => {
-  context.upstreams = [ScriptedUpstream.create("i-1"), ScriptedUpstream.create("i-2")];
-  context.fixture = await RouterFixture.create(context.upstreams);
-  context.fixture.store.publishConfiguration({
-    version: 2,
-    timeoutMilliseconds: processTimeoutMilliseconds,
-  });
-});
-
-ended.after.each(async ({ fixture, upstreams }) => {
-  await fixture.close(upstreams);
-});
+const ended = createStreamSuite("streams whose upstream ends");
 
 /** Calls a route of streams and reads its response. */
 function callStream({ fixture }: Context, route: "stream" | "once"): Promise<SeenStream> {
--- a/packages/daemon/tests/router/streamLines.test.ts
+++ b/packages/daemon/tests/router/streamLines.test.ts
@@ -1,9 +1,6 @@
-import { ScriptedUpstream } from "@pistachioway/standins";
-import { suite } from "uvu";
+import { createStreamSuite } from "./createStreamSuite.js";
 import * as assert from "uvu/assert";
-import { processTimeoutMilliseconds } from "./ProcessContext.js";
-import { RouterFixture } from "./RouterFixture.js";
-import { firstThen, setScripts, type Context } from "./scripts.js";
+import { firstThen, setScripts } from "./scripts.js";
 import {
   callStream,
   createEvents,
@@ -13,20 +10,7 @@
   whole,
 } from "./streamPieces.js";
 
-const test = suite<Context>("lines of streams");
-
-test.before.each(async (context) => {
-  context.upstreams = [ScriptedUpstream.create("i-1"), ScriptedUpstream.create("i-2")];
-  context.fixture = await RouterFixture.create(context.upstreams);
-  context.fixture.store.publishConfiguration({
-    version: 2,
-    timeoutMilliseconds: processTimeoutMilliseconds,
-  });
-});
-
-test.after.each(async ({ fixture, upstreams }) => {
-  await fixture.close(upstreams);
-});
+const test = createStreamSuite("lines of streams");
 
 // Guards against streams that are kept back to their end, and cut off there, for their line ends.
 for (const [name, lineEnd] of [
