--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -263,15 +263,20 @@
   return { target: storeName, run };
 }
 
-/** An upstream announces in its responses only that it leaves, and leaves later. */
-function prepareLeaving({
-  installation,
-  random,
-}: DisturbanceContext): PreparedDisturbance | undefined {
+/** Picks an upstream that may go; undefined when too few are left, or when the one that was picked is going already. */
+function pickReplaceable({ installation, random }: DisturbanceContext): SoakUpstream | undefined {
   const upstream = pick(installation.upstreams, random);
-  if (installation.upstreams.length <= minUpstreams || upstream.isDraining || upstream.isLeaving) {
+  const isGoing = upstream.isDraining || upstream.isLeaving;
+  return installation.upstreams.length <= minUpstreams || isGoing ? undefined : upstream;
+}
+
+/** An upstream announces in its responses only that it leaves, and leaves later. */
+function prepareLeaving(context: DisturbanceContext): PreparedDisturbance | undefined {
+  const upstream = pickReplaceable(context);
+  if (upstream === undefined) {
     return undefined;
   }
+  const { installation } = context;
   upstream.isLeaving = true;
   return { target: upstream.id, run: () => replaceUpstream(installation, upstream) };
 }
@@ -286,14 +291,12 @@
 }
 
 /** The process of an upstream ends between two bytes of its answers; a new one replaces it, and its entry expires later. */
-function prepareCrash({
-  installation,
-  random,
-}: DisturbanceContext): PreparedDisturbance | undefined {
-  const upstream = pick(installation.upstreams, random);
-  if (installation.upstreams.length <= minUpstreams || upstream.isDraining || upstream.isLeaving) {
+function prepareCrash(context: DisturbanceContext): PreparedDisturbance | undefined {
+  const upstream = pickReplaceable(context);
+  if (upstream === undefined) {
     return undefined;
   }
+  const { installation } = context;
   upstream.isDraining = true;
   const run = async (): Promise<void> => {
     await installation.endUpstream(upstream);
@@ -305,14 +308,12 @@
 }
 
 /** Drains an upstream, adds a new one, and removes and closes the drained one later. */
-function prepareReplacement({
-  installation,
-  random,
-}: DisturbanceContext): PreparedDisturbance | undefined {
-  const upstream = pick(installation.upstreams, random);
-  if (installation.upstreams.length <= minUpstreams || upstream.isDraining || upstream.isLeaving) {
+function prepareReplacement(context: DisturbanceContext): PreparedDisturbance | undefined {
+  const upstream = pickReplaceable(context);
+  if (upstream === undefined) {
     return undefined;
   }
+  const { installation } = context;
   upstream.isDraining = true;
   const run = async (): Promise<void> => {
     installation.drainUpstream(upstream);
