--- a/packages/experiments/src/soak/Soak.ts
+++ b/packages/experiments/src/soak/Soak.ts
@@ -4,12 +4,8 @@
 import { Random } from "../bench/Random.js";
 import { awaitRecovery } from "./awaitRecovery.js";
 import { getRequestBody } from "./bodies.js";
-import {
-  minDurationMilliseconds,
-  pickDisturbanceKinds,
-  prepareModes,
-  type PreparedDisturbance,
-} from "./disturbances.js";
+import { minDurationMilliseconds, pickDisturbanceKinds, prepareModes } from "./disturbances.js";
+import type { PreparedDisturbance } from "./PreparedDisturbance.js";
 import { Installation } from "./Installation.js";
 import { findHalfStart } from "./findHalfStart.js";
 import { findViolations } from "./findViolations.js";
--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -2,25 +2,15 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Random } from "../bench/Random.js";
 import type { Installation } from "./Installation.js";
+import { pick } from "./pick.js";
+import type { DisturbanceContext, PreparedDisturbance } from "./PreparedDisturbance.js";
 import type { RouterProcess } from "./RouterProcess.js";
 import { routerCutName, startName, storeName, type DisturbanceName } from "./schema.js";
 import type { SoakUpstream } from "./SoakUpstream.js";
 import { startOnOccupiedAddress } from "./startOnOccupiedAddress.js";
+import { prepareCrash, prepareLeaving, prepareReplacement } from "./upstreamDepartures.js";
 import { upstreamModes, type UpstreamMode } from "./upstreamModes.js";
 
-/** The installation to disturb, and the random source of the run. */
-export interface DisturbanceContext {
-  readonly installation: Installation;
-  readonly random: Random;
-}
-
-/** A disturbance with its target, ready to run. */
-export interface PreparedDisturbance {
-  readonly target: string;
-  /** Runs the disturbance, and resolves when it is over and its target works again. */
-  readonly run: () => Promise<void>;
-}
-
 /** A kind of disturbance. */
 export interface DisturbanceKind {
   readonly name: DisturbanceName;
@@ -44,14 +34,8 @@
 export const minDurationMilliseconds = 200;
 const maxDurationMilliseconds = 8_000;
 const maxRestartMilliseconds = 1_500;
-/** Time from the registration of an upstream as draining until its removal from the registry. */
-const drainMilliseconds = 5_000;
-/** Time for which an upstream still runs after its removal from the registry. */
-const lingerMilliseconds = 2_500;
 /** Time without the store after an unseen revocation; longer than a revoked key may be accepted. */
 const storeCutMilliseconds = 8_000;
-/** Time for which the entry of an upstream that has crashed stays in the registry. */
-const staleEntryMilliseconds = 1_500;
 /** Longest age of the copy from which the store is restored. */
 const maxCopyAgeMilliseconds = 3_000;
 const maxRestoreMilliseconds = 1_000;
@@ -59,7 +43,6 @@
 const maxRepeatMilliseconds = 1_500;
 /** Time after which the entry of an upstream that has left expires in a restored store. */
 const entryLifetimeMilliseconds = 3_600;
-const minUpstreams = 2;
 const minKeys = 3;
 
 /** Probability that a run uses a kind; below 1, so that some runs spare the routers or the store. */
@@ -263,65 +246,6 @@
   return { target: storeName, run };
 }
 
-/** Picks an upstream that may go; undefined when too few are left, or when the one that was picked is going already. */
-function pickReplaceable({ installation, random }: DisturbanceContext): SoakUpstream | undefined {
-  const upstream = pick(installation.upstreams, random);
-  const isGoing = upstream.isDraining || upstream.isLeaving;
-  return installation.upstreams.length <= minUpstreams || isGoing ? undefined : upstream;
-}
-
-/** An upstream announces in its responses only that it leaves, and leaves later. */
-function prepareLeaving(context: DisturbanceContext): PreparedDisturbance | undefined {
-  const upstream = pickReplaceable(context);
-  if (upstream === undefined) {
-    return undefined;
-  }
-  const { installation } = context;
-  upstream.isLeaving = true;
-  return { target: upstream.id, run: () => replaceUpstream(installation, upstream) };
-}
-
-/** Adds an upstream, and removes and closes the one that it replaces later. */
-async function replaceUpstream(installation: Installation, upstream: SoakUpstream): Promise<void> {
-  await installation.addUpstream();
-  await delay(drainMilliseconds);
-  installation.removeUpstream(upstream);
-  await delay(lingerMilliseconds);
-  await installation.endUpstream(upstream);
-}
-
-/** The process of an upstream ends between two bytes of its answers; a new one replaces it, and its entry expires later. */
-function prepareCrash(context: DisturbanceContext): PreparedDisturbance | undefined {
-  const upstream = pickReplaceable(context);
-  if (upstream === undefined) {
-    return undefined;
-  }
-  const { installation } = context;
-  upstream.isDraining = true;
-  const run = async (): Promise<void> => {
-    await installation.endUpstream(upstream);
-    await installation.addUpstream();
-    await delay(staleEntryMilliseconds);
-    installation.removeUpstream(upstream);
-  };
-  return { target: upstream.id, run };
-}
-
-/** Drains an upstream, adds a new one, and removes and closes the drained one later. */
-function prepareReplacement(context: DisturbanceContext): PreparedDisturbance | undefined {
-  const upstream = pickReplaceable(context);
-  if (upstream === undefined) {
-    return undefined;
-  }
-  const { installation } = context;
-  upstream.isDraining = true;
-  const run = async (): Promise<void> => {
-    installation.drainUpstream(upstream);
-    await replaceUpstream(installation, upstream);
-  };
-  return { target: upstream.id, run };
-}
-
 function prepareRevocation({
   installation,
   random,
@@ -355,10 +279,6 @@
   );
 }
 
-function pick<Item>(items: readonly Item[], random: Random): Item {
-  return items[random.getIndex(items.length)] as Item;
-}
-
 function pickDurationMilliseconds(random: Random): number {
   const spread = maxDurationMilliseconds - minDurationMilliseconds;
   return minDurationMilliseconds + random.getUniform() * spread;
