--- a/packages/experiments/src/soak/findViolations.ts
+++ b/packages/experiments/src/soak/findViolations.ts
@@ -1,7 +1,8 @@
 import { getBody } from "./bodies.js";
+import { findPartitionViolations, undisturbedMilliseconds } from "./findPartitionViolations.js";
 import { findStreamFault } from "./findStreamFault.js";
+import { getServedShare } from "./getServedShare.js";
 import {
-  routerCutName,
   startName,
   storeName,
   type CallKind,
@@ -15,8 +16,6 @@
 const revocationMilliseconds = 5_000;
 /** Time from which an undisturbed router sends no new request to a draining upstream. */
 const drainMilliseconds = 2_000;
-/** A router counts as undisturbed if no unplanned disturbance hit it or the store for this long. */
-const undisturbedMilliseconds = 3_000;
 /** A call that ends within this time from its last byte may have been sent while the router closed the connection. */
 const closeRaceMilliseconds = 200;
 /** Ratio of calls that must succeed after the recovery. */
@@ -35,12 +34,6 @@
 const restDelayMilliseconds = 500;
 /** Requests that an upstream may get from one router while it rests. */
 const maxRequestsInRest = 2;
-/** Time from which a router that reaches no upstream serves its callers like the others. */
-const partitionNoticeMilliseconds = 1_000;
-/** Share of calls served at such a router, as part of the share at the others. */
-const minPartitionedShare = 0.8;
-/** Calls at both from which their shares are compared. */
-const minComparedCalls = 30;
 const expectedTeam = "callaloo";
 
 /**
@@ -273,53 +266,6 @@
   return checks.filter(([, isBroken]) => isBroken).map(([promise]) => ({ promise, detail }));
 }
 
-/**
- * Finds cut routers whose callers are served far worse than those of undisturbed routers meanwhile. Times in which a
- * router or the store is disturbed otherwise do not count.
- */
-function findPartitionViolations(evidence: Evidence): Violation[] {
-  const cuts = evidence.disturbances.filter(({ name }) => name === routerCutName);
-  return cuts.flatMap(({ target, from, until }) => {
-    const since = from + partitionNoticeMilliseconds;
-    const calls = evidence.calls.filter(
-      (call) => call.sentAt >= since && call.endedAt <= until && isComparable(call, evidence),
-    );
-    const cutCalls = calls.filter(({ router }) => router === target);
-    const otherCalls = calls.filter(({ router }) => isUncut(router, since, until, evidence));
-    const cut = getServedShare(cutCalls);
-    const others = getServedShare(otherCalls);
-    const isKept =
-      cutCalls.length < minComparedCalls ||
-      otherCalls.length < minComparedCalls ||
-      cut >= others * minPartitionedShare;
-    const detail =
-      `router "${target}" reached no upstream and served ${cut.toFixed(2)} of ${String(cutCalls.length)}, ` +
-      `the others ${others.toFixed(2)} of ${String(otherCalls.length)}`;
-    return isKept ? [] : [{ promise: "partitioned-routers", detail }];
-  });
-}
-
-/** Checks whether nothing but a cut from upstreams has disturbed the router of a call, the store or other routers. */
-function isComparable({ sentAt, endedAt }: CallRecord, { disturbances }: Evidence): boolean {
-  return !disturbances.some(
-    ({ name, from, until }) =>
-      name !== routerCutName && from <= endedAt && until + undisturbedMilliseconds >= sentAt,
-  );
-}
-
-/** Checks whether a router reaches its upstreams in a period. */
-function isUncut(router: string, since: number, until: number, evidence: Evidence): boolean {
-  return !evidence.disturbances.some(
-    ({ name, target, from, until: end }) =>
-      name === routerCutName && target === router && from <= until && end >= since,
-  );
-}
-
-function getServedShare(calls: readonly CallRecord[]): number {
-  const served = calls.filter(({ status, isWhole }) => status === 200 && isWhole);
-  return served.length / Math.max(1, calls.length);
-}
-
 /** Gets the calls that must succeed: those after the recovery, with a key that is accepted. */
 function getExpectedCalls({
   calls,
