Tests: the checks of ends notice their guards

By mutation of the compiled files: without the empty rest of a stream 1 of 33 tests of streamFraming.test.ts fails (0 before, as the stream of that test had ended before its crash: framedStreams.ts now stops where it is told to), and without the guard of requests that ended meanwhile 1 of 2 of endChecks.test.ts. Without the guard of final answers nothing changes for callers: it spares a connection.

--- a/packages/daemon/tests/router/framedStreams.ts
+++ b/packages/daemon/tests/router/framedStreams.ts
@@ -73,12 +73,15 @@
   let written = 0;
   const writeNext = (): void => {
     const event = events[written];
+    if (written === pausedAfter || response.destroyed) {
+      return;
+    }
     if (event === undefined) {
       response.end();
     } else if (written === brokenAfter) {
       response.write(event.slice(0, brokenEventLength));
       setTimeout(() => response.socket?.resetAndDestroy(), resetMilliseconds);
-    } else if (written !== pausedAfter && !response.destroyed) {
+    } else {
       response.write(event);
       written += 1;
       setTimeout(writeNext, eventMilliseconds);
