--- a/packages/daemon/tests/router/forwardedContinuation.test.ts
+++ b/packages/daemon/tests/router/forwardedContinuation.test.ts
@@ -1,35 +1,13 @@
 import type { Script } from "@pistachioway/standins";
-import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { LinkedFleet } from "./LinkedFleet.js";
-import { waitFor } from "./RouterFixture.js";
+import { createPeerStreamSuite, type PeerContext } from "./createPeerStreamSuite.js";
 import { firstThen } from "./scripts.js";
 import { readStream, type SeenStream } from "./StreamCaller.js";
 import { createEvents, goOn, streamPieces, whole, withoutStatus } from "./streamPieces.js";
 
-interface Context {
-  fleet: LinkedFleet;
-}
-
-const test = suite<Context>("streams that go on through a peer");
-
-const timeoutMilliseconds = 5_000;
-
-test.before.each(async (context) => {
-  context.fleet = await LinkedFleet.create({ routers: 3, upstreams: 2, createScript: () => goOn });
-  const [router] = context.fleet.routers;
-  assert.ok(router);
-  router.store.publishConfiguration({ version: 2, timeoutMilliseconds });
-  context.fleet.setLinks(0, "closed");
-  await router.call("/read/1", { id: "q-first" });
-  await waitFor(() => router.logLines.some((line) => line.includes("service.unreached")));
-});
-
-test.after.each(async ({ fleet }) => {
-  await fleet.close();
-});
+const test = createPeerStreamSuite("streams that go on through a peer", goOn);
 
-function callStream({ fleet }: Context, first: Script, later: Script): Promise<SeenStream> {
+function callStream({ fleet }: PeerContext, first: Script, later: Script): Promise<SeenStream> {
   const script = firstThen(first, later);
   fleet.upstreams.forEach((upstream) => {
     upstream.setScript(script);
--- a/packages/daemon/tests/router/forwardedStreams.test.ts
+++ b/packages/daemon/tests/router/forwardedStreams.test.ts
@@ -1,40 +1,20 @@
 import { setTimeout as delay } from "node:timers/promises";
-import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { createPeerStreamSuite, type PeerContext } from "./createPeerStreamSuite.js";
 import { framings, streamFramed } from "./framedStreams.js";
-import { LinkedFleet } from "./LinkedFleet.js";
-import { waitFor } from "./RouterFixture.js";
 import { readStream, type SeenStream } from "./StreamCaller.js";
 
-interface Context {
-  fleet: LinkedFleet;
-}
-
-const test = suite<Context>("streams that come through a peer");
-
 const lastEvent = 20;
 const eventMilliseconds = 20;
 const streamCount = 8;
-const timeoutMilliseconds = 5_000;
+const test = createPeerStreamSuite(
+  "streams that come through a peer",
+  streamFramed({ framing: "chunks", lastEvent }),
+);
 const wholeIds = Array.from({ length: lastEvent }, (_, index) => index + 1);
 
-test.before.each(async (context) => {
-  const createScript = () => streamFramed({ framing: "chunks", lastEvent });
-  context.fleet = await LinkedFleet.create({ routers: 3, upstreams: 2, createScript });
-  const [router] = context.fleet.routers;
-  assert.ok(router);
-  router.store.publishConfiguration({ version: 2, timeoutMilliseconds });
-  context.fleet.setLinks(0, "closed");
-  await router.call("/read/1", { id: "q-first" });
-  await waitFor(() => router.logLines.some((line) => line.includes("service.unreached")));
-});
-
-test.after.each(async ({ fleet }) => {
-  await fleet.close();
-});
-
 /** Begins streams at the router that reaches no upstream. */
-function beginStreams({ fleet }: Context): readonly Promise<SeenStream>[] {
+function beginStreams({ fleet }: PeerContext): readonly Promise<SeenStream>[] {
   const port = fleet.routers[0]?.callersPort ?? 0;
   return Array.from({ length: streamCount }, (_, index) => {
     const id = `q-${String(index)}`;
@@ -43,7 +23,7 @@
 }
 
 /** Ends an upstream as its crash does: its connections end, and it accepts no others. */
-async function crash({ fleet }: Context): Promise<void> {
+async function crash({ fleet }: PeerContext): Promise<void> {
   const [upstream] = fleet.upstreams;
   assert.ok(upstream);
   fleet.routers.slice(1).forEach((_, index) => {
