--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -234,6 +234,7 @@
     }
   }
 
+  /** Handles an answer whose end may not be its own: as complete only if nothing shows that a part is missing. */
   private async checkEnd(attempt: Attempt, head: ResponseHead): Promise<void> {
     const failure = await findEndFailure(attempt, this.report);
     if (this.attempt !== attempt) {
