A reset that comes together with bytes is no end of an answer that names none

Cause: Node's library for input and output takes the hang-up that it polls together with the last bytes for an end, and does not read the error.

Sockets can be half open for that, and are ended at their end as before.

--- a/packages/daemon/src/exchange/connect.ts
+++ b/packages/daemon/src/exchange/connect.ts
@@ -1,6 +1,7 @@
 import { connect as openSocket, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import type { buildConnector } from "undici";
+import { wasReset } from "./wasReset.js";
 
 /** Time to connect to an upstream in the region; a host that is down never responds. */
 const connectTimeoutMilliseconds = 250;
@@ -35,7 +36,7 @@
   localAddress?: string,
 ): buildConnector.connector {
   return ({ hostname, port }, callback) => {
-    const target = { host: hostname, port: Number(port), noDelay: true };
+    const target = { host: hostname, port: Number(port), noDelay: true, allowHalfOpen: true };
     const socket = openSocket(localAddress === undefined ? target : { ...target, localAddress });
     socket.setKeepAlive(true, keepAliveDelayMilliseconds);
     limitConnectTime(socket);
@@ -76,6 +77,8 @@
     error.code = error.code === resetCode ? brokenCode : error.code;
   });
   socket.on("end", () => {
+    state.wasBroken ||= wasReset(socket);
+    socket.end();
     state.onEnded();
   });
 }
