Services and chats of the product's own interface: a reset that comes together with bytes is no end of an answer

The same cause as in the router: a part of an answer with neither a length nor chunks was passed on as the whole one when its host reset the connection right behind it. unframedAnswers.test.ts: 1 of 4 fails before ("a part" in place of "lost"), 4 of 4 hold now.

--- a/packages/daemon/src/exchange/index.ts
+++ b/packages/daemon/src/exchange/index.ts
@@ -11,3 +11,4 @@
 } from "./Exchange.js";
 export { ReadPacer, type ReadPacerDependencies } from "./ReadPacer.js";
 export type { ReadTurn } from "./ReadTurn.js";
+export { wasReset } from "./wasReset.js";
--- a/packages/daemon/src/upstreams/Connections.ts
+++ b/packages/daemon/src/upstreams/Connections.ts
@@ -1,5 +1,7 @@
 import { MemoryBudget } from "@pistachioway/kernel";
+import type { Socket } from "node:net";
 import { buildConnector, Pool } from "undici";
+import { wasReset } from "../exchange/index.js";
 
 const connectionsPerHost = 512;
 const connectTimeoutMilliseconds = 1_000;
@@ -89,19 +91,16 @@
 }
 
 function createPool(address: string, onBreak: () => void): Pool {
-  const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+  const connect = buildConnector({ timeout: connectTimeoutMilliseconds, allowHalfOpen: true });
   return new Pool(`http://${address}`, {
     connections: connectionsPerHost,
     // Responses to pipelined requests could arrive out of order.
     pipelining: 1,
     connect: (options, callback) => {
       connect(options, (...result) => {
-        result[1]?.on("error", ({ syscall }: NodeJS.ErrnoException) => {
-          // The HTTP client destroys sockets that were ended in order with errors of its own.
-          if (syscall !== undefined) {
-            onBreak();
-          }
-        });
+        if (result[1] !== null) {
+          recordBreak(result[1], onBreak);
+        }
         callback(...result);
       });
     },
@@ -110,3 +109,19 @@
     bodyTimeout: 0,
   });
 }
+
+/** Calls a function when a socket is reset or fails, rather than being ended in order. */
+function recordBreak(socket: Socket, onBreak: () => void): void {
+  socket.on("error", ({ syscall }: NodeJS.ErrnoException) => {
+    // The HTTP client destroys sockets that were ended in order with errors of its own.
+    if (syscall !== undefined) {
+      onBreak();
+    }
+  });
+  socket.on("end", () => {
+    if (wasReset(socket)) {
+      onBreak();
+    }
+    socket.end();
+  });
+}
--- a/packages/daemon/tests/services/unframedAnswers.test.ts
+++ b/packages/daemon/tests/services/unframedAnswers.test.ts
@@ -60,4 +60,12 @@
   assert.is(await callUnframed(reset), "lost");
 });
 
+// Guards against a reset that comes together with bytes and looks like the end of an answer (MIXED).
+test("are lost when their connection is reset right behind their last bytes", async () => {
+  const reset = ({ socket }: RawRequest): void => {
+    socket.write(part, () => socket.resetAndDestroy());
+  };
+  assert.is(await callUnframed(reset), "lost");
+});
+
 test.run();
