The router's bundle has a small first file, so that signals are handled before the rest is loaded

Cause: a signal ends a process until its handler stands. A program that only sets the handlers shows the same, so the rest is the runtime's start, which resets masks and dispositions itself.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,14 +1,23 @@
-/** Bundles the router daemon into one file, so that it starts faster. */
+/**
+ * Bundles the router daemon, so that it starts faster, into a small first file and the rest: the first file handles signals,
+ * which the program gets while the rest is loaded too.
+ *
+ * usage: node scripts/bundle.mjs [FOLDER]
+ */
 import { build } from "esbuild";
 import { fileURLToPath } from "node:url";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
+const [folder = "target"] = process.argv.slice(2);
 
 await build({
   absWorkingDir: root,
-  entryPoints: ["packages/daemon/src/routerMain.ts"],
-  outfile: "target/pistachiowayd.mjs",
+  entryPoints: { pistachiowayd: "packages/daemon/src/routerMain.ts" },
+  outdir: folder,
+  outExtension: { ".js": ".mjs" },
+  chunkNames: "[name]",
   bundle: true,
+  splitting: true,
   platform: "node",
   target: "node20",
   format: "esm",
