A reset that comes together with bytes is no end of an answer while its request is still being written

Cause: the empty write that takes the error of the reset waits behind the body, and the HTTP client destroys the socket at its end.

Ruled out: an upstream that answers early, ends in order and reads on; its answer is still taken for complete (tested).

Change: wasReset asks for the other side of the socket, which the kernel names unless it was reset. Nothing is written.

--- a/packages/daemon/src/exchange/wasReset.ts
+++ b/packages/daemon/src/exchange/wasReset.ts
@@ -2,12 +2,10 @@
 
 /**
  * Checks whether a socket whose end was read was reset, rather than ended in order. Node.js reports a reset that comes together
- * with bytes as an end, and leaves the error on the socket; even an empty write takes it from there.
- * @param socket - Socket that can be half open; it is of no more use when it was reset.
+ * with bytes as an end. The kernel names the other side of a socket that was ended in order only, whether or not bytes
+ * are still being written; the name must not have been asked for before, as Node.js keeps it.
+ * @param socket - Socket that can be half open, and whose own side has not been ended.
  */
 export function wasReset(socket: Socket): boolean {
-  if (socket.errored === null && socket.writable) {
-    socket.write("");
-  }
-  return socket.errored !== null;
+  return socket.errored !== null || socket.remoteAddress === undefined;
 }
--- a/packages/daemon/tests/services/unframedAnswers.test.ts
+++ b/packages/daemon/tests/services/unframedAnswers.test.ts
@@ -9,21 +9,24 @@
 const deadlineMilliseconds = 20_000;
 const attemptId = "d1/i1/1";
 const part = `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attemptId}\r\nConnection: close\r\n\r\na part`;
+/** More than the buffers of both sides hold, so that it is still being written when the answer ends. */
+const longBody = Buffer.alloc(20_000_000, "x");
 
 /** Sends a call to an upstream that answers with neither a length nor chunks, and gets what the answer is taken for. */
 async function callUnframed(
   end: (request: RawRequest, upstream: RawUpstream) => void,
+  body = Buffer.alloc(0),
 ): Promise<string> {
   const upstream = await RawUpstream.listen((request) => {
     end(request, upstream);
-  });
+  }, "after head");
   const hosts = { getAddress: () => upstream.address, addObservation: () => undefined };
   const quarantine = { recordFailure: () => undefined, recordAnswer: () => undefined };
   const connections = Connections.create();
   const sender = HostSender.create(connections, hosts as unknown as HostDirectory, Date.now);
   const request = {
     ...{ service: "booking", team: "routes", method: "GET", path: "/lookups", headers: {} },
-    body: Buffer.alloc(0),
+    body,
     deadline: Date.now() + deadlineMilliseconds,
   };
   const unused = quarantine as unknown as CallerQuarantine;
@@ -68,4 +71,13 @@
   assert.is(await callUnframed(reset), "lost");
 });
 
+// Guards against a reset that looks like the end of an answer while the request is still being written (MIXED).
+test("are lost when their connection is reset before the request is written", async () => {
+  const reset = ({ socket }: RawRequest): void => {
+    socket.pause();
+    socket.write(part, () => socket.resetAndDestroy());
+  };
+  assert.is(await callUnframed(reset, longBody), "lost");
+});
+
 test.run();
