Failing tests: an answer that was ended in order and then reset is taken for a broken one

Seen on: with neither a length nor chunks, an upstream that ends its answer (FIN) and then resets, as one that closes with bytes unread does, loses it: act 502, read run twice and 502, a stream broken off behind its last event (orderlyEnds.test.ts, 0 of 3), the product's own interface lost (unframedAnswers.test.ts, 4 of 5).

--- a/packages/daemon/tests/services/unframedAnswers.test.ts
+++ b/packages/daemon/tests/services/unframedAnswers.test.ts
@@ -68,4 +68,12 @@
   assert.is(await callUnframed(reset), "lost");
 });
 
+// Guards against a complete answer that is taken for a broken one, as its host closes with bytes unread.
+test("are complete when their host ends them in order and then resets the connection", async () => {
+  const end = ({ socket }: RawRequest): void => {
+    socket.end(part, () => socket.resetAndDestroy());
+  };
+  assert.is(await callUnframed(end), "a part");
+});
+
 test.run();
