--- a/packages/daemon/tests/services/unframedAnswers.test.ts
+++ b/packages/daemon/tests/services/unframedAnswers.test.ts
@@ -80,4 +80,12 @@
   assert.is(await callUnframed(reset, longBody), "lost");
 });
 
+// Guards against a complete answer that is taken for a broken one, as its host closes with bytes unread.
+test("are complete when their host ends them in order and then resets the connection", async () => {
+  const end = ({ socket }: RawRequest): void => {
+    socket.end(part, () => socket.resetAndDestroy());
+  };
+  assert.is(await callUnframed(end), "a part");
+});
+
 test.run();
