What the processes of both daemons share has a folder of its own

They move from router/ to lifecycle/ and settings/ and take what they worked on as parameters: the parser of the settings, the daemon that stops, the log. The exit codes stand once. No behaviour changes.

--- a/packages/daemon/src/router/ProcessEnd.ts
+++ b/packages/daemon/src/lifecycle/ProcessEnd.ts
@@ -1,26 +1,34 @@
 import type { StreamLog } from "../log/StreamLog.js";
+import { exitCodes } from "./exitCodes.js";
 import { getMessage } from "./TaskError.js";
-import type { Router } from "./Router.js";
 
-const forcedExitCode = 3;
-const cutOffExitCode = 4;
+/** A daemon as the end of its process knows it. */
+export interface StoppableDaemon {
+  /** Stops gracefully; the result is true when no request was ended before its time. */
+  readonly stop: () => Promise<boolean>;
+  /** Responds to every request in flight at once. */
+  readonly endRequests: () => void;
+}
+
+/** Log that the end of a process writes to, and closes. */
+export type ProcessLog = Pick<StreamLog, "write" | "close">;
 
-/** Ends the process of a router: by a planned stop, or as soon as every request has a response. */
+/** Ends the process of a daemon: by a planned stop, or as soon as every request has a response. */
 export class ProcessEnd {
   private isStopping = false;
 
   private constructor(
-    private readonly router: Router,
-    private readonly log: StreamLog,
+    private readonly daemon: StoppableDaemon,
+    private readonly log: ProcessLog,
   ) {}
 
   /**
-   * Creates the end of a router's process.
-   * @param router - The router.
+   * Creates the end of a daemon's process.
+   * @param daemon - The daemon.
    * @param log - Log of the process.
    */
-  static create(router: Router, log: StreamLog): ProcessEnd {
-    return new ProcessEnd(router, log);
+  static create(daemon: StoppableDaemon, log: ProcessLog): ProcessEnd {
+    return new ProcessEnd(daemon, log);
   }
 
   /**
@@ -33,12 +41,12 @@
       return;
     }
     this.log.write("error", "daemon.forced-stop", { signal });
-    this.router.endRequests();
-    this.exit(forcedExitCode);
+    this.daemon.endRequests();
+    this.exit(exitCodes.forced);
   }
 
   /**
-   * Stops gracefully because the router cannot go on; a stop that has begun goes on as it is.
+   * Stops gracefully because the daemon cannot go on; a stop that has begun goes on as it is.
    * @param event - Event of the log line.
    * @param error - Why it cannot go on.
    * @param exitCode - Exit code of the process.
@@ -52,11 +60,11 @@
 
   private stop(failureExitCode?: number): void {
     this.isStopping = true;
-    this.router.stop().then(
-      (isIdle) => process.exit(failureExitCode ?? (isIdle ? 0 : cutOffExitCode)),
+    this.daemon.stop().then(
+      (isIdle) => process.exit(failureExitCode ?? (isIdle ? 0 : exitCodes.cutOff)),
       (error: unknown) => {
         this.log.write("error", "daemon.stop-failed", { detail: getMessage(error) });
-        this.exit(failureExitCode ?? cutOffExitCode);
+        this.exit(failureExitCode ?? exitCodes.cutOff);
       },
     );
   }
--- a/packages/daemon/src/router/PeriodicTasks.ts
+++ b/packages/daemon/src/router/PeriodicTasks.ts
@@ -1,6 +1,6 @@
 import { readMonotonicClock } from "./clocks.js";
 import type { StallLog } from "./StallLog.js";
-import type { TaskWatch } from "./TaskWatch.js";
+import type { TaskWatch } from "../lifecycle/TaskWatch.js";
 import type { TickLag } from "./TickLag.js";
 
 /** A task with a turn every so many ticks. */
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -39,8 +39,8 @@
 import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
 import { readClocks, readMonotonicClock } from "./clocks.js";
-import type { TaskError } from "./TaskError.js";
-import { TaskWatch } from "./TaskWatch.js";
+import type { TaskError } from "../lifecycle/TaskError.js";
+import { TaskWatch } from "../lifecycle/TaskWatch.js";
 import { TickLag } from "./TickLag.js";
 
 /** Clock error that is allowed for when a revoked key must stop being accepted. */
--- a/packages/daemon/src/router/createPeriodicTasks.ts
+++ b/packages/daemon/src/router/createPeriodicTasks.ts
@@ -9,7 +9,7 @@
 import { PeriodicTasks } from "./PeriodicTasks.js";
 import { runHousekeeping } from "./runHousekeeping.js";
 import { StallLog } from "./StallLog.js";
-import type { TaskWatch } from "./TaskWatch.js";
+import type { TaskWatch } from "../lifecycle/TaskWatch.js";
 import type { TickLag } from "./TickLag.js";
 
 /** What the periodic tasks of a router work on. */
--- a/packages/daemon/src/router/runRouter.ts
+++ b/packages/daemon/src/router/runRouter.ts
@@ -1,20 +1,18 @@
 import { headerCodec, StoreClient } from "@pistachioway/platform";
 import { stat } from "node:fs/promises";
-import { formatLine } from "../log/line.js";
+import { exitCodes } from "../lifecycle/exitCodes.js";
+import { logUncaughtErrors } from "../lifecycle/logUncaughtErrors.js";
+import type { PendingSignals } from "../lifecycle/PendingSignals.js";
+import { ProcessEnd } from "../lifecycle/ProcessEnd.js";
+import { waitForSettings } from "../lifecycle/waitForSettings.js";
 import { createStandardOutput, StreamLog } from "../log/StreamLog.js";
+import { readSettingsOnce } from "../settings/readSettings.js";
 import { readMonotonicClock } from "./clocks.js";
-import { ProcessEnd } from "./ProcessEnd.js";
-import { readSettings, readSettingsOnce } from "./readSettings.js";
+import { parseRouterSettings } from "./parseRouterSettings.js";
 import { Router } from "./Router.js";
 import type { RouterSettings } from "./settings.js";
-import type { PendingSignals } from "./PendingSignals.js";
 
-const settingsExitCode = 2;
-const startExitCode = 5;
-const taskExitCode = 6;
 const settingsCheckIntervalMilliseconds = 2_000;
-/** Time in which a settings file that is missing or half written can still be completed. */
-const settingsTimeoutMilliseconds = 3_000;
 
 /**
  * Runs a daemon that reads the platform's registry, until a signal stops it.
@@ -22,25 +20,8 @@
  * @param signals - Signals of the process.
  */
 export async function runRouter(file: string, signals: PendingSignals): Promise<void> {
-  signals.handle((signal) => {
-    // Settings are yet to be read, so that only a stop has something to do.
-    if (signal !== "SIGHUP") {
-      process.exit(0);
-    }
-  });
-  const settings = await readSettings(file, {
-    deadline: readMonotonicClock() + settingsTimeoutMilliseconds,
-    getNow: readMonotonicClock,
-    onRefused: ({ message }) => {
-      const fields = { level: "warn", event: "settings.refused", detail: message };
-      process.stdout.write(`${formatLine({ at: new Date().toISOString(), ...fields })}\n`);
-    },
-  });
-  if (settings.isErr) {
-    process.stderr.write(`${settings.error.message}\n`);
-    process.exit(settingsExitCode);
-  }
-  await startRouter(file, settings.value, signals);
+  const settings = await waitForSettings(file, parseRouterSettings, signals);
+  await startRouter(file, settings, signals);
 }
 
 /** Starts a router, and ends the process if that is impossible. */
@@ -59,11 +40,13 @@
     codec: headerCodec,
     log,
     onTaskFailed: (error) => {
-      end.fail("daemon.task-failed", error, taskExitCode);
+      end.fail("daemon.task-failed", error, exitCodes.task);
     },
   });
   const end = ProcessEnd.create(router, log);
-  logUncaughtErrors(log);
+  logUncaughtErrors((level, event, fields) => {
+    log.write(level, event, fields);
+  });
   const reload = watchSettings(file, router, log);
   signals.handle((signal) => {
     if (signal === "SIGHUP") {
@@ -76,20 +59,10 @@
     await router.start();
   } catch (error) {
     const failure = error instanceof Error ? error : new Error(String(error));
-    end.fail("daemon.start-failed", failure, startExitCode);
+    end.fail("daemon.start-failed", failure, exitCodes.start);
   }
 }
 
-function logUncaughtErrors(log: StreamLog): void {
-  process.on("uncaughtException", (error) => {
-    log.write("error", "daemon.fault", { detail: error.stack ?? error.message });
-  });
-  process.on("unhandledRejection", (reason) => {
-    const detail = reason instanceof Error ? (reason.stack ?? reason.message) : String(reason);
-    log.write("error", "daemon.fault", { detail });
-  });
-}
-
 /**
  * Reloads the settings when the modification time of the file changes.
  * @returns Function that reloads them at once.
@@ -97,7 +70,7 @@
 function watchSettings(file: string, router: Router, log: StreamLog): () => void {
   let writtenAt: number | undefined;
   const reload = async (): Promise<void> => {
-    const settings = await readSettingsOnce(file);
+    const settings = await readSettingsOnce(file, parseRouterSettings);
     settings.match({
       Ok: (value) => {
         router.reload(value);
--- a/packages/daemon/src/routerMain.ts
+++ b/packages/daemon/src/routerMain.ts
@@ -1,5 +1,5 @@
 import { parseArgs } from "node:util";
-import { PendingSignals } from "./router/PendingSignals.js";
+import { PendingSignals } from "./lifecycle/PendingSignals.js";
 
 const usage = "usage: pistachioway-router [--settings FILE], or FILE in PISTACHIOWAY_BOOT";
 const usageExitCode = 2;
--- a/packages/daemon/src/router/readSettings.ts
+++ b/packages/daemon/src/settings/readSettings.ts
@@ -2,8 +2,9 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { Result } from "true-myth";
 import { SettingsError } from "../errors/SettingsError.js";
-import { parseRouterSettings } from "./parseRouterSettings.js";
-import type { RouterSettings } from "./settings.js";
+
+/** Parses and validates the text of a settings file, whose name goes into messages. */
+export type SettingsParser<T> = (text: string, file: string) => Result<T, SettingsError>;
 
 /** How long, and by what clock, a file is tried. */
 export interface SettingsAttempts {
@@ -18,17 +19,19 @@
 const retryIntervalMilliseconds = 100;
 
 /**
- * Reads and validates the settings file of a router. A file that is missing, or not written to its end, is read again.
+ * Reads and validates a settings file. A file that is missing, or not written to its end, is read again.
  * @param file - Path of the file.
+ * @param parse - Parses and validates its text.
  * @param attempts - How long it is tried.
  */
-export async function readSettings(
+export async function readSettings<T>(
   file: string,
+  parse: SettingsParser<T>,
   { deadline, getNow, onRefused }: SettingsAttempts,
-): Promise<Result<RouterSettings, SettingsError>> {
+): Promise<Result<T, SettingsError>> {
   let lastMessage: string | undefined;
   for (;;) {
-    const settings = await readSettingsOnce(file);
+    const settings = await readSettingsOnce(file, parse);
     if (settings.isOk || getNow() >= deadline) {
       return settings;
     }
@@ -41,14 +44,16 @@
 }
 
 /**
- * Reads and validates the settings file of a router.
+ * Reads and validates a settings file.
  * @param file - Path of the file.
+ * @param parse - Parses and validates its text.
  */
-export async function readSettingsOnce(
+export async function readSettingsOnce<T>(
   file: string,
-): Promise<Result<RouterSettings, SettingsError>> {
+  parse: SettingsParser<T>,
+): Promise<Result<T, SettingsError>> {
   try {
-    return parseRouterSettings(await readFile(file, "utf8"), file);
+    return parse(await readFile(file, "utf8"), file);
   } catch (error) {
     const reason = error instanceof Error && "code" in error ? String(error.code) : String(error);
     const issue = { path: "", line: undefined, allowed: `cannot be read: ${reason}` };
--- a/packages/daemon/tests/router/TaskWatch.test.ts
+++ b/packages/daemon/tests/lifecycle/TaskWatch.test.ts
@@ -1,6 +1,6 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { TaskWatch } from "../../dist/router/TaskWatch.js";
+import { TaskWatch } from "../../dist/lifecycle/TaskWatch.js";
 
 const test = suite("TaskWatch");
 
