A datagram that names an address that cannot be ends no router

Seen: a router to which something on the network sends a state with an address such as 127.0.0.9:70000 logged daemon.fault, then its rounds of the fleet failed one after the other, and the process ended with 6 (daemon.task-failed).

Cause: the address of a state was any text. Sending to a port out of range throws, in the handler of the datagram (it answers a newcomer) and in each round, as possible daemons are tried again and again. The watch over tasks made this an end of the process.

Ruled out: a fault of the watch (the task did fail always); seeds of the settings (only their host is used).

Change: a state whose address is no IPv4 address with a port from 1 to 65535 is passed over like one of a later build (onSkippedPart counts it). Routers send none: their settings ask for such addresses.

--- a/packages/daemon/src/fleet/datagramCodec.ts
+++ b/packages/daemon/src/fleet/datagramCodec.ts
@@ -1,5 +1,6 @@
 import type { FleetMessage, FleetNotice, MemberState } from "@pistachioway/kernel";
 import { Packr } from "msgpackr";
+import { isIPv4 } from "node:net";
 import { z } from "zod";
 
 /**
@@ -12,6 +13,7 @@
 const maxTextLength = 64;
 const maxRunningCounts = 256;
 const maxUnreachedServices = 32;
+const maxPort = 65_535;
 /** Age of a configuration that was never confirmed, as the format has no infinity. */
 const neverConfirmedAge = -1;
 
@@ -19,6 +21,9 @@
 
 const uint32 = z.int().min(0).max(0xffffffff);
 const text = z.string().min(1).max(maxTextLength);
+/** Address that datagrams can be sent to: sending to another one throws. */
+const address = text.refine(isAddress);
+const port = z.int().min(1).max(maxPort);
 /** Time between an instant and the sending of the message; the clocks of two hosts differ. */
 const age = z.int().min(0);
 
@@ -34,8 +39,8 @@
 const stateSchema = z
   .tuple([
     text,
-    text,
-    z.int().min(1).max(65_535),
+    address,
+    port,
     text,
     z.int().min(0),
     z.int().min(0),
@@ -212,6 +217,15 @@
   };
 }
 
+function isAddress(encoded: string): boolean {
+  const [host = "", portText = "", ...rest] = encoded.split(":");
+  return isIPv4(host) && /^\d+$/.test(portText) && isPort(Number(portText)) && rest.length === 0;
+}
+
+function isPort(number: number): boolean {
+  return port.safeParse(number).success;
+}
+
 function isRunningCounts({ length }: Uint8Array): boolean {
   return length % runningCountBytes === 0 && length <= maxRunningCounts * runningCountBytes;
 }
