The soak starts a router again that its reload ended before any line of the program ran, and names exit codes and signals

Change: `reload()` reads SigCgt in /proc right before it sends SIGHUP; unreadable counts as handled. Only a start that ended by SIGHUP, and whose last reload was sent while it was not handled, is started again; it is counted and printed. Every other end, also by SIGHUP once it is handled or sent otherwise, stays a violation of own-ends; all other promises are checked as before. ProcessExitError and own-ends name the exit code or the signal.

Ruled out: to send no SIGHUP during starts, which would hide the time between the handler and readiness.

--- a/packages/experiments/src/fleet/ManagedProcess.ts
+++ b/packages/experiments/src/fleet/ManagedProcess.ts
@@ -1,7 +1,7 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { createInterface } from "node:readline";
-import { ProcessExitError } from "../errors/index.js";
+import { ProcessExitError, type ProcessEnd } from "../errors/index.js";
 
 const maxKeptLines = 200;
 
@@ -88,11 +88,21 @@
     this.child.kill(signal);
   }
 
+  /** Gets the id of the process; undefined if it could not be spawned. */
+  get pid(): number | undefined {
+    return this.child.pid;
+  }
+
   /** Gets the exit code; null while the process runs, and when a signal ended it. */
   getExitCode(): number | null {
     return this.child.exitCode;
   }
 
+  /** Gets how the process ended; both parts are null while it runs. */
+  getEnd(): ProcessEnd {
+    return { exitCode: this.child.exitCode, signal: this.child.signalCode };
+  }
+
   /** Waits until the process has exited and gets its exit code; null when a signal ended it. */
   async waitForExit(): Promise<number | null> {
     if (this.isRunning()) {
@@ -123,7 +133,7 @@
         }
       }
       this.child.once("exit", () => {
-        reject(new ProcessExitError(this.name, this.getOutput()));
+        reject(new ProcessExitError(this.name, this.getEnd(), this.getOutput()));
       });
     });
   }
--- a/packages/experiments/src/soak/Soak.ts
+++ b/packages/experiments/src/soak/Soak.ts
@@ -2,6 +2,7 @@
 import { setMaxListeners } from "node:events";
 import { setTimeout as delay } from "node:timers/promises";
 import { Random } from "../bench/Random.js";
+import { formatEnd } from "../errors/index.js";
 import { awaitRecovery } from "./awaitRecovery.js";
 import { getRequestBody } from "./bodies.js";
 import { minDurationMilliseconds, pickDisturbanceKinds, prepareModes } from "./disturbances.js";
@@ -27,6 +28,8 @@
   readonly calls: number;
   readonly runs: number;
   readonly disturbances: readonly Disturbance[];
+  /** Number of starts that were repeated as a reload ended them before the program handled its signal. */
+  readonly repeatedStarts: number;
   /** Periods in which the soak's own process did not run. */
   readonly stalls: readonly Stall[];
   readonly violations: readonly Violation[];
@@ -165,7 +168,7 @@
     } = this.installation;
     const exitedRouters = routers
       .filter((router) => router.hasExitedUnexpectedly())
-      .map(({ name }) => name);
+      .map((router) => `router "${router.name}" ended by itself, ${formatEnd(router.getEnd())}`);
     const unexpectedExits = [...exitedRouters, ...this.failures];
     const evidence = {
       calls,
@@ -183,6 +186,7 @@
       calls: calls.length,
       runs: runs.length,
       disturbances: this.disturbances,
+      repeatedStarts: routers.reduce((sum, router) => sum + router.getRepeatedStarts(), 0),
       stalls,
       violations: findViolations(evidence),
       logs: Object.fromEntries(routers.map((router) => [router.name, router.getOutput()])),
--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -97,7 +97,7 @@
     isPlanned: true,
     prepare: ({ installation, random }) => {
       const router = pick(installation.routers, random);
-      return { target: router.name, run: () => Promise.resolve(router.signal("SIGHUP")) };
+      return { target: router.name, run: () => Promise.resolve(router.reload()) };
     },
   },
   {
--- a/packages/experiments/src/soak/schema.ts
+++ b/packages/experiments/src/soak/schema.ts
@@ -143,7 +143,7 @@
   readonly acknowledgements: readonly Acknowledgement[];
   /** Names of all upstreams of the run, also of removed ones. */
   readonly upstreams: readonly string[];
-  /** Routers that exited although they were not stopped, and disturbances that failed. */
+  /** Descriptions of routers that exited although they were not stopped, and of disturbances that failed. */
   readonly unexpectedExits: readonly string[];
   /** What routers did not do after the recovery although they ran, with their names. */
   readonly halfStarts: readonly string[];
