A reset behind the last byte of an answer that has its length is no loss

Cause: a reset counted against any answer whose end is handled after it, though only one with neither a length nor chunks ends with its connection. While the reading is paused, the end of the connection is recorded before the HTTP client reports the end of the answer.

Ruled out: that parts pass now; the HTTP client reports no end of an answer whose length or last chunk is missing.

Change: a reset counts where nothing else marks the end. A connection that was reset does not go back to the pool.

exchange/resetEnds.test.ts, 40 answers in a row to a slow receiver: all lost before, all complete now.

--- a/packages/daemon/src/exchange/ConnectionPool.ts
+++ b/packages/daemon/src/exchange/ConnectionPool.ts
@@ -66,7 +66,7 @@
     if (!connection.isOpen) {
       return;
     }
-    if (connection.hasManyRefusals()) {
+    if (connection.hasManyRefusals() || connection.wasBroken()) {
       connection.destroy();
       return;
     }
--- a/packages/daemon/src/exchange/Exchange.ts
+++ b/packages/daemon/src/exchange/Exchange.ts
@@ -4,6 +4,7 @@
 import type { Connection } from "./Connection.js";
 import type { ConnectionPool } from "./ConnectionPool.js";
 import type { ReadTurn } from "./ReadTurn.js";
+import { allowsBody } from "./allowsBody.js";
 import { describeAnswer } from "./describeAnswer.js";
 
 /** A request as it is sent to an upstream. */
@@ -57,6 +58,8 @@
   private wasSent = false;
   private isFinished = false;
   private wasRefused = false;
+  /** Whether nothing but the end of the connection marks the end of the response. */
+  private endsWithConnection = false;
   private informationalHeads = 0;
   /** Whether the listener does not want to read on. */
   private isPaused = false;
@@ -156,6 +159,8 @@
       return;
     }
     this.wasRefused = head.meaning === "refusal";
+    this.endsWithConnection =
+      !head.isFramed && allowsBody(statusCode, this.request.method === "HEAD");
     this.listener.onHead(head);
   }
 
@@ -170,7 +175,7 @@
     if (this.isFinished) {
       return;
     }
-    if (this.connection.wasBroken()) {
+    if (this.endsWithConnection && this.connection.wasBroken()) {
       this.fail("the connection broke before the end of the answer", true);
       return;
     }
--- a/packages/daemon/tests/exchange/resetEnds.test.ts
+++ b/packages/daemon/tests/exchange/resetEnds.test.ts
@@ -17,6 +17,7 @@
 const playCount = 40;
 const pauseMilliseconds = 50;
 const bare = "Connection: close\r\n";
+const framed = `Connection: close\r\nContent-Length: ${String(part.length)}\r\n`;
 const lost = { bytes: part.length, end: { end: "lost", wasClosedByUpstream: true } };
 const complete = { bytes: part.length, end: "complete" };
 
@@ -63,6 +64,12 @@
     context.answer = answerAndEnd(bare);
     assert.equal(await play(context, sending), [complete]);
   });
+
+  // Guards against whole answers taken for lost as the connection breaks behind their last byte.
+  test(`leave an answer whole that has its length, to a request ${name}`, async (context) => {
+    context.answer = answerAndReset(framed);
+    assert.equal(await play(context, sending), [complete]);
+  });
 }
 
 test.run();
