--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -141,6 +141,11 @@
     return isIdle;
   }
 
+  /** Ends a stop at once: responds to every request in flight. */
+  endRequests(): void {
+    this.callersServer.endRequests();
+  }
+
   /** Ends listening for callers, waits for the requests in flight, and ends them at the deadline. */
   private async waitUntilIdle(deadline: Instant): Promise<boolean> {
     this.callersServer.close();
--- a/packages/daemon/src/log/Log.ts
+++ b/packages/daemon/src/log/Log.ts
@@ -34,4 +34,9 @@
     const at = new Date().toISOString();
     this.logger.log(level, formatLine({ at, level, event, ...this.commonFields, ...fields }));
   }
+
+  /** Resolves when all events are written; they are written at once. */
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
 }
--- a/packages/daemon/tests/daemon/start.test.ts
+++ b/packages/daemon/tests/daemon/start.test.ts
@@ -1,49 +1,23 @@
-import { spawn, type ChildProcess } from "node:child_process";
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
-import { fileURLToPath } from "node:url";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import { getFreePorts } from "../router/getFreePorts.js";
+import { createDaemonSettings, DaemonProcess, listeners } from "./DaemonProcess.js";
 
 const test = suite("starts of a daemon whose addresses are in use");
 
-const main = fileURLToPath(new URL("main.js", import.meta.resolve("@pistachioway/daemon")));
-const listeners = ["callers", "peers", "operations", "datagrams"] as const;
 const heldMilliseconds = 3_000;
 const startFailedExitCode = 5;
 
-/** A daemon in a process of its own. */
-interface DaemonProcess {
-  readonly child: ChildProcess;
-  readonly folder: string;
-  /** Gets what it has written so far. */
-  readonly getOutput: () => string;
-}
-
-/** Starts a daemon, of which one address is in use. */
+/** Starts a daemon with settings of its own. */
 async function startDaemon(ports: readonly number[]): Promise<DaemonProcess> {
-  const folder = await mkdtemp(join(tmpdir(), "pistachioway-start-"));
-  const file = join(folder, "daemon.toml");
-  const addresses = listeners.map((name, index) => `${name} = "127.0.0.1:${String(ports[index])}"`);
-  await writeFile(
-    file,
-    `[process]\nname = "d"\nzone = "north"\n[listeners]\n${addresses.join("\n")}\n` +
-      `[platform]\naddress = "127.0.0.1:9"\n[peers]\nkey = "${"k".repeat(32)}"\n`,
-  );
-  const child = spawn(process.execPath, [main, "--settings", file], {
-    stdio: ["ignore", "pipe", "pipe"],
-  });
-  let output = "";
-  [child.stdout, child.stderr].forEach((stream) => {
-    stream.on("data", (chunk: Buffer) => (output += chunk.toString()));
-  });
-  return { child, folder, getOutput: () => output };
+  const daemon = await DaemonProcess.create();
+  await daemon.writeSettings(createDaemonSettings(ports));
+  daemon.start();
+  return daemon;
 }
 
 /** Holds the address of a listener; the result releases it. */
@@ -58,29 +32,19 @@
   return () => server.close();
 }
 
-async function end({ child, folder }: DaemonProcess): Promise<void> {
-  child.kill("SIGKILL");
-  await rm(folder, { recursive: true, force: true });
-}
-
 // Guards against a daemon that does not come up, as its address was in use for a moment (FAULT).
 for (const [index, name] of listeners.entries()) {
   test(`listen for ${name} once the address is free`, async () => {
     const ports = await getFreePorts(listeners.length);
     const release = await holdAddress(name, ports[index] ?? 0);
     const daemon = await startDaemon(ports);
-    const deadline = performance.now() + 60_000;
-    while (!daemon.getOutput().includes("event=listener.refused") && performance.now() < deadline) {
-      await delay(20);
-    }
+    await daemon.waitForOutput("event=listener.refused");
     await delay(heldMilliseconds);
     release();
-    while (!daemon.getOutput().includes("event=daemon.listening") && performance.now() < deadline) {
-      await delay(20);
-    }
-    const { exitCode } = daemon.child;
-    await end(daemon);
-    assert.equal([exitCode, daemon.getOutput().includes("event=daemon.listening")], [null, true]);
+    await daemon.waitForOutput("event=daemon.listening");
+    const hasExited = daemon.hasExited();
+    await daemon.close();
+    assert.is(hasExited, false);
   });
 }
 
@@ -89,9 +53,9 @@
   const ports = await getFreePorts(listeners.length);
   const release = await holdAddress("callers", ports[0] ?? 0);
   const daemon = await startDaemon(ports);
-  const [exitCode] = (await once(daemon.child, "close")) as [number | null];
+  const { exitCode } = await daemon.waitForExit();
   release();
-  await end(daemon);
+  await daemon.close();
   const failed = daemon.getOutput().match(/event=daemon.start-failed detail="(.*)"/)?.[1];
   assert.equal(
     [exitCode, failed?.replaceAll("\\", "")],
