An attempt is not given up as slow while its answer waits to be read after a standstill

Repeats spend the retry budget, and the first run is wasted.

Cause: after a standstill of the process timers run before sockets are read, so the tick finds an attempt without a head for longer than 1.6 times its objective, although the answer is there.

Ruled out: the check of the end, which takes what came in a standstill since (canConnect.test.ts).

Change: a slow attempt is given up only if it is still slow after sockets were read once.

--- a/packages/daemon/src/ingress/SlowAttemptMonitor.ts
+++ b/packages/daemon/src/ingress/SlowAttemptMonitor.ts
@@ -44,13 +44,16 @@
       return;
     }
     this.stop();
-    this.check = () => {
+    const check = (): void => {
       if (this.isSlow(attempt)) {
-        this.stop();
-        onSlow(attempt);
+        // What came while this process stood still is read first.
+        setImmediate(() => {
+          this.decide(check, attempt, onSlow);
+        });
       }
     };
-    this.ticks.add(this.check);
+    this.check = check;
+    this.ticks.add(check);
   }
 
   /** Stops the checks. */
@@ -72,6 +75,13 @@
     }
   }
 
+  private decide(check: () => void, attempt: Attempt, onSlow: (attempt: Attempt) => void): void {
+    if (this.check === check && this.isSlow(attempt)) {
+      this.stop();
+      onSlow(attempt);
+    }
+  }
+
   private isSlow({ target, head, lastReceivedAt }: Attempt): boolean {
     const now = this.getNow();
     const limit =
--- a/packages/daemon/tests/router/endChecks.test.ts
+++ b/packages/daemon/tests/router/endChecks.test.ts
@@ -4,7 +4,9 @@
 import { createStreamSuite } from "./createStreamSuite.js";
 import { streamFramed } from "./framedStreams.js";
 import { waitFor } from "./RouterFixture.js";
-import { setScripts, type Context } from "./scripts.js";
+import { getArrivals, setScripts, type Context } from "./scripts.js";
+import { standStill } from "./standStill.js";
+import { readStream } from "./StreamCaller.js";
 
 const test = createStreamSuite("checks of the end of an answer that names none");
 
@@ -12,6 +14,7 @@
 /** Longer than a check takes. */
 const checkMilliseconds = 300;
 const crashMilliseconds = 20;
+const standstillMilliseconds = 600;
 
 function getFinishedLines({ fixture }: Context): readonly string[] {
   return fixture.logLines.filter((line) => line.includes("event=request.finished"));
@@ -55,4 +58,19 @@
   assert.is(status, 503);
 });
 
+/** Answers a stream, and lets the process stand still before the answer is read. */
+const answerAndStandStill: Script = (request, response) => {
+  streamFramed({ framing: "neither", lastEvent })(request, response);
+  standStill(standstillMilliseconds);
+};
+
+// Guards against a request that is sent once more although its answer has come, as this process stood still (BUDGET).
+test("do not follow an attempt that was given up while its answer waited to be read", async (context) => {
+  setScripts(context, answerAndStandStill);
+  const port = context.fixture.callersPort;
+  const { ids, isComplete } = await readStream({ port, path: "/stream/1", id: "q-1" });
+  assert.equal({ ids, isComplete }, { ids: [1, 2, 3], isComplete: true });
+  assert.is(getArrivals(context), 1);
+});
+
 test.run();
