An address that cannot be in the host list ends no daemon of the product's own

Seen, with a real process: the platform lists a daemon at 127.0.0.9:70000, and each daemon that has it as a neighbour ends at its first heartbeat with exit code 1 and the runtime's trace (ERR_SOCKET_BAD_PORT).

Cause: sending to a port out of range throws, in the callback that sends the collected parts. The parts were removed after the sends only, so that with a process that goes on they would have grown and those after the bad one would never have been sent.

Ruled out: refusing the list (one odd entry would cost all others).

Change: such a send counts as a failed one, as those that the system refuses; the parts are removed before they are sent.

--- a/packages/daemon/src/gossip/GossipTask.ts
+++ b/packages/daemon/src/gossip/GossipTask.ts
@@ -331,12 +331,13 @@
   private flush(): void {
     this.isFlushScheduled = false;
     const addresses = new Map(this.neighbours.map((item) => [item.name, item.datagramAddress]));
-    for (const [name, parts] of this.pending) {
+    const pending = [...this.pending];
+    this.pending.clear();
+    for (const [name, parts] of pending) {
       const address = addresses.get(name);
       if (address !== undefined) {
         this.dependencies.send(name, address, parts);
       }
     }
-    this.pending.clear();
   }
 }
--- a/packages/daemon/src/peers/DatagramSocket.ts
+++ b/packages/daemon/src/peers/DatagramSocket.ts
@@ -103,14 +103,11 @@
    * @param parts - What to send.
    */
   send(to: string, address: string, parts: readonly DatagramPart[]): void {
-    const { host, port } = parseAddress(address);
     for (const group of groupParts(parts)) {
       const datagram = this.encode(to, group);
       this.counts.sentDatagrams += 1;
       this.counts.sentBytes += datagram.length + headerBytes;
-      this.socket.send(datagram, port, host, (error) => {
-        this.counts.sendFailures += error === null ? 0 : 1;
-      });
+      this.sendDatagram(datagram, address);
     }
   }
 
@@ -121,6 +118,18 @@
     await closed;
   }
 
+  /** Sends a datagram; an address that cannot be, which the platform may list, counts as a failure. */
+  private sendDatagram(datagram: Buffer, address: string): void {
+    const { host, port } = parseAddress(address);
+    try {
+      this.socket.send(datagram, port, host, (error) => {
+        this.counts.sendFailures += error === null ? 0 : 1;
+      });
+    } catch {
+      this.counts.sendFailures += 1;
+    }
+  }
+
   private encode(to: string, parts: readonly DatagramPart[]): Buffer {
     this.sequence += 1;
     const { daemon: sender, incarnation } = this.dependencies;
