The product's own daemon watches its tasks, and one fault does not end it

Seen, with real processes: one exception anywhere in the product's own daemon (a tick of a plug-in, a host list that cannot be applied, a published configuration) ended it at once with exit code 1 and the runtime's trace, cutting off all requests.

Cause: nothing handled uncaught errors, and no task was watched. Its ticks ran one after another in one chain; the loop that follows the platform was replaced by another at each refresh, so that nobody could tell whether it went on.

Ruled out: handlers of uncaught errors alone. They would have made it a process that lives on without its ticks or its loop.

Change: the router's TaskWatch runs each periodic function by its name, and the loop, of which there is one now: a refresh ends the call that is under way. A host list that cannot be applied counts as a failed read. Errors outside of tasks are logged (daemon.fault), as in a router.

--- a/packages/daemon/src/daemon/Context.ts
+++ b/packages/daemon/src/daemon/Context.ts
@@ -1,5 +1,7 @@
 import { Kernel, type Instant } from "@pistachioway/kernel";
 import { randomInt, randomUUID } from "node:crypto";
+import type { TaskError } from "../lifecycle/TaskError.js";
+import { TaskWatch } from "../lifecycle/TaskWatch.js";
 import { Log } from "../log/index.js";
 import { Metrics } from "../metrics/index.js";
 import type { DaemonPhase } from "../operations/index.js";
@@ -20,6 +22,8 @@
   readonly timeline: Timeline;
   readonly recorder: Recorder;
   readonly connections: Connections;
+  /** Watches the tasks of the process. */
+  readonly watch: TaskWatch;
   /** Guards that a test switches off; empty in production. */
   readonly disabledGuards: readonly string[];
 }
@@ -33,12 +37,19 @@
  * Creates what the tasks of a daemon share.
  * @param settings - Validated settings.
  * @param getPhase - Gets the phase of the daemon's lifecycle.
+ * @param onTaskFailed - Called once, when a task does not go on.
  */
-export function createContext(settings: Settings, getPhase: () => DaemonPhase): Context {
+export function createContext(
+  settings: Settings,
+  getPhase: () => DaemonPhase,
+  onTaskFailed: (error: TaskError) => void,
+): Context {
   const getNow = (): Instant => Date.now();
   const { disabledGuards } = settings.experiments;
   const timeline = Timeline.create(getNow);
   const log = Log.create(settings.log.level, { process: settings.process.name });
+  const metrics = Metrics.create();
+  const recorder = Recorder.create(timeline, log);
   return {
     settings,
     incarnation: randomUUID().slice(0, incarnationLength),
@@ -46,10 +57,19 @@
     getNow,
     getPhase,
     kernel: Kernel.create(randomInt(maxSeed)),
-    metrics: Metrics.create(),
+    metrics,
     timeline,
-    recorder: Recorder.create(timeline, log),
+    recorder,
     connections: Connections.create(!disabledGuards.includes(responseAttemptGuard)),
+    watch: TaskWatch.create({
+      onFailed: onTaskFailed,
+      onFailedTurn: (task) => {
+        metrics.failedTurns.inc({ task });
+      },
+      record: (level, event, fields) => {
+        recorder.record(event, fields, level);
+      },
+    }),
     disabledGuards,
   };
 }
--- a/packages/daemon/src/daemon/Daemon.ts
+++ b/packages/daemon/src/daemon/Daemon.ts
@@ -6,7 +6,8 @@
 import { createCallersApplication } from "../callers/index.js";
 import { RequestServer } from "../ingress/index.js";
 import { ListenerStart, type Listener } from "../listening/index.js";
-import { createOperationsApplication } from "../operations/index.js";
+import type { TaskError } from "../lifecycle/TaskError.js";
+import { createOperationsApplication, type DaemonPhase } from "../operations/index.js";
 import type { Settings } from "../settings/index.js";
 import { TaskGraph } from "./TaskGraph.js";
 import type { Tasks } from "./Tasks.js";
@@ -48,10 +49,15 @@
   /**
    * Creates a daemon that does not listen yet.
    * @param settings - Validated settings.
+   * @param onTaskFailed - Called once, when a task of the daemon does not go on.
    */
-  static async create(settings: Settings): Promise<Daemon> {
+  static async create(
+    settings: Settings,
+    onTaskFailed: (error: TaskError) => void = () => undefined,
+  ): Promise<Daemon> {
     const holder: { daemon?: Daemon } = {};
-    const graph = TaskGraph.create(settings, () => holder.daemon?.getPhase() ?? "starting");
+    const getPhase = (): DaemonPhase => holder.daemon?.getPhase() ?? "starting";
+    const graph = TaskGraph.create(settings, getPhase, onTaskFailed);
     const tasks = graph.toTasks();
     const callers = await createCallersApplication({
       pipeline: tasks.requestPipeline,
@@ -76,7 +82,12 @@
    */
   async start(): Promise<ListenAddresses> {
     const listening = await this.openListeners();
-    this.tasks.platform.start();
+    const { platform, watch } = this.tasks;
+    void watch.runLoop(
+      "platform",
+      () => platform.run(),
+      () => platform.getTurnCount(),
+    );
     this.ticker = setInterval(() => {
       this.tick();
     }, tickIntervalMilliseconds);
@@ -175,6 +186,7 @@
   }
 
   private async close(): Promise<void> {
+    this.tasks.watch.stop();
     clearInterval(this.ticker);
     this.tasks.platform.stop();
     await this.operations.close();
--- a/packages/daemon/src/daemon/TaskGraph.ts
+++ b/packages/daemon/src/daemon/TaskGraph.ts
@@ -14,6 +14,7 @@
   PlacementTask,
   RetryTask,
 } from "../kernel/index.js";
+import type { TaskError } from "../lifecycle/TaskError.js";
 import { toHex } from "../log/toHex.js";
 import { OperationsView, type DaemonPhase } from "../operations/index.js";
 import { OrderTask } from "../orders/index.js";
@@ -77,14 +78,19 @@
    * Creates the tasks of a daemon and connects them.
    * @param settings - Validated settings.
    * @param getPhase - Gets the phase of the daemon's lifecycle.
+   * @param onTaskFailed - Called once, when a task does not go on.
    */
-  static create(settings: Settings, getPhase: () => DaemonPhase): TaskGraph {
-    return new TaskGraph(createContext(settings, getPhase));
+  static create(
+    settings: Settings,
+    getPhase: () => DaemonPhase,
+    onTaskFailed: (error: TaskError) => void,
+  ): TaskGraph {
+    return new TaskGraph(createContext(settings, getPhase, onTaskFailed));
   }
 
   /** Gets the tasks that the daemon runs. */
   toTasks(): Tasks {
-    const { recorder, connections, getNow } = this.context;
+    const { recorder, connections, watch, getNow } = this.context;
     const { platform, configuration, acts } = this;
     const { links, gossip } = this.peers;
     const { chats, services, requestPipeline } = this.callers;
@@ -100,7 +106,8 @@
       acts,
       requestPipeline,
       view: this.createView(),
-      ticker: createTicker(this, getNow),
+      ticker: createTicker(this, watch, getNow),
+      watch,
     };
   }
 
--- a/packages/daemon/src/daemon/Tasks.ts
+++ b/packages/daemon/src/daemon/Tasks.ts
@@ -2,6 +2,7 @@
 import type { CallerRequestPipeline } from "../callers/index.js";
 import type { ChatTask } from "../chat/index.js";
 import type { ConfigurationTask } from "../configuration/index.js";
+import type { TaskWatch } from "../lifecycle/TaskWatch.js";
 import type { GossipTask, PeerLinks } from "../gossip/index.js";
 import type { OperationsView } from "../operations/index.js";
 import type { PlatformTask } from "../platform/index.js";
@@ -24,4 +25,5 @@
   readonly acts: ActTask;
   readonly view: OperationsView;
   readonly ticker: Ticker;
+  readonly watch: TaskWatch;
 }
--- a/packages/daemon/src/daemon/Ticker.ts
+++ b/packages/daemon/src/daemon/Ticker.ts
@@ -1,6 +1,10 @@
 import type { Instant } from "@pistachioway/kernel";
 
+/** Runs a turn of a periodic function by the function's name. */
+export type TurnRunner = (name: string, turn: () => void) => void;
+
 interface PeriodicFunction {
+  readonly name: string;
   readonly periodMilliseconds: number;
   readonly run: (now: Instant) => void;
   dueAt: Instant;
@@ -10,23 +14,28 @@
 export class Ticker {
   private readonly functions: PeriodicFunction[] = [];
 
-  private constructor(private readonly getNow: () => Instant) {}
+  private constructor(
+    private readonly getNow: () => Instant,
+    private readonly runTurn: TurnRunner,
+  ) {}
 
   /**
    * Creates a ticker without functions.
    * @param getNow - Reads the clock.
+   * @param runTurn - Runs a turn; one that fails does not keep the others from running.
    */
-  static create(getNow: () => Instant): Ticker {
-    return new Ticker(getNow);
+  static create(getNow: () => Instant, runTurn: TurnRunner): Ticker {
+    return new Ticker(getNow, runTurn);
   }
 
   /**
    * Adds a function.
+   * @param name - Name of the function.
    * @param periodMilliseconds - Minimum time between two runs; 0 runs the function on every tick.
    * @param run - Function to run.
    */
-  addPeriodic(periodMilliseconds: number, run: (now: Instant) => void): void {
-    this.functions.push({ periodMilliseconds, run, dueAt: 0 });
+  addPeriodic(name: string, periodMilliseconds: number, run: (now: Instant) => void): void {
+    this.functions.push({ name, periodMilliseconds, run, dueAt: 0 });
   }
 
   /** Runs the functions that are due, in the order in which they were added. */
@@ -35,7 +44,9 @@
     for (const entry of this.functions) {
       if (now >= entry.dueAt) {
         entry.dueAt = now + entry.periodMilliseconds;
-        entry.run(now);
+        this.runTurn(entry.name, () => {
+          entry.run(now);
+        });
       }
     }
   }
--- a/packages/daemon/src/daemon/runDaemon.ts
+++ b/packages/daemon/src/daemon/runDaemon.ts
@@ -1,5 +1,6 @@
 import "reflect-metadata";
 import { exitCodes } from "../lifecycle/exitCodes.js";
+import { logUncaughtErrors } from "../lifecycle/logUncaughtErrors.js";
 import type { DaemonSignal, PendingSignals } from "../lifecycle/PendingSignals.js";
 import { ProcessEnd } from "../lifecycle/ProcessEnd.js";
 import { waitForSettings } from "../lifecycle/waitForSettings.js";
@@ -20,7 +21,12 @@
 /** Starts a daemon, and ends the process if that is impossible. */
 async function startDaemon(settings: Settings, signals: PendingSignals): Promise<void> {
   const log = Log.create(settings.log.level, {});
-  const daemon = await Daemon.create(settings);
+  logUncaughtErrors((level, event, fields) => {
+    log.write(level, event, fields);
+  });
+  const daemon = await Daemon.create(settings, (error) => {
+    end.fail("daemon.task-failed", error, exitCodes.task);
+  });
   const end = ProcessEnd.create(daemon, log);
   signals.handle((signal) => {
     // Requests are yet to be served, so that a stop has nothing to wait for.
--- a/packages/daemon/src/metrics/Metrics.ts
+++ b/packages/daemon/src/metrics/Metrics.ts
@@ -98,6 +98,13 @@
     registers: [this.registry],
   });
 
+  readonly failedTurns = new Counter({
+    name: "pistachioway_failed_turns_total",
+    help: "Turns of the process's own periodic tasks that failed, by task.",
+    labelNames: ["task"],
+    registers: [this.registry],
+  });
+
   private constructor() {
     collectDefaultMetrics({ register: this.registry });
   }
--- a/packages/daemon/src/platform/PlatformTask.ts
+++ b/packages/daemon/src/platform/PlatformTask.ts
@@ -37,39 +37,56 @@
 /** Watches the host list of the platform, and reads the configuration on request. Never writes. */
 export class PlatformTask {
   private readonly stopController = new AbortController();
-  private watchController = new AbortController();
+  /** Cancels the call that is under way. */
+  private callController = new AbortController();
   private hostsRevision: number | undefined;
   private isReachable = false;
   private lastReadAt: Instant | undefined;
   private callCount = 0;
+  private turnCount = 0;
 
   private constructor(private readonly dependencies: PlatformTaskDependencies) {}
 
   /**
-   * Creates the task. It reads nothing before `start`.
+   * Creates the task. It reads nothing before `run`.
    * @param dependencies - What the task depends on.
    */
   static create(dependencies: PlatformTaskDependencies): PlatformTask {
     return new PlatformTask(dependencies);
   }
 
-  /** Starts to watch the host list. */
-  start(): void {
-    void this.watchHosts(this.watchController.signal);
+  /** Watches the host list until the task is stopped. */
+  async run(): Promise<void> {
+    let retryDelayMilliseconds = minRetryDelayMilliseconds;
+    while (!this.stopController.signal.aborted) {
+      const { signal } = this.callController;
+      const isRead = await this.readHosts(signal);
+      this.turnCount += 1;
+      if (isRead || signal.aborted) {
+        retryDelayMilliseconds = minRetryDelayMilliseconds;
+        continue;
+      }
+      await delay(retryDelayMilliseconds, undefined, { signal }).catch(() => undefined);
+      retryDelayMilliseconds = Math.min(retryDelayMilliseconds * 2, maxRetryDelayMilliseconds);
+    }
+  }
+
+  /** Gets the number of reads of the host list that have ended, with or without a response. */
+  getTurnCount(): number {
+    return this.turnCount;
   }
 
   /** Reads the host list immediately, without waiting for a change, and continues to watch it. */
   refresh(): void {
-    this.watchController.abort();
-    this.watchController = new AbortController();
+    this.callController.abort();
+    this.callController = new AbortController();
     this.hostsRevision = undefined;
-    this.start();
   }
 
   /** Cancels all calls. */
   stop(): void {
     this.stopController.abort();
-    this.watchController.abort();
+    this.callController.abort();
   }
 
   /**
@@ -108,33 +125,27 @@
     return { reachable, lastReadAt, isReader, calls };
   }
 
-  private async watchHosts(signal: AbortSignal): Promise<void> {
-    let retryDelayMilliseconds = minRetryDelayMilliseconds;
-    while (!signal.aborted) {
-      const waitUntil = this.dependencies.getNow() + watchTimeoutMilliseconds;
-      const result = await this.read("hosts", this.hostsRevision, waitUntil, signal);
-      if (result !== undefined && this.handleHostList(result)) {
-        retryDelayMilliseconds = minRetryDelayMilliseconds;
-        continue;
-      }
-      await delay(retryDelayMilliseconds, undefined, { signal }).catch(() => undefined);
-      retryDelayMilliseconds = Math.min(retryDelayMilliseconds * 2, maxRetryDelayMilliseconds);
-    }
+  /** Reads the host list once. Returns false if it was not read, or cannot be applied. */
+  private async readHosts(signal: AbortSignal): Promise<boolean> {
+    const waitUntil = this.dependencies.getNow() + watchTimeoutMilliseconds;
+    const result = await this.read("hosts", this.hostsRevision, waitUntil, signal);
+    return result !== undefined && this.handleHostList(result);
   }
 
-  /** Handles a read of the host list. Returns false if the document is invalid. */
   private handleHostList(result: ReadResult): boolean {
     if (result.document === undefined) {
       return true;
     }
-    const list = hostListSchema.safeParse(result.document);
-    if (!list.success) {
-      this.recordFailure("hosts", new PlatformUnreachableError("hosts", list.error));
+    try {
+      const list = hostListSchema.parse(result.document);
+      this.hostsRevision = list.revision;
+      this.dependencies.onHostList(list);
+      return true;
+    } catch (error) {
+      this.hostsRevision = undefined;
+      this.recordFailure("hosts", new PlatformUnreachableError("hosts", error));
       return false;
     }
-    this.hostsRevision = list.data.revision;
-    this.dependencies.onHostList(list.data);
-    return true;
   }
 
   private async read(
--- a/packages/daemon/tests/daemon/DaemonFixture.ts
+++ b/packages/daemon/tests/daemon/DaemonFixture.ts
@@ -115,7 +115,8 @@
   });
 }
 
-function createConfigurationText(): string {
+/** Creates a configuration with one engine and one service. */
+export function createConfigurationText(): string {
   const hash = createHash("sha256").update(token).digest("hex");
   return [
     `[[zones]]\nname = "${zone}"\nregion = "here"`,
