--- a/packages/daemon/tests/daemon/DaemonProcess.ts
+++ b/packages/daemon/tests/daemon/DaemonProcess.ts
@@ -15,7 +15,9 @@
   readonly signal: NodeJS.Signals | null;
 }
 
-const main = fileURLToPath(new URL("main.js", import.meta.resolve("@pistachioway/daemon")));
+/** First file of a program: of the product's own daemon, or of a router. */
+export type Program = "main.js" | "routerMain.js";
+
 const checkMilliseconds = 20;
 const timeoutMilliseconds = 60_000;
 /** Address on loopback where nothing listens. */
@@ -27,11 +29,17 @@
   private output = "";
   private exit: Promise<ProcessExit> | undefined;
 
-  private constructor(private readonly folder: string) {}
+  private constructor(
+    private readonly folder: string,
+    private readonly program: Program,
+  ) {}
 
-  /** Creates a process that is not started and has no settings. */
-  static async create(): Promise<DaemonProcess> {
-    return new DaemonProcess(await mkdtemp(join(tmpdir(), "pistachioway-start-")));
+  /**
+   * Creates a process that is not started and has no settings.
+   * @param program - First file of the program.
+   */
+  static async create(program: Program = "main.js"): Promise<DaemonProcess> {
+    return new DaemonProcess(await mkdtemp(join(tmpdir(), "pistachioway-start-")), program);
   }
 
   /** Path of the settings file. */
@@ -52,6 +60,7 @@
    * @param nodeOptions - Options of the runtime.
    */
   start(nodeOptions: readonly string[] = []): void {
+    const main = fileURLToPath(new URL(this.program, import.meta.resolve("@pistachioway/daemon")));
     const child = spawn(process.execPath, [...nodeOptions, main, "--settings", this.file], {
       stdio: ["ignore", "pipe", "pipe"],
     });
