The soak's upstreams reset right behind a piece of an answer that names no end while they go on serving

Its upstreams broke answers with an end in order only, or went away.

Change: mode `reset-unframed` (also one of the modes of `upstream-bad`): after one to three events of a stream, but not the last one, or within any other answer, the bytes and the reset are sent together. What callers see is judged as before (streams-in-order, answers-whole).

--- a/packages/experiments/src/soak/SoakUpstream.ts
+++ b/packages/experiments/src/soak/SoakUpstream.ts
@@ -147,7 +147,7 @@
     };
     const faultyAnswer = faultyAnswers[mode] ?? answer;
     const callId = getCallId(request.path);
-    faultyAnswer({ callId, request, response, random: this.random, answer });
+    faultyAnswer({ callId, request, source: this.id, response, random: this.random, answer });
   }
 
   private refuseForRest(request: ReceivedRequest, response: ServerResponse): void {
--- a/packages/experiments/src/soak/faultyAnswers.ts
+++ b/packages/experiments/src/soak/faultyAnswers.ts
@@ -2,13 +2,16 @@
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
 import type { Random } from "../bench/Random.js";
 import { getBody } from "./bodies.js";
+import { resetBehindPiece } from "./resetAnswers.js";
 import type { UpstreamMode } from "./upstreamModes.js";
 
 /** A request that has run, and what its faulty answer depends on. */
 export interface FaultContext {
   /** Id of the call, which is in the response's stamp and body. */
   readonly callId: string;
-  readonly request: Pick<ReceivedRequest, "id" | "path">;
+  readonly request: Pick<ReceivedRequest, "id" | "path" | "lastEventId">;
+  /** Upstream that answers. */
+  readonly source: string;
   readonly response: ServerResponse;
   readonly random: Random;
   /** Answers the request as it should be. */
@@ -59,6 +62,7 @@
     sendEndless({ ...endlessError, pieceBytes: 4 })(request, response);
   },
   "endless-event": sendEndlessEvent,
+  "reset-unframed": resetBehindPiece,
 };
 
 /** Responds with a complete body and the stamp of the run. */
--- a/packages/experiments/src/soak/upstreamModes.ts
+++ b/packages/experiments/src/soak/upstreamModes.ts
@@ -12,6 +12,8 @@
  *   run: on a result, without a value, or with two values.
  * - `endless`: they run the request and answer with an error without end, in small pieces; `endless-event`: with a stream that
  *   has no event and no end, or with an error in large pieces.
+ * - `reset-unframed`: they run the request, answer with neither a length nor chunks, and reset the connection right behind a
+ *   piece of the answer while they go on serving.
  * - `early`: they answer while the body still comes, and run the request, or refuse it properly, afterwards.
  */
 export const upstreamModes = [
@@ -32,6 +34,7 @@
   "stated-twice",
   "endless",
   "endless-event",
+  "reset-unframed",
   "early",
 ] as const;
 
--- a/packages/experiments/tests/soak/upstreamModes.test.ts
+++ b/packages/experiments/tests/soak/upstreamModes.test.ts
@@ -39,6 +39,10 @@
 test("answers without end cost no other requests", () =>
   runModesOrThrow("endless", "endless-event"));
 
+// Guards against a reset right behind bytes that looks like the end of an answer (ORDER, MIXED).
+test("a reset right behind a piece of an answer that names no end is no end", () =>
+  runModesOrThrow("reset-unframed"));
+
 // Guards against refusals that are no longer believed.
 test("upstreams that refuse properly break no promise", () => runModesOrThrow("refusing"));
 
