--- a/packages/experiments/src/soak/RouterProcess.ts
+++ b/packages/experiments/src/soak/RouterProcess.ts
@@ -44,6 +44,8 @@
   /** The process that got its last reload before it handled the signal, which ends it then. */
   private earlyReloadedProcess: ManagedProcess | undefined;
   private repeatedStarts = 0;
+  /** Folder of the settings, which a reload reads again. */
+  private folder: string | undefined;
   /** Whether a restart or pause is under way, so that no other one may start. */
   isDisturbed = false;
   private readonly lines: string[] = [];
@@ -143,12 +145,11 @@
     this.isStopping = true;
     this.process?.signal(signal);
     await this.process?.waitForExit();
+    await this.removeSettings();
   }
 
   private async startOnce(): Promise<void> {
-    const folder = await mkdtemp(join(tmpdir(), "pistachioway-soak-"));
-    const file = join(folder, "router.toml");
-    await writeFile(file, this.createSettings());
+    const file = await this.writeSettings();
     const { file: main, nodeOptions, onLine } = this.program;
     const args = ["--settings", file];
     if (this.lines.length > 0) {
@@ -159,13 +160,28 @@
       onLine(line);
       return line.includes(readyEvent) ? {} : undefined;
     };
+    const process = ManagedProcess.spawn(this.name, main, args, parseLine, nodeOptions);
+    this.process = process.started;
     try {
-      const process = ManagedProcess.spawn(this.name, main, args, parseLine, nodeOptions);
-      this.process = process.started;
       await process.ready;
       this.isStopping = false;
-    } finally {
-      await rm(folder, { recursive: true, force: true });
+    } catch (error) {
+      await this.removeSettings();
+      throw error;
+    }
+  }
+
+  /** Writes the settings to a new folder, and gets the file. */
+  private async writeSettings(): Promise<string> {
+    this.folder = await mkdtemp(join(tmpdir(), "pistachioway-soak-"));
+    const file = join(this.folder, "router.toml");
+    await writeFile(file, this.createSettings());
+    return file;
+  }
+
+  private async removeSettings(): Promise<void> {
+    if (this.folder !== undefined) {
+      await rm(this.folder, { recursive: true, force: true });
     }
   }
 
--- a/packages/experiments/tests/soak/RouterProcess.test.ts
+++ b/packages/experiments/tests/soak/RouterProcess.test.ts
@@ -36,6 +36,14 @@
 console.log("line=begun");
 `;
 
+/** A program that tells whether its settings can be read when it is reloaded. */
+const readsSettings = `
+import { existsSync } from "node:fs";
+process.on("SIGHUP", () => console.log("settings=" + existsSync(process.argv[3])));
+setInterval(() => undefined, 1_000);
+console.log("event=daemon.listening");
+`;
+
 /** Creates a router that runs a program, starts it, and calls `handleFirstLine` at its first line of output. */
 async function startProgram(
   text: string,
@@ -125,6 +133,28 @@
   }
 });
 
+// Guards against a soak whose reloads are all refused, as the settings are gone once the router listens.
+test("keeps the settings while the process runs", async () => {
+  const folder = await mkdtemp(join(tmpdir(), "pistachioway-test-"));
+  const file = join(folder, "program.mjs");
+  await writeFile(file, readsSettings);
+  const seen = new Promise<string>((resolve) => {
+    const onLine = (line: string): void => {
+      if (line.startsWith("settings=")) {
+        resolve(line);
+      }
+    };
+    const options = { file, nodeOptions: [], onLine };
+    const router = RouterProcess.create("r-1", "127.0.0.1", ports, "127.0.0.1:5", options);
+    void router.start().then(() => {
+      router.reload();
+      return seen.finally(() => router.stop("SIGKILL"));
+    });
+  });
+  assert.is(await seen, "settings=true");
+  await rm(folder, { recursive: true });
+});
+
 // Guards against reports of a start that failed which do not tell why.
 test("names the exit code of a program that exits before it listens", async () => {
   const { error } = await startProgram("process.exit(5);", () => undefined);
