--- a/packages/daemon/tests/exchange/ReadPacer.test.ts
+++ b/packages/daemon/tests/exchange/ReadPacer.test.ts
@@ -92,4 +92,32 @@
   assert.equal(connections.takeEvents(), []);
 });
 
+// Guards against connections that nobody reads on, as the turn before theirs threw (issue 45).
+test("connections are read on although one before them fails", () => {
+  const connections = PacedConnections.create();
+  const failing = connections.pacer.addTurn(
+    () => undefined,
+    () => {
+      throw new Error("broken");
+    },
+  );
+  const turns = ["a", "b"].map((name) => connections.add(name));
+  [failing, ...turns].forEach((turn) => {
+    turn.addPiece(65_536);
+  });
+  connections.takeEvents();
+  const events: string[] = [];
+  for (let round = 0; round < 3; round += 1) {
+    try {
+      events.push(...connections.runRound());
+    } catch (error) {
+      events.push(String(error));
+    }
+  }
+  assert.equal(
+    events.filter((event) => event.startsWith("resume")),
+    ["resume a", "resume b"],
+  );
+});
+
 test.run();
