A daemon of the product's own that cannot be created ends with 5, not with 0

Cause: only the opening of the listeners was guarded as the start. The rejection of the program's first file went to the handler of uncaught errors, and nothing was left that keeps the process.

Ruled out: the router (its creation comes before these handlers; by reading).

Change: a failed creation ends the process as a failed start does.

--- a/packages/daemon/src/daemon/runDaemon.ts
+++ b/packages/daemon/src/daemon/runDaemon.ts
@@ -3,6 +3,7 @@
 import { logUncaughtErrors } from "../lifecycle/logUncaughtErrors.js";
 import type { DaemonSignal, PendingSignals } from "../lifecycle/PendingSignals.js";
 import { ProcessEnd } from "../lifecycle/ProcessEnd.js";
+import { getMessage } from "../lifecycle/TaskError.js";
 import { waitForSettings } from "../lifecycle/waitForSettings.js";
 import { Log } from "../log/index.js";
 import { parseSettings, type Settings } from "../settings/index.js";
@@ -24,21 +25,19 @@
   logUncaughtErrors((level, event, fields) => {
     log.write(level, event, fields);
   });
+  const failStart = (error: unknown): never => {
+    log.write("error", "daemon.start-failed", { detail: getMessage(error) });
+    process.exit(exitCodes.start);
+  };
   const daemon = await Daemon.create(settings, (error) => {
     end.fail("daemon.task-failed", error, exitCodes.task);
-  });
+  }).catch(failStart);
   const end = ProcessEnd.create(daemon, log);
   signals.handle((signal) => {
     // Requests are yet to be served, so that a stop has nothing to wait for.
     handleSignal(signal, log, () => process.exit(0));
   });
-  try {
-    await daemon.start();
-  } catch (error) {
-    const detail = error instanceof Error ? error.message : String(error);
-    log.write("error", "daemon.start-failed", { detail });
-    process.exit(exitCodes.start);
-  }
+  await daemon.start().catch(failStart);
   signals.handle((signal) => {
     handleSignal(signal, log, () => {
       end.handleSignal(signal);
--- a/packages/daemon/tests/daemon/lostTasks.test.ts
+++ b/packages/daemon/tests/daemon/lostTasks.test.ts
@@ -85,6 +85,18 @@
   );
 });
 
+// Guards against a daemon that cannot be created and ends as if it had been stopped (FAULT, issue 45).
+test("end the start when they cannot be created", async (context) => {
+  const { daemon } = context;
+  await start(context, createBreakage("membership", "identity", 1));
+  const exit = await daemon.waitForExit();
+  const [detail] = /event=daemon.start-failed .*/.exec(daemon.getOutput()) ?? [];
+  assert.equal(
+    [exit, detail],
+    [{ exitCode: 5, signal: null }, 'event=daemon.start-failed detail="broken 1"'],
+  );
+});
+
 // Guards against a daemon that no longer follows its platform, and says that it is ready (issue 45).
 test("end the process in order when the loop that follows the platform ends", async (context) => {
   const { daemon } = context;
