Faults: a link passes on a reset of its target that comes together with bytes

Seen: forwardedResets.test.ts (new: answers through a peer, whose upstream resets right behind their last bytes) failed in 4 of 4, a part of a stream as a complete one. The routers are not the cause: each reaches its upstreams through a link, and the link ended the connection in order where its target had reset it, as Node.js reports such a reset as an end.

Ruled out: the hop between routers. With the link mended all 4 hold on the code as it is.

Change: the link resets the connection to its client when the target's end was a reset. No code of the router changes.

--- a/packages/daemon/tests/router/scripts.ts
+++ b/packages/daemon/tests/router/scripts.ts
@@ -112,6 +112,18 @@
   };
 }
 
+/**
+ * Creates a script that answers with neither a length nor chunks, and resets the connection right behind its last bytes.
+ * @param part - Part of the body.
+ * @param type - Content type.
+ */
+export function resetBehind(part: string, type = "text/plain"): Script {
+  const createText = (id: string): string =>
+    `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Stamp: stamp-${id}\r\n` +
+    `Content-Type: ${type}\r\nConnection: close\r\n\r\n${part}`;
+  return writeRaw(createText, "reset");
+}
+
 /** Runs a request, and refuses one that names no request where its answer is due. */
 export const strayWithoutId: Script = (_request, response) => {
   response.writeHead(400, { "not-run": "1", "content-length": 0 });
--- a/packages/standins/src/faults/Connection.ts
+++ b/packages/standins/src/faults/Connection.ts
@@ -3,6 +3,7 @@
 import { resetSocket } from "./resetSocket.js";
 import type { Direction, LinkMode, Rule } from "./schema.js";
 import { Trigger } from "./Trigger.js";
+import { wasReset } from "./wasReset.js";
 
 /** Events that a connection reports to its link. */
 export interface ConnectionEvents {
@@ -128,7 +129,11 @@
       this.forward(direction, pipe, bytes);
     });
     socket.on("end", () => {
-      pipe.end();
+      if (wasReset(socket)) {
+        this.reset();
+      } else {
+        pipe.end();
+      }
     });
     socket.on("error", () => {
       this.reset();
--- a/packages/standins/tests/faults/Link.test.ts
+++ b/packages/standins/tests/faults/Link.test.ts
@@ -150,4 +150,41 @@
   upstream.close();
 });
 
+/** Reads a connection through a link to the end, and gets whether it was ended in order or reset. */
+async function readEnd(end: (target: Socket) => void): Promise<"in order" | "reset"> {
+  const upstream = createServer((target) => {
+    target.on("error", () => undefined);
+    target.once("data", () => {
+      target.write("a part", () => {
+        end(target);
+      });
+    });
+  });
+  await new Promise<void>((resolve) => upstream.listen(0, "127.0.0.1", resolve));
+  const { port } = upstream.address() as AddressInfo;
+  const link = Link.create("s", `127.0.0.1:${String(port)}`);
+  const [host = "", linkPort] = (await link.listen()).split(":");
+  const client = connect({ host, port: Number(linkPort), allowHalfOpen: true });
+  client.write("a request");
+  client.resume();
+  const seen = await new Promise<"in order" | "reset">((resolve) => {
+    client.on("end", () => {
+      resolve(client.remoteAddress === undefined ? "reset" : "in order");
+    });
+    client.on("error", () => {
+      resolve("reset");
+    });
+  });
+  client.destroy();
+  await link.close();
+  upstream.close();
+  return seen;
+}
+
+// Guards against a reset of the target that the link turns into an end in order, so that no test sees it.
+test("passes on whether the target has ended or reset its connection behind its last bytes", async () => {
+  assert.is(await readEnd((target) => target.end()), "in order");
+  assert.is(await readEnd((target) => target.resetAndDestroy()), "reset");
+});
+
 test.run();
