--- a/packages/daemon/tests/router/endChecks.test.ts
+++ b/packages/daemon/tests/router/endChecks.test.ts
@@ -6,7 +6,7 @@
 import { waitFor } from "./RouterFixture.js";
 import { getArrivals, setScripts, type Context } from "./scripts.js";
 import { standStill } from "./standStill.js";
-import { readStream } from "./StreamCaller.js";
+import { readStream, type SeenStream } from "./StreamCaller.js";
 
 const test = createStreamSuite("checks of the end of an answer that names none");
 
@@ -14,6 +14,7 @@
 /** Longer than a check takes. */
 const checkMilliseconds = 300;
 const crashMilliseconds = 20;
+const callerCount = 100;
 const standstillMilliseconds = 600;
 
 function getFinishedLines({ fixture }: Context): readonly string[] {
@@ -73,4 +74,31 @@
   assert.is(getArrivals(context), 1);
 });
 
+// Guards against whole answers being taken for lost when many end at once, as each end opens a connection (LOST).
+test("take all answers that end in order at the same time for complete", async (context) => {
+  const waiting: (() => void)[] = [];
+  const stream = streamFramed({ framing: "neither", lastEvent });
+  setScripts(context, (request, response) => {
+    waiting.push(() => {
+      stream(request, response);
+    });
+    if (waiting.length === callerCount) {
+      waiting.forEach((answer) => {
+        answer();
+      });
+    }
+  });
+  const port = context.fixture.callersPort;
+  const calls = Array.from({ length: callerCount }, (_, index) =>
+    readStream({ port, path: `/once/${String(index)}`, id: `q-${String(index)}` }),
+  );
+  const seen = await Promise.all(calls);
+  const whole: SeenStream = { status: 200, ids: [1, 2, 3], rest: "", isComplete: true };
+  assert.equal(
+    seen,
+    calls.map(() => whole),
+  );
+  assert.is(getArrivals(context), callerCount);
+});
+
 test.run();
