--- a/packages/daemon/src/exchange/connect.ts
+++ b/packages/daemon/src/exchange/connect.ts
@@ -15,11 +15,11 @@
   wasBroken: boolean;
   /** True once the last try to open a socket has failed. */
   hasConnectFailed: boolean;
-  /** Called when the other side has ended the socket in order and all its bytes were read, before the HTTP client learns it. */
+  /** Called when the socket has ended, also by a reset, and all its bytes were read, before the HTTP client learns it. */
   onEnded: () => void;
 }
 
-/** Code of a broken socket that the HTTP client takes for no end of an answer; the client has others for its own errors. */
+/** Code of a socket that was reset, which the HTTP client does not take for the end of an answer. */
 const brokenCode = "EPIPE";
 const resetCode = "ECONNRESET";
 
