A connection that cannot be opened ends no daemon of the product's own

Cause: the HTTP client's connector calls back with the error alone, where its types promise a null beside it; the check for null took undefined for a socket. The check asks for the error now. Ruled out: load (HostDirectory and unsent fail every time, alone too).

The router's bundle is unchanged.

--- a/packages/daemon/src/upstreams/Connections.ts
+++ b/packages/daemon/src/upstreams/Connections.ts
@@ -98,8 +98,9 @@
     pipelining: 1,
     connect: (options, callback) => {
       connect(options, (...result) => {
-        if (result[1] !== null) {
-          recordBreak(result[1], onBreak);
+        const [error, socket] = result;
+        if (error === null) {
+          recordBreak(socket, onBreak);
         }
         callback(...result);
       });
