--- a/packages/daemon/tests/exchange/StalledUpstream.ts
+++ b/packages/daemon/tests/exchange/StalledUpstream.ts
@@ -6,6 +6,8 @@
 /** Connections that the kernel keeps for a listener of backlog 1 that accepts none. */
 const queuedConnections = 2;
 const settlingMilliseconds = 20;
+/** A connection that takes longer finds the queue full, as others came before it. */
+const connectMilliseconds = 500;
 const stalled = 1;
 const running = 0;
 
@@ -50,7 +52,7 @@
       const filler = connect({ host, port: Number(port) });
       filler.on("error", () => undefined);
       this.fillers.push(filler);
-      await once(filler, "connect");
+      await Promise.race([once(filler, "connect"), delay(connectMilliseconds)]);
     }
   }
 
