--- a/packages/experiments/src/soak/upstreamDepartures.ts
+++ b/packages/experiments/src/soak/upstreamDepartures.ts
@@ -41,32 +41,31 @@
 
 /** The process of an upstream ends between two bytes of its answers; a new one replaces it, and its entry expires later. */
 export function prepareCrash(context: DisturbanceContext): PreparedDisturbance | undefined {
-  const upstream = pickReplaceable(context);
-  if (upstream === undefined) {
-    return undefined;
-  }
-  const { installation } = context;
-  upstream.isDraining = true;
-  const run = async (): Promise<void> => {
+  return prepareDraining(context, async (installation, upstream) => {
     await installation.endUpstream(upstream);
     await installation.addUpstream();
     await delay(staleEntryMilliseconds);
     installation.removeUpstream(upstream);
-  };
-  return { target: upstream.id, run };
+  });
 }
 
 /** Drains an upstream, adds a new one, and removes and closes the drained one later. */
 export function prepareReplacement(context: DisturbanceContext): PreparedDisturbance | undefined {
+  return prepareDraining(context, async (installation, upstream) => {
+    installation.drainUpstream(upstream);
+    await replaceUpstream(installation, upstream);
+  });
+}
+
+/** Picks an upstream that counts as draining from now on, and prepares its departure. */
+function prepareDraining(
+  context: DisturbanceContext,
+  depart: (installation: Installation, upstream: SoakUpstream) => Promise<void>,
+): PreparedDisturbance | undefined {
   const upstream = pickReplaceable(context);
   if (upstream === undefined) {
     return undefined;
   }
-  const { installation } = context;
   upstream.isDraining = true;
-  const run = async (): Promise<void> => {
-    installation.drainUpstream(upstream);
-    await replaceUpstream(installation, upstream);
-  };
-  return { target: upstream.id, run };
+  return { target: upstream.id, run: () => depart(context.installation, upstream) };
 }
