Read the slowdown, prompt sizes, cold times and evacuations that the platform tells

Cause: four facts that the platform tells were dropped at the edge: the fourth figure of `Load`, `Tokens`, the cold times of engines and of services, and `op/evacuate/ZONE`. Decisions under uneven load and during a recovery need them.

--- a/packages/daemon/src/forwarding/ForwardingServer.ts
+++ b/packages/daemon/src/forwarding/ForwardingServer.ts
@@ -198,6 +198,7 @@
       ...head,
       key: head.key,
       callerTimeoutMilliseconds: head.callerTimeoutMilliseconds,
+      tokens: head.tokens,
       lastEventId: head.lastEventId,
       resumedRequestId: head.resumedRequestId,
     },
--- a/packages/daemon/src/forwarding/PeerTarget.ts
+++ b/packages/daemon/src/forwarding/PeerTarget.ts
@@ -143,6 +143,7 @@
       isLeaving: answer?.isLeaving ?? false,
       requestedRest: undefined,
       statedLimit: undefined,
+      coldMilliseconds: undefined,
       isFramed: answer?.isFramed ?? true,
       passedHeaders: answer?.passedHeaders ?? [],
     };
--- a/packages/daemon/src/forwarding/messages.ts
+++ b/packages/daemon/src/forwarding/messages.ts
@@ -19,6 +19,8 @@
   key: z.string().optional(),
   callerTimeoutMilliseconds: z.number().optional(),
   promptBlocks: z.array(z.object({ id: z.string(), tokens: z.number() })),
+  /** Earlier builds do not tell it. */
+  tokens: z.object({ prompt: z.number(), maxOutput: z.number() }).optional(),
   lastEventId: z.string().optional(),
   resumedRequestId: z.string().optional(),
   passedHeaders: z.array(z.string()),
--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -310,6 +310,9 @@
         this.upstreams.removeUpstream(change.id, now);
         record("warn", "upstream.refused", { upstream: change.id, detail: change.detail });
         break;
+      case "zoneEvacuated":
+      case "zoneReturned":
+        break;
     }
   }
 
--- a/packages/daemon/tests/fleet/LimitSimulation.ts
+++ b/packages/daemon/tests/fleet/LimitSimulation.ts
@@ -166,6 +166,7 @@
       isLeaving: false,
       requestedRest: undefined,
       statedLimit: perSecond === undefined ? undefined : { text: String(perSecond), perSecond },
+      coldMilliseconds: undefined,
       isFramed: true,
       passedHeaders: [],
     };
--- a/packages/kernel/src/forwarding/index.ts
+++ b/packages/kernel/src/forwarding/index.ts
@@ -33,4 +33,5 @@
   RequestHead,
   ResponseHead,
   StatedLimit,
+  TokenCounts,
 } from "./messages.js";
--- a/packages/kernel/src/forwarding/messages.ts
+++ b/packages/kernel/src/forwarding/messages.ts
@@ -8,6 +8,13 @@
   readonly tokens: number;
 }
 
+/** Size of a prompt and of its answer. */
+export interface TokenCounts {
+  readonly prompt: number;
+  /** Tokens that the answer has at most. */
+  readonly maxOutput: number;
+}
+
 /** Head of a caller's request, without its method and path. */
 export interface RequestHead {
   /** Id that the caller gave this attempt; empty when it sent none, or several. */
@@ -18,6 +25,8 @@
   readonly callerTimeoutMilliseconds: number | undefined;
   /** Blocks of the prompt in order; the last one is not shared with other requests. */
   readonly promptBlocks: readonly PromptBlock[];
+  /** Undefined when the request has no prompt, or states no sizes that can be read. */
+  readonly tokens: TokenCounts | undefined;
   /** Id of the last stream event that the caller has received. */
   readonly lastEventId: string | undefined;
   /** Id of the request that brought the first event of the stream, when the caller resumes one. */
@@ -42,11 +51,13 @@
   readonly hasBody: boolean;
 }
 
-/** Load that an upstream reports: its running and waiting requests, and its slots. */
+/** Load that an upstream reports: its running and waiting requests, its slots, and the slowdown of its host. */
 export interface ReportedLoad {
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How many times as long as usual work takes at this moment; undefined when the upstream does not tell. */
+  readonly slowdown: number | undefined;
 }
 
 /** Time for which an upstream that refused a request wants no others from this daemon. */
@@ -81,6 +92,8 @@
   readonly isLeaving: boolean;
   readonly requestedRest: RequestedRest | undefined;
   readonly statedLimit: StatedLimit | undefined;
+  /** Time for which the upstream is still cold; undefined when it does not tell. */
+  readonly coldMilliseconds: number | undefined;
   /** False when the response has no framing and ends with the connection. */
   readonly isFramed: boolean;
   /** Alternating names and values of the headers that are passed on to the caller. */
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -20,3 +20,4 @@
 export * from "./routing/index.js";
 export * from "./streams/index.js";
 export * from "./upstreams/index.js";
+export * from "./work/index.js";
--- a/packages/kernel/src/registry/messages.ts
+++ b/packages/kernel/src/registry/messages.ts
@@ -9,7 +9,11 @@
   /** The published routing configuration cannot be parsed, so the one in force is not known. */
   | { readonly kind: "routingInvalid"; readonly detail: string }
   /** An entry that cannot be parsed as an upstream. */
-  | { readonly kind: "upstreamInvalid"; readonly id: string; readonly detail: string };
+  | { readonly kind: "upstreamInvalid"; readonly id: string; readonly detail: string }
+  /** The operator asks for the evacuation of an availability zone: its upstreams get no more requests. */
+  | { readonly kind: "zoneEvacuated"; readonly zone: string }
+  /** The evacuation of an availability zone has ended. */
+  | { readonly kind: "zoneReturned"; readonly zone: string };
 
 /** Content of the registry, or changes to it, up to a position of its history. */
 export interface RegistryUpdate {
--- a/packages/kernel/src/routing/schema.ts
+++ b/packages/kernel/src/routing/schema.ts
@@ -42,11 +42,20 @@
   canFetch: z.boolean(),
 });
 
+/** How upstreams of a service start; absent for a service whose upstreams take their full load at once. */
+const coldStartSchema = z.object({
+  /** Time after its start for which an upstream is cold. */
+  milliseconds: z.number().positive(),
+  /** Requests a second that a cold upstream tolerates from all daemons together. */
+  requestsPerSecond: z.number().positive(),
+});
+
 export const routedServiceSchema = z.object({
   name: z.string().min(1),
   /** Connections that one upstream accepts from all callers together. */
   maxConnections: z.int().positive(),
   engine: engineTraitsSchema.optional(),
+  coldStart: coldStartSchema.optional(),
 });
 
 const routedTeamSchema = z.object({
--- a/packages/kernel/src/upstreams/schema.ts
+++ b/packages/kernel/src/upstreams/schema.ts
@@ -29,6 +29,8 @@
   bornAt: z.number(),
   /** Increases with every change that the upstream makes to its record. */
   sequence: z.number(),
+  /** Time for which it is still cold after its start, when it published this record; omitted when it is not. */
+  coldMilliseconds: z.number().positive().optional(),
 });
 
 export type Upstream = z.infer<typeof upstreamSchema>;
--- /dev/null
+++ b/packages/kernel/src/work/index.ts
@@ -0,0 +1,2 @@
+export type { RequestWork } from "./RequestWork.js";
+export { WorkEstimator } from "./WorkEstimator.js";
--- a/packages/kernel/tests/forwarding/notices.test.ts
+++ b/packages/kernel/tests/forwarding/notices.test.ts
@@ -35,6 +35,7 @@
     isLeaving: false,
     requestedRest: undefined,
     statedLimit: undefined,
+    coldMilliseconds: undefined,
     isFramed: true,
     passedHeaders: [],
     ...changes,
