router check names entries without effect and compares with the version in force

Cause: `router check` told errors only. A route that another one hides, a target of weight 0, a team without keys or an objective later than its timeout are accepted by all routers and show only when callers miss something.

Ruled out: refusing such configurations in routers, as they are valid and may be meant for the next version; warning of a time for heads above a route's timeout, as the timeout counts from the arrival of the head.

Change: `getRoutingWarnings` (kernel) finds entries that no request can match and limits that exclude each other; `router check` prints them and, with `--daemon`, the differences from that router's version, keys hashed, and whether the version would be ignored.

--- a/packages/cli/src/commands/RouterDiff.ts
+++ b/packages/cli/src/commands/RouterDiff.ts
@@ -1,6 +1,6 @@
 import { Args, Flags } from "@oclif/core";
-import { diffConfigurations, type ConfigurationChange, type Routing } from "@pistachioway/kernel";
-import { createHash } from "node:crypto";
+import type { ConfigurationChange } from "@pistachioway/kernel";
+import { diffRouting } from "../configuration/index.js";
 import { exitCodes } from "../exitCodes.js";
 import { readPublishedConfiguration } from "../files/index.js";
 import { formatChange, toPrintable } from "../text/index.js";
@@ -11,8 +11,6 @@
   readonly faults: readonly string[];
 }
 
-const shownDigestCharacters = 12;
-
 /** Prints the differences between two published configurations, with the secret keys hashed. */
 export class RouterDiff extends BaseCommand {
   static override description =
@@ -45,7 +43,7 @@
       this.raiseExitCode(exitCodes.findings);
       return { changes: [], faults };
     }
-    const changes = diffConfigurations(hashKeys(before.routing), hashKeys(after.routing));
+    const changes = diffRouting(before.routing, after.routing);
     if (flags["exit-code"] && changes.length > 0) {
       this.raiseExitCode(exitCodes.findings);
     }
@@ -53,13 +51,3 @@
     return { changes, faults };
   }
 }
-
-function hashKeys(routing: Routing): Routing {
-  const teams = routing.teams?.map((team) => ({ ...team, keys: team.keys.map(hashKey) }));
-  return { ...routing, teams };
-}
-
-function hashKey(key: string): string {
-  const digest = createHash("sha256").update(key).digest("hex");
-  return `sha256:${digest.slice(0, shownDigestCharacters)}`;
-}
--- /dev/null
+++ b/packages/cli/src/configuration/index.ts
@@ -0,0 +1,1 @@
+export { diffRouting } from "./diffRouting.js";
--- a/packages/cli/src/daemons/OperationsClient.ts
+++ b/packages/cli/src/daemons/OperationsClient.ts
@@ -3,18 +3,22 @@
   eventPageSchema,
   explanationSchema,
   routerStatusSchema,
+  routingSchema,
   statusSchema,
   type DaemonStatus,
   type RouterStatus,
   type EventPage,
   type Explanation,
   type Instant,
+  type Routing,
 } from "@pistachioway/kernel";
 import { Result } from "true-myth";
 import { request } from "undici";
-import type { z } from "zod";
+import { z } from "zod";
 import { DaemonResponseError, UnreachableDaemonError } from "../errors/index.js";
 
+const routerStateSchema = z.object({ routing: routingSchema });
+
 export type DaemonFailure = DaemonResponseError | UnreachableDaemonError;
 
 const timeoutMilliseconds = 3_000;
@@ -43,6 +47,12 @@
     return this.get("/status", routerStatusSchema);
   }
 
+  /** Gets the configuration that a router has in force. */
+  async getRouting(): Promise<Result<Routing, DaemonFailure>> {
+    const state = await this.get("/peer-state?known=-1", routerStateSchema);
+    return state.map(({ routing }) => routing);
+  }
+
   /**
    * Gets the engine that the daemon would place a chat on, and why.
    * @param chat - Id of the chat.
--- a/packages/cli/tests/commands/routerFiles.test.ts
+++ b/packages/cli/tests/commands/routerFiles.test.ts
@@ -1,9 +1,12 @@
+import { decodeConfiguration } from "@pistachioway/platform";
 import { createPublishedConfiguration } from "@pistachioway/standins";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { FakeDaemon } from "../FakeDaemon.js";
+import { exitCodes } from "@pistachioway/cli";
 import { runCli } from "../runCli.js";
 
 const test = suite("router check, router diff");
@@ -64,4 +67,27 @@
   ]);
 });
 
+// Guards against a configuration that is published although routers ignore it, or although one of its entries does nothing.
+test("compares a configuration with the version in force, and names its entries without effect", async () => {
+  const document = createPublishedConfiguration({ version: 7 });
+  const routing = decodeConfiguration(JSON.stringify(document)).map((decoded) => decoded.routing);
+  const daemon = await FakeDaemon.create({
+    "/peer-state?known=-1": { version: 7, routing: routing.unwrapOr(undefined as never) },
+  });
+  const text = JSON.stringify(createPublishedConfiguration({ version: 7, keys: ["k-2"] }));
+  const file = await write("older.json", text.replace('"goal_ms":', '"goal_ms":9'));
+  const run = await runCli("router", "check", file, "--daemon", daemon.getAddress());
+  daemon.close();
+  assert.is(run.code, 1);
+  assert.match(run.output, /contradiction: the objective of route "\S+" of \d+ ms is later than/);
+  assert.match(run.output, "ignored by routers, since version 7 is not higher than 7");
+  assert.match(run.output, '~ teams.callaloo.keys: ["sha256:7c35c5a1785d"] ->');
+});
+
+test("reports a router that does not answer", async () => {
+  const file = await write("new.json", createPublishedConfiguration({ version: 8 }));
+  const run = await runCli("router", "check", file, "--daemon", "127.0.0.1:1");
+  assert.equal([run.code, run.errors.startsWith("error: ")], [exitCodes.unreachable, true]);
+});
+
 test.run();
--- a/packages/kernel/src/routing/RouteTable.ts
+++ b/packages/kernel/src/routing/RouteTable.ts
@@ -110,6 +110,10 @@
   return route.targets[0]?.service ?? "";
 }
 
-function toHostName(authority: string): string {
+/**
+ * Gets the host name by which routes are found: in lower case, without port.
+ * @param authority - Host header, or host of a route.
+ */
+export function toHostName(authority: string): string {
   return authority.replace(/:\d+$/, "").toLowerCase();
 }
--- a/packages/kernel/src/routing/index.ts
+++ b/packages/kernel/src/routing/index.ts
@@ -1,4 +1,5 @@
 export { getRoutingFaults } from "./getRoutingFaults.js";
+export { getRoutingWarnings, type RoutingWarning } from "./getRoutingWarnings.js";
 export { getTargetService, RouteTable } from "./RouteTable.js";
 export {
   requestKindSchema,
