In large zones two routers read the registry, and the others follow them

Cause: each router reads the registry 1.4 times a second, since engines write there all the time: 66 routers made 5,529 calls in 58 s for the same changes, and the number grows with the fleet.

Ruled out: a longer interval between calls, which delays each change for all; a reader's complete state each time, which lists upstreams that are kept for a grace period only; gossip of the changes.

Change: `chooseReader` and `RegistryHistory` (kernel) decide who reads and what a follower is told; `FollowingRegistry` (daemon) takes changes from a reader and falls back to the registry in the same call. A follower's lease is older by the reader's age, so the bound on revoked keys holds as before. Zones of at most four routers for each reader read as before.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -18,6 +18,11 @@
 export { TickListeners } from "./ingress/index.js";
 export type { ActiveRequestOutcome } from "./ingress/index.js";
 export { StreamLog, type LogOutput } from "./log/StreamLog.js";
-export { RegistryTask } from "./registry/index.js";
+export {
+  FollowingRegistry,
+  RegistryTask,
+  relayedUpdateSchema,
+  type RelayedUpdate,
+} from "./registry/index.js";
 export { parseRouterSettings, Router, routerSettingsSchema } from "./router/index.js";
 export type { RouterSettings } from "./router/index.js";
--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -1,6 +1,7 @@
 import {
   ConfigurationLease,
   RegistryEra,
+  RegistryHistory,
   RouteTable,
   UpstreamTable,
   type ClockReading,
@@ -50,6 +51,8 @@
   readonly upstreams = UpstreamTable.create();
   readonly lease = ConfigurationLease.create();
   readonly era = RegistryEra.create();
+  /** Latest changes, for peers that follow this daemon. */
+  readonly history = RegistryHistory.create();
   private table: RouteTable | undefined;
   private isNewestTableInvalid = false;
   /** True from a restoration of the registry until the next confirmation. */
@@ -158,7 +161,11 @@
     this.dependencies.onTable(table);
   }
 
-  private async callRegistry(): Promise<boolean> {
+  /**
+   * Reads or watches the registry once.
+   * @returns Whether it answered.
+   */
+  async callRegistry(): Promise<boolean> {
     const requestedAt = this.dependencies.getClocks();
     const call = this.position === undefined ? "read" : "watch";
     try {
@@ -207,6 +214,7 @@
     const comparison = this.era.observe(era, now);
     if (comparison === "newer") {
       this.position = undefined;
+      this.history.clear();
       this.isConfirmationPending = true;
       this.upstreams.startRestoration(now);
       this.dependencies.record("warn", "registry.restored", {
@@ -252,12 +260,22 @@
       );
       this.removeMissing(new Set(upstreams));
     }
+    this.recordHistory(update, isFullRead);
     this.position = update.position;
     if (this.table !== undefined && !this.isNewestTableInvalid) {
       this.renewLease(update, isFullRead, requestedAt);
     }
   }
 
+  /** A complete read tells the content, but not all changes that led to it. */
+  private recordHistory(update: RegistryUpdate, isFullRead: boolean): void {
+    if (isFullRead || this.position === undefined) {
+      this.history.clear();
+    } else {
+      this.history.add(this.position, update);
+    }
+  }
+
   /**
    * A watch that lasted its full time without changes confirms the configuration until shortly before
    * its end; any other response confirms it as of the time of the request.
@@ -267,6 +285,11 @@
     if (!this.era.canConfirm(this.table?.version ?? -1, requestedAt.monotonic)) {
       return;
     }
+    this.isConfirmationPending = false;
+    if (update.ageMilliseconds !== undefined) {
+      this.lease.renew(requestedAt, now, update.ageMilliseconds);
+      return;
+    }
     const isEmptyWatch = !isFullRead && update.changes.length === 0;
     const waitedMilliseconds = now.monotonic - requestedAt.monotonic;
     const isFull = isEmptyWatch && waitedMilliseconds >= this.waitMilliseconds;
@@ -274,7 +297,6 @@
       ? Math.max(0, this.waitMilliseconds - watchLagMilliseconds)
       : 0;
     this.lease.renew(requestedAt, now, -confirmedMilliseconds);
-    this.isConfirmationPending = false;
   }
 
   private applyChange(change: RegistryChange): void {
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -112,8 +112,10 @@
       record,
     });
     this.registryTask = createRegistryTask({
+      settings: dependencies.settings,
       registry: dependencies.registry,
       metrics: this.metrics,
+      getView: () => this.fleet.view,
       getClocks: readClocks,
       record,
       onTable: (table) => {
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -3,7 +3,7 @@
 import { peerStatePath, type FleetTask, type PeerState } from "../fleet/index.js";
 import type { IngressServer } from "../ingress/index.js";
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
-import type { RegistryTask } from "../registry/index.js";
+import { registryChangesPath, type RegistryTask, type RelayedUpdate } from "../registry/index.js";
 import type { Forwarding } from "./createForwarding.js";
 import type { OperationsPage, PageSource } from "./OperationsServer.js";
 import type { RouterSettings } from "./settings.js";
@@ -59,6 +59,7 @@
       "/status": () => this.getStatusPage(),
       ...this.getMetrics(),
       [peerStatePath]: (query) => this.getPeerStatePage(Number(query.get("known") ?? -1)),
+      [registryChangesPath]: (query) => this.getChangesPage(Number(query.get("after") ?? NaN)),
     };
   }
 
@@ -129,6 +130,18 @@
     }
   }
 
+  /** Gets what this daemon has read from the registry after a position, for a peer that follows it. */
+  private getChangesPage(position: number): OperationsPage {
+    const { registry } = this.dependencies;
+    const update = Number.isSafeInteger(position) ? registry.history.getSince(position) : undefined;
+    const ageMilliseconds = registry.getAgeMilliseconds();
+    if (update === undefined || !Number.isFinite(ageMilliseconds)) {
+      return { status: 503, type: "text/plain", text: "not all changes are known\n" };
+    }
+    const relayed: RelayedUpdate = { ...update, era: registry.era.getEra(), ageMilliseconds };
+    return toJsonPage(relayed);
+  }
+
   private getPeerStatePage(knownVersion: number): OperationsPage {
     const { registry } = this.dependencies;
     const table = registry.getTable();
--- a/packages/daemon/src/router/settings.ts
+++ b/packages/daemon/src/router/settings.ts
@@ -24,7 +24,14 @@
     /** For heartbeats between daemons (UDP). */
     datagrams: address,
   }),
-  registry: z.strictObject({ address }),
+  registry: z.strictObject({
+    address,
+    /**
+     * Daemons of a zone that read the registry, while the others follow one of them. All read where it is omitted, and in
+     * zones of at most four daemons for each reader.
+     */
+    readersPerZone: z.int().min(1).optional(),
+  }),
   peers: z
     .strictObject({
       /** Listeners of daemons that may be running; only the host of each is used. */
--- a/packages/kernel/src/registry/messages.ts
+++ b/packages/kernel/src/registry/messages.ts
@@ -22,6 +22,8 @@
   readonly position: number;
   /** Era of the content: it rises when the registry was restored from an older copy. */
   readonly era?: number | undefined;
+  /** Age of the content when the call began, if a peer told it; undefined when the registry itself did. */
+  readonly ageMilliseconds?: number | undefined;
 }
 
 /** The registry does not have its history from the requested position. */
