Estimate the time of work, and judge silence and slow attempts by it

Change: WorkEstimator learns the reading speed of each work-aware service from first bytes, and tells UpstreamReach the bound of silence of an upstream and SlowAttemptMonitor whether a repeat would be sooner. Services that are not work-aware keep the fixed bounds.

--- a/packages/daemon/src/exchange/ReachabilityTask.ts
+++ b/packages/daemon/src/exchange/ReachabilityTask.ts
@@ -3,6 +3,7 @@
   type ServiceReachChange,
   type UpstreamEntry,
   type UpstreamTable,
+  type WorkEstimator,
 } from "@pistachioway/kernel";
 import type { Fields, LogLevel } from "../log/line.js";
 import { canConnect, isStillServing } from "./connect.js";
@@ -15,6 +16,8 @@
 export interface ReachabilityDependencies {
   readonly upstreams: UpstreamTable;
   readonly pool: ConnectionPool;
+  /** Tells how long an upstream may take for the work that it holds. */
+  readonly workEstimator: WorkEstimator;
   readonly getNow: () => number;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
@@ -26,7 +29,10 @@
 
   private constructor(private readonly dependencies: ReachabilityDependencies) {
     this.checkedAt = dependencies.getNow();
-    this.reach = UpstreamReach.create(dependencies.upstreams);
+    const { upstreams, workEstimator } = dependencies;
+    this.reach = UpstreamReach.create(upstreams, (entry, now) =>
+      workEstimator.getSilenceLimit(entry, now),
+    );
   }
 
   /**
@@ -77,7 +83,7 @@
   private runCheck(now: number): void {
     const { silent, changes } = this.reach.check(now);
     silent.forEach((entry) => {
-      this.handleSilent(entry);
+      this.handleSilent(entry, now);
     });
     changes.forEach((change) => {
       this.recordChange(change);
@@ -85,9 +91,12 @@
     this.probe(this.reach.takeProbes(now));
   }
 
-  private handleSilent({ record: { id, zone, address }, running }: UpstreamEntry): void {
+  private handleSilent(entry: UpstreamEntry, now: number): void {
+    const { record, running } = entry;
+    const { id: upstream, zone, address } = record;
     this.dependencies.pool.closeIdleTo(address);
-    this.dependencies.record("warn", "upstream.silent", { upstream: id, zone, running });
+    const limit = Math.round(this.reach.getSilenceLimit(entry, now));
+    this.dependencies.record("warn", "upstream.silent", { upstream, zone, running, limit });
   }
 
   private recordChange({ service, isReached, listed }: ServiceReachChange): void {
--- a/packages/daemon/src/forwarding/PeerTarget.ts
+++ b/packages/daemon/src/forwarding/PeerTarget.ts
@@ -57,6 +57,14 @@
     return false;
   }
 
+  getSilenceLimit(): number {
+    return 0;
+  }
+
+  isRepeatSooner(): boolean {
+    return true;
+  }
+
   getRefusal(): ForwardedRefusal | undefined {
     return this.response?.kind === "refusal" ? this.response : undefined;
   }
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -167,7 +167,10 @@
   private handleSlowAttempt(attempt: Attempt): void {
     const detail = `${attempt.target.description} did not answer in time`;
     if (this.mayRetry("late", detail)) {
-      this.recordFailure(attempt.target);
+      const now = this.dependencies.getNow();
+      if (now - attempt.lastReceivedAt > attempt.target.getSilenceLimit(now)) {
+        this.recordFailure(attempt.target);
+      }
       this.cancelAttempt();
       this.send();
     }
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -8,6 +8,7 @@
   RoutedService,
   UpstreamNotice,
   UpstreamTable,
+  WorkEstimator,
 } from "@pistachioway/kernel";
 import type { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
@@ -37,6 +38,8 @@
   readonly codec: HeaderCodec;
   readonly retryBudgets: RetryBudgets;
   readonly prefixes: PrefixDirectory;
+  /** Tells how long upstreams take for requests. */
+  readonly workEstimator: WorkEstimator;
   readonly quarantine: ContentQuarantine;
   readonly streams: StreamDirectory;
   readonly metrics: RouterMetrics;
--- a/packages/daemon/src/ingress/AttemptTarget.ts
+++ b/packages/daemon/src/ingress/AttemptTarget.ts
@@ -31,6 +31,12 @@
   readonly getSoftwareVersion: () => string | undefined;
   /** Checks whether other targets should be used if there are any. */
   readonly isAvoided: (now: number) => boolean;
+  /**
+   * Gets the time without a byte that the work which the target holds explains, in milliseconds; 0 when that is not known.
+   */
+  readonly getSilenceLimit: (now: number) => number;
+  /** Checks whether the request, which waits for the head of its response, would be answered sooner elsewhere. */
+  readonly isRepeatSooner: (now: number) => boolean;
   /**
    * Sends the request.
    * @param lastEventId - Id of the last event that the caller has received.
--- a/packages/daemon/src/ingress/SlowAttemptMonitor.ts
+++ b/packages/daemon/src/ingress/SlowAttemptMonitor.ts
@@ -70,7 +70,11 @@
    */
   recordFailureIfUnresponsive(attempt: Attempt | undefined): void {
     const now = this.getNow();
-    if (attempt !== undefined && now - attempt.lastReceivedAt > stallTimeoutMilliseconds) {
+    if (attempt === undefined) {
+      return;
+    }
+    const limit = Math.max(stallTimeoutMilliseconds, attempt.target.getSilenceLimit(now));
+    if (now - attempt.lastReceivedAt > limit) {
       attempt.target.recordFailure(now);
     }
   }
@@ -87,11 +91,11 @@
     const limit =
       head === undefined
         ? this.route.goalMilliseconds * slowObjectiveRatio
-        : stallTimeoutMilliseconds;
+        : Math.max(stallTimeoutMilliseconds, target.getSilenceLimit(now));
     const waitedMilliseconds = now - lastReceivedAt;
-    return (
+    const isLate =
       waitedMilliseconds >
-      (target.isAvoided(now) ? Math.min(avoidedTimeoutMilliseconds, limit) : limit)
-    );
+      (target.isAvoided(now) ? Math.min(avoidedTimeoutMilliseconds, limit) : limit);
+    return isLate && (head !== undefined || target.isRepeatSooner(now));
   }
 }
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -1,8 +1,11 @@
 import {
   applyResponseHead,
   findPrefixHolder,
+  getRequestWork,
   isRepeatable,
+  type PlacedWork,
   type RequestApproval,
+  type RequestWork,
   type ResponseHead,
   type Upstream,
   type UpstreamChoice,
@@ -12,14 +15,19 @@
 import { getSharedBlocks, getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AttemptTarget, TargetReport } from "./AttemptTarget.js";
+import { chooseRequestUpstream } from "./chooseRequestUpstream.js";
 
 const maxPriority = 9;
+/** Answers from this status on tell nothing of how long work takes. */
+const errorStatus = 400;
 
 /** An upstream to which this daemon sends a request directly. */
 export class UpstreamTarget implements AttemptTarget {
   readonly description: string;
   readonly upstream: Upstream;
   private readonly entry: UpstreamEntry;
+  /** Work of the request at the upstream, once it is sent. */
+  private work: RequestWork | undefined;
 
   private constructor(
     private readonly dependencies: ActiveRequestDependencies,
@@ -53,12 +61,28 @@
     return this.entry.isAvoided(now);
   }
 
+  getSilenceLimit(now: number): number {
+    return this.dependencies.workEstimator.getSilenceLimit(this.entry, now) ?? 0;
+  }
+
+  isRepeatSooner(now: number): boolean {
+    const { dependencies, request, entry, work } = this;
+    const { workEstimator } = dependencies;
+    if (work === undefined || !workEstimator.isWorkAware(request.service)) {
+      return true;
+    }
+    const current = { entry, work };
+    return workEstimator.isRepeatSooner(current, this.getNext(now), request.deadline, now);
+  }
+
   send(lastEventId: string | undefined, listener: ExchangeListener): Exchange {
     const { dependencies, request, entry } = this;
     const { head, approval, method, path, body, hasBody } = request;
     const { record } = entry;
     const now = dependencies.getNow();
     const isEngine = dependencies.getService(record.service)?.engine !== undefined;
+    this.work = this.getWork(this.choice, now);
+    dependencies.workEstimator.startWork(entry, this.work, now);
     entry.startRequest(now);
     entry.limit.takeSlot(now, dependencies.getLimitShare());
     const headers = dependencies.codec.writeRequest(head, {
@@ -83,8 +107,11 @@
   }
 
   recordHead(head: ResponseHead, now: number): void {
-    const { upstreams, onNotices } = this.dependencies;
-    onNotices(applyResponseHead(upstreams, this.entry, head, now));
+    const { upstreams, workEstimator, onNotices } = this.dependencies;
+    onNotices(applyResponseHead(upstreams, this.entry, head, now, workEstimator));
+    if (this.work !== undefined && head.meaning === "final" && head.status < errorStatus) {
+      workEstimator.recordFirstByte(this.entry, this.work, now);
+    }
   }
 
   recordReceivedBytes(now: number): void {
@@ -96,6 +123,9 @@
   }
 
   finish(hadStream: boolean): void {
+    if (this.work !== undefined) {
+      this.dependencies.workEstimator.endWork(this.entry, this.work);
+    }
     this.entry.finishRequest(hadStream);
   }
 
@@ -134,6 +164,27 @@
     return { upstream, software, choice: this.choice.reason, load, via: "-" };
   }
 
+  /** Gets the upstream that the request would be sent to after this one, and its work there. */
+  private getNext(now: number): PlacedWork | undefined {
+    const { dependencies, request, upstream } = this;
+    const excluded = new Set([...(request.forwarded?.triedUpstreams ?? []), upstream.id]);
+    const constraints = { excluded, softwareVersion: request.forwarded?.softwareVersion };
+    const choice = chooseRequestUpstream(dependencies, request, constraints);
+    return choice && { entry: choice.entry, work: this.getWork(choice, now) };
+  }
+
+  /** Gets the work of the request at an upstream, which may fetch what another one has cached. */
+  private getWork({ entry, preferred }: UpstreamChoice, now: number): RequestWork {
+    const { dependencies, request } = this;
+    const { head, service } = request;
+    const sharedBlocks = getSharedBlocks(head);
+    const canFetch = dependencies.getService(service)?.engine?.canFetch === true;
+    const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, now };
+    const source = canFetch ? findPrefixHolder(dependencies, lookup, entry, preferred) : undefined;
+    const holders = source === undefined ? [entry] : [entry, source];
+    return getRequestWork(dependencies.prefixes, head, holders, now);
+  }
+
   /** Gets the address of an engine that likely has more of the prompt cached than the chosen one. */
   private getKvCacheSourceAddress(now: number): string | undefined {
     const { dependencies, entry } = this;
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -167,6 +167,27 @@
     registers: [this.registry],
   });
 
+  readonly readingMilliseconds = new Gauge({
+    name: "pistachioway_reading_milliseconds_per_1000_tokens",
+    help: "Expected time in which engines of a work-aware service read 1,000 tokens of a prompt.",
+    labelNames: ["service"],
+    registers: [this.registry],
+  });
+
+  readonly fixedMilliseconds = new Gauge({
+    name: "pistachioway_first_byte_fixed_milliseconds",
+    help: "Expected time to the first byte that does not depend on the prompt, by work-aware service.",
+    labelNames: ["service"],
+    registers: [this.registry],
+  });
+
+  readonly lateMilliseconds = new Gauge({
+    name: "pistachioway_first_byte_late_milliseconds",
+    help: "Time by which first bytes are later than expected at the moment, by work-aware service.",
+    labelNames: ["service"],
+    registers: [this.registry],
+  });
+
   private constructor() {
     // Instances are created by the static method.
   }
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -1,4 +1,9 @@
-import { noticeKinds, type MemoryBudget, type RouterStatus } from "@pistachioway/kernel";
+import {
+  noticeKinds,
+  type MemoryBudget,
+  type RouterStatus,
+  type WorkEstimator,
+} from "@pistachioway/kernel";
 import type { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import { peerStatePath, type FleetTask, type PeerState } from "../fleet/index.js";
 import type { IngressServer } from "../ingress/index.js";
@@ -11,6 +16,7 @@
 /** A daemon is not ready when its configuration's age exceeds this ratio of the revocation time. */
 const unreadyAgeRatio = 0.75;
 const millisecondsPerSecond = 1_000;
+const tokensPerEstimate = 1_000;
 
 /** Dependencies of the pages. */
 export interface RouterPagesDependencies {
@@ -23,6 +29,7 @@
   readonly forwarding: Forwarding;
   readonly pool: ConnectionPool;
   readonly memory: MemoryBudget;
+  readonly workEstimator: WorkEstimator;
   readonly metrics: RouterMetrics;
   readonly getNow: () => number;
   /** Checks whether the start is complete: every needed listener listens. */
@@ -115,10 +122,23 @@
     metrics.pausedConnections.set(pool.pacer.getWaitingCount());
     metrics.connections.set(pool.getOpenedCount());
     this.measureWaitingNotices();
+    this.measureWork();
     const text = await metrics.registry.metrics();
     return { status: 200, type: metrics.registry.contentType, text };
   }
 
+  private measureWork(): void {
+    const { workEstimator, metrics, getNow } = this.dependencies;
+    for (const { service, reading, lateMilliseconds } of workEstimator.getEstimates(getNow())) {
+      if (reading !== undefined) {
+        const perThousand = reading.millisecondsPerToken * tokensPerEstimate;
+        metrics.readingMilliseconds.set({ service }, perThousand);
+        metrics.fixedMilliseconds.set({ service }, reading.fixedMilliseconds);
+      }
+      metrics.lateMilliseconds.set({ service }, lateMilliseconds);
+    }
+  }
+
   private measureWaitingNotices(): void {
     const { fleet, metrics, getNow } = this.dependencies;
     const now = getNow();
--- a/packages/kernel/src/forwarding/notices.ts
+++ b/packages/kernel/src/forwarding/notices.ts
@@ -1,6 +1,7 @@
 import type { FleetNotice } from "../fleet/index.js";
 import type { ContentQuarantine } from "../quarantine/index.js";
 import type { PrefixDirectory, UpstreamEntry, UpstreamTable } from "../upstreams/index.js";
+import type { WorkEstimator } from "../work/index.js";
 import type { ResponseHead } from "./messages.js";
 
 /** What a daemon learned about an upstream from a response or from a peer. */
@@ -30,12 +31,14 @@
  * @param entry - Upstream that the request was sent to.
  * @param head - Head of its response.
  * @param now - Monotonic time in milliseconds.
+ * @param workEstimator - Receives the load that the head reports.
  */
 export function applyResponseHead(
   upstreams: UpstreamTable,
   entry: UpstreamEntry,
   head: ResponseHead,
   now: number,
+  workEstimator?: WorkEstimator,
 ): readonly UpstreamNotice[] {
   if (head.isMisdirected) {
     avoidIfReplaced(entry, head, now);
@@ -45,6 +48,7 @@
   const { id: upstream } = entry.record;
   if (head.load !== undefined) {
     entry.recordReportedLoad(head.load.running + head.load.waiting, now);
+    workEstimator?.recordReport(entry, head.load, now);
   }
   if (head.isLeaving && upstreams.markLeaving(entry.record)) {
     notices.push({ kind: "leaving", upstream });
--- a/packages/kernel/src/upstreams/PrefixDirectory.ts
+++ b/packages/kernel/src/upstreams/PrefixDirectory.ts
@@ -79,6 +79,17 @@
     return undefined;
   }
 
+  /**
+   * Checks whether an engine likely caches a block.
+   * @param block - Hash of the block's id.
+   * @param entry - The engine.
+   * @param now - Monotonic time.
+   */
+  isHolder(block: number, entry: UpstreamEntry, now: number): boolean {
+    const usedAt = this.holdersByBlock.get(block)?.get(entry);
+    return usedAt !== undefined && now - usedAt < cacheLifetimeMilliseconds;
+  }
+
   /** Checks whether any engine is known to hold a block. */
   isKnown(block: number): boolean {
     return this.holdersByBlock.has(block);
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -103,6 +103,11 @@
     this.path.recordReceivedBytes(now);
   }
 
+  /** Gets the time without a byte that is too long for an upstream whose work is not known, in milliseconds. */
+  getUsualSilenceLimit(): number {
+    return this.openStreams > 0 ? streamIdleTimeoutMilliseconds : responseTimeoutMilliseconds;
+  }
+
   /** Checks whether the upstream holds requests and has sent nothing for a time. */
   isSilentFor(milliseconds: number, now: number): boolean {
     return this.running > 0 && now - this.lastReceivedAt > milliseconds;
@@ -111,11 +116,10 @@
   /**
    * Avoids the upstream if it holds requests and has sent nothing for too long.
    * @param now - Current time.
+   * @param limit - Time without a byte that is too long, in milliseconds.
    * @returns Whether the upstream counts as silent from now on; false when it already did.
    */
-  avoidIfUnresponsive(now: number): boolean {
-    const limit =
-      this.openStreams > 0 ? streamIdleTimeoutMilliseconds : responseTimeoutMilliseconds;
+  avoidIfUnresponsive(now: number, limit = this.getUsualSilenceLimit()): boolean {
     if (!this.isSilentFor(limit, now) || this.path.isSilent()) {
       return false;
     }
--- a/packages/kernel/src/upstreams/UpstreamReach.ts
+++ b/packages/kernel/src/upstreams/UpstreamReach.ts
@@ -25,6 +25,12 @@
   readonly changes: readonly ServiceReachChange[];
 }
 
+/**
+ * Gets the time without a byte after which an upstream that holds requests is silent, by the work that it holds; undefined
+ * where the fixed bounds apply.
+ */
+export type SilenceLimit = (entry: UpstreamEntry, now: number) => number | undefined;
+
 /** What this daemon knows of its paths to the upstreams of one service. */
 interface ServiceState {
   isReached: boolean;
@@ -47,14 +53,26 @@
   /** When a probe last opened a connection. */
   private recoveredAt = -Infinity;
 
-  private constructor(private readonly upstreams: UpstreamTable) {}
+  private constructor(
+    private readonly upstreams: UpstreamTable,
+    private readonly getWorkLimit: SilenceLimit,
+  ) {}
 
   /**
    * Creates the reach of a daemon that has met no failure.
    * @param upstreams - Upstreams that the registry lists.
+   * @param getWorkLimit - Gets the bound of silence by the work of an upstream.
    */
-  static create(upstreams: UpstreamTable): UpstreamReach {
-    return new UpstreamReach(upstreams);
+  static create(
+    upstreams: UpstreamTable,
+    getWorkLimit: SilenceLimit = () => undefined,
+  ): UpstreamReach {
+    return new UpstreamReach(upstreams, getWorkLimit);
+  }
+
+  /** Gets the time without a byte after which an upstream that holds requests is silent. */
+  getSilenceLimit(entry: UpstreamEntry, now: number): number {
+    return this.getWorkLimit(entry, now) ?? entry.getUsualSilenceLimit();
   }
 
   /** Gets the names of the services none of whose upstreams this daemon can reach by itself. */
@@ -92,7 +110,7 @@
    */
   check(now: number): ReachCheck {
     const groups = this.groupByService();
-    const silent = [...groups.values()].flat().filter((entry) => entry.avoidIfUnresponsive(now));
+    const silent = [...groups.values()].flat().filter((entry) => this.checkEntry(entry, now));
     for (const [service, entries] of groups) {
       this.endDoubtIfProven(service, entries);
       this.doubtIfSilentTogether(service, entries, now);
@@ -121,6 +139,19 @@
     return probes;
   }
 
+  /** Checks whether an upstream is silent from now on; a connection to one that may be at work shows whether its host is up. */
+  private checkEntry(entry: UpstreamEntry, now: number): boolean {
+    const usual = entry.getUsualSilenceLimit();
+    if (!entry.isSilentFor(usual, now)) {
+      return false;
+    }
+    const limit = this.getSilenceLimit(entry, now);
+    if (limit > usual && !entry.isSilentFor(limit, now)) {
+      requestProbe(entry, now);
+    }
+    return entry.avoidIfUnresponsive(now, limit);
+  }
+
   private groupByService(): ReadonlyMap<string, readonly UpstreamEntry[]> {
     const groups = new Map<string, UpstreamEntry[]>();
     for (const entry of this.upstreams.getEntries()) {
@@ -189,14 +220,25 @@
     if (now - getProvenAt(entries) <= groupSilenceMilliseconds) {
       return;
     }
-    if (waiting.length > 1) {
+    const atWork = waiting.filter((entry) => this.mayBeAtWork(entry, now));
+    if (waiting.length > 1 && atWork.length === 0) {
       this.startDoubt(service, entries, now);
       return;
     }
-    const [only] = waiting;
-    if (only !== undefined && now - only.path.getProbedAt() >= doubtPauseMilliseconds) {
-      only.path.requestProbe();
-    }
+    waiting.forEach((entry) => {
+      requestProbe(entry, now);
+    });
+  }
+
+  /** Checks whether the work that an upstream holds explains that it sends nothing. */
+  private mayBeAtWork(entry: UpstreamEntry, now: number): boolean {
+    const limit = this.getWorkLimit(entry, now);
+    return (
+      limit !== undefined &&
+      limit > entry.getUsualSilenceLimit() &&
+      !entry.isSilentFor(limit, now) &&
+      !entry.path.isSilent()
+    );
   }
 
   /** Takes all paths for silent while several upstreams are and no byte of any comes. */
@@ -210,7 +252,10 @@
       });
     }
     const silentCount = entries.filter(({ path }) => path.isSilent()).length;
-    const isSilent = silentCount > 1 && now - receivedAt > streamIdleTimeoutMilliseconds;
+    const isSilent =
+      silentCount > 1 &&
+      now - receivedAt > streamIdleTimeoutMilliseconds &&
+      !entries.some((entry) => entry.running > 0 && this.mayBeAtWork(entry, now));
     if (state.silentSince === undefined && isSilent) {
       state.silentSince = now;
       entries.forEach(({ path }) => {
@@ -257,6 +302,12 @@
   }
 }
 
+function requestProbe({ path }: UpstreamEntry, now: number): void {
+  if (now - path.getProbedAt() >= doubtPauseMilliseconds) {
+    path.requestProbe();
+  }
+}
+
 function isReachable({ path }: UpstreamEntry): boolean {
   return path.getState() === "open" || path.isOpenToOldConnections();
 }
--- a/packages/kernel/src/upstreams/index.ts
+++ b/packages/kernel/src/upstreams/index.ts
@@ -14,4 +14,9 @@
 export { UpstreamTable } from "./UpstreamTable.js";
 export { UpstreamEntry } from "./UpstreamEntry.js";
 export { UpstreamPath, type PathState } from "./UpstreamPath.js";
-export { UpstreamReach, type ReachCheck, type ServiceReachChange } from "./UpstreamReach.js";
+export {
+  UpstreamReach,
+  type ReachCheck,
+  type ServiceReachChange,
+  type SilenceLimit,
+} from "./UpstreamReach.js";
--- /dev/null
+++ b/packages/kernel/src/work/getRequestWork.ts
@@ -0,0 +1,38 @@
+import type { RequestHead } from "../forwarding/index.js";
+import { getHash } from "../hashing/index.js";
+import type { PrefixDirectory, UpstreamEntry } from "../upstreams/index.js";
+import type { RequestWork } from "./RequestWork.js";
+
+/** What a request tells of its prompt. */
+export type RequestPrompt = Pick<RequestHead, "promptBlocks" | "tokens">;
+
+/**
+ * Gets the work of a request at an engine.
+ * @param prefixes - Which engines likely cache which blocks.
+ * @param prompt - The request's prompt.
+ * @param holders - The engine, and the one that it fetches cached blocks from, if any.
+ * @param now - Monotonic time.
+ */
+export function getRequestWork(
+  prefixes: PrefixDirectory,
+  { promptBlocks, tokens }: RequestPrompt,
+  holders: readonly UpstreamEntry[],
+  now: number,
+): RequestWork {
+  // The last of several blocks is not shared with other requests, so that no engine has it cached.
+  const shared = promptBlocks.length > 1 ? promptBlocks.slice(0, -1) : promptBlocks;
+  const heldCount = shared.findLastIndex(({ id }) =>
+    holders.some((entry) => prefixes.isHolder(getHash(id), entry, now)),
+  );
+  const cachedTokens = sumTokens(shared.slice(0, heldCount + 1));
+  const promptTokens = tokens?.prompt ?? sumTokens(promptBlocks);
+  return {
+    promptTokens,
+    unreadTokens: Math.max(0, promptTokens - cachedTokens),
+    outputTokens: tokens?.maxOutput ?? 0,
+  };
+}
+
+function sumTokens(blocks: readonly { readonly tokens: number }[]): number {
+  return blocks.reduce((sum, { tokens }) => sum + tokens, 0);
+}
--- a/packages/kernel/src/work/index.ts
+++ b/packages/kernel/src/work/index.ts
@@ -1,2 +1,4 @@
+export { getRequestWork, type RequestPrompt } from "./getRequestWork.js";
+export type { ReadingEstimate } from "./ReadingSpeed.js";
 export type { RequestWork } from "./RequestWork.js";
-export { WorkEstimator } from "./WorkEstimator.js";
+export { WorkEstimator, type PlacedWork, type ServiceEstimate } from "./WorkEstimator.js";
