--- a/packages/daemon/src/exchange/ReachabilityTask.ts
+++ b/packages/daemon/src/exchange/ReachabilityTask.ts
@@ -3,7 +3,7 @@
   type ServiceReachChange,
   type UpstreamEntry,
   type UpstreamTable,
-  type WorkEstimator,
+  WorkEstimator,
 } from "@pistachioway/kernel";
 import type { Fields, LogLevel } from "../log/line.js";
 import { canConnect, isStillServing } from "./connect.js";
@@ -16,22 +16,21 @@
 export interface ReachabilityDependencies {
   readonly upstreams: UpstreamTable;
   readonly pool: ConnectionPool;
-  /** Tells how long an upstream may take for the work that it holds. */
-  readonly workEstimator: WorkEstimator;
   readonly getNow: () => number;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
 
 /** Finds out which upstreams this daemon reaches by itself, and probes those that it does not. */
 export class ReachabilityTask {
+  /** Learns how long upstreams take for their work, by which their silence is judged. */
+  readonly workEstimator = WorkEstimator.create();
   private readonly reach: UpstreamReach;
   private checkedAt: number;
 
   private constructor(private readonly dependencies: ReachabilityDependencies) {
     this.checkedAt = dependencies.getNow();
-    const { upstreams, workEstimator } = dependencies;
-    this.reach = UpstreamReach.create(upstreams, (entry, now) =>
-      workEstimator.getSilenceLimit(entry, now),
+    this.reach = UpstreamReach.create(dependencies.upstreams, (entry, now) =>
+      this.workEstimator.getSilenceLimit(entry, now),
     );
   }
 
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -167,10 +167,7 @@
   private handleSlowAttempt(attempt: Attempt): void {
     const detail = `${attempt.target.description} did not answer in time`;
     if (this.mayRetry("late", detail)) {
-      const now = this.dependencies.getNow();
-      if (now - attempt.lastReceivedAt > attempt.target.getSilenceLimit(now)) {
-        this.recordFailure(attempt.target);
-      }
+      this.slowAttemptMonitor.recordFailureIfSilent(attempt);
       this.cancelAttempt();
       this.send();
     }
--- a/packages/daemon/src/ingress/SlowAttemptMonitor.ts
+++ b/packages/daemon/src/ingress/SlowAttemptMonitor.ts
@@ -79,6 +79,17 @@
     }
   }
 
+  /**
+   * Records a failure of a target whose work does not explain that it has sent nothing.
+   * @param attempt - Slow attempt at the target.
+   */
+  recordFailureIfSilent({ target, lastReceivedAt }: Attempt): void {
+    const now = this.getNow();
+    if (now - lastReceivedAt > target.getSilenceLimit(now)) {
+      target.recordFailure(now);
+    }
+  }
+
   private decide(check: () => void, attempt: Attempt, onSlow: (attempt: Attempt) => void): void {
     if (this.check === check && this.isSlow(attempt)) {
       this.stop();
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -9,7 +9,6 @@
   type Registry,
   type UpstreamNotice,
   toFleetNotice,
-  WorkEstimator,
 } from "@pistachioway/kernel";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { FleetTask, PeerStateTask } from "../fleet/index.js";
@@ -65,7 +64,6 @@
   private readonly memory = MemoryBudget.create(maxKeptBytes);
   private readonly pool = ConnectionPool.create();
   private readonly prefixes = PrefixDirectory.create();
-  private readonly workEstimator = WorkEstimator.create();
   private readonly quarantine = ContentQuarantine.create({
     addFleetNotice: (notice) => {
       this.fleet.addNotice(notice);
@@ -125,10 +123,10 @@
         this.streams.recordUpstream(upstream);
       },
     });
-    const { registryTask: registry, pool, workEstimator } = this;
+    const { registryTask: registry, pool } = this;
     const { upstreams } = registry;
     const getNow = readMonotonicClock;
-    this.reachability = ReachabilityTask.create({ upstreams, pool, workEstimator, getNow, record });
+    this.reachability = ReachabilityTask.create({ upstreams, pool, getNow, record });
     this.fleet = this.createFleetTask();
     const { view } = this.fleet;
     this.peerStates = createPeerStateTask({ view, registry, getClocks: readClocks, record });
@@ -280,7 +278,6 @@
       forwarding: this.forwarding,
       pool: this.pool,
       memory: this.memory,
-      workEstimator: this.workEstimator,
       metrics: this.metrics,
       getNow: readMonotonicClock,
       isStarted: () => this.listenerStart.isComplete(),
@@ -338,7 +335,7 @@
       codec,
       retryBudgets: RetryBudgets.create(settings.retries),
       prefixes: this.prefixes,
-      workEstimator: this.workEstimator,
+      workEstimator: this.reachability.workEstimator,
       quarantine: this.quarantine,
       streams: this.streams,
       metrics: this.metrics,
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -1,9 +1,4 @@
-import {
-  noticeKinds,
-  type MemoryBudget,
-  type RouterStatus,
-  type WorkEstimator,
-} from "@pistachioway/kernel";
+import { noticeKinds, type MemoryBudget, type RouterStatus } from "@pistachioway/kernel";
 import type { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import { peerStatePath, type FleetTask, type PeerState } from "../fleet/index.js";
 import type { IngressServer } from "../ingress/index.js";
@@ -29,7 +24,6 @@
   readonly forwarding: Forwarding;
   readonly pool: ConnectionPool;
   readonly memory: MemoryBudget;
-  readonly workEstimator: WorkEstimator;
   readonly metrics: RouterMetrics;
   readonly getNow: () => number;
   /** Checks whether the start is complete: every needed listener listens. */
@@ -128,8 +122,9 @@
   }
 
   private measureWork(): void {
-    const { workEstimator, metrics, getNow } = this.dependencies;
-    for (const { service, reading, lateMilliseconds } of workEstimator.getEstimates(getNow())) {
+    const { reachability, metrics, getNow } = this.dependencies;
+    const estimates = reachability.workEstimator.getEstimates(getNow());
+    for (const { service, reading, lateMilliseconds } of estimates) {
       if (reading !== undefined) {
         const perThousand = reading.millisecondsPerToken * tokensPerEstimate;
         metrics.readingMilliseconds.set({ service }, perThousand);
--- a/packages/kernel/src/work/ServiceWork.ts
+++ b/packages/kernel/src/work/ServiceWork.ts
@@ -1,4 +1,11 @@
-import { neededLatenessUpstreams, unreadWeight } from "./constants.js";
+import {
+  answeredLatenessLifetimeMilliseconds,
+  keptSamples,
+  latenessQuantile,
+  neededLatenessAnswers,
+  neededLatenessUpstreams,
+  unreadWeight,
+} from "./constants.js";
 import { getQuantile } from "./getQuantile.js";
 import { ReadingSpeed } from "./ReadingSpeed.js";
 import type { UpstreamWork } from "./UpstreamWork.js";
@@ -14,6 +21,9 @@
   /** Upstreams with requests that wait or were answered a short while ago. */
   private readonly active = new Set<UpstreamWork>();
 
+  /** By how much the last first bytes came later than expected. */
+  private answered: { readonly milliseconds: number; readonly at: number }[] = [];
+
   private constructor() {
     // Created through the static method.
   }
@@ -30,14 +40,20 @@
     this.meanTokens = mean + (unreadTokens - mean) * unreadWeight;
   }
 
+  /** Records by how much a first byte came later than expected. */
+  recordLateness(milliseconds: number, now: number): void {
+    this.answered.push({ milliseconds, at: now });
+    this.dropOldAnswers(now);
+  }
+
   /** Gets the mean unread tokens of this daemon's requests. */
   getMeanTokens(): number {
     return this.meanTokens ?? 0;
   }
 
   /**
-   * Gets the time by which first bytes are later than expected at the moment: the median of the other upstreams; 0 when too
-   * few are known.
+   * Gets the time by which first bytes are later than expected at the moment: a high quantile of those that came, which
+   * tells of the longest queues, or the median of those that are due at other upstreams, if that is more.
    * @param except - Upstream that is judged by it, and tells nothing of itself.
    * @param now - Current time.
    */
@@ -53,6 +69,19 @@
         known.push(late);
       }
     }
-    return known.length < neededLatenessUpstreams ? 0 : (getQuantile(known, median) ?? 0);
+    const due = known.length < neededLatenessUpstreams ? 0 : (getQuantile(known, median) ?? 0);
+    return Math.max(due, this.getAnsweredLateness(now));
+  }
+
+  private getAnsweredLateness(now: number): number {
+    this.dropOldAnswers(now);
+    const known = this.answered.map(({ milliseconds }) => milliseconds);
+    return known.length < neededLatenessAnswers ? 0 : (getQuantile(known, latenessQuantile) ?? 0);
+  }
+
+  private dropOldAnswers(now: number): void {
+    this.answered = this.answered
+      .filter(({ at }) => now - at < answeredLatenessLifetimeMilliseconds)
+      .slice(-keptSamples);
   }
 }
--- a/packages/kernel/src/work/UpstreamWork.ts
+++ b/packages/kernel/src/work/UpstreamWork.ts
@@ -72,13 +72,21 @@
     return request;
   }
 
-  /** Records that the first byte of a request came, which was removed. */
-  recordFirstByte({ sentAt, expectedMilliseconds }: WaitingRequest, now: number): void {
+  /**
+   * Records that the first byte of a request came, which was removed.
+   * @returns By how much it came later than expected; undefined when that is not known.
+   */
+  recordFirstByte(
+    { sentAt, expectedMilliseconds }: WaitingRequest,
+    now: number,
+  ): number | undefined {
     this.readingSince = now;
-    if (expectedMilliseconds !== undefined) {
-      this.lateMilliseconds = Math.max(0, now - sentAt - expectedMilliseconds);
-      this.answeredAt = now;
+    if (expectedMilliseconds === undefined) {
+      return undefined;
     }
+    this.lateMilliseconds = Math.max(0, now - sentAt - expectedMilliseconds);
+    this.answeredAt = now;
+    return this.lateMilliseconds;
   }
 
   /** Gets a request that waits. */
--- a/packages/kernel/src/work/WorkEstimator.ts
+++ b/packages/kernel/src/work/WorkEstimator.ts
@@ -1,9 +1,12 @@
 import type { ReportedLoad } from "../forwarding/index.js";
 import type { UpstreamEntry } from "../upstreams/index.js";
 import {
+  assumedMillisecondsPerToken,
+  firstFixedMilliseconds,
   longestExpectedMilliseconds,
   silenceRatio,
   steadySlowdownRatio,
+  unknownQueue,
   unknownRepeatMilliseconds,
   unknownSilenceRatio,
 } from "./constants.js";
@@ -99,11 +102,14 @@
     if (request === undefined) {
       return;
     }
-    upstream.recordFirstByte(request, now);
+    const service = this.getService(entry.record.service);
+    const late = upstream.recordFirstByte(request, now);
+    if (late !== undefined) {
+      service.recordLateness(late, now);
+    }
     const slowdown = upstream.getFreshSlowdown(now) ?? 1;
     if (request.isAlone && isSteady(request, slowdown)) {
-      const { speed } = this.getService(entry.record.service);
-      speed.addSample(work.unreadTokens, (now - request.sentAt) / slowdown);
+      service.speed.addSample(work.unreadTokens, (now - request.sentAt) / slowdown);
     }
   }
 
@@ -141,14 +147,10 @@
       return undefined;
     }
     const usual = entry.getUsualSilenceLimit();
-    const estimate = service.speed.getEstimate();
-    if (estimate === undefined) {
-      return usual * unknownSilenceRatio;
-    }
-    const upstream = this.getUpstream(entry);
-    const held = upstream.getHeldMilliseconds(estimate, service.getMeanTokens(), now);
-    const late = service.getLateMilliseconds(upstream, now);
-    return Math.max(usual, Math.min(longestExpectedMilliseconds, silenceRatio * (held + late)));
+    const known = service.speed.getEstimate();
+    const longest = known === undefined ? usual * unknownSilenceRatio : longestExpectedMilliseconds;
+    const limit = silenceRatio * getSilenceAllowance(service, this.getUpstream(entry), now);
+    return Math.max(usual, Math.min(longest, limit));
   }
 
   /**
@@ -214,6 +216,20 @@
   }
 }
 
+/** Gets the time for which the work that an upstream holds, and the queues of its service, explain that it sends nothing. */
+function getSilenceAllowance(service: ServiceWork, upstream: UpstreamWork, now: number): number {
+  const estimate = service.speed.getEstimate() ?? assumedReading;
+  const meanTokens = service.getMeanTokens();
+  const queued = unknownQueue * meanTokens * estimate.millisecondsPerToken;
+  const late = Math.max(queued, service.getLateMilliseconds(upstream, now));
+  return upstream.getHeldMilliseconds(estimate, meanTokens, now) + late;
+}
+
+const assumedReading: ReadingEstimate = {
+  millisecondsPerToken: assumedMillisecondsPerToken,
+  fixedMilliseconds: firstFixedMilliseconds,
+};
+
 /** Checks whether the host's slowdown, as far as it was reported, was the same from the sending to the first byte. */
 function isSteady({ slowdown: before }: WaitingRequest, after: number): boolean {
   const ratio = (before ?? 1) / after;
--- a/packages/kernel/src/work/constants.ts
+++ b/packages/kernel/src/work/constants.ts
@@ -34,10 +34,26 @@
  * said so yet.
  */
 export const silenceRatio = 3;
-/** Multiple of the fixed bounds of silence until the reading speed is known. */
+/** Multiple of the fixed bounds of silence that is not exceeded until the reading speed is known. */
 export const unknownSilenceRatio = 3;
+/** Reading speed by which the bound of silence is set until one is known: that of a slow engine. */
+export const assumedMillisecondsPerToken = 0.05;
+/**
+ * Requests of other daemons that may be read before a request and are not known, each with the mean unread tokens of this
+ * daemon's own. In a cold start, 300 prompts for 42 engines make queues of this length.
+ */
+export const unknownQueue = 4;
 /** Time for which the lateness of a first byte tells of other requests of the service. */
 export const latenessLifetimeMilliseconds = 1_000;
+/**
+ * Time for which first bytes that came tell of the queues of the service. A daemon of 66 sees 4 a second, so that a shorter
+ * time would leave too few.
+ */
+export const answeredLatenessLifetimeMilliseconds = 3_000;
+/** Quantile of their lateness that the bound of silence allows for: queues differ much from engine to engine. */
+export const latenessQuantile = 0.9;
+/** First bytes from which on their lateness counts. */
+export const neededLatenessAnswers = 2;
 /** Other upstreams of which the lateness must be known before a service counts as late. */
 export const neededLatenessUpstreams = 2;
 /** Wait for the head of a response after which a repeat is useful while the reading speed is unknown. */
