--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -123,8 +123,9 @@
   }
 
   finish(hadStream: boolean): void {
+    const { workEstimator, getNow } = this.dependencies;
     if (this.work !== undefined) {
-      this.dependencies.workEstimator.endWork(this.entry, this.work);
+      workEstimator.endWork(this.entry, this.work, getNow());
     }
     this.entry.finishRequest(hadStream);
   }
--- a/packages/kernel/src/work/UpstreamWork.ts
+++ b/packages/kernel/src/work/UpstreamWork.ts
@@ -1,5 +1,6 @@
 import { reportedLoadLifetimeMilliseconds } from "../upstreams/constants.js";
 import {
+  givenUpLifetimeMilliseconds,
   largestSlowdown,
   latenessLifetimeMilliseconds,
   slowdownLifetimeMilliseconds,
@@ -30,6 +31,9 @@
   private reportedAt = -Infinity;
   private lateMilliseconds = 0;
   private answeredAt = -Infinity;
+  /** Time for which it held requests that were given up, since it last sent bytes. */
+  private givenUpMilliseconds = 0;
+  private givenUpAt = -Infinity;
 
   private constructor() {
     // Created through the static method.
@@ -65,6 +69,31 @@
     this.waiting.set(work, { sentAt: now, expectedMilliseconds, isAlone, slowdown });
   }
 
+  /**
+   * Removes a request that was given up.
+   * @param work - Its work.
+   * @param receivedAt - When bytes of the upstream last came.
+   * @param now - Current time.
+   */
+  giveUp(work: RequestWork, receivedAt: number, now: number): void {
+    const request = this.remove(work);
+    if (request !== undefined) {
+      const held = now - Math.max(request.sentAt, receivedAt, this.givenUpAt);
+      this.givenUpMilliseconds = this.getGivenUpMilliseconds(receivedAt, now) + held;
+      this.givenUpAt = now;
+    }
+  }
+
+  /**
+   * Gets the time for which it held requests that were given up without any byte from it.
+   * @param receivedAt - When bytes of the upstream last came.
+   * @param now - Current time.
+   */
+  getGivenUpMilliseconds(receivedAt: number, now: number): number {
+    const isOld = now - this.givenUpAt >= givenUpLifetimeMilliseconds;
+    return isOld || receivedAt > this.givenUpAt ? 0 : this.givenUpMilliseconds;
+  }
+
   /** Removes a request that no longer waits, and gets it; undefined when it did not wait. */
   remove(work: RequestWork): WaitingRequest | undefined {
     const request = this.waiting.get(work);
--- a/packages/kernel/src/work/WorkEstimator.ts
+++ b/packages/kernel/src/work/WorkEstimator.ts
@@ -68,13 +68,16 @@
     if (service?.isWorkAware !== true || estimate === undefined) {
       return undefined;
     }
-    const expected = this.getUpstream(entry).getExpectedMilliseconds(
+    const upstream = this.getUpstream(entry);
+    const expected = upstream.getExpectedMilliseconds(
       work.unreadTokens,
       estimate,
       service.getMeanTokens(),
       now,
     );
-    return Math.min(longestExpectedMilliseconds, expected);
+    // An upstream that left requests unanswered does not look idle because they were repeated elsewhere.
+    const givenUp = upstream.getGivenUpMilliseconds(entry.path.getReceivedAt(), now);
+    return Math.min(longestExpectedMilliseconds, expected + givenUp);
   }
 
   /**
@@ -117,9 +120,10 @@
    * Records that a request no longer waits for its first byte, for whatever reason.
    * @param entry - Upstream that it was sent to.
    * @param work - Work of the request.
+   * @param now - Current time.
    */
-  endWork(entry: UpstreamEntry, work: RequestWork): void {
-    this.getUpstream(entry).remove(work);
+  endWork(entry: UpstreamEntry, work: RequestWork, now: number): void {
+    this.getUpstream(entry).giveUp(work, entry.path.getReceivedAt(), now);
   }
 
   /**
@@ -149,8 +153,11 @@
     const usual = entry.getUsualSilenceLimit();
     const known = service.speed.getEstimate();
     const longest = known === undefined ? usual * unknownSilenceRatio : longestExpectedMilliseconds;
-    const limit = silenceRatio * getSilenceAllowance(service, this.getUpstream(entry), now);
-    return Math.max(usual, Math.min(longest, limit));
+    const upstream = this.getUpstream(entry);
+    const limit = silenceRatio * getSilenceAllowance(service, upstream, now);
+    // Requests that were repeated elsewhere before the bound do not hide an upstream that never answers.
+    const givenUp = upstream.getGivenUpMilliseconds(entry.path.getReceivedAt(), now);
+    return Math.max(usual, Math.min(longest, limit) - givenUp);
   }
 
   /**
--- a/packages/kernel/src/work/constants.ts
+++ b/packages/kernel/src/work/constants.ts
@@ -20,8 +20,8 @@
  * the few that a change of the slowdown has shortened lie below the quantile.
  */
 export const sampleQuantile = 0.25;
-/** Milliseconds per token below which a prompt was cached although this daemon did not know. */
-export const shortestMillisecondsPerToken = 0.004;
+/** Milliseconds per token below which a prompt was cached although this daemon did not know: 200 tokens a millisecond. */
+export const shortestMillisecondsPerToken = 0.005;
 /** Change of the reported slowdown during a prompt at which its time tells nothing. */
 export const steadySlowdownRatio = 1.25;
 /** Fixed part of the time to the first byte until it is known. */
@@ -54,6 +54,11 @@
 export const latenessQuantile = 0.9;
 /** First bytes from which on their lateness counts. */
 export const neededLatenessAnswers = 2;
+/**
+ * Time for which requests that an upstream did not answer count against it. A daemon of 66 sends to one of 42 engines once in
+ * ten seconds.
+ */
+export const givenUpLifetimeMilliseconds = 20_000;
 /** Other upstreams of which the lateness must be known before a service counts as late. */
 export const neededLatenessUpstreams = 2;
 /** Wait for the head of a response after which a repeat is useful while the reading speed is unknown. */
