--- a/packages/daemon/src/exchange/ReachabilityTask.ts
+++ b/packages/daemon/src/exchange/ReachabilityTask.ts
@@ -3,6 +3,7 @@
   type ServiceReachChange,
   type UpstreamEntry,
   type UpstreamTable,
+  WorkEstimator,
 } from "@pistachioway/kernel";
 import type { Fields, LogLevel } from "../log/line.js";
 import { canConnect, isStillServing } from "./connect.js";
@@ -21,12 +22,16 @@
 
 /** Finds out which upstreams this daemon reaches by itself, and probes those that it does not. */
 export class ReachabilityTask {
+  /** Learns how long upstreams take for their work, by which their silence is judged. */
+  readonly workEstimator = WorkEstimator.create();
   private readonly reach: UpstreamReach;
   private checkedAt: number;
 
   private constructor(private readonly dependencies: ReachabilityDependencies) {
     this.checkedAt = dependencies.getNow();
-    this.reach = UpstreamReach.create(dependencies.upstreams);
+    this.reach = UpstreamReach.create(dependencies.upstreams, (entry, now) =>
+      this.workEstimator.getSilenceLimit(entry, now),
+    );
   }
 
   /**
@@ -77,7 +82,7 @@
   private runCheck(now: number): void {
     const { silent, changes } = this.reach.check(now);
     silent.forEach((entry) => {
-      this.handleSilent(entry);
+      this.handleSilent(entry, now);
     });
     changes.forEach((change) => {
       this.recordChange(change);
@@ -85,9 +90,12 @@
     this.probe(this.reach.takeProbes(now));
   }
 
-  private handleSilent({ record: { id, zone, address }, running }: UpstreamEntry): void {
+  private handleSilent(entry: UpstreamEntry, now: number): void {
+    const { record, running } = entry;
+    const { id: upstream, zone, address } = record;
     this.dependencies.pool.closeIdleTo(address);
-    this.dependencies.record("warn", "upstream.silent", { upstream: id, zone, running });
+    const limit = Math.round(this.reach.getSilenceLimit(entry, now));
+    this.dependencies.record("warn", "upstream.silent", { upstream, zone, running, limit });
   }
 
   private recordChange({ service, isReached, listed }: ServiceReachChange): void {
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -167,7 +167,7 @@
   private handleSlowAttempt(attempt: Attempt): void {
     const detail = `${attempt.target.description} did not answer in time`;
     if (this.mayRetry("late", detail)) {
-      this.recordFailure(attempt.target);
+      this.slowAttemptMonitor.recordFailureIfSilent(attempt);
       this.cancelAttempt();
       this.send();
     }
--- a/packages/daemon/src/ingress/SlowAttemptMonitor.ts
+++ b/packages/daemon/src/ingress/SlowAttemptMonitor.ts
@@ -70,11 +70,26 @@
    */
   recordFailureIfUnresponsive(attempt: Attempt | undefined): void {
     const now = this.getNow();
-    if (attempt !== undefined && now - attempt.lastReceivedAt > stallTimeoutMilliseconds) {
+    if (attempt === undefined) {
+      return;
+    }
+    const limit = Math.max(stallTimeoutMilliseconds, attempt.target.getSilenceLimit(now));
+    if (now - attempt.lastReceivedAt > limit) {
       attempt.target.recordFailure(now);
     }
   }
 
+  /**
+   * Records a failure of a target whose work does not explain that it has sent nothing.
+   * @param attempt - Slow attempt at the target.
+   */
+  recordFailureIfSilent({ target, lastReceivedAt }: Attempt): void {
+    const now = this.getNow();
+    if (now - lastReceivedAt > target.getSilenceLimit(now)) {
+      target.recordFailure(now);
+    }
+  }
+
   private decide(check: () => void, attempt: Attempt, onSlow: (attempt: Attempt) => void): void {
     if (this.check === check && this.isSlow(attempt)) {
       this.stop();
@@ -87,11 +102,11 @@
     const limit =
       head === undefined
         ? this.route.goalMilliseconds * slowObjectiveRatio
-        : stallTimeoutMilliseconds;
+        : Math.max(stallTimeoutMilliseconds, target.getSilenceLimit(now));
     const waitedMilliseconds = now - lastReceivedAt;
-    return (
+    const isLate =
       waitedMilliseconds >
-      (target.isAvoided(now) ? Math.min(avoidedTimeoutMilliseconds, limit) : limit)
-    );
+      (target.isAvoided(now) ? Math.min(avoidedTimeoutMilliseconds, limit) : limit);
+    return isLate && (head !== undefined || target.isRepeatSooner(now));
   }
 }
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -337,6 +337,7 @@
       codec,
       retryBudgets: RetryBudgets.create(settings.retries),
       prefixes: this.prefixes,
+      workEstimator: this.reachability.workEstimator,
       quarantine: this.quarantine,
       streams: this.streams,
       metrics: this.metrics,
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -11,6 +11,7 @@
 /** A daemon is not ready when its configuration's age exceeds this ratio of the revocation time. */
 const unreadyAgeRatio = 0.75;
 const millisecondsPerSecond = 1_000;
+const tokensPerEstimate = 1_000;
 
 /** Dependencies of the pages. */
 export interface RouterPagesDependencies {
@@ -116,10 +117,24 @@
     metrics.pausedConnections.set(pool.pacer.getWaitingCount());
     metrics.connections.set(pool.getOpenedCount());
     this.measureWaitingNotices();
+    this.measureWork();
     const text = await metrics.registry.metrics();
     return { status: 200, type: metrics.registry.contentType, text };
   }
 
+  private measureWork(): void {
+    const { reachability, metrics, getNow } = this.dependencies;
+    const estimates = reachability.workEstimator.getEstimates(getNow());
+    for (const { service, reading, lateMilliseconds } of estimates) {
+      if (reading !== undefined) {
+        const perThousand = reading.millisecondsPerToken * tokensPerEstimate;
+        metrics.readingMilliseconds.set({ service }, perThousand);
+        metrics.fixedMilliseconds.set({ service }, reading.fixedMilliseconds);
+      }
+      metrics.lateMilliseconds.set({ service }, lateMilliseconds);
+    }
+  }
+
   private measureWaitingNotices(): void {
     const { fleet, metrics, getNow } = this.dependencies;
     const now = getNow();
