Prefix holders are recorded at the first byte, and sources of transfers are ranked

The holder was avoided for its failures, so that the next engine for the key fetched a short first block or nothing; and an engine counted as a holder from the sending on, also when it refused the request.

Ruled out: recording holders at the sending and taking them back on a refusal (peers are told at once, so a second kind of notice would be needed); dropping notices from before a restart on arrival (would change services that are not work-aware).

Change, in work-aware services only: findPrefixSource ranks holders of the whole shared part (in service, else avoided, resting, leaving, expired or on trial, last in doubt; never with a closed path, of another version, or recorded before a restart), then the engine that reads it, then the first by the rendezvous order, then holders of a shorter prefix. PromptReading marks the shared blocks while an engine reads them and records the holder, and tells the peers, when the answer begins. A request waits behind the reading of its own prompt. chooseUpstream compares expected times of the first four in the order and of holders, if the prefix is known. `request.finished` has `source`; pistachioway_prompt_sources_total counts them.

--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -1,5 +1,6 @@
 import {
   getHash,
+  type PromptBlock,
   type RequestContent,
   type RequestHead,
   type RequestApproval,
@@ -70,9 +71,20 @@
  * Gets the ids of the prompt blocks that other requests may share, in order.
  * @param head - Head of the request.
  */
-export function getSharedBlockIds({ promptBlocks }: RequestHead): readonly string[] {
-  const shared = promptBlocks.length > 1 ? promptBlocks.slice(0, -1) : promptBlocks;
-  return shared.map(({ id }) => id);
+export function getSharedBlockIds(head: RequestHead): readonly string[] {
+  return getSharedPromptBlocks(head).map(({ id }) => id);
+}
+
+/**
+ * Gets the tokens of the prompt blocks that other requests may share.
+ * @param head - Head of the request.
+ */
+export function getSharedTokens(head: RequestHead): number {
+  return getSharedPromptBlocks(head).reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
+function getSharedPromptBlocks({ promptBlocks }: RequestHead): readonly PromptBlock[] {
+  return promptBlocks.length > 1 ? promptBlocks.slice(0, -1) : promptBlocks;
 }
 
 /**
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -8,6 +8,7 @@
   RoutedService,
   UpstreamNotice,
   UpstreamTable,
+  WorkEstimator,
 } from "@pistachioway/kernel";
 import type { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
@@ -37,6 +38,8 @@
   readonly codec: HeaderCodec;
   readonly retryBudgets: RetryBudgets;
   readonly prefixes: PrefixDirectory;
+  /** Tells which services are placed by work, and how long work takes. */
+  readonly work: WorkEstimator;
   readonly quarantine: ContentQuarantine;
   readonly streams: StreamDirectory;
   readonly metrics: RouterMetrics;
--- a/packages/daemon/src/ingress/AttemptTarget.ts
+++ b/packages/daemon/src/ingress/AttemptTarget.ts
@@ -9,6 +9,8 @@
   readonly software: string;
   /** Why it was chosen. */
   readonly choice: string;
+  /** Where an engine gets the shared part of the prompt from; undefined where that is not placed by work. */
+  readonly source?: string;
   /** Requests that it holds, as far as this daemon knows. */
   readonly load: number;
   /** Name of the peer that passes the request on to it; "-" without one. */
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -12,6 +12,7 @@
 import { getSharedBlocks, getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AttemptTarget, TargetReport } from "./AttemptTarget.js";
+import { PromptReading } from "./PromptReading.js";
 
 const maxPriority = 9;
 
@@ -20,6 +21,8 @@
   readonly description: string;
   readonly upstream: Upstream;
   private readonly entry: UpstreamEntry;
+  /** Undefined where the service is not placed by work, or its engines cannot fetch. */
+  private reading: PromptReading | undefined;
 
   private constructor(
     private readonly dependencies: ActiveRequestDependencies,
@@ -84,6 +87,7 @@
 
   recordHead(head: ResponseHead, now: number): void {
     const { upstreams, onNotices } = this.dependencies;
+    this.reading?.recordHead(head, now);
     onNotices(applyResponseHead(upstreams, this.entry, head, now));
   }
 
@@ -96,6 +100,7 @@
   }
 
   finish(hadStream: boolean): void {
+    this.reading?.end();
     this.entry.finishRequest(hadStream);
   }
 
@@ -131,7 +136,8 @@
   getReport(now: number): TargetReport {
     const { id: upstream, softwareVersion: software } = this.upstream;
     const load = this.entry.getLoad(now);
-    return { upstream, software, choice: this.choice.reason, load, via: "-" };
+    const source = this.reading && { source: this.reading.source.kind };
+    return { upstream, software, choice: this.choice.reason, ...source, load, via: "-" };
   }
 
   /** Gets the address of an engine that likely has more of the prompt cached than the chosen one. */
@@ -142,6 +148,10 @@
     if (sharedBlocks.length === 0 || dependencies.getService(service)?.engine?.canFetch !== true) {
       return undefined;
     }
+    if (dependencies.work.isWorkAware(service)) {
+      this.reading = PromptReading.start(dependencies, this.request, this.choice, now);
+      return this.reading.source.entry?.record.address;
+    }
     const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, now };
     const holder = findPrefixHolder(dependencies, lookup, entry, this.choice.preferred);
     const block = sharedBlocks.at(-1);
--- a/packages/daemon/src/ingress/chooseRequestUpstream.ts
+++ b/packages/daemon/src/ingress/chooseRequestUpstream.ts
@@ -1,5 +1,16 @@
-import { chooseUpstream, isRepeatable, type UpstreamChoice } from "@pistachioway/kernel";
-import { getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
+import {
+  chooseUpstream,
+  createWorkPlacement,
+  isRepeatable,
+  type UpstreamChoice,
+  type WorkPlacement,
+} from "@pistachioway/kernel";
+import {
+  getSharedBlocks,
+  getSharedTokens,
+  getStickyKey,
+  type AcceptedRequest,
+} from "./AcceptedRequest.js";
 import { getMaxRunning, type ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 
 /** What an attempt of a request must not or may only use. */
@@ -18,9 +29,10 @@
  */
 export function chooseRequestUpstream(
   dependencies: ActiveRequestDependencies,
-  { approval, head, service }: AcceptedRequest,
+  request: AcceptedRequest,
   constraints: AttemptConstraints,
 ): UpstreamChoice | undefined {
+  const { approval, head, service } = request;
   return chooseUpstream(dependencies.upstreams.getEntries(), {
     ...constraints,
     service,
@@ -31,5 +43,34 @@
     isRepeatable: isRepeatable(approval.route),
     hasIdleConnection: ({ record }) => dependencies.pool.hasIdle(record.address),
     now: dependencies.getNow(),
+    placement: getPlacement(dependencies, request),
   });
 }
+
+/** Gets the placement of a request by its work; undefined where only the requests of upstreams are counted. */
+function getPlacement(
+  dependencies: ActiveRequestDependencies,
+  { approval, head, service }: AcceptedRequest,
+): WorkPlacement | undefined {
+  const { work } = dependencies;
+  const canFetch = dependencies.getService(service)?.engine?.canFetch === true;
+  if (!work.isWorkAware(service) || !approval.route.isSticky || !canFetch) {
+    return undefined;
+  }
+  const sharedBlocks = getSharedBlocks(head);
+  if (sharedBlocks.length === 0) {
+    return undefined;
+  }
+  const blockTokens = head.promptBlocks.reduce((sum, { tokens }) => sum + tokens, 0);
+  const toPlace = {
+    sharedBlocks,
+    sharedTokens: getSharedTokens(head),
+    promptTokens: head.tokens?.prompt ?? blockTokens,
+    outputTokens: head.tokens?.maxOutput ?? 0,
+    goalMilliseconds: approval.route.goalMilliseconds,
+    now: dependencies.getNow(),
+  };
+  return createWorkPlacement(dependencies, toPlace, (entry, requestWork, now) =>
+    work.getExpectedMilliseconds(entry, requestWork, now),
+  );
+}
--- a/packages/daemon/src/ingress/index.ts
+++ b/packages/daemon/src/ingress/index.ts
@@ -4,6 +4,7 @@
 export type { AttemptConstraints } from "./chooseRequestUpstream.js";
 export { getRequestContent } from "./getRequestContent.js";
 export { EndingConnections } from "./EndingConnections.js";
+export { PromptReading, type PromptReadingState } from "./PromptReading.js";
 export { readBody } from "./readBody.js";
 export { isNotRun, type RefusalName } from "./refusals.js";
 export { RequestResponse } from "./RequestResponse.js";
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -35,6 +35,13 @@
     registers: [this.registry],
   });
 
+  readonly promptSources = new Counter({
+    name: "pistachioway_prompt_sources_total",
+    help: "Prompts sent to engines that are placed by work, by where the engine gets the shared part from.",
+    labelNames: ["source"],
+    registers: [this.registry],
+  });
+
   readonly unframedAnswers = new Counter({
     name: "pistachioway_unframed_answers_total",
     help: "Answers without length or chunks whose connection ended, by what that was taken for.",
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -9,6 +9,7 @@
   type Registry,
   type UpstreamNotice,
   toFleetNotice,
+  WorkEstimator,
 } from "@pistachioway/kernel";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { FleetTask, PeerStateTask } from "../fleet/index.js";
@@ -335,6 +336,7 @@
       codec,
       retryBudgets: RetryBudgets.create(settings.retries),
       prefixes: this.prefixes,
+      work: WorkEstimator.create(),
       quarantine: this.quarantine,
       streams: this.streams,
       metrics: this.metrics,
--- a/packages/kernel/src/upstreams/DepartedUpstreams.ts
+++ b/packages/kernel/src/upstreams/DepartedUpstreams.ts
@@ -58,6 +58,12 @@
     addBounded(this.removalsById, id, { bornAt, sequence });
   }
 
+  /** Checks whether a record is of a later incarnation than the one that was removed from use under its id. */
+  isNewer({ id, bornAt }: UpstreamIncarnation): boolean {
+    const removal = this.removalsById.get(id);
+    return removal !== undefined && bornAt > removal.bornAt;
+  }
+
   /** Forgets a record that is held back, because the registry no longer lists it. */
   removeHeld(id: string): void {
     this.heldById.delete(id);
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -28,6 +28,8 @@
   expiredAt: number | undefined;
   /** True once this incarnation has announced that it leaves; it never takes requests again. */
   isLeaving = false;
+  /** When this daemon learned that the upstream was restarted under its id, which loses what it had cached. */
+  restartedAt = -Infinity;
   /** This daemon's own path to the upstream. */
   readonly path = UpstreamPath.create();
   private restEndsAt = -Infinity;
--- a/packages/kernel/src/upstreams/UpstreamTable.ts
+++ b/packages/kernel/src/upstreams/UpstreamTable.ts
@@ -184,10 +184,12 @@
   }
 
   private addIncarnation(record: Upstream, now: number): void {
+    const hasRestarted = this.entriesById.has(record.id) || this.departed.isNewer(record);
     if (this.departed.hold(record, now)) {
       return;
     }
     const entry = UpstreamEntry.create(record, now);
+    entry.restartedAt = hasRestarted ? now : -Infinity;
     entry.isLeaving = this.departed.isLeaving(record);
     this.entriesById.set(record.id, entry);
     this.recordDraining(record);
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -3,6 +3,7 @@
 import type { LimitShare } from "./LimitShare.js";
 import type { UpstreamEntry } from "./UpstreamEntry.js";
 import type { PathState } from "./UpstreamPath.js";
+import { findSooner, type WorkPlacement } from "./WorkPlacement.js";
 
 /**
  * What a daemon knows of the path of the upstream that it chose, see `PathState`. It is `open`, too, when the request may
@@ -31,6 +32,8 @@
   readonly hasIdleConnection: (entry: UpstreamEntry) => boolean;
   /** Monotonic time in milliseconds. */
   readonly now: number;
+  /** By what the work of the request is placed; undefined where only the requests of upstreams are counted. */
+  readonly placement?: WorkPlacement | undefined;
 }
 
 /** The upstream that was chosen for a request, and why. */
@@ -38,9 +41,10 @@
   readonly entry: UpstreamEntry;
   /**
    * `first` is the first upstream in the rendezvous order of the key, `spilled` a later one because
-   * those before it are at the load limit, `leastLoaded` the one with the least load.
+   * those before it are at the load limit, `leastLoaded` the one with the least load, `reading` one that reads the
+   * prompt's shared blocks for another request, `sooner` one that is expected to answer much sooner.
    */
-  readonly reason: "first" | "spilled" | "leastLoaded";
+  readonly reason: "first" | "spilled" | "leastLoaded" | "reading" | "sooner";
   /** What this daemon knows of its path to the upstream; better ones come first. */
   readonly path: ChosenPath;
   /** First upstream in the rendezvous order of the key, when another one was chosen. */
@@ -69,7 +73,7 @@
   const choice =
     requirements.stickyKey === undefined
       ? chooseLeastLoaded(candidates, requirements)
-      : chooseByKey(candidates, requirements.stickyKey, requirements.now);
+      : chooseByKey(candidates, requirements.stickyKey, requirements);
   return choice && path && { ...choice, path };
 }
 
@@ -126,7 +130,7 @@
 function chooseByKey(
   candidates: readonly UpstreamEntry[],
   key: string,
-  now: number,
+  { placement, now }: UpstreamRequirements,
 ): ChosenEntry | undefined {
   const ordered = orderByKey(candidates, key);
   const [preferred] = ordered;
@@ -135,10 +139,33 @@
   }
   const total = candidates.reduce((sum, entry) => sum + entry.getLoad(now), 0);
   const limit = (total / candidates.length) * loadFactor + loadAllowance;
-  const belowLimit = ordered.find((entry) => entry.getLoad(now) < limit) ?? preferred;
-  return belowLimit === preferred
-    ? { entry: preferred, reason: "first", preferred: undefined }
-    : { entry: belowLimit, reason: "spilled", preferred };
+  const isBelowLimit = (entry: UpstreamEntry): boolean => entry.getLoad(now) < limit;
+  const belowLimit = ordered.find(isBelowLimit) ?? preferred;
+  const placed = placement && placeByWork(ordered, belowLimit, isBelowLimit, placement);
+  const { entry, reason } = placed ?? {
+    entry: belowLimit,
+    reason: belowLimit === preferred ? ("first" as const) : ("spilled" as const),
+  };
+  return { entry, reason, preferred: entry === preferred ? undefined : preferred };
+}
+
+/** Gets another upstream than the first below the load limit, if the work of the request is better placed there. */
+function placeByWork(
+  ordered: readonly UpstreamEntry[],
+  first: UpstreamEntry,
+  isBelowLimit: (entry: UpstreamEntry) => boolean,
+  placement: WorkPlacement,
+): Pick<UpstreamChoice, "entry" | "reason"> | undefined {
+  if (!placement.isPrefixHeld) {
+    const reader = placement.isBeingRead
+      ? ordered.find((entry) => placement.isReading(entry) && isBelowLimit(entry))
+      : undefined;
+    return reader === undefined || reader === first
+      ? undefined
+      : { entry: reader, reason: "reading" };
+  }
+  const sooner = findSooner(ordered, first, isBelowLimit, placement);
+  return sooner && { entry: sooner, reason: "sooner" };
 }
 
 /**
@@ -167,6 +194,30 @@
   return isLeaving || chosen.isRecentlyAdded(now) ? former : undefined;
 }
 
+/**
+ * Gets the first upstream in the rendezvous order of a key.
+ * @param entries - Upstreams to order.
+ * @param key - The key.
+ * @param isIncluded - Checks whether an upstream is considered.
+ */
+export function findFirstByKey(
+  entries: readonly UpstreamEntry[],
+  key: string,
+  isIncluded: (entry: UpstreamEntry) => boolean,
+): UpstreamEntry | undefined {
+  const hash = getHash(key);
+  let first: UpstreamEntry | undefined;
+  let firstScore = -Infinity;
+  for (const entry of entries) {
+    const score = getRendezvousScore(hash, entry.hash, entry.record.slots);
+    if (score > firstScore && isIncluded(entry)) {
+      first = entry;
+      firstScore = score;
+    }
+  }
+  return first;
+}
+
 /** Sorts upstreams by their rendezvous score for a key, in descending order. */
 function orderByKey(entries: readonly UpstreamEntry[], key: string): readonly UpstreamEntry[] {
   const hash = getHash(key);
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -72,3 +72,14 @@
 export const loadFactor = 1.4;
 /** Requests that an upstream may hold above the factor times the mean. */
 export const loadAllowance = 2;
+
+/** Upstreams in the rendezvous order, from the first below the load limit on, whose expected times are compared. */
+export const comparedInOrder = 4;
+/** Holders of the shared part of a prompt whose expected times are compared beside them. */
+export const comparedHolders = 4;
+/** An expected time above this multiple of the best one is much later. */
+export const laterFactor = 2;
+/** It is so only if the difference is above this part of the route's latency objective, too. */
+export const laterGoalRatio = 0.15;
+/** Time of a KV cache transfer: about 3 ms for 10,000 tokens, with an allowance for longer prompts. */
+export const transferMilliseconds = 8;
--- a/packages/kernel/tests/upstreams/chooseUpstream.test.ts
+++ b/packages/kernel/tests/upstreams/chooseUpstream.test.ts
@@ -2,8 +2,10 @@
   chooseUpstream,
   guessFormerUpstream,
   UpstreamReach,
+  type UpstreamEntry,
   type UpstreamRequirements,
   type UpstreamTable,
+  type WorkPlacement,
 } from "@pistachioway/kernel";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
@@ -196,4 +198,99 @@
   assert.is(after && guessFormerUpstream(table.getEntries(), requirements, after), before);
 });
 
+function createPlacement(changes: Partial<WorkPlacement> = {}): WorkPlacement {
+  return {
+    isPrefixHeld: false,
+    isBeingRead: false,
+    isReading: () => false,
+    isHolder: () => false,
+    getExpectedMilliseconds: () => undefined,
+    goalMilliseconds: 1_000,
+    ...changes,
+  };
+}
+
+// Guards against two engines that read the same 12,000 tokens for two requests of one daemon.
+test("a request waits behind the reading of its prompt, unless a holder is known or the reader is at its limit", () => {
+  const table = createTable(13);
+  const first = choose(table)?.entry;
+  const reader = table.getEntries().find((entry) => entry !== first);
+  const reading = { isBeingRead: true, isReading: (entry: UpstreamEntry) => entry === reader };
+  const chosen = [
+    choose(table, { placement: createPlacement(reading) }),
+    choose(table, { placement: createPlacement({ ...reading, isPrefixHeld: true }) }),
+  ];
+  [1, 2, 3].forEach(() => reader?.startRequest(0));
+  chosen.push(choose(table, { placement: createPlacement(reading) }));
+  assert.equal(
+    chosen.map((choice) => [choice?.entry === reader, choice?.reason, choice?.preferred === first]),
+    [
+      [true, "reading", true],
+      [false, "first", false],
+      [false, "first", false],
+    ],
+  );
+});
+
+test("takes the first engine in the order that is expected soon enough, if the prefix is known", () => {
+  const table = createTable(13);
+  const order: UpstreamEntry[] = [];
+  for (let rank = 0; rank < 6; rank += 1) {
+    const entry = choose(table, { excluded: new Set(order.map(({ record }) => record.id)) })?.entry;
+    order.push(...(entry === undefined ? [] : [entry]));
+  }
+  const getRank = (
+    times: readonly (number | undefined)[],
+    changes: Partial<WorkPlacement> = {},
+  ): number => {
+    const placement = createPlacement({
+      isPrefixHeld: true,
+      getExpectedMilliseconds: (entry) => times[order.indexOf(entry)],
+      ...changes,
+    });
+    const choice = choose(table, { placement });
+    return choice === undefined ? -1 : order.indexOf(choice.entry);
+  };
+  const isHolder = (entry: UpstreamEntry): boolean => entry === order[5];
+  assert.equal(
+    {
+      "much later": getRank([600, 600, 250, 200]),
+      "unknown prefix": getRank([600, 600, 250, 200], { isPrefixHeld: false }),
+      "less than twice": getRank([380, 200, 200, 200]),
+      "a small part of the objective": getRank([160, 20, 20, 20]),
+      "fifth in the order": getRank([600, 600, 600, 600, 20, 20]),
+      "fifth in the order, a holder is sixth": getRank([600, 600, 600, 600, 20, 20], { isHolder }),
+      "unknown time": getRank([undefined, 20, 20, 20]),
+      "unknown times of others": getRank([600]),
+    },
+    {
+      "much later": 2,
+      "unknown prefix": 0,
+      "less than twice": 0,
+      "a small part of the objective": 0,
+      "fifth in the order": 0,
+      "fifth in the order, a holder is sixth": 5,
+      "unknown time": 0,
+      "unknown times of others": 0,
+    },
+  );
+});
+
+test("takes no engine above the load limit, however soon it is expected to answer", () => {
+  const table = createTable(4);
+  const first = choose(table)?.entry;
+  table
+    .getEntries()
+    .filter((entry) => entry !== first)
+    .forEach((entry) => {
+      [1, 2, 3, 4, 5, 6, 7, 8, 9].slice(0, entry.record.id === "e-1" ? 9 : 0).forEach(() => {
+        entry.startRequest(0);
+      });
+    });
+  const getExpectedMilliseconds = ({ record }: UpstreamEntry): number =>
+    record.id === "e-1" ? 10 : 900;
+  const placement = createPlacement({ isPrefixHeld: true, getExpectedMilliseconds });
+  assert.is(choose(table, { placement })?.entry, first);
+});
+
 test.run();
--- /dev/null
+++ b/packages/kernel/tests/upstreams/findPrefixSource.test.ts
@@ -0,0 +1,132 @@
+import {
+  findPrefixSource,
+  getHash,
+  PrefixDirectory,
+  type PrefixSource,
+  type UpstreamEntry,
+} from "@pistachioway/kernel";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { createTable, createUpstream } from "./samples.js";
+
+const test = suite("findPrefixSource");
+const [team, chat] = [getHash("team"), getHash("chat")];
+const lookup = { service: "engine", stickyKey: "chat", sharedBlocks: [team, chat], now: 40_000 };
+
+function create(): {
+  readonly state: Parameters<typeof findPrefixSource>[0];
+  readonly engines: readonly [UpstreamEntry, UpstreamEntry, UpstreamEntry, UpstreamEntry];
+} {
+  const upstreams = createTable(4);
+  const [a, b, c, d] = upstreams.getEntries() as [
+    UpstreamEntry,
+    UpstreamEntry,
+    UpstreamEntry,
+    UpstreamEntry,
+  ];
+  return { state: { upstreams, prefixes: PrefixDirectory.create() }, engines: [a, b, c, d] };
+}
+
+function describe({ kind, entry }: PrefixSource): string {
+  return entry === undefined ? kind : `${kind} ${entry.record.id}`;
+}
+
+// Guards against reading 12,000 tokens again because the only holder is avoided, while a holder of 600 is not.
+test("prefers a holder of the whole part in any connectable state to one of a shorter prefix", () => {
+  const { state, engines } = create();
+  const [chosen, holder, shorter, other] = engines;
+  const { now } = lookup;
+  state.prefixes.addHolder([team], shorter, 39_500);
+  state.prefixes.addHolder([team, chat], holder, 39_000);
+  const find = (): string => describe(findPrefixSource(state, lookup, chosen, undefined));
+  const found = [find()];
+  holder.avoid(now);
+  found.push(find());
+  state.upstreams.markLeaving(holder.record);
+  found.push(find());
+  // Connections open again after a silence, but no bytes have come.
+  holder.path.recordSilence(now);
+  holder.path.recordConnected(now + 1);
+  found.push(find());
+  state.prefixes.addHolder([team, chat], other, 38_000);
+  found.push(find());
+  assert.equal(found, ["holder e-2", "impaired e-2", "impaired e-2", "impaired e-2", "holder e-4"]);
+});
+
+test("finds no engine whose path is closed, that is gone, or that was restarted under its id", () => {
+  const { state, engines } = create();
+  const [chosen, closed, restarted, gone] = engines;
+  const { now } = lookup;
+  [closed, restarted, gone].forEach((entry) => {
+    state.prefixes.addHolder([team, chat], entry, 39_000);
+  });
+  closed.path.recordConnectFailure(now);
+  state.upstreams.addUpstream(createUpstream({ id: "e-3", bornAt: 2 }), now);
+  state.upstreams.removeUpstream("e-4", now);
+  // A peer tells late what the former incarnation held.
+  const successor = state.upstreams.getEntry("e-3") as UpstreamEntry;
+  state.prefixes.addHolder([chat], successor, 39_900);
+  const key = { ...lookup, stickyKey: undefined };
+  assert.is(describe(findPrefixSource(state, key, chosen, undefined)), "none");
+  assert.is(describe(findPrefixSource(state, key, successor, undefined)), "none");
+  state.prefixes.addHolder([chat], successor, now + 10);
+  assert.is(describe(findPrefixSource(state, key, chosen, undefined)), "holder e-3");
+  state.upstreams.addUpstream(createUpstream({ id: "e-4", bornAt: 2 }), now);
+  const returned = state.upstreams.getEntry("e-4") as UpstreamEntry;
+  assert.equal([returned.restartedAt, chosen.restartedAt], [now, -Infinity]);
+});
+
+test("finds no engine of another software version", () => {
+  const { state, engines } = create();
+  const [, holder, reader, preferred] = engines;
+  state.upstreams.addUpstream(createUpstream({ id: "e-new", softwareVersion: "v2" }), 0);
+  const chosen = state.upstreams.getEntry("e-new") as UpstreamEntry;
+  state.prefixes.addHolder([team, chat], holder, 39_000);
+  state.prefixes.startReading([team, chat], reader);
+  assert.is(describe(findPrefixSource(state, lookup, chosen, preferred)), "none");
+});
+
+// Guards against fetching the short first block only, when the holders of a known document are gone.
+test("tries the engine that is first by the order before a holder of a shorter prefix", () => {
+  const { state, engines } = create();
+  const [chosen, gone, preferred, shorter] = engines;
+  state.prefixes.addHolder([team, chat], gone, 39_000);
+  gone.path.recordConnectFailure(lookup.now);
+  state.prefixes.addHolder([team], shorter, 39_000);
+  const key = { ...lookup, stickyKey: undefined };
+  const found = [
+    findPrefixSource(state, lookup, chosen, preferred),
+    findPrefixSource(state, key, chosen, undefined),
+  ];
+  preferred.path.recordConnectFailure(lookup.now);
+  found.push(findPrefixSource(state, key, chosen, preferred));
+  assert.equal(found.map(describe), ["former e-3", "shorter e-4", "shorter e-4"]);
+});
+
+test("guesses the engine that precedes the chosen one in the order, if it is kept from requests", () => {
+  const { state, engines } = create();
+  const results = engines.map((chosen) =>
+    describe(findPrefixSource(state, lookup, chosen, undefined)),
+  );
+  assert.equal(results, ["former e-2", "none", "former e-2", "former e-2"]);
+});
+
+test("knows what the chosen engine holds or reads, and which engine reads it", () => {
+  const { state, engines } = create();
+  const [chosen, reader] = engines;
+  const { prefixes } = state;
+  const key = { ...lookup, stickyKey: undefined };
+  const find = (): string => describe(findPrefixSource(state, key, chosen, undefined));
+  const found = [find()];
+  prefixes.startReading([team, chat], reader);
+  found.push(find());
+  prefixes.startReading([team, chat], chosen);
+  found.push(find());
+  prefixes.endReading([team, chat], chosen);
+  found.push(find());
+  prefixes.addHolder([team, chat], chosen, 39_000);
+  found.push(find());
+  assert.equal(found, ["none", "pending e-2", "reading", "pending e-2", "held"]);
+});
+
+test.run();
