Work-aware services: short prompts leave the order when late, and unknown prompts are asked of the next engine

And a short prompt of unknown prefix waited behind long ones at the first engine of its order.

Change: source `next`: for an unknown last block the next engine in the order is asked, if no holder of more than that engine is known. Prompts of at most 1,000 shared tokens may be moved although no holder is known; they do not wait for readers.

--- a/packages/daemon/tests/ingress/PromptReading.test.ts
+++ b/packages/daemon/tests/ingress/PromptReading.test.ts
@@ -86,7 +86,7 @@
   assert.equal(
     [reading, second, elsewhere].map(({ source }) => [source.kind, source.entry?.record.id]),
     [
-      ["none", undefined],
+      ["next", "e-2"],
       ["reading", undefined],
       ["pending", "e-1"],
     ],
@@ -153,8 +153,9 @@
   assert.equal(
     values.map(({ labels, value }) => [labels.source, value]),
     [
-      ["none", 2],
+      ["next", 1],
       ["holder", 1],
+      ["none", 1],
       ["held", 1],
     ],
   );
--- a/packages/kernel/src/upstreams/WorkPlacement.ts
+++ b/packages/kernel/src/upstreams/WorkPlacement.ts
@@ -1,5 +1,6 @@
 import type { RequestWork } from "../work/index.js";
 import {
+  cheapTokens,
   comparedHolders,
   comparedInOrder,
   laterFactor,
@@ -15,6 +16,8 @@
 export interface WorkPlacement {
   /** Whether an engine holds all shared blocks of the prompt and can be fetched from. */
   readonly isPrefixHeld: boolean;
+  /** Whether reading them again costs less than waiting for an engine that has them. */
+  readonly isCheapToRead: boolean;
   /** Whether an engine reads them for another request. */
   readonly isBeingRead: boolean;
   /** Checks whether an engine reads the shared blocks for another request. */
@@ -78,6 +81,7 @@
   };
   return {
     isPrefixHeld: holder !== undefined,
+    isCheapToRead: sharedTokens <= cheapTokens,
     isBeingRead: prefixes.isRead(last),
     isReading: (entry) => prefixes.isReadBy(last, entry),
     isHolder,
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -156,9 +156,10 @@
   isBelowLimit: (entry: UpstreamEntry) => boolean,
   placement: WorkPlacement,
 ): Pick<UpstreamChoice, "entry" | "reason"> | undefined {
-  if (!placement.isPrefixHeld) {
-    const reader = placement.isBeingRead
-      ? ordered.find((entry) => placement.isReading(entry) && isBelowLimit(entry))
+  const { isPrefixHeld, isCheapToRead, isBeingRead, isReading } = placement;
+  if (!isPrefixHeld && !isCheapToRead) {
+    const reader = isBeingRead
+      ? ordered.find((entry) => isReading(entry) && isBelowLimit(entry))
       : undefined;
     return reader === undefined || reader === first
       ? undefined
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -83,3 +83,8 @@
 export const laterGoalRatio = 0.15;
 /** Time of a KV cache transfer: about 3 ms for 10,000 tokens, with an allowance for longer prompts. */
 export const transferMilliseconds = 8;
+/**
+ * Shared tokens of a prompt that any engine may read although no holder is known: about 20 ms, less than a difference that
+ * moves a request. Longer prompts keep the rendezvous order, so that two daemons do not read them at two engines.
+ */
+export const cheapTokens = 1_000;
--- a/packages/kernel/src/upstreams/findPrefixSource.ts
+++ b/packages/kernel/src/upstreams/findPrefixSource.ts
@@ -13,11 +13,12 @@
  * - `impaired`: from one that holds all of it, and that requests are kept away from.
  * - `pending`: from one that is reading it.
  * - `former`: from one that holds it if the rendezvous order was followed.
+ * - `next`: from the one that comes next in the rendezvous order, where no daemon has told of any reader.
  * - `shorter`: a part of it from an engine that holds only that.
  * - `none`: the chosen engine reads it.
  */
 export type PrefixSourceKind =
-  "held" | "reading" | "holder" | "impaired" | "pending" | "former" | "shorter" | "none";
+  "held" | "reading" | "holder" | "impaired" | "pending" | "former" | "next" | "shorter" | "none";
 
 /** Source of the shared part of a prompt. */
 export interface PrefixSource {
@@ -69,6 +70,17 @@
     return { kind: "former", entry: former };
   }
   const shorter = findShorterHolder(prefixes, sharedBlocks.slice(0, -1), chosen, getRank, now);
+  const previous = sharedBlocks.at(-2);
+  const next =
+    previous === undefined || prefixes.isKnown(last)
+      ? undefined
+      : findNext(upstreams.getEntries(), { service, stickyKey }, chosen, getRank);
+  const hasAsMuch =
+    shorter === undefined ||
+    (next !== undefined && previous !== undefined && prefixes.isHeldBy(previous, next, now));
+  if (next !== undefined && hasAsMuch) {
+    return { kind: "next", entry: next };
+  }
   return { kind: shorter === undefined ? "none" : "shorter", entry: shorter };
 }
 
@@ -93,6 +105,22 @@
   return first === chosen ? undefined : first;
 }
 
+/** Gets the engine that requests for the key went to when the chosen one was at the load limit of another daemon. */
+function findNext(
+  entries: readonly UpstreamEntry[],
+  { service, stickyKey }: Pick<PrefixLookup, "service" | "stickyKey">,
+  chosen: UpstreamEntry,
+  getRank: SourceRank,
+): UpstreamEntry | undefined {
+  return stickyKey === undefined
+    ? undefined
+    : findFirstByKey(
+        entries,
+        stickyKey,
+        (entry) => entry.record.service === service && entry !== chosen && getRank(entry) === 0,
+      );
+}
+
 function findShorterHolder(
   prefixes: PrefixDirectory,
   blocks: readonly number[],
--- a/packages/kernel/tests/upstreams/ModelEngine.ts
+++ b/packages/kernel/tests/upstreams/ModelEngine.ts
@@ -16,6 +16,8 @@
   refusals = 0;
   /** Requests that it holds. */
   held = 0;
+  /** Those of them that have not begun to be answered. */
+  waiting = 0;
   /** How many times as long as usual work takes at a time. */
   getSlowdown: (now: number) => number = () => 1;
   /** Blocks that it has cached or will have when it reads the next prompt. */
--- a/packages/kernel/tests/upstreams/PlacementModel.ts
+++ b/packages/kernel/tests/upstreams/PlacementModel.ts
@@ -42,12 +42,21 @@
   readonly prefixes: PrefixDirectory;
   /** Unread tokens that wait at each engine, of this daemon's own requests. */
   readonly waiting: Map<UpstreamEntry, number>;
-  readonly slowdowns: Map<UpstreamEntry, { readonly value: number; readonly at: number }>;
+  readonly reports: Map<UpstreamEntry, ModelReport>;
+}
+
+/** What an answer told of its engine. */
+interface ModelReport {
+  readonly slowdown: number;
+  readonly waiting: number;
+  readonly at: number;
 }
 
 const gossipMilliseconds = 900;
 const countsIntervalMilliseconds = 400;
-const slowdownLifetimeMilliseconds = 500;
+const reportLifetimeMilliseconds = 500;
+/** Time that an estimate allows for each request that waits at an engine. */
+const waitingMilliseconds = 40;
 const answerMilliseconds = 400;
 const maxAttempts = 3;
 
@@ -69,7 +78,7 @@
       upstreams: UpstreamTable.create(),
       prefixes: PrefixDirectory.create(),
       waiting: new Map<UpstreamEntry, number>(),
-      slowdowns: new Map<UpstreamEntry, { readonly value: number; readonly at: number }>(),
+      reports: new Map<UpstreamEntry, ModelReport>(),
     }));
     for (let index = 1; index <= engines; index += 1) {
       this.addEngine(`e-${String(index)}`);
@@ -193,11 +202,13 @@
     }
     this.countArrival(engine);
     engine.held += 1;
+    engine.waiting += 1;
     const read = engine.read(blocks, source && this.engines.get(source.record.id), now);
     this.countRead(shared, read.blocks);
     daemon.waiting.set(entry, (daemon.waiting.get(entry) ?? 0) + read.tokens);
     this.at(read.endsAt, () => {
       engine.finishReading(blocks);
+      engine.waiting -= 1;
       daemon.waiting.set(entry, (daemon.waiting.get(entry) ?? 0) - read.tokens);
       if (engine.isGone) {
         retry();
@@ -206,7 +217,8 @@
       prefixes.endReading(sharedBlocks, entry);
       entry.recordReceivedBytes(this.now);
       entry.recordReportedLoad(engine.held, this.now);
-      daemon.slowdowns.set(entry, { value: engine.getSlowdown(this.now), at: this.now });
+      const { now: at } = this;
+      daemon.reports.set(entry, { slowdown: engine.getSlowdown(at), waiting: engine.waiting, at });
       this.counts.late += this.now - arrivedAt > goalMilliseconds ? 1 : 0;
       if (!isByCounts) {
         recordHolder();
@@ -218,12 +230,15 @@
     });
   }
 
-  /** Knows what a daemon does: its own unread tokens there, and the slowdown that an answer told it a short time ago. */
+  /** Knows what a daemon does: its own unread tokens there, and what an answer told it a short time ago. */
   private estimate(daemon: ModelDaemon, entry: UpstreamEntry, work: RequestWork): number {
-    const told = daemon.slowdowns.get(entry);
-    const isFresh = told !== undefined && this.now - told.at < slowdownLifetimeMilliseconds;
-    const tokens = work.unreadTokens + (daemon.waiting.get(entry) ?? 0);
-    return 10 + (tokens / tokensPerMillisecond) * (isFresh ? told.value : 1);
+    const told = daemon.reports.get(entry);
+    const report =
+      told !== undefined && this.now - told.at < reportLifetimeMilliseconds ? told : undefined;
+    const own = (daemon.waiting.get(entry) ?? 0) / tokensPerMillisecond;
+    const queued = Math.max(own, (report?.waiting ?? 0) * waitingMilliseconds);
+    const reading = work.unreadTokens / tokensPerMillisecond;
+    return 10 + (queued + reading) * (report?.slowdown ?? 1);
   }
 
   private tell(
--- a/packages/kernel/tests/upstreams/chooseUpstream.test.ts
+++ b/packages/kernel/tests/upstreams/chooseUpstream.test.ts
@@ -201,6 +201,7 @@
 function createPlacement(changes: Partial<WorkPlacement> = {}): WorkPlacement {
   return {
     isPrefixHeld: false,
+    isCheapToRead: false,
     isBeingRead: false,
     isReading: () => false,
     isHolder: () => false,
@@ -232,7 +233,7 @@
   );
 });
 
-test("takes the first engine in the order that is expected soon enough, if the prefix is known", () => {
+test("takes the first engine in the order that is expected soon enough, if that costs little reading", () => {
   const table = createTable(13);
   const order: UpstreamEntry[] = [];
   for (let rank = 0; rank < 6; rank += 1) {
@@ -256,6 +257,10 @@
     {
       "much later": getRank([600, 600, 250, 200]),
       "unknown prefix": getRank([600, 600, 250, 200], { isPrefixHeld: false }),
+      "unknown prefix that is short": getRank([600, 600, 250, 200], {
+        isPrefixHeld: false,
+        isCheapToRead: true,
+      }),
       "less than twice": getRank([380, 200, 200, 200]),
       "a small part of the objective": getRank([160, 20, 20, 20]),
       "fifth in the order": getRank([600, 600, 600, 600, 20, 20]),
@@ -266,6 +271,7 @@
     {
       "much later": 2,
       "unknown prefix": 0,
+      "unknown prefix that is short": 2,
       "less than twice": 0,
       "a small part of the objective": 0,
       "fifth in the order": 0,
--- a/packages/kernel/tests/upstreams/findPrefixSource.test.ts
+++ b/packages/kernel/tests/upstreams/findPrefixSource.test.ts
@@ -103,12 +103,31 @@
   assert.equal(found.map(describe), ["former e-3", "shorter e-4", "shorter e-4"]);
 });
 
-test("guesses the engine that precedes the chosen one in the order, if it is kept from requests", () => {
+// Guards against reading a prompt that another daemon, at the load limit of its first engine, sent to the next one.
+test("guesses by the order which engine has an unknown prompt, unless a holder of more is known", () => {
   const { state, engines } = create();
-  const results = engines.map((chosen) =>
-    describe(findPrefixSource(state, lookup, chosen, undefined)),
-  );
-  assert.equal(results, ["former e-2", "none", "former e-2", "former e-2"]);
+  const [, first, other, next] = engines;
+  const find = (chosen: UpstreamEntry): string =>
+    describe(findPrefixSource(state, lookup, chosen, undefined));
+  const found = engines.map(find);
+  state.prefixes.addHolder([team], other, 39_000);
+  found.push(find(first));
+  state.prefixes.addHolder([team], next, 39_000);
+  found.push(find(first));
+  next.avoid(lookup.now);
+  found.push(find(first));
+  const only = findPrefixSource(state, { ...lookup, sharedBlocks: [chat] }, first, undefined);
+  found.push(describe(only));
+  assert.equal(found, [
+    "former e-2",
+    "next e-4",
+    "former e-2",
+    "former e-2",
+    "shorter e-3",
+    "next e-4",
+    "next e-3",
+    "none",
+  ]);
 });
 
 test("knows what the chosen engine holds or reads, and which engine reads it", () => {
--- a/packages/kernel/tests/upstreams/placementByWork.test.ts
+++ b/packages/kernel/tests/upstreams/placementByWork.test.ts
@@ -69,20 +69,33 @@
   goalMilliseconds: 300,
 };
 
-/** Plays a load with both policies. */
-function compare(play: (model: PlacementModel) => void): Record<ModelPolicy, ModelCounts> {
+const seeds = [0, 100, 200];
+
+/** Plays a load with each policy and several seeds, and sums what is counted. */
+function compare(
+  play: (model: PlacementModel, seed: number) => void,
+): Record<ModelPolicy, ModelCounts> {
   const run = (policy: ModelPolicy): ModelCounts => {
-    const model = PlacementModel.create(policy, daemons, engines);
-    play(model);
-    return model.run(10_000);
+    const total = { requests: 0, readAgain: 0, late: 0, refused: 0, aboveBound: 0 };
+    for (const seed of seeds) {
+      const model = PlacementModel.create(policy, daemons, engines);
+      play(model, seed);
+      const counts = model.run(10_000);
+      total.requests += counts.requests;
+      total.readAgain += counts.readAgain;
+      total.late += counts.late;
+      total.refused += counts.refused;
+      total.aboveBound += counts.aboveBound;
+    }
+    return total;
   };
   return { counts: run("counts"), sources: run("sources"), work: run("work") };
 }
 
-const scenarios: Record<string, (model: PlacementModel) => void> = {
-  "holders avoided for failures": (model) => {
-    addLoad(model, longPrompts, 1);
-    addLoad(model, shortPrompts, 2);
+const scenarios: Record<string, (model: PlacementModel, seed: number) => void> = {
+  "holders avoided for failures": (model, seed) => {
+    addLoad(model, longPrompts, seed + 1);
+    addLoad(model, shortPrompts, seed + 2);
     for (let daemon = 0; daemon < daemons; daemon += 1) {
       for (let at = 2_000; at < 8_000; at += 1_500) {
         model.at(at, () => {
@@ -96,27 +109,27 @@
       }
     }
   },
-  "engines replaced one after the other": (model) => {
-    addLoad(model, longPrompts, 3);
-    addLoad(model, shortPrompts, 4);
+  "engines replaced one after the other": (model, seed) => {
+    addLoad(model, longPrompts, seed + 3);
+    addLoad(model, shortPrompts, seed + 4);
     for (let index = 1; index <= 12; index += 1) {
       replaceEngine(model, `e-${String(index)}`, 500 * index);
     }
   },
-  "engines that crash while others fetch from them": (model) => {
-    addLoad(model, longPrompts, 9);
-    addLoad(model, shortPrompts, 10);
+  "engines that crash while others fetch from them": (model, seed) => {
+    addLoad(model, longPrompts, seed + 9);
+    addLoad(model, shortPrompts, seed + 10);
     for (let index = 1; index <= 6; index += 1) {
       crashEngine(model, `e-${String(index)}`, 1_000 * index + 500);
     }
   },
-  "a hot key whose requests are all long": (model) => {
-    addLoad(model, { ...longPrompts, documents: 1, perSecond: 60, ownTokens: 6_000 }, 5);
-    addLoad(model, shortPrompts, 6);
+  "a hot key whose requests are all long": (model, seed) => {
+    addLoad(model, { ...longPrompts, documents: 1, perSecond: 60, ownTokens: 6_000 }, seed + 5);
+    addLoad(model, shortPrompts, seed + 6);
   },
-  "a third of the engines slow by turns": (model) => {
-    addLoad(model, { ...longPrompts, perSecond: 80 }, 7);
-    addLoad(model, shortPrompts, 8);
+  "a third of the engines slow by turns": (model, seed) => {
+    addLoad(model, { ...longPrompts, documents: 300 }, seed + 7);
+    addLoad(model, shortPrompts, seed + 8);
     [...model.engines.values()].forEach((engine, index) => {
       engine.getSlowdown = (now) => ((index + Math.floor(now / 600)) % 3 === 0 ? 2.5 : 1);
     });
@@ -171,34 +184,34 @@
 
 const figures: Record<string, Record<ModelPolicy, Figures>> = {
   "holders avoided for failures": {
-    counts: [405_710, 11, 0, 3],
-    sources: [135_480, 8, 0, 6],
-    work: [135_480, 7, 0, 6],
+    counts: [1_314_600, 64, 0, 35],
+    sources: [308_200, 47, 0, 35],
+    work: [261_500, 34, 0, 23],
   },
   "engines replaced one after the other": {
-    counts: [90_710, 14, 0, 23],
-    sources: [88_520, 14, 0, 24],
-    work: [88_520, 14, 0, 24],
+    counts: [272_210, 44, 0, 123],
+    sources: [244_560, 44, 0, 129],
+    work: [263_140, 40, 0, 86],
   },
   "engines that crash while others fetch from them": {
-    counts: [141_830, 15, 0, 14],
-    sources: [124_370, 15, 0, 14],
-    work: [124_110, 14, 0, 9],
+    counts: [441_200, 81, 0, 63],
+    sources: [384_340, 74, 0, 54],
+    work: [384_080, 67, 0, 41],
   },
   "a hot key whose requests are all long": {
-    counts: [24_160, 358, 0, 254],
-    sources: [21_030, 354, 0, 248],
-    work: [21_290, 214, 0, 113],
+    counts: [75_380, 1_103, 0, 760],
+    sources: [64_950, 1_099, 0, 753],
+    work: [65_500, 475, 0, 234],
   },
   "a third of the engines slow by turns": {
-    counts: [107_810, 89, 0, 39],
-    sources: [106_740, 88, 0, 40],
-    work: [106_740, 87, 0, 39],
+    counts: [173_170, 1_315, 0, 90],
+    sources: [117_320, 1_327, 0, 82],
+    work: [123_850, 1_153, 0, 42],
   },
   "refusals, and two requests of one prefix at the same time": {
-    counts: [195_600, 0, 2, 0],
-    sources: [74_400, 0, 2, 0],
-    work: [86_400, 0, 2, 0],
+    counts: [586_800, 0, 6, 0],
+    sources: [223_200, 0, 6, 0],
+    work: [259_200, 0, 6, 0],
   },
 };
 
