The next engine in the order is asked for a long unknown prompt before a short first block is fetched

Change: it is asked if it holds the shorter prefix, too, or would have at least ten times as many tokens more.

--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -76,11 +76,11 @@
 }
 
 /**
- * Gets the tokens of the prompt blocks that other requests may share.
+ * Gets the tokens of the prompt blocks that other requests may share, in order.
  * @param head - Head of the request.
  */
-export function getSharedTokens(head: RequestHead): number {
-  return getSharedPromptBlocks(head).reduce((sum, { tokens }) => sum + tokens, 0);
+export function getSharedBlockTokens(head: RequestHead): readonly number[] {
+  return getSharedPromptBlocks(head).map(({ tokens }) => tokens);
 }
 
 function getSharedPromptBlocks({ promptBlocks }: RequestHead): readonly PromptBlock[] {
--- a/packages/daemon/src/ingress/PromptReading.ts
+++ b/packages/daemon/src/ingress/PromptReading.ts
@@ -4,7 +4,12 @@
   type ResponseHead,
   type UpstreamChoice,
 } from "@pistachioway/kernel";
-import { getSharedBlocks, getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
+import {
+  getSharedBlocks,
+  getSharedBlockTokens,
+  getStickyKey,
+  type AcceptedRequest,
+} from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 
 const firstErrorStatus = 400;
@@ -44,7 +49,8 @@
     now: number,
   ): PromptReading {
     const sharedBlocks = getSharedBlocks(head);
-    const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, now };
+    const sharedBlockTokens = getSharedBlockTokens(head);
+    const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, sharedBlockTokens, now };
     const source = findPrefixSource(state, lookup, choice.entry, choice.preferred);
     state.metrics.promptSources.inc({ source: source.kind });
     state.prefixes.startReading(sharedBlocks, choice.entry);
--- a/packages/daemon/src/ingress/chooseRequestUpstream.ts
+++ b/packages/daemon/src/ingress/chooseRequestUpstream.ts
@@ -7,7 +7,7 @@
 } from "@pistachioway/kernel";
 import {
   getSharedBlocks,
-  getSharedTokens,
+  getSharedBlockTokens,
   getStickyKey,
   type AcceptedRequest,
 } from "./AcceptedRequest.js";
@@ -64,7 +64,7 @@
   const blockTokens = head.promptBlocks.reduce((sum, { tokens }) => sum + tokens, 0);
   const toPlace = {
     sharedBlocks,
-    sharedTokens: getSharedTokens(head),
+    sharedTokens: getSharedBlockTokens(head).reduce((sum, tokens) => sum + tokens, 0),
     promptTokens: head.tokens?.prompt ?? blockTokens,
     outputTokens: head.tokens?.maxOutput ?? 0,
     goalMilliseconds: approval.route.goalMilliseconds,
--- a/packages/kernel/src/upstreams/findPrefixSource.ts
+++ b/packages/kernel/src/upstreams/findPrefixSource.ts
@@ -27,6 +27,18 @@
   readonly entry: UpstreamEntry | undefined;
 }
 
+/** A request whose prompt may be fetched in part. */
+export interface SourceLookup extends PrefixLookup {
+  /** Tokens of the shared blocks, in order. */
+  readonly sharedBlockTokens: readonly number[];
+}
+
+/**
+ * The next engine in the order is asked, at the cost of a shorter prefix that is known elsewhere, if it would have this
+ * many times as many tokens more: it has them in about one of ten cases or more.
+ */
+const guessFactor = 10;
+
 /**
  * Finds the source of the shared part of a prompt, in a service that is placed by work.
  * @param state - State of the daemon.
@@ -36,10 +48,11 @@
  */
 export function findPrefixSource(
   { upstreams, prefixes }: PrefixLookupState,
-  { service, stickyKey, sharedBlocks, now }: PrefixLookup,
+  lookup: SourceLookup,
   chosen: UpstreamEntry,
   preferred: UpstreamEntry | undefined,
 ): PrefixSource {
+  const { sharedBlocks, now } = lookup;
   const last = sharedBlocks.at(-1);
   if (last === undefined) {
     return { kind: "none", entry: undefined };
@@ -65,23 +78,38 @@
   const former =
     preferred !== undefined && getRank(preferred) !== undefined
       ? preferred
-      : guessFormerHolder(upstreams.getEntries(), { service, stickyKey, now }, chosen, getRank);
+      : guessFormerHolder(upstreams.getEntries(), lookup, chosen, getRank);
   if (former !== undefined) {
     return { kind: "former", entry: former };
   }
   const shorter = findShorterHolder(prefixes, sharedBlocks.slice(0, -1), chosen, getRank, now);
-  const previous = sharedBlocks.at(-2);
   const next =
-    previous === undefined || prefixes.isKnown(last)
+    sharedBlocks.length < 2 || prefixes.isKnown(last)
       ? undefined
-      : findNext(upstreams.getEntries(), { service, stickyKey }, chosen, getRank);
-  const hasAsMuch =
-    shorter === undefined ||
-    (next !== undefined && previous !== undefined && prefixes.isHeldBy(previous, next, now));
-  if (next !== undefined && hasAsMuch) {
+      : findNext(upstreams.getEntries(), lookup, chosen, getRank);
+  if (next !== undefined && isWorthAsking(prefixes, lookup, next, shorter)) {
     return { kind: "next", entry: next };
   }
-  return { kind: shorter === undefined ? "none" : "shorter", entry: shorter };
+  return shorter === undefined
+    ? { kind: "none", entry: undefined }
+    : { kind: "shorter", entry: shorter.entry };
+}
+
+/** Checks whether to ask the next engine rather than a known holder of a shorter prefix. */
+function isWorthAsking(
+  prefixes: PrefixDirectory,
+  { sharedBlocks, sharedBlockTokens, now }: SourceLookup,
+  next: UpstreamEntry,
+  shorter: ShorterHolder | undefined,
+): boolean {
+  if (shorter === undefined) {
+    return true;
+  }
+  const { blockCount } = shorter;
+  const known = sum(sharedBlockTokens.slice(0, blockCount));
+  const more = sum(sharedBlockTokens.slice(blockCount));
+  const isHeld = prefixes.isHeldBy(sharedBlocks[blockCount - 1] ?? 0, next, now);
+  return isHeld || more >= known * guessFactor;
 }
 
 /** Guesses which engine holds a prompt: the one that precedes the chosen one in the rendezvous order, if any does. */
@@ -121,21 +149,32 @@
       );
 }
 
+interface ShorterHolder {
+  readonly entry: UpstreamEntry;
+  /** Shared blocks that it holds, from the first. */
+  readonly blockCount: number;
+}
+
 function findShorterHolder(
   prefixes: PrefixDirectory,
   blocks: readonly number[],
   chosen: UpstreamEntry,
   getRank: SourceRank,
   now: number,
-): UpstreamEntry | undefined {
-  for (const block of [...blocks].reverse()) {
+): ShorterHolder | undefined {
+  for (let blockCount = blocks.length; blockCount > 0; blockCount -= 1) {
+    const block = blocks[blockCount - 1] ?? 0;
     if (prefixes.isHeldBy(block, chosen, now)) {
       return undefined;
     }
-    const holder = prefixes.getBestHolder(block, getRank, now);
-    if (holder !== undefined) {
-      return holder;
+    const entry = prefixes.getBestHolder(block, getRank, now);
+    if (entry !== undefined) {
+      return { entry, blockCount };
     }
   }
   return undefined;
 }
+
+function sum(counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0);
+}
--- a/packages/kernel/src/upstreams/index.ts
+++ b/packages/kernel/src/upstreams/index.ts
@@ -6,7 +6,12 @@
   type UpstreamRequirements,
 } from "./chooseUpstream.js";
 export type { UpstreamIncarnation } from "./DepartedUpstreams.js";
-export { findPrefixSource, type PrefixSource, type PrefixSourceKind } from "./findPrefixSource.js";
+export {
+  findPrefixSource,
+  type PrefixSource,
+  type PrefixSourceKind,
+  type SourceLookup,
+} from "./findPrefixSource.js";
 export { createWorkPlacement, type WorkPlacement, type WorkToPlace } from "./WorkPlacement.js";
 export { findPrefixHolder, type PrefixLookup, type PrefixLookupState } from "./findPrefixHolder.js";
 export type { LimitShare } from "./LimitShare.js";
