--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -16,6 +16,7 @@
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AttemptTarget, TargetReport } from "./AttemptTarget.js";
 import { chooseRequestUpstream } from "./chooseRequestUpstream.js";
+import { PromptReading } from "./PromptReading.js";
 
 const maxPriority = 9;
 /** Answers from this status on tell nothing of how long work takes. */
@@ -28,6 +29,8 @@
   private readonly entry: UpstreamEntry;
   /** Work of the request at the upstream, once it is sent. */
   private work: RequestWork | undefined;
+  /** Undefined where the service is not placed by work, or its engines cannot fetch. */
+  private reading: PromptReading | undefined;
 
   private constructor(
     private readonly dependencies: ActiveRequestDependencies,
@@ -108,6 +111,7 @@
 
   recordHead(head: ResponseHead, now: number): void {
     const { upstreams, workEstimator, onNotices } = this.dependencies;
+    this.reading?.recordHead(head, now);
     onNotices(applyResponseHead(upstreams, this.entry, head, now, workEstimator));
     if (this.work !== undefined && head.meaning === "final" && head.status < errorStatus) {
       workEstimator.recordFirstByte(this.entry, this.work, now);
@@ -127,6 +131,7 @@
     if (this.work !== undefined) {
       workEstimator.endWork(this.entry, this.work, getNow());
     }
+    this.reading?.end();
     this.entry.finishRequest(hadStream);
   }
 
@@ -162,7 +167,8 @@
   getReport(now: number): TargetReport {
     const { id: upstream, softwareVersion: software } = this.upstream;
     const load = this.entry.getLoad(now);
-    return { upstream, software, choice: this.choice.reason, load, via: "-" };
+    const source = this.reading && { source: this.reading.source.kind };
+    return { upstream, software, choice: this.choice.reason, ...source, load, via: "-" };
   }
 
   /** Gets the upstream that the request would be sent to after this one, and its work there. */
@@ -194,6 +200,10 @@
     if (sharedBlocks.length === 0 || dependencies.getService(service)?.engine?.canFetch !== true) {
       return undefined;
     }
+    if (dependencies.workEstimator.isWorkAware(service)) {
+      this.reading = PromptReading.start(dependencies, this.request, this.choice, now);
+      return this.reading.source.entry?.record.address;
+    }
     const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, now };
     const holder = findPrefixHolder(dependencies, lookup, entry, this.choice.preferred);
     const block = sharedBlocks.at(-1);
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -9,6 +9,7 @@
   type Registry,
   type UpstreamNotice,
   toFleetNotice,
+  WorkEstimator,
 } from "@pistachioway/kernel";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { FleetTask, PeerStateTask } from "../fleet/index.js";
--- a/packages/kernel/src/work/getRequestWork.ts
+++ b/packages/kernel/src/work/getRequestWork.ts
@@ -22,7 +22,7 @@
   // The last of several blocks is not shared with other requests, so that no engine has it cached.
   const shared = promptBlocks.length > 1 ? promptBlocks.slice(0, -1) : promptBlocks;
   const heldCount = shared.findLastIndex(({ id }) =>
-    holders.some((entry) => prefixes.isHolder(getHash(id), entry, now)),
+    holders.some((entry) => prefixes.isHeldBy(getHash(id), entry, now)),
   );
   const cachedTokens = sumTokens(shared.slice(0, heldCount + 1));
   const promptTokens = tokens?.prompt ?? sumTokens(promptBlocks);
