Evacuate a zone: the registry's key keeps new requests from its upstreams

Cause: RegistryTask decoded zoneEvacuated and zoneReturned and dropped them, so requests went on to upstreams of a zone that operators had evacuated.

Change: EvacuatedZones (kernel) holds the set; UpstreamTable mirrors it into its entries, and the choice of upstreams, the check of served versions, the times in refusals, trials and reached services take offered upstreams only. Requests in flight finish, and an evacuated upstream may still be the source of a KV cache transfer. A service whose upstreams are all evacuated is refused with zone-evacuated (503) at once. Peer states carry the zones as an optional field, which a daemon omits while it does not know them. Log lines, a gauge, and fields and concerns in router status.

Spread: requests without a key at daemons of the evacuated zone are placed by their own id.

Ruled out: ending the restoration by RegistryEra, which settles early when the configuration is written again and says nothing of other keys; a random number in each choice.

--- a/packages/cli/src/logs/explainOutcome.ts
+++ b/packages/cli/src/logs/explainOutcome.ts
@@ -80,6 +80,11 @@
     cause: "No upstream accepted the request before its deadline; it has not run.",
     advice: "Check refusals, and `router status` for upstreams that are avoided.",
   },
+  "zone-evacuated": {
+    cause: "Every upstream of the service is in a zone that is evacuated; the request has not run.",
+    advice:
+      "See router status for the evacuated zones; end the evacuation or start upstreams elsewhere.",
+  },
   "no-upstream": {
     cause:
       "The service had no upstream that the router reached, by itself or through a peer; the request has not run.",
--- a/packages/cli/src/status/routers.ts
+++ b/packages/cli/src/status/routers.ts
@@ -53,7 +53,10 @@
 }
 
 /** Gets the state of an upstream; one that announced that it leaves may still be listed as ready. */
-function getState({ state, isLeaving }: RouterStatus["upstreams"][number]): string {
+function getState({ state, isLeaving, isEvacuated }: RouterStatus["upstreams"][number]): string {
+  if (isEvacuated && state === "ready") {
+    return "evacuated";
+  }
   return isLeaving && state === "ready" ? "leaving" : state;
 }
 
@@ -69,6 +72,7 @@
     ...statuses.flatMap(({ name, unreachedServices, forwarded }) =>
       unreachedServices.map((service) => formatUnreached(name, service, Object.keys(forwarded))),
     ),
+    ...getEvacuationConcerns(statuses),
     ...(versions.size > 1 ? ["configurations differ"] : []),
     ...(eras.size > 1 ? ["eras of the registry differ"] : []),
     ...statuses.flatMap(({ name, peers }) =>
@@ -78,3 +82,15 @@
     ),
   ];
 }
+
+/** Gets a line for each evacuated zone, with the routers that do not know of it. */
+function getEvacuationConcerns(statuses: readonly RouterStatus[]): readonly string[] {
+  const zones = new Set(statuses.flatMap(({ evacuatedZones }) => evacuatedZones));
+  return [...zones].sort().map((zone) => {
+    const unaware = statuses
+      .filter(({ evacuatedZones }) => !evacuatedZones.includes(zone))
+      .map(({ name }) => name);
+    const text = `zone "${zone}" is evacuated`;
+    return unaware.length === 0 ? text : `${text}; ${unaware.join(", ")} do not know of it`;
+  });
+}
--- a/packages/daemon/src/fleet/peerState.ts
+++ b/packages/daemon/src/fleet/peerState.ts
@@ -14,6 +14,8 @@
   era: z.int().optional(),
   /** Omitted when the peer has this version. */
   routing: routingSchema.optional(),
+  /** Zones that are evacuated; omitted by a peer that does not know them, and by earlier builds. */
+  evacuatedZones: z.array(z.string()).optional().catch(undefined),
   /** Records that this build does not accept are passed over. */
   upstreams: z
     .array(z.unknown())
--- a/packages/daemon/src/ingress/chooseRequestUpstream.ts
+++ b/packages/daemon/src/ingress/chooseRequestUpstream.ts
@@ -1,4 +1,9 @@
-import { chooseUpstream, isRepeatable, type UpstreamChoice } from "@pistachioway/kernel";
+import {
+  chooseUpstream,
+  getSpreadKey,
+  isRepeatable,
+  type UpstreamChoice,
+} from "@pistachioway/kernel";
 import { getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
 import { getMaxRunning, type ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 
@@ -21,15 +26,20 @@
   { approval, head, service }: AcceptedRequest,
   constraints: AttemptConstraints,
 ): UpstreamChoice | undefined {
-  return chooseUpstream(dependencies.upstreams.getEntries(), {
+  const { upstreams, zone } = dependencies;
+  const stickyKey = approval.route.isSticky ? getStickyKey(head) : undefined;
+  const spreadKey = getSpreadKey(upstreams.evacuations, { id: head.id, zone, stickyKey });
+  const choice = chooseUpstream(upstreams.getEntries(), {
     ...constraints,
     service,
-    zone: dependencies.zone,
-    stickyKey: approval.route.isSticky ? getStickyKey(head) : undefined,
+    zone,
+    stickyKey: stickyKey ?? spreadKey,
     maxRunning: getMaxRunning(dependencies, service),
     limitShare: dependencies.getLimitShare(),
     isRepeatable: isRepeatable(approval.route),
     hasIdleConnection: ({ record }) => dependencies.pool.hasIdle(record.address),
     now: dependencies.getNow(),
   });
+  // The first upstream for a key of the request's own has nothing cached for it.
+  return choice && (spreadKey === undefined ? choice : { ...choice, preferred: undefined });
 }
--- a/packages/daemon/src/ingress/createUpstreamRefusal.ts
+++ b/packages/daemon/src/ingress/createUpstreamRefusal.ts
@@ -16,6 +16,10 @@
   softwareVersion: string | undefined,
 ): Refusal {
   const now = getNow();
+  if (upstreams.isServiceEvacuated(service)) {
+    const detail = `the upstreams of service "${service}" are in zones that are evacuated`;
+    return { name: "zone-evacuated", detail, retryAfterSeconds: undefined };
+  }
   if (softwareVersion !== undefined && !upstreams.isVersionServed(service, softwareVersion)) {
     const detail = `no upstream of service "${service}" has software version "${softwareVersion}"`;
     return { name: "stream-version-gone", detail, retryAfterSeconds: undefined };
--- a/packages/daemon/src/ingress/refusals.ts
+++ b/packages/daemon/src/ingress/refusals.ts
@@ -8,6 +8,7 @@
   | "headers-too-large"
   | "body-too-large"
   | "no-upstream"
+  | "zone-evacuated"
   | "upstreams-resting"
   | "upstreams-limited"
   | "content-quarantined"
@@ -58,6 +59,7 @@
   "headers-too-large": { status: 431 },
   "body-too-large": { status: 413 },
   "no-upstream": { status: 503, retryAfterSeconds: 0.5 },
+  "zone-evacuated": { status: 503, retryAfterSeconds: 0.5 },
   "upstreams-resting": { status: 503, retryAfterSeconds: 0.5 },
   "upstreams-limited": { status: 503, retryAfterSeconds: 0.5 },
   "content-quarantined": { status: 503, retryAfterSeconds: 60 },
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -149,6 +149,12 @@
     registers: [this.registry],
   });
 
+  readonly evacuatedZones = new Gauge({
+    name: "pistachioway_evacuated_zones",
+    help: "Zones that operators have evacuated, as this router knows.",
+    registers: [this.registry],
+  });
+
   readonly configurationVersion = new Gauge({
     name: "pistachioway_configuration_version",
     help: "Version of the configuration in force.",
--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -14,6 +14,7 @@
 import { CallDeadline } from "../deadlines/index.js";
 import type { PeerState } from "../fleet/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
+import { ZoneEvacuations } from "./ZoneEvacuations.js";
 
 /** Longest time that one watch waits for changes. */
 const watchTimeoutMilliseconds = 1_500;
@@ -65,7 +66,12 @@
   private waitMilliseconds = watchTimeoutMilliseconds;
   private readonly stopped = new AbortController();
 
-  private constructor(private readonly dependencies: RegistryDependencies) {}
+  private readonly evacuations: ZoneEvacuations;
+
+  private constructor(private readonly dependencies: RegistryDependencies) {
+    const { record } = dependencies;
+    this.evacuations = ZoneEvacuations.create({ upstreams: this.upstreams, record });
+  }
 
   /**
    * Creates a task that has read nothing.
@@ -147,6 +153,7 @@
       this.addUpstream(upstream, now.monotonic);
     });
     this.removeMissing(new Set(state.upstreams.map(({ id }) => id)));
+    this.evacuations.applyPeerZones(state.evacuatedZones, requestedAt.monotonic);
   }
 
   private applyTable(table: RouteTable): void {
@@ -252,6 +259,7 @@
       );
       this.removeMissing(new Set(upstreams));
     }
+    this.evacuations.applyUpdate(update, isFullRead, requestedAt.monotonic);
     this.position = update.position;
     if (this.table !== undefined && !this.isNewestTableInvalid) {
       this.renewLease(update, isFullRead, requestedAt);
@@ -312,6 +320,7 @@
         break;
       case "zoneEvacuated":
       case "zoneReturned":
+        // `ZoneEvacuations` applies them, as a complete list is known at its end only.
         break;
     }
   }
--- a/packages/daemon/src/router/RouterPages.ts
+++ b/packages/daemon/src/router/RouterPages.ts
@@ -85,6 +85,7 @@
       load: entry.getLoad(now),
       isAvoided: entry.isAvoided(now),
       isLeaving: entry.isLeaving,
+      isEvacuated: entry.isEvacuated,
       limitPerSecond: entry.limit.getPerSecond() ?? null,
       restMilliseconds: entry.isResting(now) ? Math.round(entry.getRestEnd() - now) : 0,
     }));
@@ -99,6 +100,7 @@
       running: ingress.requests.getRunningCount(),
       unreachedServices: [...this.dependencies.reachability.getUnreachedServices()],
       forwarded: this.dependencies.forwarding.forwarder.getCounts(),
+      evacuatedZones: [...registry.upstreams.evacuations.getZones()],
       takenOver: this.dependencies.forwarding.server.requests.getRunningCount(),
       peers: fleet.view.getLiveStates(now).map(({ name, version }) => ({ name, version })),
       upstreams,
@@ -111,6 +113,7 @@
     const age = registry.getAgeMilliseconds();
     metrics.configurationAge.set(Number.isFinite(age) ? age / millisecondsPerSecond : -1);
     metrics.registryEra.set(registry.era.getEra() ?? -1);
+    metrics.evacuatedZones.set(registry.upstreams.evacuations.getZones().length);
     metrics.keptBytes.set(memory.getUsedBytes());
     metrics.pausedConnections.set(pool.pacer.getWaitingCount());
     metrics.connections.set(pool.getOpenedCount());
@@ -141,6 +144,7 @@
       ageMilliseconds,
       era: registry.era.getEra(),
       routing: table.version === knownVersion ? undefined : table.getRouting(),
+      evacuatedZones: registry.upstreams.evacuations.getKnownZones(),
       upstreams: registry.upstreams.getEntries().map(({ record }) => record),
     };
     return toJsonPage(state);
--- /dev/null
+++ b/packages/kernel/src/evacuations/index.ts
@@ -0,0 +1,3 @@
+export { EvacuatedZones, type EvacuationChange, type ZoneList } from "./EvacuatedZones.js";
+export { getSpreadKey, type PlacedRequest } from "./getSpreadKey.js";
+export { isZoneName } from "./isZoneName.js";
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./bytes/index.js";
 export * from "./configuration/index.js";
 export * from "./errors/index.js";
+export * from "./evacuations/index.js";
 export * from "./fleet/index.js";
 export * from "./forwarding/index.js";
 export * from "./freshness/index.js";
--- a/packages/kernel/src/operations/routerStatus.ts
+++ b/packages/kernel/src/operations/routerStatus.ts
@@ -10,6 +10,8 @@
   isAvoided: z.boolean(),
   /** True once the upstream has announced that it leaves. */
   isLeaving: z.boolean().default(false),
+  /** True while its zone is evacuated. */
+  isEvacuated: z.boolean().default(false),
   /** Time for which the upstream wants no requests from the daemon. */
   restMilliseconds: z.number().default(0),
   /** Requests a second that it takes from all routers together; null without a limit. */
@@ -32,6 +34,8 @@
   running: z.number(),
   /** Names of services none of whose upstreams the router reaches by itself. */
   unreachedServices: z.array(z.string()).default([]),
+  /** Zones that operators have evacuated, as the router knows. */
+  evacuatedZones: z.array(z.string()).default([]),
   /** Number of its requests in flight through each peer, by the peer's address. */
   forwarded: z.record(z.string(), z.number()).default({}),
   /** Number of peers' requests in flight that it has taken over. */
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -28,6 +28,8 @@
   expiredAt: number | undefined;
   /** True once this incarnation has announced that it leaves; it never takes requests again. */
   isLeaving = false;
+  /** True while the zone of the upstream is evacuated. */
+  isEvacuated = false;
   /** This daemon's own path to the upstream. */
   readonly path = UpstreamPath.create();
   private restEndsAt = -Infinity;
@@ -203,6 +205,11 @@
     return this.record.state === "ready" && !this.isLeaving;
   }
 
+  /** Checks whether new requests may be sent to the upstream: it is in service, and its zone is not evacuated. */
+  isOffered(): boolean {
+    return this.isInService() && !this.isEvacuated;
+  }
+
   /** Gets the exponential moving average of failures, from 0 to 1. */
   getFailureRate(): number {
     return this.failureRate;
--- a/packages/kernel/src/upstreams/UpstreamReach.ts
+++ b/packages/kernel/src/upstreams/UpstreamReach.ts
@@ -60,7 +60,7 @@
   /** Gets the names of the services none of whose upstreams this daemon can reach by itself. */
   getUnreachedServices(): readonly string[] {
     return [...this.groupByService()]
-      .filter(([, entries]) => !entries.some(isReachable))
+      .filter(([, entries]) => !getOffered(entries).some(isReachable))
       .map(([service]) => service);
   }
 
@@ -97,9 +97,11 @@
       this.endDoubtIfProven(service, entries);
       this.doubtIfSilentTogether(service, entries, now);
       this.checkSilence(service, entries, now);
-      this.grantTrials(service, entries, now);
+      this.grantTrials(service, getOffered(entries), now);
     }
-    const changes = [...groups].flatMap(([service, entries]) => this.noteChange(service, entries));
+    const changes = [...groups].flatMap(([service, entries]) =>
+      this.noteChange(service, getOffered(entries)),
+    );
     return { silent, changes };
   }
 
@@ -257,6 +259,12 @@
   }
 }
 
+/** Gets the upstreams that take requests; all of them while the whole service is evacuated. */
+function getOffered(entries: readonly UpstreamEntry[]): readonly UpstreamEntry[] {
+  const offered = entries.filter((entry) => entry.isOffered());
+  return offered.length > 0 ? offered : entries;
+}
+
 function isReachable({ path }: UpstreamEntry): boolean {
   return path.getState() === "open" || path.isOpenToOldConnections();
 }
--- a/packages/kernel/src/upstreams/UpstreamTable.ts
+++ b/packages/kernel/src/upstreams/UpstreamTable.ts
@@ -1,3 +1,4 @@
+import { EvacuatedZones, type EvacuationChange, type ZoneList } from "../evacuations/index.js";
 import { expiryGraceMilliseconds } from "./constants.js";
 import { DepartedUpstreams, type UpstreamIncarnation } from "./DepartedUpstreams.js";
 import type { LimitShare } from "./LimitShare.js";
@@ -6,6 +7,8 @@
 
 /** The upstreams that the registry lists, with the state that this daemon keeps of each. */
 export class UpstreamTable {
+  /** Zones whose upstreams get no requests. */
+  readonly evacuations = EvacuatedZones.create();
   private readonly entriesById = new Map<string, UpstreamEntry>();
   private readonly departed = DepartedUpstreams.create();
   private gracePeriodEndsAt = -Infinity;
@@ -59,6 +62,7 @@
     const isOlder = record.bornAt < entry.record.bornAt || record.sequence < entry.record.sequence;
     if (!isOlder) {
       entry.record = record;
+      entry.isEvacuated = this.evacuations.isEvacuated(record.zone);
       entry.expiredAt = undefined;
       this.recordDraining(record);
     }
@@ -79,7 +83,7 @@
   }
 
   /**
-   * Checks whether an upstream of a service that is in service has a software version.
+   * Checks whether an upstream of a service that takes requests has a software version.
    * @param service - Name of the service.
    * @param softwareVersion - The version.
    */
@@ -88,10 +92,21 @@
       (entry) =>
         entry.record.service === service &&
         entry.record.softwareVersion === softwareVersion &&
-        entry.isInService(),
+        entry.isOffered(),
     );
   }
 
+  /**
+   * Checks whether all upstreams of a service that are in service are in evacuated zones, and there is one.
+   * @param service - Name of the service.
+   */
+  isServiceEvacuated(service: string): boolean {
+    const entries = this.getEntries().filter(
+      (entry) => entry.record.service === service && entry.isInService(),
+    );
+    return entries.length > 0 && entries.every(({ isEvacuated }) => isEvacuated);
+  }
+
   /**
    * Gets the earliest time at which an upstream of a service ends its rest; undefined when none rests.
    * @param service - Name of the service.
@@ -99,7 +114,7 @@
    */
   getEarliestRestEnd(service: string, now: number): number | undefined {
     const ends = this.getEntries()
-      .filter((entry) => entry.record.service === service && entry.isInService())
+      .filter((entry) => entry.record.service === service && entry.isOffered())
       .filter((entry) => entry.isResting(now))
       .map((entry) => entry.getRestEnd());
     return ends.length === 0 ? undefined : Math.min(...ends);
@@ -114,7 +129,7 @@
    */
   getEarliestLimitSlot(service: string, now: number, limitShare: LimitShare): number | undefined {
     const slots = this.getEntries()
-      .filter((entry) => entry.record.service === service && entry.isInService())
+      .filter((entry) => entry.record.service === service && entry.isOffered())
       .filter(({ limit }) => limit.getPerSecond() !== undefined)
       .map(({ limit }) => limit.getNextSlot(now, limitShare));
     return slots.length === 0 ? undefined : Math.min(...slots);
@@ -156,6 +171,30 @@
   startRestoration(now: number): void {
     this.startGracePeriod(now);
     this.departed.startRestoration(now);
+    this.evacuations.startRestoration(now);
+  }
+
+  /**
+   * Applies a complete list of the evacuated zones.
+   * @param list - The list.
+   * @returns Zones whose evacuation starts or ends.
+   */
+  applyEvacuations(list: ZoneList): readonly EvacuationChange[] {
+    return this.markEvacuated(this.evacuations.applyList(list));
+  }
+
+  /**
+   * Applies changes to the evacuated zones, up to the response that told of them.
+   * @param changes - The changes, in the order in which they were written.
+   * @param requestedAt - When the response was requested.
+   * @returns Zones whose evacuation starts or ends.
+   */
+  applyEvacuationChanges(
+    changes: readonly EvacuationChange[],
+    requestedAt: number,
+  ): readonly EvacuationChange[] {
+    const applied = this.evacuations.applyChanges(changes);
+    return this.markEvacuated([...applied, ...this.evacuations.confirm(requestedAt)]);
   }
 
   /**
@@ -189,10 +228,18 @@
     }
     const entry = UpstreamEntry.create(record, now);
     entry.isLeaving = this.departed.isLeaving(record);
+    entry.isEvacuated = this.evacuations.isEvacuated(record.zone);
     this.entriesById.set(record.id, entry);
     this.recordDraining(record);
   }
 
+  private markEvacuated(changes: readonly EvacuationChange[]): readonly EvacuationChange[] {
+    for (const entry of this.getEntries()) {
+      entry.isEvacuated = this.evacuations.isEvacuated(entry.record.zone);
+    }
+    return changes;
+  }
+
   private deleteEntry({ record }: UpstreamEntry): void {
     this.departed.addRemoval(record);
     this.entriesById.delete(record.id);
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -51,7 +51,7 @@
  * Chooses the upstream of a request: with a key the first in its rendezvous order that is below
  * the load limit; without a key the least loaded one, those of the daemon's zone preferred.
  * Upstreams whose path is not open are chosen only when there is no other, and so are those that are avoided for
- * their failures; those that leave, rest or are at their limit never.
+ * their failures; those that leave, rest, are at their limit or in an evacuated zone never.
  * @param entries - Upstreams that the registry lists.
  * @param requirements - Requirements of the request.
  */
@@ -96,7 +96,7 @@
   const fits =
     record.service === service &&
     (softwareVersion === undefined || record.softwareVersion === softwareVersion);
-  const isOffered = fits && entry.isInService() && !entry.isResting(now);
+  const isOffered = fits && entry.isOffered() && !entry.isResting(now);
   const isFree = running < maxRunning && entry.limit.isOpen(now, limitShare);
   return isOffered && isFree && !excluded.has(record.id);
 }
@@ -143,7 +143,7 @@
 
 /**
  * Guesses which upstream served a key before, when the chosen one was added recently or the former
- * one is draining.
+ * one is draining or in an evacuated zone.
  * @param entries - Upstreams that the registry lists.
  * @param requirements - Requirements of the request.
  * @param chosen - Upstream that will serve it.
@@ -163,7 +163,7 @@
   const ordered = orderByKey(known, stickyKey);
   const former = ordered.find((entry) => entry !== chosen);
   const ranksFirst = former !== undefined && former === ordered[0];
-  const isLeaving = former?.isInService() === false && ranksFirst;
+  const isLeaving = former?.isOffered() === false && ranksFirst;
   return isLeaving || chosen.isRecentlyAdded(now) ? former : undefined;
 }
 
