--- a/packages/daemon/src/ingress/chooseRequestUpstream.ts
+++ b/packages/daemon/src/ingress/chooseRequestUpstream.ts
@@ -1,6 +1,7 @@
 import {
   chooseUpstream,
   createWorkPlacement,
+  getSpreadKey,
   isRepeatable,
   type UpstreamChoice,
   type WorkPlacement,
@@ -33,11 +34,14 @@
   constraints: AttemptConstraints,
 ): UpstreamChoice | undefined {
   const { approval, head, service } = request;
-  return chooseUpstream(dependencies.upstreams.getEntries(), {
+  const { upstreams, zone } = dependencies;
+  const stickyKey = approval.route.isSticky ? getStickyKey(head) : undefined;
+  const spreadKey = getSpreadKey(upstreams.evacuations, { id: head.id, zone, stickyKey });
+  const choice = chooseUpstream(upstreams.getEntries(), {
     ...constraints,
     service,
-    zone: dependencies.zone,
-    stickyKey: approval.route.isSticky ? getStickyKey(head) : undefined,
+    zone,
+    stickyKey: stickyKey ?? spreadKey,
     maxRunning: getMaxRunning(dependencies, service),
     limitShare: dependencies.getLimitShare(),
     isRepeatable: isRepeatable(approval.route),
@@ -45,6 +49,8 @@
     now: dependencies.getNow(),
     placement: getPlacement(dependencies, request),
   });
+  // The first upstream for a key of the request's own has nothing cached for it.
+  return choice && (spreadKey === undefined ? choice : { ...choice, preferred: undefined });
 }
 
 /** Gets the placement of a request by its work; undefined where only the requests of upstreams are counted. */
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -30,6 +30,8 @@
   isLeaving = false;
   /** When this daemon learned that the upstream was restarted under its id, which loses what it had cached. */
   restartedAt = -Infinity;
+  /** True while the zone of the upstream is evacuated. */
+  isEvacuated = false;
   /** This daemon's own path to the upstream. */
   readonly path = UpstreamPath.create();
   private restEndsAt = -Infinity;
@@ -209,6 +211,11 @@
     return this.record.state === "ready" && !this.isLeaving;
   }
 
+  /** Checks whether new requests may be sent to the upstream: it is in service, and its zone is not evacuated. */
+  isOffered(): boolean {
+    return this.isInService() && !this.isEvacuated;
+  }
+
   /** Gets the exponential moving average of failures, from 0 to 1. */
   getFailureRate(): number {
     return this.failureRate;
