Admission control in the kernel: who waits, in which order, and who is refused under overload

Cause: a daemon sends every request at once, whatever its priority. Under overload engines refuse the most urgent as often as the rest, and bulky prompts fill the slots before urgent requests come.

Change: kernel module `overload`, pure and without timers. `CapacityShare` is the daemon's part of the slots: its even share, and what it borrows by its present part and by what is free; `WaitingQueue` is the order; `AdmissionQueue` sends and refuses. Nothing is held while fewer than half of the slots are taken and nothing waits at the engines. Virtual time and refusals that count on moved from the plug-in `admission` into `fairness`, which both use; the plug-in's behaviour is unchanged.

--- a/packages/kernel/src/admission/admit.ts
+++ b/packages/kernel/src/admission/admit.ts
@@ -1,3 +1,4 @@
+import { chargeAccount } from "../fairness/index.js";
 import type { Instant } from "../kernel/index.js";
 import { getLocalLimit } from "./fleetLimit.js";
 import type { AdmissionEffect } from "./messages.js";
@@ -118,8 +119,7 @@
 
 function admit(state: AdmissionState, candidate: Candidate, now: Instant): AdmissionEffect {
   const { team, request } = candidate;
-  state.virtualTime = Math.max(state.virtualTime, team.virtualTime);
-  team.virtualTime += request.cost / team.share;
+  chargeAccount(state, team, request.cost, team.share);
   team.running += 1;
   team.runningCost += request.cost;
   state.usedCost += request.cost;
--- a/packages/kernel/src/admission/queue.ts
+++ b/packages/kernel/src/admission/queue.ts
@@ -1,3 +1,4 @@
+import { startAccount, takeRetryAt } from "../fairness/index.js";
 import type { Instant } from "../kernel/index.js";
 import { DeadlinePassedError } from "./DeadlinePassedError.js";
 import { DeadlineUnreachableError } from "./DeadlineUnreachableError.js";
@@ -17,8 +18,6 @@
 /** Minimum queue limit of a team, however small its share. */
 export const minWaitingRequests = 8;
 
-const maxRetryDelayMilliseconds = 60_000;
-
 /**
  * Puts a request at the end of its team's queue.
  * @param state - State to update.
@@ -31,7 +30,7 @@
   request: WaitingRequest,
 ): void {
   if (!state.activeTeams.has(team)) {
-    team.virtualTime = Math.max(team.virtualTime, state.virtualTime);
+    startAccount(state, team);
   }
   team.waiting.push(request);
   team.waitingCost += request.cost;
@@ -81,7 +80,7 @@
     : new DeadlineUnreachableError(message.requestId, message.deadline, expectedAt);
   const capacityAt = isTooLong ? now : now + expectedAt - message.deadline;
   const requestMilliseconds = message.cost * millisecondsPerCost;
-  const retryAt = getRetryAt(team, capacityAt, requestMilliseconds, now);
+  const retryAt = takeRetryAt(team, capacityAt, requestMilliseconds, now);
   return { kind: "refuse", requestId: message.requestId, error, retryAt };
 }
 
@@ -112,7 +111,7 @@
   if (team !== undefined) {
     removeWaiting(state, team, request);
     const requestMilliseconds = request.cost * getMillisecondsPerCost(state, team);
-    retryAt = getRetryAt(team, now, requestMilliseconds, now);
+    retryAt = takeRetryAt(team, now, requestMilliseconds, now);
   }
   return {
     kind: "expire",
@@ -132,22 +131,3 @@
   const cost = Math.max(getGuaranteedCost(state, team), 1);
   return team.serviceMilliseconds / cost;
 }
-
-/**
- * Gets the instant at which a refused request may be retried.
- *
- * Consecutive refusals of a team get increasing instants, spaced by the time that its queue takes
- * per request, so that the retries do not arrive all at once.
- */
-function getRetryAt(
-  team: TeamAccount,
-  capacityAt: Instant,
-  requestMilliseconds: number,
-  now: Instant,
-): Instant {
-  const earliest =
-    Math.max(capacityAt, team.lastRetryAt) + Math.max(1, Math.ceil(requestMilliseconds));
-  const retryAt = Math.min(earliest, now + maxRetryDelayMilliseconds);
-  team.lastRetryAt = retryAt;
-  return retryAt;
-}
--- a/packages/kernel/src/forwarding/notices.ts
+++ b/packages/kernel/src/forwarding/notices.ts
@@ -44,7 +44,8 @@
   const notices: UpstreamNotice[] = [];
   const { id: upstream } = entry.record;
   if (head.load !== undefined) {
-    entry.recordReportedLoad(head.load.running + head.load.waiting, now);
+    const { running, waiting } = head.load;
+    entry.recordReportedLoad(running + waiting, now, waiting);
   }
   if (head.isLeaving && upstreams.markLeaving(entry.record)) {
     notices.push({ kind: "leaving", upstream });
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./membership/index.js";
 export * from "./operations/index.js";
 export * from "./orders/index.js";
+export * from "./overload/index.js";
 export * from "./placement/index.js";
 export * from "./quarantine/index.js";
 export * from "./registry/index.js";
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -14,6 +14,14 @@
 import { UpstreamLimit } from "./UpstreamLimit.js";
 import { UpstreamPath } from "./UpstreamPath.js";
 
+/** Load that an upstream reported, with the requests that this daemon has sent to it since. */
+export interface UpstreamReport {
+  /** Requests that it holds, waiting ones included. */
+  readonly load: number;
+  /** Requests that waited there. */
+  readonly waiting: number;
+}
+
 /** State that one daemon keeps of one upstream. Times are monotonic milliseconds. */
 export class UpstreamEntry {
   /** Hash of the id, for rendezvous hashing. */
@@ -33,6 +41,7 @@
   private restEndsAt = -Infinity;
   private openStreams = 0;
   private reportedLoad = 0;
+  private reportedWaiting = 0;
   private reportedAt = -Infinity;
   private sentSinceReport = 0;
   private lastReceivedAt = -Infinity;
@@ -73,6 +82,13 @@
     return isFresh ? Math.max(counted, this.reportedLoad + this.sentSinceReport) : counted;
   }
 
+  /** Gets the load that the upstream last reported, unless that was before a time. */
+  getReportSince(time: number): UpstreamReport | undefined {
+    return this.reportedAt < time
+      ? undefined
+      : { load: this.reportedLoad + this.sentSinceReport, waiting: this.reportedWaiting };
+  }
+
   /** Counts a request that is being sent. */
   startRequest(now: number): void {
     if (this.running === 0) {
@@ -124,9 +140,15 @@
     return true;
   }
 
-  /** Records the load that the upstream reported in a response. */
-  recordReportedLoad(load: number, now: number): void {
+  /**
+   * Records the load that the upstream reported in a response.
+   * @param load - Requests that it holds, waiting ones included.
+   * @param now - Time of the response.
+   * @param waiting - Those of them that wait.
+   */
+  recordReportedLoad(load: number, now: number, waiting = 0): void {
     this.reportedLoad = load;
+    this.reportedWaiting = waiting;
     this.reportedAt = now;
     this.sentSinceReport = 0;
   }
--- a/packages/kernel/src/upstreams/index.ts
+++ b/packages/kernel/src/upstreams/index.ts
@@ -12,6 +12,6 @@
 export { upstreamSchema, type Upstream } from "./schema.js";
 export { UpstreamLimit } from "./UpstreamLimit.js";
 export { UpstreamTable } from "./UpstreamTable.js";
-export { UpstreamEntry } from "./UpstreamEntry.js";
+export { UpstreamEntry, type UpstreamReport } from "./UpstreamEntry.js";
 export { UpstreamPath, type PathState } from "./UpstreamPath.js";
 export { UpstreamReach, type ReachCheck, type ServiceReachChange } from "./UpstreamReach.js";
