Admission control in the router: requests of work-aware services wait for a free slot

Cause: the kernel's admission queue was not used; `ActiveRequest` chose a target and sent at once.

Change: `AdmissionQueues` owns a queue for each service; a task of 100 ms and the ends of attempts advance it, the latter after the event that ended the attempt, so that its retry goes first. `RequestAdmission` is the wait of one request: before its first attempt only, not for requests of peers, those that resume a stream, and services that are not work-aware. A caller that leaves, the deadline and the end of service in a stop end the wait by the existing paths; the refusals `queue-full` and `queue-too-long` are 503 with `Retry-After`. A request that is refused instead of waiting earns no retries. Metrics `pistachioway_waiting_requests` and `pistachioway_queue_refusals_total`, field `waited` of `request.finished`.

Ruled out: advancing within the event that ends an attempt (what waits would go before the retry); a listener of request ticks (one that fails once is not called again).

--- a/packages/cli/src/logs/explainOutcome.ts
+++ b/packages/cli/src/logs/explainOutcome.ts
@@ -97,6 +97,15 @@
       "Each upstream of the service that could serve is at the limit of requests that it named.",
     advice: "See upstream.limited: the service needs more capacity.",
   },
+  "queue-full": {
+    cause:
+      "More requests waited for the service than the router keeps; this one was the last of them.",
+    advice: "See pistachioway_waiting_requests: the service needs more capacity.",
+  },
+  "queue-too-long": {
+    cause: "The request's turn would have come too late for its deadline; it has not run.",
+    advice: "See pistachioway_waiting_requests: the service needs more capacity.",
+  },
   "content-quarantined": {
     cause: "Several upstreams crashed one after another on this request or a block of its prompt.",
     advice:
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -9,7 +9,9 @@
 import { createLoss, findEndFailure } from "./findEndFailure.js";
 import { decideRequestRetry } from "./decideRequestRetry.js";
 import { mayHaveRun } from "./mayHaveRun.js";
+import { DeadlineTimer } from "./DeadlineTimer.js";
 import { ReceivedAnswer } from "./ReceivedAnswer.js";
+import { RequestAdmission } from "./RequestAdmission.js";
 import { RequestEvidence } from "./RequestEvidence.js";
 import { SlowAttemptMonitor } from "./SlowAttemptMonitor.js";
 import { StreamOrigin } from "./StreamOrigin.js";
@@ -32,13 +34,14 @@
   lastFailure = "";
   private firstByteAt: number | undefined;
   private isFinished = false;
-  private deadlineTimer: NodeJS.Timeout | undefined;
+  private deadlineTimer: DeadlineTimer | undefined;
   private readonly targets: TargetChooser;
   private readonly answer: ReceivedAnswer;
   private readonly report: ActiveRequestReport;
   private readonly slowAttemptMonitor: SlowAttemptMonitor;
   private readonly evidence: RequestEvidence;
   private readonly origin: StreamOrigin;
+  private readonly admission: RequestAdmission;
   private readonly listener: ExchangeListener = {
     onHead: (head) => {
       this.handleHead(head);
@@ -70,6 +73,7 @@
     this.report = ActiveRequestReport.create(dependencies, request);
     this.evidence = RequestEvidence.create(dependencies.quarantine, request);
     this.origin = StreamOrigin.create(dependencies, request);
+    this.admission = RequestAdmission.create(dependencies, request);
     this.targets = TargetChooser.create(dependencies, request);
     this.slowAttemptMonitor = SlowAttemptMonitor.create(
       request.approval.route,
@@ -91,19 +95,20 @@
   ): ActiveRequest {
     const activeRequest = new ActiveRequest(dependencies, request, response);
     const now = dependencies.getNow();
-    if (request.forwarded === undefined) {
-      dependencies.retryBudgets.get(request.service).addRequest(now);
-    }
-    activeRequest.deadlineTimer = setTimeout(
-      () => {
-        activeRequest.handleTimeLimit(requestDeadline);
-      },
-      Math.max(0, request.deadline - now),
-    );
-    activeRequest.begin();
+    activeRequest.deadlineTimer = DeadlineTimer.start(request.deadline, now, () => {
+      activeRequest.handleTimeLimit(requestDeadline);
+    });
+    activeRequest.admission.wait(activeRequest.origin, (refusal) => {
+      activeRequest.send(refusal);
+    });
     return activeRequest;
   }
 
+  /** Gets the time for which the request waited for its first attempt. */
+  get waitedMilliseconds(): number {
+    return this.admission.getWaitedMilliseconds();
+  }
+
   /** Gets the status of the response; 0 before its head is written. */
   get status(): number {
     return this.response.getStatus();
@@ -118,23 +123,13 @@
     }
   }
 
-  /** Sends the request, once it is known where the stream began that it may resume. */
-  private begin(): void {
-    this.origin.find((refusal) => {
-      if (this.isFinished) {
-        return;
-      }
-      if (refusal === undefined) {
-        this.send();
-      } else {
-        this.fail(refusal);
-      }
-    });
-  }
-
-  private send(): void {
+  /**
+   * Sends the request for the first time or once more.
+   * @param unsent - Why it cannot be sent; undefined when it can.
+   */
+  private send(unsent?: Refusal): void {
     const now = this.dependencies.getNow();
-    const refusal = this.evidence.createRefusal(now);
+    const refusal = unsent ?? this.evidence.createRefusal(now);
     if (refusal !== undefined) {
       this.fail(refusal);
       return;
@@ -157,6 +152,7 @@
     const attempt = Attempt.create(target, this.request.method === "HEAD");
     this.attempt = attempt;
     this.answer.clear();
+    this.admission.recordSend(now);
     this.slowAttemptMonitor.start(attempt, this.runs, (slowAttempt) => {
       this.handleSlowAttempt(slowAttempt);
     });
@@ -182,6 +178,7 @@
     attempt.head = head;
     attempt.recordReceivedBytes(now);
     attempt.target.recordHead(head, now);
+    this.admission.recordHead(head);
     this.targets.addTriedUpstream(attempt.target.getReport(now).upstream);
     if (head.meaning === "refusal") {
       this.runs -= 1;
@@ -250,7 +247,7 @@
   /** Handles the complete answer of an attempt. */
   private handleAnswer(attempt: Attempt, head: ResponseHead): void {
     const { target } = attempt;
-    this.endAttempt();
+    this.endAttempt(head.meaning === "final");
     if (target.upstream !== undefined) {
       this.evidence.recordAnswer(head, this.dependencies.getNow());
     }
@@ -383,10 +380,11 @@
     target.recordFailure(this.dependencies.getNow());
   }
 
-  private endAttempt(): void {
+  private endAttempt(isComplete = false): void {
     this.slowAttemptMonitor.stop();
     this.attempt?.finish();
     this.attempt = undefined;
+    this.admission.recordEnd(isComplete);
   }
 
   private cancelAttempt(): void {
@@ -396,7 +394,8 @@
 
   private finish(outcome: ActiveRequestOutcome): void {
     this.isFinished = true;
-    clearTimeout(this.deadlineTimer);
+    this.deadlineTimer?.stop();
+    this.admission.stop();
     this.answer.clear();
     this.report.recordEnd(outcome, this, this.target, this.firstByteAt);
   }
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -14,6 +14,7 @@
 import type { RouterMetrics } from "../metrics/RouterMetrics.js";
 import type { StreamDirectory } from "../streams/index.js";
 import type { AcceptedRequest } from "./AcceptedRequest.js";
+import type { AdmissionQueues } from "./AdmissionQueues.js";
 import type { AttemptTarget } from "./AttemptTarget.js";
 import type { AttemptConstraints } from "./chooseRequestUpstream.js";
 import type { RetryBudgets } from "./RetryBudgets.js";
@@ -35,6 +36,8 @@
   /** Learns which upstreams this daemon cannot connect to. */
   readonly reachability: ReachabilityTask;
   readonly codec: HeaderCodec;
+  /** Queues in which requests wait for their first attempt. */
+  readonly admission: AdmissionQueues;
   readonly retryBudgets: RetryBudgets;
   readonly prefixes: PrefixDirectory;
   readonly quarantine: ContentQuarantine;
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -30,6 +30,8 @@
   readonly status: number;
   /** Description of the last failure; empty when there was none. */
   readonly lastFailure: string;
+  /** Time for which the request waited for its first attempt. */
+  readonly waitedMilliseconds: number;
 }
 
 /** Writes the log lines and metrics of one request. */
@@ -143,7 +145,7 @@
    */
   recordEnd(
     outcome: ActiveRequestOutcome,
-    { runs, refusals, status, lastFailure }: ActiveRequestState,
+    { runs, refusals, status, lastFailure, waitedMilliseconds }: ActiveRequestState,
     target: AttemptTarget | undefined,
     firstByteAt: number | undefined,
   ): void {
@@ -164,6 +166,7 @@
       resumes: head.lastEventId === undefined ? "-" : (getResumedIdStart(head) ?? "unknown"),
       runs,
       refusals,
+      ...(waitedMilliseconds === 0 ? {} : { waited: Math.round(waitedMilliseconds) }),
       first: Math.round((firstByteAt ?? now) - arrivedAt),
       milliseconds: Math.round(now - arrivedAt),
       left: Math.round(deadline - now),
--- a/packages/daemon/src/ingress/index.ts
+++ b/packages/daemon/src/ingress/index.ts
@@ -1,5 +1,6 @@
 export { getResumedIdStart, type AcceptedRequest } from "./AcceptedRequest.js";
 export { ActiveRequest } from "./ActiveRequest.js";
+export { AdmissionQueues, type AdmissionQueuesDependencies } from "./AdmissionQueues.js";
 export type { AttemptTarget, TargetRefusal, TargetReport } from "./AttemptTarget.js";
 export type { AttemptConstraints } from "./chooseRequestUpstream.js";
 export { getRequestContent } from "./getRequestContent.js";
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -28,6 +28,20 @@
     registers: [this.registry],
   });
 
+  readonly waitingRequests = new Gauge({
+    name: "pistachioway_waiting_requests",
+    help: "Requests that wait for their first attempt, by service.",
+    labelNames: ["service"],
+    registers: [this.registry],
+  });
+
+  readonly queueRefusals = new Counter({
+    name: "pistachioway_queue_refusals_total",
+    help: "Requests that were refused instead of waiting for their first attempt, by service and reason.",
+    labelNames: ["service", "reason"],
+    registers: [this.registry],
+  });
+
   readonly lostAttempts = new Counter({
     name: "pistachioway_lost_attempts_total",
     help: "Attempts that may have run and whose connection ended before the answer did, by service.",
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -4,11 +4,9 @@
   getReleaseDelay,
   MemoryBudget,
   RouteTable,
+  WorkEstimator,
   type HeaderCodec,
-  type FreshnessBounds,
   type Registry,
-  type UpstreamNotice,
-  toFleetNotice,
 } from "@pistachioway/kernel";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { FleetTask, PeerStateTask } from "../fleet/index.js";
@@ -17,6 +15,7 @@
   RetryBudgets,
   TickListeners,
   type ActiveRequestDependencies,
+  type AdmissionQueues,
 } from "../ingress/index.js";
 import type { ListenerStart } from "../listening/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
@@ -24,6 +23,7 @@
 import { RouterMetrics } from "../metrics/RouterMetrics.js";
 import type { RegistryTask } from "../registry/index.js";
 import type { StreamDirectory } from "../streams/index.js";
+import { createAdmissionQueues } from "./createAdmissionQueues.js";
 import { createFleetTask, toDatagramAddress } from "./createFleetTask.js";
 import { createForwarding, type Forwarding } from "./createForwarding.js";
 import { createListenerStart } from "./createListenerStart.js";
@@ -31,6 +31,7 @@
 import { createPeriodicTasks, tickMilliseconds } from "./createPeriodicTasks.js";
 import { createRegistryTask } from "./createRegistryTask.js";
 import { createStreamDirectory } from "./createStreamDirectory.js";
+import { getFreshnessBounds } from "./getFreshnessBounds.js";
 import { getLimitShare } from "./getLimitShare.js";
 import { NoticeLog } from "./NoticeLog.js";
 import { OperationsServers } from "./OperationsServers.js";
@@ -38,13 +39,12 @@
 import { PlannedStop } from "./PlannedStop.js";
 import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
+import { tellFleet } from "./tellFleet.js";
 import { readClocks, readMonotonicClock } from "./clocks.js";
 import type { TaskError } from "../lifecycle/TaskError.js";
 import { TaskWatch } from "../lifecycle/TaskWatch.js";
 import { TickLag } from "./TickLag.js";
 
-/** Clock error that is allowed for when a revoked key must stop being accepted. */
-const clockErrorMilliseconds = 200;
 /** Memory for bodies of callers and upstreams, beside the heap of the smallest host's process. */
 const maxKeptBytes = 67_108_864;
 
@@ -73,6 +73,7 @@
       this.notices.recordQuarantine(change, readMonotonicClock());
     },
   });
+  private readonly work = WorkEstimator.create();
   private readonly tasks: TaskWatch;
   private readonly notices: NoticeLog;
   private readonly registryTask: RegistryTask;
@@ -80,6 +81,7 @@
   private readonly fleet: FleetTask;
   private readonly peerStates: PeerStateTask;
   private readonly streams: StreamDirectory;
+  private readonly admission: AdmissionQueues;
   /** Dependencies of requests that go no further than to upstreams. */
   private readonly requestDependencies: ActiveRequestDependencies;
   private readonly forwarding: Forwarding;
@@ -137,8 +139,17 @@
       isAtRisk: () => registry.isUnreachable() || this.plannedStop !== undefined,
       getNow,
     });
+    this.admission = createAdmissionQueues({
+      upstreams,
+      work: this.work,
+      metrics: this.metrics,
+      view,
+      getNow,
+      getRandom: Math.random,
+    });
     this.periodicTasks = createPeriodicTasks({
       reachability: this.reachability,
+      admission: this.admission,
       requestTicks: this.ticks,
       registry,
       view,
@@ -318,7 +329,7 @@
         ...this.requestDependencies,
         forwarder: this.forwarding.forwarder,
       },
-      bounds: this.getBounds(),
+      bounds: getFreshnessBounds(this.dependencies.settings),
       getTable: () => this.registryTask.getTable(),
       isDraining: () => this.plannedStop !== undefined,
       isServed: (deadline) => this.plannedStop?.isServed(deadline) ?? true,
@@ -333,6 +344,7 @@
       pool: this.pool,
       reachability: this.reachability,
       codec,
+      admission: this.admission,
       retryBudgets: RetryBudgets.create(settings.retries),
       prefixes: this.prefixes,
       quarantine: this.quarantine,
@@ -346,7 +358,7 @@
       getRandom: Math.random,
       onNotices: (notices) => {
         this.notices.record(notices, "response");
-        this.tellFleet(notices);
+        tellFleet(this.fleet, this.registryTask.upstreams, notices);
       },
       addFleetNotice: (notice) => {
         this.fleet.addNotice(notice);
@@ -360,14 +372,6 @@
     };
   }
 
-  private getBounds(): FreshnessBounds {
-    const { staleMilliseconds, revokeMilliseconds } = this.dependencies.settings.configuration;
-    return {
-      staleMilliseconds,
-      failClosedMilliseconds: revokeMilliseconds - clockErrorMilliseconds,
-    };
-  }
-
   private applyTable(table: RouteTable): void {
     this.ingress.setLimits(table.limits);
     this.metrics.configurationVersion.set(table.version);
@@ -379,13 +383,4 @@
       teams: teams?.length ?? 0,
     });
   }
-
-  private tellFleet(notices: readonly UpstreamNotice[]): void {
-    for (const notice of notices) {
-      const fleetNotice = toFleetNotice(this.registryTask.upstreams, notice);
-      if (fleetNotice !== undefined) {
-        this.fleet.addNotice(fleetNotice);
-      }
-    }
-  }
 }
--- a/packages/daemon/src/router/createPeriodicTasks.ts
+++ b/packages/daemon/src/router/createPeriodicTasks.ts
@@ -1,7 +1,7 @@
 import type { FleetView, MemoryBudget } from "@pistachioway/kernel";
 import type { ReachabilityTask, ReadPacer } from "../exchange/index.js";
 import type { PeerStateTask } from "../fleet/index.js";
-import type { TickListeners } from "../ingress/index.js";
+import type { AdmissionQueues, TickListeners } from "../ingress/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
 import type { RegistryTask } from "../registry/index.js";
 import type { StreamDirectory } from "../streams/index.js";
@@ -17,6 +17,7 @@
   readonly reachability: ReachabilityTask;
   /** Functions of requests in flight. */
   readonly requestTicks: TickListeners;
+  readonly admission: AdmissionQueues;
   readonly registry: RegistryTask;
   readonly view: FleetView;
   readonly streams: StreamDirectory;
@@ -38,13 +39,17 @@
  * @param context - What they work on.
  */
 export function createPeriodicTasks(context: PeriodicTasksContext): PeriodicTasks {
-  const { reachability, requestTicks, peerStates, memory, pacer, lag, watch, record } = context;
+  const { reachability, requestTicks, admission, peerStates } = context;
+  const { memory, pacer, lag, watch, record } = context;
   const checkUpstreams = (): void => {
     reachability.check();
   };
   const tickRequests = (): void => {
     requestTicks.run();
   };
+  const advanceQueues = (): void => {
+    admission.tick();
+  };
   const doHousekeeping = (): void => {
     runHousekeeping(context, readMonotonicClock());
   };
@@ -54,6 +59,7 @@
     tasks: [
       { name: "upstream-checks", ticksPerTurn: 1, run: checkUpstreams },
       { name: "request-ticks", ticksPerTurn: 1, run: tickRequests },
+      { name: "admission", ticksPerTurn: 1, run: advanceQueues },
       { name: "housekeeping", ticksPerTurn: ticksPerHousekeeping, run: doHousekeeping },
       { name: "peer-states", ticksPerTurn: ticksPerPeerCheck, run: checkPeers },
     ],
--- a/packages/daemon/tests/router/RouterFixture.ts
+++ b/packages/daemon/tests/router/RouterFixture.ts
@@ -179,6 +179,11 @@
     return this.ports[0] ?? 0;
   }
 
+  /** Address of the listener for operators. */
+  get operations(): string {
+    return `${this.host}:${String(this.ports[2] ?? 0)}`;
+  }
+
   /** Address at which the router receives datagrams and requests of its peers. */
   get datagrams(): string {
     return `${this.host}:${String(this.ports[3] ?? 0)}`;
--- a/packages/kernel/src/overload/ServiceCapacity.ts
+++ b/packages/kernel/src/overload/ServiceCapacity.ts
@@ -20,19 +20,31 @@
 const reportLifetimeMilliseconds = 1_000;
 
 /**
- * Gets what a daemon knows of the capacity of a service.
+ * Gets the upstreams of a service that a daemon can send requests to.
  * @param entries - Upstreams that the registry lists.
  * @param service - Name of the service.
  * @param now - Monotonic time.
  */
-export function getServiceCapacity(
+export function getUsableUpstreams(
   entries: readonly UpstreamEntry[],
   service: string,
   now: number,
-): ServiceCapacity {
-  const usable = entries.filter(
-    (entry) => entry.record.service === service && isUsable(entry, now),
+): readonly UpstreamEntry[] {
+  return entries.filter(
+    (entry) =>
+      entry.record.service === service &&
+      entry.isInService() &&
+      !entry.isResting(now) &&
+      !entry.isAvoided(now),
   );
+}
+
+/**
+ * Gets what a daemon knows of the capacity of a service.
+ * @param usable - Upstreams of the service that it can send requests to.
+ * @param now - Monotonic time.
+ */
+export function getServiceCapacity(usable: readonly UpstreamEntry[], now: number): ServiceCapacity {
   let slots = 0;
   let taken = 0;
   let running = 0;
@@ -55,7 +67,3 @@
   const reportedUse = reportedSlots === 0 ? 0 : reportedLoad / reportedSlots;
   return { slots, taken, running, waiting, reports, reportedUse };
 }
-
-function isUsable(entry: UpstreamEntry, now: number): boolean {
-  return entry.isInService() && !entry.isResting(now) && !entry.isAvoided(now);
-}
--- a/packages/kernel/tests/overload/FakeDaemon.ts
+++ b/packages/kernel/tests/overload/FakeDaemon.ts
@@ -1,6 +1,7 @@
 import {
   AdmissionQueue,
   getServiceCapacity,
+  getUsableUpstreams,
   RetryWindowBudget,
   UpstreamTable,
   type AdmissionView,
@@ -126,7 +127,7 @@
   private getView(): AdmissionView {
     const { now } = this.options.clock;
     const usable = this.getUsable().flatMap((index) => this.entries[index] ?? []);
-    const capacity = getServiceCapacity(usable, service, now);
+    const capacity = getServiceCapacity(getUsableUpstreams(usable, service, now), now);
     return { capacity, fleet: this.options.getFleet(), now };
   }
 
