A doubt in all paths of a service no longer releases what waits for it

Cause: while every upstream of a service was avoided or doubted (250 ms without a byte of any of them are enough), the queue saw no slots, took that for a service that cannot be reached, and sent or refused all that waited.

Change: upstreams that are avoided count while there are no others; closed paths never do.

--- a/packages/kernel/src/overload/ServiceCapacity.ts
+++ b/packages/kernel/src/overload/ServiceCapacity.ts
@@ -20,7 +20,8 @@
 const reportLifetimeMilliseconds = 1_000;
 
 /**
- * Gets the upstreams of a service that a daemon can send requests to.
+ * Gets the upstreams of a service that a daemon can send requests to. Those that are avoided count while there are no
+ * others, unless their paths are closed: a doubt in all paths must not send or refuse all that waits.
  * @param entries - Upstreams that the registry lists.
  * @param service - Name of the service.
  * @param now - Monotonic time.
@@ -30,13 +31,13 @@
   service: string,
   now: number,
 ): readonly UpstreamEntry[] {
-  return entries.filter(
-    (entry) =>
-      entry.record.service === service &&
-      entry.isInService() &&
-      !entry.isResting(now) &&
-      !entry.isAvoided(now),
+  const offered = entries.filter(
+    (entry) => entry.record.service === service && entry.isInService() && !entry.isResting(now),
   );
+  const preferred = offered.filter((entry) => !entry.isAvoided(now));
+  return preferred.length > 0
+    ? preferred
+    : offered.filter(({ path }) => path.getState() !== "closed");
 }
 
 /**
--- a/packages/kernel/tests/overload/AdmissionQueue.test.ts
+++ b/packages/kernel/tests/overload/AdmissionQueue.test.ts
@@ -3,11 +3,13 @@
 import {
   AdmissionQueue,
   CapacityShare,
+  getUsableUpstreams,
   type AdmissionView,
   type QueueAction,
   type QueuedRequest,
   type ServiceCapacity,
 } from "@pistachioway/kernel";
+import { createTable } from "../upstreams/samples.js";
 
 function createRequest(changes: Partial<QueuedRequest> = {}): QueuedRequest {
   return {
@@ -221,6 +223,20 @@
   ]);
 });
 
+// Guards against a doubt in all paths, which ends within a second, that sends or refuses all that waits.
+test("avoided upstreams count while there are no others, closed paths never", () => {
+  const table = createTable(3);
+  const count = (): number => getUsableUpstreams(table.getEntries(), "engine", 100).length;
+  const [first, second, third] = table.getEntries();
+  const counts = [count()];
+  first?.avoid(0);
+  counts.push(count());
+  second?.path.recordConnectFailure(0);
+  third?.avoid(0);
+  counts.push(count());
+  assert.equal(counts, [3, 2, 2]);
+});
+
 test("slots that return count over time, those that are lost at once", () => {
   const share = CapacityShare.create();
   const limits = [300, 200, 300, 300, 300].map((slots, index) => {
