--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -5,11 +5,7 @@
   MemoryBudget,
   RouteTable,
   type HeaderCodec,
-  type FreshnessBounds,
   type Registry,
-  type UpstreamNotice,
-  toFleetNotice,
-  WorkEstimator,
 } from "@pistachioway/kernel";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { FleetTask, PeerStateTask } from "../fleet/index.js";
@@ -18,6 +14,7 @@
   RetryBudgets,
   TickListeners,
   type ActiveRequestDependencies,
+  type AdmissionQueues,
 } from "../ingress/index.js";
 import type { ListenerStart } from "../listening/index.js";
 import type { Fields, LogLevel } from "../log/line.js";
@@ -25,6 +22,7 @@
 import { RouterMetrics } from "../metrics/RouterMetrics.js";
 import type { RegistryTask } from "../registry/index.js";
 import type { StreamDirectory } from "../streams/index.js";
+import { createAdmissionQueues } from "./createAdmissionQueues.js";
 import { createFleetTask, toDatagramAddress } from "./createFleetTask.js";
 import { createForwarding, type Forwarding } from "./createForwarding.js";
 import { createListenerStart } from "./createListenerStart.js";
@@ -32,6 +30,7 @@
 import { createPeriodicTasks, tickMilliseconds } from "./createPeriodicTasks.js";
 import { createRegistryTask } from "./createRegistryTask.js";
 import { createStreamDirectory } from "./createStreamDirectory.js";
+import { getFreshnessBounds } from "./getFreshnessBounds.js";
 import { getLimitShare } from "./getLimitShare.js";
 import { NoticeLog } from "./NoticeLog.js";
 import { OperationsServers } from "./OperationsServers.js";
@@ -39,13 +38,12 @@
 import { PlannedStop } from "./PlannedStop.js";
 import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
+import { tellFleet } from "./tellFleet.js";
 import { readClocks, readMonotonicClock } from "./clocks.js";
 import type { TaskError } from "../lifecycle/TaskError.js";
 import { TaskWatch } from "../lifecycle/TaskWatch.js";
 import { TickLag } from "./TickLag.js";
 
-/** Clock error that is allowed for when a revoked key must stop being accepted. */
-const clockErrorMilliseconds = 200;
 /** Memory for bodies of callers and upstreams, beside the heap of the smallest host's process. */
 const maxKeptBytes = 67_108_864;
 
@@ -81,6 +79,7 @@
   private readonly fleet: FleetTask;
   private readonly peerStates: PeerStateTask;
   private readonly streams: StreamDirectory;
+  private readonly admission: AdmissionQueues;
   /** Dependencies of requests that go no further than to upstreams. */
   private readonly requestDependencies: ActiveRequestDependencies;
   private readonly forwarding: Forwarding;
@@ -140,8 +139,17 @@
       isAtRisk: () => registry.isUnreachable() || this.plannedStop !== undefined,
       getNow,
     });
+    this.admission = createAdmissionQueues({
+      upstreams,
+      work: this.reachability.workEstimator,
+      metrics: this.metrics,
+      view,
+      getNow,
+      getRandom: Math.random,
+    });
     this.periodicTasks = createPeriodicTasks({
       reachability: this.reachability,
+      admission: this.admission,
       requestTicks: this.ticks,
       registry,
       view,
@@ -321,7 +329,7 @@
         ...this.requestDependencies,
         forwarder: this.forwarding.forwarder,
       },
-      bounds: this.getBounds(),
+      bounds: getFreshnessBounds(this.dependencies.settings),
       getTable: () => this.registryTask.getTable(),
       isDraining: () => this.plannedStop !== undefined,
       isServed: (deadline) => this.plannedStop?.isServed(deadline) ?? true,
@@ -336,6 +344,7 @@
       pool: this.pool,
       reachability: this.reachability,
       codec,
+      admission: this.admission,
       retryBudgets: RetryBudgets.create(settings.retries),
       prefixes: this.prefixes,
       workEstimator: this.reachability.workEstimator,
@@ -350,7 +359,7 @@
       getRandom: Math.random,
       onNotices: (notices) => {
         this.notices.record(notices, "response");
-        this.tellFleet(notices);
+        tellFleet(this.fleet, this.registryTask.upstreams, notices);
       },
       addFleetNotice: (notice) => {
         this.fleet.addNotice(notice);
@@ -364,14 +373,6 @@
     };
   }
 
-  private getBounds(): FreshnessBounds {
-    const { staleMilliseconds, revokeMilliseconds } = this.dependencies.settings.configuration;
-    return {
-      staleMilliseconds,
-      failClosedMilliseconds: revokeMilliseconds - clockErrorMilliseconds,
-    };
-  }
-
   private applyTable(table: RouteTable): void {
     this.ingress.setLimits(table.limits);
     this.metrics.configurationVersion.set(table.version);
@@ -383,13 +384,4 @@
       teams: teams?.length ?? 0,
     });
   }
-
-  private tellFleet(notices: readonly UpstreamNotice[]): void {
-    for (const notice of notices) {
-      const fleetNotice = toFleetNotice(this.registryTask.upstreams, notice);
-      if (fleetNotice !== undefined) {
-        this.fleet.addNotice(fleetNotice);
-      }
-    }
-  }
 }
--- a/packages/kernel/src/forwarding/notices.ts
+++ b/packages/kernel/src/forwarding/notices.ts
@@ -47,7 +47,8 @@
   const notices: UpstreamNotice[] = [];
   const { id: upstream } = entry.record;
   if (head.load !== undefined) {
-    entry.recordReportedLoad(head.load.running + head.load.waiting, now);
+    const { running, waiting } = head.load;
+    entry.recordReportedLoad(running + waiting, now, waiting);
     workEstimator?.recordReport(entry, head.load, now);
   }
   if (head.isLeaving && upstreams.markLeaving(entry.record)) {
