Cold upstreams get their rate and no more, from all routers together

Cause: an upstream that has just started looks idle, so every router sends to it; above its cold rate it crashes.

Ruled out: slots from the moment at which a router learns of the start (even only if all learn at once), places by a hash of the address (they cluster in larger fleets), a notice to the fleet when a path was closed (one router with a bad network would cut the traffic of all). Without alignment, in a split fleet the first router of each part has place 0.

Change: UpstreamStart and RateSlots in the kernel. A router's slots follow from the host's clock, its place when it last saw as many routers as ever, and the upstream; an unused slot is lost after 50 to 200 ms, depending on the settings [coldStart] excess and slack. An upstream is cold by its record, by Cold-Ms, and for cold_s after a closed path opened again. An idle connection that the upstream ends makes the router probe it (services with cold_s only). Refusal upstreams-cold, log lines upstream.cold and upstream.warm, gauge pistachioway_cold_upstreams.

--- a/packages/cli/src/logs/explainOutcome.ts
+++ b/packages/cli/src/logs/explainOutcome.ts
@@ -97,6 +97,12 @@
       "Each upstream of the service that could serve is at the limit of requests that it named.",
     advice: "See upstream.limited: the service needs more capacity.",
   },
+  "upstreams-cold": {
+    cause:
+      "Each upstream of the service that could serve has just started and takes few requests; " +
+      "the request has not run.",
+    advice: "See upstream.cold: start upstreams one after the other, or keep some in other zones.",
+  },
   "content-quarantined": {
     cause: "Several upstreams crashed one after another on this request or a block of its prompt.",
     advice:
--- a/packages/daemon/src/exchange/Connection.ts
+++ b/packages/daemon/src/exchange/Connection.ts
@@ -1,4 +1,4 @@
-import { Client, type Dispatcher } from "undici";
+import { Client, errors, type Dispatcher } from "undici";
 import { createConnector, type SocketState } from "./connect.js";
 
 /** Idle time after which a connection is closed, unless the upstream sends its own idle timeout. */
@@ -14,6 +14,8 @@
   readonly localAddress?: string;
   /** Size of the largest head of a response. */
   readonly maxHeaderBytes?: number;
+  /** Called with the address of the other side when it has ended an idle connection, as a process that stops does. */
+  readonly onIdleEnded?: (address: string) => void;
 }
 
 /** One connection to an upstream or a peer, for one request at a time. */
@@ -26,7 +28,7 @@
   private constructor(
     origin: string,
     private readonly socketState: SocketState,
-    onClosed: (connection: Connection) => void,
+    onClosed: (connection: Connection, wasEndedByPeer: boolean) => void,
     { localAddress, maxHeaderBytes }: ConnectionOptions,
   ) {
     this.client = new Client(origin, {
@@ -38,21 +40,22 @@
       keepAliveTimeout: idleTimeoutMilliseconds,
       keepAliveTimeoutThreshold: idleMarginMilliseconds,
     });
-    this.client.on("disconnect", () => {
+    this.client.on("disconnect", (_, __, error) => {
+      const wasEndedByPeer = this.isOpen && error instanceof errors.SocketError;
       this.isOpen = false;
-      onClosed(this);
+      onClosed(this, wasEndedByPeer);
     });
   }
 
   /**
    * Creates a connection that opens with its first request.
    * @param address - IPv4 address and port of the upstream.
-   * @param onClosed - Called when it accepts no further request.
+   * @param onClosed - Called when it accepts no further request, and whether the other side ended it.
    * @param options - What differs from other connections.
    */
   static create(
     address: string,
-    onClosed: (connection: Connection) => void,
+    onClosed: (connection: Connection, wasEndedByPeer: boolean) => void,
     options: ConnectionOptions,
   ): Connection {
     const state = { wasBroken: false, hasConnectFailed: false, onEnded: () => undefined };
--- a/packages/daemon/src/exchange/ConnectionPool.ts
+++ b/packages/daemon/src/exchange/ConnectionPool.ts
@@ -43,8 +43,10 @@
 
   private create(address: string): Connection {
     this.openedCount += 1;
-    const onClosed = (closed: Connection): void => {
-      this.remove(address, closed);
+    const onClosed = (closed: Connection, wasEndedByPeer: boolean): void => {
+      if (this.remove(address, closed) && wasEndedByPeer) {
+        this.options.onIdleEnded?.(address);
+      }
     };
     return Connection.create(address, onClosed, this.options);
   }
@@ -97,15 +99,17 @@
     this.idleByAddress.clear();
   }
 
-  private remove(address: string, connection: Connection): void {
+  /** Removes an idle connection, and gets whether it was one. */
+  private remove(address: string, connection: Connection): boolean {
     const idle = this.idleByAddress.get(address);
     const index = idle?.indexOf(connection) ?? -1;
     if (idle === undefined || index < 0) {
-      return;
+      return false;
     }
     idle.splice(index, 1);
     if (idle.length === 0) {
       this.idleByAddress.delete(address);
     }
+    return true;
   }
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -19,5 +19,10 @@
 export type { ActiveRequestOutcome } from "./ingress/index.js";
 export { StreamLog, type LogOutput } from "./log/StreamLog.js";
 export { RegistryTask } from "./registry/index.js";
-export { parseRouterSettings, Router, routerSettingsSchema } from "./router/index.js";
+export {
+  getStartShare,
+  parseRouterSettings,
+  Router,
+  routerSettingsSchema,
+} from "./router/index.js";
 export type { RouterSettings } from "./router/index.js";
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -6,6 +6,7 @@
   PrefixDirectory,
   ContentQuarantine,
   RoutedService,
+  StartShare,
   UpstreamNotice,
   UpstreamTable,
 } from "@pistachioway/kernel";
@@ -61,6 +62,8 @@
   readonly getDaemonCount: () => number;
   /** Gets what this daemon may use of the limits that upstreams name. */
   readonly getLimitShare: () => LimitShare;
+  /** Gets what this daemon may send to upstreams of a service after their start; undefined when nothing bounds it. */
+  readonly getStartShare: (service: string) => StartShare | undefined;
   /** Gets the version of the configuration in force. */
   readonly getVersion: () => number;
   /** Gets the time since that version was last known to be the newest. */
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -61,6 +61,7 @@
     const isEngine = dependencies.getService(record.service)?.engine !== undefined;
     entry.startRequest(now);
     entry.limit.takeSlot(now, dependencies.getLimitShare());
+    entry.start.takeSlot(now);
     const headers = dependencies.codec.writeRequest(head, {
       upstream: record,
       team: approval.team,
--- a/packages/daemon/src/ingress/chooseRequestUpstream.ts
+++ b/packages/daemon/src/ingress/chooseRequestUpstream.ts
@@ -28,6 +28,7 @@
     stickyKey: approval.route.isSticky ? getStickyKey(head) : undefined,
     maxRunning: getMaxRunning(dependencies, service),
     limitShare: dependencies.getLimitShare(),
+    startShare: dependencies.getStartShare(service),
     isRepeatable: isRepeatable(approval.route),
     hasIdleConnection: ({ record }) => dependencies.pool.hasIdle(record.address),
     now: dependencies.getNow(),
--- a/packages/daemon/src/ingress/createUpstreamRefusal.ts
+++ b/packages/daemon/src/ingress/createUpstreamRefusal.ts
@@ -11,7 +11,7 @@
  * @param softwareVersion - Only version whose upstreams may take it; undefined for any.
  */
 export function createUpstreamRefusal(
-  { upstreams, getNow, getRandom, getLimitShare }: ActiveRequestDependencies,
+  { upstreams, getNow, getRandom, getLimitShare, getStartShare }: ActiveRequestDependencies,
   { service, approval }: AcceptedRequest,
   softwareVersion: string | undefined,
 ): Refusal {
@@ -22,13 +22,23 @@
   }
   const slotAt = upstreams.getEarliestLimitSlot(service, now, getLimitShare()) ?? Infinity;
   const restEndsAt = upstreams.getEarliestRestEnd(service, now) ?? Infinity;
-  const availableAt = Math.min(slotAt, restEndsAt);
+  const startShare = getStartShare(service);
+  const coldSlotAt =
+    (startShare && upstreams.getEarliestStartSlot(service, now, startShare)) ?? Infinity;
+  const availableAt = Math.min(slotAt, restEndsAt, coldSlotAt);
   if (availableAt === Infinity) {
     const detail = `no upstream of service "${service}" can be used`;
     return { name: "no-upstream", detail, retryAfterSeconds: undefined };
   }
   const priority = approval.team?.priority ?? approval.route.priority;
   const retryAfterSeconds = getRetryAfterSeconds(availableAt, now, priority, getRandom());
+  if (coldSlotAt === availableAt) {
+    return {
+      name: "upstreams-cold",
+      detail: `the upstreams of service "${service}" have just started and take few requests`,
+      retryAfterSeconds,
+    };
+  }
   return slotAt < restEndsAt
     ? {
         name: "upstreams-limited",
--- a/packages/daemon/src/ingress/refusals.ts
+++ b/packages/daemon/src/ingress/refusals.ts
@@ -10,6 +10,7 @@
   | "no-upstream"
   | "upstreams-resting"
   | "upstreams-limited"
+  | "upstreams-cold"
   | "content-quarantined"
   | "stream-version-unknown"
   | "stream-version-gone"
@@ -60,6 +61,7 @@
   "no-upstream": { status: 503, retryAfterSeconds: 0.5 },
   "upstreams-resting": { status: 503, retryAfterSeconds: 0.5 },
   "upstreams-limited": { status: 503, retryAfterSeconds: 0.5 },
+  "upstreams-cold": { status: 503, retryAfterSeconds: 0.5 },
   "content-quarantined": { status: 503, retryAfterSeconds: 60 },
   "stream-version-unknown": { status: 503, retryAfterSeconds: 0.3 },
   "stream-version-gone": { status: 503 },
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -89,6 +89,12 @@
     registers: [this.registry],
   });
 
+  readonly coldUpstreams = new Gauge({
+    name: "pistachioway_cold_upstreams",
+    help: "Upstreams that this router takes for cold, so that it sends them only its share of the rate that they take.",
+    registers: [this.registry],
+  });
+
   readonly quarantines = new Counter({
     name: "pistachioway_quarantines_total",
     help: "Quarantines of contents of requests that started, and that a served request ended, by kind.",
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -5,10 +5,7 @@
   MemoryBudget,
   RouteTable,
   type HeaderCodec,
-  type FreshnessBounds,
   type Registry,
-  type UpstreamNotice,
-  toFleetNotice,
 } from "@pistachioway/kernel";
 import { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { FleetTask, PeerStateTask } from "../fleet/index.js";
@@ -31,6 +28,7 @@
 import { createPeriodicTasks, tickMilliseconds } from "./createPeriodicTasks.js";
 import { createRegistryTask } from "./createRegistryTask.js";
 import { createStreamDirectory } from "./createStreamDirectory.js";
+import { getFreshnessBounds } from "./getFreshnessBounds.js";
 import { getLimitShare } from "./getLimitShare.js";
 import { NoticeLog } from "./NoticeLog.js";
 import { OperationsServers } from "./OperationsServers.js";
@@ -41,10 +39,10 @@
 import { readClocks, readMonotonicClock } from "./clocks.js";
 import type { TaskError } from "../lifecycle/TaskError.js";
 import { TaskWatch } from "../lifecycle/TaskWatch.js";
+import { tellFleet } from "./tellFleet.js";
 import { TickLag } from "./TickLag.js";
+import { UpstreamStarts } from "./UpstreamStarts.js";
 
-/** Clock error that is allowed for when a revoked key must stop being accepted. */
-const clockErrorMilliseconds = 200;
 /** Memory for bodies of callers and upstreams, beside the heap of the smallest host's process. */
 const maxKeptBytes = 67_108_864;
 
@@ -62,7 +60,11 @@
 export class Router {
   private readonly metrics = RouterMetrics.create();
   private readonly memory = MemoryBudget.create(maxKeptBytes);
-  private readonly pool = ConnectionPool.create();
+  private readonly pool = ConnectionPool.create({
+    onIdleEnded: (address) => {
+      this.starts.handleIdleEnded(address);
+    },
+  });
   private readonly prefixes = PrefixDirectory.create();
   private readonly quarantine = ContentQuarantine.create({
     addFleetNotice: (notice) => {
@@ -93,6 +95,7 @@
     this.record("error", "request.check-failed", { detail });
   });
   private readonly tickLag = TickLag.create(tickMilliseconds, this.startedAt);
+  private readonly starts: UpstreamStarts;
   private readonly periodicTasks: PeriodicTasks;
   private plannedStop: PlannedStop | undefined;
   private isClosed = false;
@@ -137,7 +140,17 @@
       isAtRisk: () => registry.isUnreachable() || this.plannedStop !== undefined,
       getNow,
     });
+    this.starts = UpstreamStarts.create({
+      registry,
+      view,
+      settings: dependencies.settings,
+      startedAt: this.startedAt,
+      metrics: this.metrics,
+      getClocks: readClocks,
+      record,
+    });
     this.periodicTasks = createPeriodicTasks({
+      starts: this.starts,
       reachability: this.reachability,
       requestTicks: this.ticks,
       registry,
@@ -318,7 +331,7 @@
         ...this.requestDependencies,
         forwarder: this.forwarding.forwarder,
       },
-      bounds: this.getBounds(),
+      bounds: getFreshnessBounds(this.dependencies.settings),
       getTable: () => this.registryTask.getTable(),
       isDraining: () => this.plannedStop !== undefined,
       isServed: (deadline) => this.plannedStop?.isServed(deadline) ?? true,
@@ -346,13 +359,14 @@
       getRandom: Math.random,
       onNotices: (notices) => {
         this.notices.record(notices, "response");
-        this.tellFleet(notices);
+        tellFleet(this.fleet, this.registryTask.upstreams, notices);
       },
       addFleetNotice: (notice) => {
         this.fleet.addNotice(notice);
       },
       getService: (name) => this.registryTask.getTable()?.getService(name),
       getLimitShare: () => getLimitShare(this.fleet.view, this.startedAt, readMonotonicClock()),
+      getStartShare: (service) => this.starts.getShare(service),
       getDaemonCount: () => this.fleet.view.getPeakDaemonCount(),
       getVersion: () => this.getVersion(),
       getAgeMilliseconds: () => this.registryTask.getAgeMilliseconds(),
@@ -360,14 +374,6 @@
     };
   }
 
-  private getBounds(): FreshnessBounds {
-    const { staleMilliseconds, revokeMilliseconds } = this.dependencies.settings.configuration;
-    return {
-      staleMilliseconds,
-      failClosedMilliseconds: revokeMilliseconds - clockErrorMilliseconds,
-    };
-  }
-
   private applyTable(table: RouteTable): void {
     this.ingress.setLimits(table.limits);
     this.metrics.configurationVersion.set(table.version);
@@ -379,13 +385,4 @@
       teams: teams?.length ?? 0,
     });
   }
-
-  private tellFleet(notices: readonly UpstreamNotice[]): void {
-    for (const notice of notices) {
-      const fleetNotice = toFleetNotice(this.registryTask.upstreams, notice);
-      if (fleetNotice !== undefined) {
-        this.fleet.addNotice(fleetNotice);
-      }
-    }
-  }
 }
--- a/packages/daemon/src/router/createPeriodicTasks.ts
+++ b/packages/daemon/src/router/createPeriodicTasks.ts
@@ -11,6 +11,7 @@
 import { StallLog } from "./StallLog.js";
 import type { TaskWatch } from "../lifecycle/TaskWatch.js";
 import type { TickLag } from "./TickLag.js";
+import type { UpstreamStarts } from "./UpstreamStarts.js";
 
 /** What the periodic tasks of a router work on. */
 export interface PeriodicTasksContext {
@@ -20,6 +21,7 @@
   readonly registry: RegistryTask;
   readonly view: FleetView;
   readonly streams: StreamDirectory;
+  readonly starts: UpstreamStarts;
   readonly peerStates: PeerStateTask;
   readonly memory: MemoryBudget;
   readonly pacer: ReadPacer;
--- a/packages/daemon/src/router/getLimitShare.ts
+++ b/packages/daemon/src/router/getLimitShare.ts
@@ -1,7 +1,7 @@
 import type { FleetView, LimitShare } from "@pistachioway/kernel";
 
 /** Time after its start until when a router cannot know how many routers there are. */
-const settlingMilliseconds = 3_000;
+export const settlingMilliseconds = 3_000;
 
 /**
  * Gets what a router may use of the limits that upstreams name on the requests of all routers.
--- a/packages/daemon/src/router/runHousekeeping.ts
+++ b/packages/daemon/src/router/runHousekeeping.ts
@@ -2,12 +2,14 @@
 import type { Fields, LogLevel } from "../log/line.js";
 import type { RegistryTask } from "../registry/index.js";
 import type { StreamDirectory } from "../streams/index.js";
+import type { UpstreamStarts } from "./UpstreamStarts.js";
 
 /** What the housekeeping of a router reads and updates. */
 export interface HousekeepingContext {
   readonly registry: RegistryTask;
   readonly view: FleetView;
   readonly streams: StreamDirectory;
+  readonly starts: UpstreamStarts;
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
 
@@ -17,7 +19,7 @@
  * @param now - Monotonic time, in milliseconds.
  */
 export function runHousekeeping(
-  { registry, view, streams, record }: HousekeepingContext,
+  { registry, view, streams, starts, record }: HousekeepingContext,
   now: number,
 ): void {
   streams.recordList({
@@ -29,6 +31,7 @@
     record("info", "upstream.lapsed", { upstream: id });
   }
   registry.upstreams.addReleased(now);
+  starts.check(now);
   const runningOnPeers = view.getRunningCounts(now);
   for (const entry of registry.upstreams.getEntries()) {
     entry.runningOnOtherDaemons = runningOnPeers.get(entry.hash) ?? 0;
--- a/packages/daemon/src/router/settings.ts
+++ b/packages/daemon/src/router/settings.ts
@@ -48,6 +48,15 @@
       windowMilliseconds: z.int().min(1_000).max(600_000).default(10_000),
     })
     .prefault({}),
+  /** How far the rate of a cold upstream may be exceeded; not at all when it is absent. */
+  coldStart: z
+    .strictObject({
+      /** Factor of the rate that requests of all daemons may reach in any second. */
+      excess: z.number().min(1).max(10),
+      /** Requests in any second beyond the rate times the factor. */
+      slack: z.number().min(0).max(1_000),
+    })
+    .optional(),
   limits: z
     .strictObject({
       /** Time allowed for a planned stop, in milliseconds. */
--- a/packages/kernel/src/fleet/FleetView.ts
+++ b/packages/kernel/src/fleet/FleetView.ts
@@ -14,6 +14,7 @@
   private readonly knownAddresses = new Set<string>();
   private peakDaemonCount = 1;
   private position = 0;
+  private peakPosition = 0;
 
   private constructor(private readonly ownAddress: string) {}
 
@@ -135,6 +136,14 @@
     return this.position;
   }
 
+  /**
+   * Gets the place of this daemon among the live ones when they were last as many as ever. The parts of a split fleet keep
+   * different places by it.
+   */
+  getPeakPosition(): number {
+    return this.peakPosition;
+  }
+
   /**
    * Updates the largest number of daemons that were live at once, and the place of this daemon among them.
    * @param now - Current time.
@@ -144,6 +153,7 @@
     const count = peers.length + 1;
     this.peakDaemonCount = Math.max(this.peakDaemonCount, count);
     this.position = peers.filter(({ address }) => address < this.ownAddress).length / count;
+    this.peakPosition = count === this.peakDaemonCount ? this.position : this.peakPosition;
   }
 
   /**
--- a/packages/kernel/src/forwarding/notices.ts
+++ b/packages/kernel/src/forwarding/notices.ts
@@ -46,6 +46,9 @@
   if (head.load !== undefined) {
     entry.recordReportedLoad(head.load.running + head.load.waiting, now);
   }
+  if (head.coldMilliseconds !== undefined) {
+    entry.start.recordCold(head.coldMilliseconds, now);
+  }
   if (head.isLeaving && upstreams.markLeaving(entry.record)) {
     notices.push({ kind: "leaving", upstream });
   }
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -13,6 +13,7 @@
 import type { Upstream } from "./schema.js";
 import { UpstreamLimit } from "./UpstreamLimit.js";
 import { UpstreamPath } from "./UpstreamPath.js";
+import { UpstreamStart } from "./UpstreamStart.js";
 
 /** State that one daemon keeps of one upstream. Times are monotonic milliseconds. */
 export class UpstreamEntry {
@@ -20,6 +21,8 @@
   readonly hash: number;
   /** The limit that it names on requests of all daemons. */
   readonly limit: UpstreamLimit;
+  /** What it takes after its start. */
+  readonly start: UpstreamStart;
   /** Requests that this daemon has in flight at the upstream. */
   running = 0;
   /** Requests that the other daemons have in flight at the upstream, as they last reported. */
@@ -44,18 +47,21 @@
   private constructor(
     public record: Upstream,
     private readonly addedAt: number,
+    start: UpstreamStart | undefined,
   ) {
     this.hash = getHash(record.id);
     this.limit = UpstreamLimit.create(toFraction(this.hash));
+    this.start = start ?? UpstreamStart.create(toFraction(this.hash));
   }
 
   /**
    * Creates an entry without history.
    * @param record - Record that the upstream published.
    * @param now - Monotonic time.
+   * @param start - What an earlier incarnation takes after its start, if one was known.
    */
-  static create(record: Upstream, now: number): UpstreamEntry {
-    return new UpstreamEntry(record, now);
+  static create(record: Upstream, now: number, start?: UpstreamStart): UpstreamEntry {
+    return new UpstreamEntry(record, now, start);
   }
 
   /** Checks whether the upstream was added a short while ago. */
@@ -103,6 +109,14 @@
     this.path.recordReceivedBytes(now);
   }
 
+  /** Records that a connection has opened. */
+  recordConnected(now: number): void {
+    if (this.path.mayHaveRestarted()) {
+      this.start.recordReturn(now);
+    }
+    this.path.recordConnected(now);
+  }
+
   /** Checks whether the upstream holds requests and has sent nothing for a time. */
   isSilentFor(milliseconds: number, now: number): boolean {
     return this.running > 0 && now - this.lastReceivedAt > milliseconds;
--- a/packages/kernel/src/upstreams/UpstreamPath.ts
+++ b/packages/kernel/src/upstreams/UpstreamPath.ts
@@ -46,6 +46,16 @@
     return this.doubtedAt === undefined ? "open" : "doubted";
   }
 
+  /**
+   * Checks whether the upstream may have restarted since it last sent bytes: connections failed, or it fell silent by
+   * itself and none has opened since.
+   */
+  mayHaveRestarted(): boolean {
+    return (
+      this.getState() === "closed" && !this.isSilentLikeOthers && !this.isOpenToOldConnections()
+    );
+  }
+
   /** Checks whether the upstream has fallen silent and sent no bytes since. */
   isSilent(): boolean {
     return this.silentSince !== undefined;
--- a/packages/kernel/src/upstreams/UpstreamReach.ts
+++ b/packages/kernel/src/upstreams/UpstreamReach.ts
@@ -82,7 +82,7 @@
 
   /** Records that a probe of an upstream has opened a connection. */
   recordConnected(entry: UpstreamEntry, now: number): void {
-    entry.path.recordConnected(now);
+    entry.recordConnected(now);
     this.recoveredAt = now;
   }
 
--- a/packages/kernel/src/upstreams/UpstreamTable.ts
+++ b/packages/kernel/src/upstreams/UpstreamTable.ts
@@ -2,6 +2,7 @@
 import { DepartedUpstreams, type UpstreamIncarnation } from "./DepartedUpstreams.js";
 import type { LimitShare } from "./LimitShare.js";
 import type { Upstream } from "./schema.js";
+import type { StartShare } from "./StartShare.js";
 import { UpstreamEntry } from "./UpstreamEntry.js";
 
 /** The upstreams that the registry lists, with the state that this daemon keeps of each. */
@@ -58,6 +59,9 @@
     }
     const isOlder = record.bornAt < entry.record.bornAt || record.sequence < entry.record.sequence;
     if (!isOlder) {
+      if (record.sequence > entry.record.sequence) {
+        recordCold(entry, record, now);
+      }
       entry.record = record;
       entry.expiredAt = undefined;
       this.recordDraining(record);
@@ -120,6 +124,20 @@
     return slots.length === 0 ? undefined : Math.min(...slots);
   }
 
+  /**
+   * Gets the earliest time at which a cold upstream of a service takes a request of this daemon; undefined when none is
+   * cold.
+   * @param service - Name of the service.
+   * @param now - Monotonic time.
+   * @param share - What this daemon may use of the rate that a cold upstream tolerates.
+   */
+  getEarliestStartSlot(service: string, now: number, share: StartShare): number | undefined {
+    const slots = this.getEntries()
+      .filter((entry) => entry.record.service === service && entry.isInService())
+      .flatMap((entry) => entry.start.getNextSlot(now, share) ?? []);
+    return slots.length === 0 ? undefined : Math.min(...slots);
+  }
+
   /**
    * Removes the entry of an upstream that the registry no longer lists. Shortly after an outage of
    * the registry the record may have expired although the upstream still runs, so a ready upstream
@@ -187,7 +205,8 @@
     if (this.departed.hold(record, now)) {
       return;
     }
-    const entry = UpstreamEntry.create(record, now);
+    const entry = UpstreamEntry.create(record, now, this.entriesById.get(record.id)?.start);
+    recordCold(entry, record, now);
     entry.isLeaving = this.departed.isLeaving(record);
     this.entriesById.set(record.id, entry);
     this.recordDraining(record);
@@ -205,3 +224,10 @@
     }
   }
 }
+
+/** Applies how long an upstream is still cold by a record that was not known before. */
+function recordCold(entry: UpstreamEntry, { coldMilliseconds }: Upstream, now: number): void {
+  if (coldMilliseconds !== undefined) {
+    entry.start.recordCold(coldMilliseconds, now);
+  }
+}
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -1,6 +1,7 @@
 import { getHash, getRendezvousScore } from "../hashing/index.js";
 import { loadAllowance, loadFactor } from "./constants.js";
 import type { LimitShare } from "./LimitShare.js";
+import type { StartShare } from "./StartShare.js";
 import type { UpstreamEntry } from "./UpstreamEntry.js";
 import type { PathState } from "./UpstreamPath.js";
 
@@ -25,6 +26,8 @@
   readonly maxRunning: number;
   /** What this daemon may use of the limits that upstreams name. */
   readonly limitShare: LimitShare;
+  /** What this daemon may send to upstreams after their start; undefined when nothing bounds it. */
+  readonly startShare?: StartShare | undefined;
   /** Whether the request may run more than once, so that it can try a path that may not be open. */
   readonly isRepeatable: boolean;
   /** Checks whether this daemon has an idle connection to an upstream. */
@@ -59,7 +62,10 @@
   entries: readonly UpstreamEntry[],
   requirements: UpstreamRequirements,
 ): UpstreamChoice | undefined {
-  const eligible = entries.filter((entry) => isEligible(entry, requirements));
+  const eligible = withoutColdIfUnsettled(
+    entries.filter((entry) => isEligible(entry, requirements)),
+    requirements,
+  );
   const path = chosenPaths.find((each) =>
     eligible.some((entry) => getPath(entry, requirements) === each),
   );
@@ -88,17 +94,29 @@
 
 type ChosenEntry = Omit<UpstreamChoice, "path">;
 
-function isEligible(
-  entry: UpstreamEntry,
-  { service, softwareVersion, excluded, maxRunning, limitShare, now }: UpstreamRequirements,
-): boolean {
+function isEligible(entry: UpstreamEntry, requirements: UpstreamRequirements): boolean {
+  const { service, softwareVersion, excluded, maxRunning, limitShare, startShare, now } =
+    requirements;
   const { record, running } = entry;
   const fits =
     record.service === service &&
     (softwareVersion === undefined || record.softwareVersion === softwareVersion);
   const isOffered = fits && entry.isInService() && !entry.isResting(now);
   const isFree = running < maxRunning && entry.limit.isOpen(now, limitShare);
-  return isOffered && isFree && !excluded.has(record.id);
+  const isStarted = startShare === undefined || entry.start.isOpen(now, startShare);
+  return isOffered && isFree && isStarted && !excluded.has(record.id);
+}
+
+/** A daemon that does not know yet how many there are leaves cold upstreams to the others, if it can use other ones. */
+function withoutColdIfUnsettled(
+  eligible: readonly UpstreamEntry[],
+  { startShare, now }: UpstreamRequirements,
+): readonly UpstreamEntry[] {
+  if (startShare === undefined || startShare.isSettled) {
+    return eligible;
+  }
+  const warm = eligible.filter(({ start }) => !start.isCold(now, startShare));
+  return warm.length > 0 ? warm : eligible;
 }
 
 function chooseLeastLoaded(
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -68,6 +68,14 @@
 /** Rate at which all daemons together ask an upstream that takes no requests whether that still holds. */
 export const lowestLimitPerSecond = 0.1;
 
+/** Bounds of the time for which a slot of a rate that all daemons share stays open without a request. */
+export const shortestSlotMilliseconds = 50;
+/** Daemons that were idle send in all open slots at once: after 200 ms, a fifth of a second's requests too many. */
+export const longestSlotMilliseconds = 200;
+
+/** Longest time for which an upstream may say that it is cold. */
+export const longestColdMilliseconds = 600_000;
+
 /** Load limit of an upstream: the mean load of its service times this factor plus the allowance. */
 export const loadFactor = 1.4;
 /** Requests that an upstream may hold above the factor times the mean. */
--- a/packages/kernel/src/upstreams/index.ts
+++ b/packages/kernel/src/upstreams/index.ts
@@ -10,6 +10,9 @@
 export type { LimitShare } from "./LimitShare.js";
 export { PrefixDirectory } from "./PrefixDirectory.js";
 export { upstreamSchema, type Upstream } from "./schema.js";
+export { RateSlots, type SharedRate } from "./RateSlots.js";
+export type { ColdBound, StartShare } from "./StartShare.js";
+export { UpstreamStart } from "./UpstreamStart.js";
 export { UpstreamLimit } from "./UpstreamLimit.js";
 export { UpstreamTable } from "./UpstreamTable.js";
 export { UpstreamEntry } from "./UpstreamEntry.js";
--- a/packages/kernel/tests/upstreams/chooseUpstream.test.ts
+++ b/packages/kernel/tests/upstreams/chooseUpstream.test.ts
@@ -37,6 +37,29 @@
   });
 });
 
+// Guards against a fleet whose daemons start together and each take a share for a fleet of one.
+test("a daemon that does not know the number of daemons uses cold upstreams only if there is no other", () => {
+  const startShare = {
+    part: 1,
+    position: 0,
+    clockOffset: 0,
+    cold: { milliseconds: 3_000, requestsPerSecond: 100, excess: 1.5, slack: 5 },
+  };
+  const chosen = [true, false].map((isSettled) => {
+    const table = createTable(2);
+    table.getEntry("e-1")?.start.recordCold(3_000, 0);
+    const share = { ...startShare, isSettled };
+    const first = choose(table, { stickyKey: undefined, startShare: share, now: 5 });
+    table.removeUpstream("e-2", 0);
+    const second = choose(table, { stickyKey: undefined, startShare: share, now: 5 });
+    return [first?.entry.record.id, second?.entry.record.id];
+  });
+  assert.equal(chosen, [
+    ["e-1", "e-1"],
+    ["e-2", "e-1"],
+  ]);
+});
+
 test("moves only the chats of an engine that is removed", () => {
   const keys = Array.from({ length: 200 }, (_, index) => `chat-${String(index)}`);
   const before = keys.map((stickyKey) => choose(createTable(13), { stickyKey })?.entry.record.id);
