--- a/packages/cli/src/logs/explainOutcome.ts
+++ b/packages/cli/src/logs/explainOutcome.ts
@@ -111,6 +111,12 @@
     cause: "The request's turn would have come too late for its deadline; it has not run.",
     advice: "See pistachioway_waiting_requests: the service needs more capacity.",
   },
+  "upstreams-cold": {
+    cause:
+      "Each upstream of the service that could serve has just started and takes few requests; " +
+      "the request has not run.",
+    advice: "See upstream.cold: start upstreams one after the other, or keep some in other zones.",
+  },
   "content-quarantined": {
     cause: "Several upstreams crashed one after another on this request or a block of its prompt.",
     advice:
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -24,5 +24,10 @@
   relayedUpdateSchema,
   type RelayedUpdate,
 } from "./registry/index.js";
-export { parseRouterSettings, Router, routerSettingsSchema } from "./router/index.js";
+export {
+  getStartShare,
+  parseRouterSettings,
+  Router,
+  routerSettingsSchema,
+} from "./router/index.js";
 export type { RouterSettings } from "./router/index.js";
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -88,6 +88,7 @@
     dependencies.workEstimator.startWork(entry, this.work, now);
     entry.startRequest(now);
     entry.limit.takeSlot(now, dependencies.getLimitShare());
+    entry.start.takeSlot(now);
     const headers = dependencies.codec.writeRequest(head, {
       upstream: record,
       team: approval.team,
--- a/packages/daemon/src/ingress/chooseRequestUpstream.ts
+++ b/packages/daemon/src/ingress/chooseRequestUpstream.ts
@@ -44,6 +44,7 @@
     stickyKey: stickyKey ?? spreadKey,
     maxRunning: getMaxRunning(dependencies, service),
     limitShare: dependencies.getLimitShare(),
+    startShare: dependencies.getStartShare(service),
     isRepeatable: isRepeatable(approval.route),
     hasIdleConnection: ({ record }) => dependencies.pool.hasIdle(record.address),
     now: dependencies.getNow(),
--- a/packages/daemon/src/ingress/refusals.ts
+++ b/packages/daemon/src/ingress/refusals.ts
@@ -13,6 +13,7 @@
   | "upstreams-limited"
   | "queue-full"
   | "queue-too-long"
+  | "upstreams-cold"
   | "content-quarantined"
   | "stream-version-unknown"
   | "stream-version-gone"
@@ -66,6 +67,7 @@
   "upstreams-limited": { status: 503, retryAfterSeconds: 0.5 },
   "queue-full": { status: 503, retryAfterSeconds: 0.5 },
   "queue-too-long": { status: 503, retryAfterSeconds: 0.5 },
+  "upstreams-cold": { status: 503, retryAfterSeconds: 0.5 },
   "content-quarantined": { status: 503, retryAfterSeconds: 60 },
   "stream-version-unknown": { status: 503, retryAfterSeconds: 0.3 },
   "stream-version-gone": { status: 503 },
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -43,6 +43,7 @@
 import type { TaskError } from "../lifecycle/TaskError.js";
 import { TaskWatch } from "../lifecycle/TaskWatch.js";
 import { TickLag } from "./TickLag.js";
+import { UpstreamStarts } from "./UpstreamStarts.js";
 
 /** Memory for bodies of callers and upstreams, beside the heap of the smallest host's process. */
 const maxKeptBytes = 67_108_864;
@@ -61,7 +62,11 @@
 export class Router {
   private readonly metrics = RouterMetrics.create();
   private readonly memory = MemoryBudget.create(maxKeptBytes);
-  private readonly pool = ConnectionPool.create();
+  private readonly pool = ConnectionPool.create({
+    onIdleEnded: (address) => {
+      this.starts.handleIdleEnded(address);
+    },
+  });
   private readonly prefixes = PrefixDirectory.create();
   private readonly quarantine = ContentQuarantine.create({
     addFleetNotice: (notice) => {
@@ -93,6 +98,7 @@
     this.record("error", "request.check-failed", { detail });
   });
   private readonly tickLag = TickLag.create(tickMilliseconds, this.startedAt);
+  private readonly starts: UpstreamStarts;
   private readonly periodicTasks: PeriodicTasks;
   private plannedStop: PlannedStop | undefined;
   private isClosed = false;
@@ -147,7 +153,17 @@
       getNow,
       getRandom: Math.random,
     });
+    this.starts = UpstreamStarts.create({
+      registry,
+      view,
+      settings: dependencies.settings,
+      startedAt: this.startedAt,
+      metrics: this.metrics,
+      getClocks: readClocks,
+      record,
+    });
     this.periodicTasks = createPeriodicTasks({
+      starts: this.starts,
       reachability: this.reachability,
       admission: this.admission,
       requestTicks: this.ticks,
@@ -366,6 +382,7 @@
       },
       getService: (name) => this.registryTask.getTable()?.getService(name),
       getLimitShare: () => getLimitShare(this.fleet.view, this.startedAt, readMonotonicClock()),
+      getStartShare: (service) => this.starts.getShare(service),
       getDaemonCount: () => this.fleet.view.getPeakDaemonCount(),
       getVersion: () => this.getVersion(),
       getAgeMilliseconds: () => this.registryTask.getAgeMilliseconds(),
--- a/packages/daemon/src/router/tellFleet.ts
+++ b/packages/daemon/src/router/tellFleet.ts
@@ -2,10 +2,10 @@
 import type { FleetTask } from "../fleet/index.js";
 
 /**
- * Tells the other routers what a response said about its upstream.
- * @param fleet - The other routers.
+ * Tells the other routers what this one learned about upstreams.
+ * @param fleet - Task that tells them.
  * @param upstreams - Upstreams that the registry lists.
- * @param notices - What the response said.
+ * @param notices - What this router learned.
  */
 export function tellFleet(
   fleet: FleetTask,
--- a/packages/kernel/src/forwarding/notices.ts
+++ b/packages/kernel/src/forwarding/notices.ts
@@ -51,6 +51,9 @@
     entry.recordReportedLoad(running + waiting, now, waiting);
     workEstimator?.recordReport(entry, head.load, now);
   }
+  if (head.coldMilliseconds !== undefined) {
+    entry.start.recordCold(head.coldMilliseconds, now);
+  }
   if (head.isLeaving && upstreams.markLeaving(entry.record)) {
     notices.push({ kind: "leaving", upstream });
   }
