--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -11,7 +11,6 @@
 import type { FleetTask, PeerStateTask } from "../fleet/index.js";
 import {
   IngressServer,
-  RetryBudgets,
   TickListeners,
   type ActiveRequestDependencies,
   type AdmissionQueues,
@@ -29,16 +28,15 @@
 import { createPeerStateTask } from "./createPeerStateTask.js";
 import { createPeriodicTasks, tickMilliseconds } from "./createPeriodicTasks.js";
 import { createRegistryTask } from "./createRegistryTask.js";
+import { createRequestDependencies } from "./createRequestDependencies.js";
 import { createStreamDirectory } from "./createStreamDirectory.js";
 import { getFreshnessBounds } from "./getFreshnessBounds.js";
-import { getLimitShare } from "./getLimitShare.js";
 import { NoticeLog } from "./NoticeLog.js";
 import { OperationsServers } from "./OperationsServers.js";
 import type { PeriodicTasks } from "./PeriodicTasks.js";
 import { PlannedStop } from "./PlannedStop.js";
 import { RouterPages } from "./RouterPages.js";
 import type { RouterSettings } from "./settings.js";
-import { tellFleet } from "./tellFleet.js";
 import { readClocks, readMonotonicClock } from "./clocks.js";
 import type { TaskError } from "../lifecycle/TaskError.js";
 import { TaskWatch } from "../lifecycle/TaskWatch.js";
@@ -177,7 +175,12 @@
       watch: this.tasks,
       record,
     });
-    this.requestDependencies = this.createActiveRequestDependencies();
+    const { settings, codec } = dependencies;
+    const { fleet, reachability, admission, starts, streams, notices, startedAt } = this;
+    const { prefixes, quarantine, memory, ticks, metrics } = this;
+    const tasks = { registry, fleet, reachability, admission, starts, streams, notices, pool };
+    const state = { prefixes, quarantine, memory, ticks, metrics, startedAt, record };
+    this.requestDependencies = createRequestDependencies({ settings, codec, ...tasks, ...state });
     this.forwarding = this.createForwarding();
     this.ingress = this.createIngress();
     this.servers = OperationsServers.create(this.createPages(), ({ message }) => {
@@ -325,10 +328,6 @@
     });
   }
 
-  private getVersion(): number {
-    return this.registryTask.getTable()?.version ?? -1;
-  }
-
   private createForwarding(): Forwarding {
     return createForwarding(this.dependencies.settings, {
       view: this.fleet.view,
@@ -353,43 +352,6 @@
     });
   }
 
-  private createActiveRequestDependencies(): ActiveRequestDependencies {
-    const { settings, codec } = this.dependencies;
-    return {
-      upstreams: this.registryTask.upstreams,
-      pool: this.pool,
-      reachability: this.reachability,
-      codec,
-      admission: this.admission,
-      retryBudgets: RetryBudgets.create(settings.retries),
-      prefixes: this.prefixes,
-      workEstimator: this.reachability.workEstimator,
-      quarantine: this.quarantine,
-      streams: this.streams,
-      metrics: this.metrics,
-      memory: this.memory,
-      forwarder: undefined,
-      ticks: this.ticks,
-      zone: settings.process.zone,
-      getNow: readMonotonicClock,
-      getRandom: Math.random,
-      onNotices: (notices) => {
-        this.notices.record(notices, "response");
-        tellFleet(this.fleet, this.registryTask.upstreams, notices);
-      },
-      addFleetNotice: (notice) => {
-        this.fleet.addNotice(notice);
-      },
-      getService: (name) => this.registryTask.getTable()?.getService(name),
-      getLimitShare: () => getLimitShare(this.fleet.view, this.startedAt, readMonotonicClock()),
-      getStartShare: (service) => this.starts.getShare(service),
-      getDaemonCount: () => this.fleet.view.getPeakDaemonCount(),
-      getVersion: () => this.getVersion(),
-      getAgeMilliseconds: () => this.registryTask.getAgeMilliseconds(),
-      record: this.record,
-    };
-  }
-
   private applyTable(table: RouteTable): void {
     this.ingress.setLimits(table.limits);
     this.metrics.configurationVersion.set(table.version);
