--- a/packages/daemon/src/ingress/SlowAttemptMonitor.ts
+++ b/packages/daemon/src/ingress/SlowAttemptMonitor.ts
@@ -102,11 +102,15 @@
     const limit =
       head === undefined
         ? this.route.goalMilliseconds * slowObjectiveRatio
-        : Math.max(stallTimeoutMilliseconds, target.getSilenceLimit(now));
+        : stallTimeoutMilliseconds;
     const waitedMilliseconds = now - lastReceivedAt;
     const isLate =
       waitedMilliseconds >
       (target.isAvoided(now) ? Math.min(avoidedTimeoutMilliseconds, limit) : limit);
-    return isLate && (head !== undefined || target.isRepeatSooner(now));
+    const isUnexplained = (): boolean =>
+      head === undefined
+        ? target.isRepeatSooner(now)
+        : waitedMilliseconds > target.getSilenceLimit(now);
+    return isLate && isUnexplained();
   }
 }
--- a/packages/daemon/tests/router/expectedWork.test.ts
+++ b/packages/daemon/tests/router/expectedWork.test.ts
@@ -49,7 +49,13 @@
 // Guards against requests that are read twice, and engines that are avoided, since a long prompt takes longer than the bounds.
 test("a long prompt is not repeated, nor its engine taken for silent, where engines report their slowdown", async (context) => {
   assert.is(await serveLongPrompt(context, "1,0,8,100"), 1);
-  assert.is(context.fixture.logLines.filter((line) => line.includes("upstream.silent")).length, 0);
+  const { logLines } = context.fixture;
+  assert.is(logLines.filter((line) => line.includes("upstream.silent")).length, 0);
+  const address = /event=daemon\.listening .*operations=(\S+)/.exec(logLines.join("\n"))?.[1] ?? "";
+  const metrics = await (await fetch(`http://${address}/metrics`)).text();
+  const learned =
+    /^pistachioway_reading_milliseconds_per_1000_tokens\{service="\w+"\} (\S+)$/m.exec(metrics);
+  assert.ok(Number(learned?.[1]) >= 1_000 * millisecondsPerToken * 0.5, learned?.[0]);
 });
 
 test("where they do not report it, the fixed bounds hold", async (context) => {
