The former engine of a prompt is guessed in the first 30 s of a daemon, too

Cause: engines count as recently added for 30 s, and recently added ones are no guess. After the start of a daemon all engines are, so that a prompt whose engine drained or was avoided was read again unless a notice had come.

Ruled out: a shorter time for recently added engines (guessFormerUpstream uses it in all services).

Change: findPrefixSource compares when the two engines were added, within a second; an engine that was added after the chosen one is no guess while it is recent.

--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -8,6 +8,7 @@
   recentlyAddedMilliseconds,
   reportedLoadLifetimeMilliseconds,
   responseTimeoutMilliseconds,
+  sameReadMilliseconds,
   streamIdleTimeoutMilliseconds,
 } from "./constants.js";
 import type { Upstream } from "./schema.js";
@@ -65,6 +66,11 @@
     return now - this.addedAt < recentlyAddedMilliseconds;
   }
 
+  /** Checks whether the upstream was added a while before another one, rather than at the same start of the daemon. */
+  wasAddedBefore(other: UpstreamEntry): boolean {
+    return other.addedAt - this.addedAt > sameReadMilliseconds;
+  }
+
   /**
    * Gets an estimate of the requests that the upstream holds, waiting ones included: the larger of
    * the daemons' counts and a recent report of the upstream plus the requests sent since.
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -43,6 +43,9 @@
  */
 export const recentlyAddedMilliseconds = 30_000;
 
+/** Upstreams that were added within this time may come from one read of the registry, so that neither is the newer one. */
+export const sameReadMilliseconds = 1_000;
+
 /** First time for which a failing upstream is avoided; it doubles with each further avoidance. */
 export const firstAvoidanceMilliseconds = 1_000;
 export const longestAvoidanceMilliseconds = 4_000;
--- a/packages/kernel/src/upstreams/findPrefixSource.ts
+++ b/packages/kernel/src/upstreams/findPrefixSource.ts
@@ -122,14 +122,13 @@
   if (stickyKey === undefined) {
     return undefined;
   }
-  const first = findFirstByKey(
-    entries,
-    stickyKey,
-    (entry) =>
-      entry.record.service === service &&
-      !entry.isRecentlyAdded(now) &&
-      (entry === chosen || getRank(entry) !== undefined),
-  );
+  const others = entries.filter((entry) => entry.record.service === service && entry !== chosen);
+  const isNew = chosen.isRecentlyAdded(now) && others.some((entry) => entry.wasAddedBefore(chosen));
+  const mayHaveServed = (entry: UpstreamEntry): boolean =>
+    !entry.isRecentlyAdded(now) ||
+    (isNew ? entry.wasAddedBefore(chosen) : !chosen.wasAddedBefore(entry));
+  const formers = others.filter((entry) => getRank(entry) !== undefined && mayHaveServed(entry));
+  const first = findFirstByKey(isNew ? formers : [...formers, chosen], stickyKey, () => true);
   return first === chosen ? undefined : first;
 }
 
--- a/packages/kernel/tests/upstreams/findPrefixSource.test.ts
+++ b/packages/kernel/tests/upstreams/findPrefixSource.test.ts
@@ -139,6 +139,32 @@
   ]);
 });
 
+// Guards against a daemon that guesses no former engine for 30 s after its start, when all engines are new to it.
+test("guesses the former engine by which one was there first", () => {
+  const { state, engines } = create();
+  const [chosen, first] = engines;
+  const find = (entry: UpstreamEntry, now: number): string =>
+    describe(findPrefixSource(state, { ...lookup, now }, entry, undefined));
+  const found = [find(chosen, 2_000)];
+  first.path.recordConnectFailure(2_000);
+  // "e-new-2" precedes all others in the order, but no engine that was there before it asks it.
+  const ids = ["e-new-1", "e-new-2", "e-new-3"];
+  ids.forEach((id) => {
+    state.upstreams.addUpstream(createUpstream({ id }), 3_000);
+  });
+  const added = ids.map((id) => state.upstreams.getEntry(id) as UpstreamEntry);
+  found.push(find(chosen, 4_000), ...added.map((entry) => find(entry, 4_000)));
+  found.push(find(chosen, 40_000));
+  assert.equal(found, [
+    "former e-2",
+    "former e-4",
+    "former e-4",
+    "former e-4",
+    "former e-4",
+    "former e-new-2",
+  ]);
+});
+
 test("knows what the chosen engine holds or reads, and which engine reads it", () => {
   const { state, engines } = create();
   const [chosen, reader] = engines;
--- a/packages/kernel/tests/upstreams/placementByWork.test.ts
+++ b/packages/kernel/tests/upstreams/placementByWork.test.ts
@@ -185,13 +185,13 @@
 const figures: Record<string, Record<ModelPolicy, Figures>> = {
   "holders avoided for failures": {
     counts: [1_314_600, 64, 0, 35],
-    sources: [308_200, 47, 0, 35],
-    work: [261_500, 34, 0, 23],
+    sources: [241_340, 47, 0, 33],
+    work: [194_510, 34, 0, 23],
   },
   "engines replaced one after the other": {
     counts: [272_210, 44, 0, 123],
-    sources: [198_960, 44, 0, 127],
-    work: [233_540, 40, 0, 81],
+    sources: [164_750, 38, 0, 124],
+    work: [200_110, 35, 0, 85],
   },
   "engines that crash while others fetch from them": {
     counts: [441_200, 81, 0, 63],
