--- a/packages/cli/src/status/routers.ts
+++ b/packages/cli/src/status/routers.ts
@@ -91,6 +91,6 @@
       .filter(({ evacuatedZones }) => !evacuatedZones.includes(zone))
       .map(({ name }) => name);
     const text = `zone "${zone}" is evacuated`;
-    return unaware.length === 0 ? text : `${text}; ${unaware.join(", ")} do not know of it`;
+    return unaware.length === 0 ? text : `${text}; not known to ${unaware.join(", ")}`;
   });
 }
--- a/packages/cli/tests/commands/router.test.ts
+++ b/packages/cli/tests/commands/router.test.ts
@@ -113,4 +113,21 @@
   ]);
 });
 
+// Guards against a router that sends to an evacuated zone without the operator's knowledge.
+test("shows evacuated zones, and routers that do not know of one", async () => {
+  const [upstream] = createStatus().upstreams;
+  const upstreams = upstream === undefined ? [] : [{ ...upstream, isEvacuated: true }];
+  const run = await runStatus(
+    createStatus({ evacuatedZones: ["north"], upstreams }),
+    createStatus({ name: "entry-south" }),
+  );
+  const lines = run.output
+    .split("\n")
+    .filter((line) => line.startsWith("!") || line.startsWith("i-1"));
+  assert.equal(lines, [
+    "i-1       records  north  evacuated, ready        4           0        0         2",
+    '! zone "north" is evacuated; not known to entry-south',
+  ]);
+});
+
 test.run();
--- a/packages/experiments/src/soak/Installation.ts
+++ b/packages/experiments/src/soak/Installation.ts
@@ -16,6 +16,8 @@
 const upstreamCount = 4;
 /** Versions that the upstreams of a run have at random, side by side. */
 const softwareVersions = ["v1", "v2"];
+/** Zones that the upstreams of a run have in turn; the routers are in the first. */
+const zones = ["north", "south"];
 const keyCount = 6;
 const portCount = 4;
 const firstPort = 20_000;
@@ -37,6 +39,7 @@
   keys: readonly string[] = Array.from({ length: keyCount }, (_, index) => `k-${String(index)}`);
   private readonly faultProxy = FaultProxy.create();
   private readonly goneUpstreams = new Set<string>();
+  private evacuatedZone: string | undefined;
   private version = 0;
   private sequence = 1;
 
@@ -94,6 +97,7 @@
     const upstream = SoakUpstream.create(
       id,
       softwareVersions[this.random.getIndex(softwareVersions.length)] ?? "v1",
+      zones[this.upstreamNames.length % zones.length] ?? "north",
       this.random,
       (run) => this.runs.push(run),
       (refusal) => this.refusals.push(refusal),
@@ -133,9 +137,36 @@
     this.store.removeUpstream(upstream.id);
   }
 
+  /** Gets the zones that have upstreams while another zone has some too; none while one is evacuated. */
+  getEvacuableZones(): readonly string[] {
+    const present = new Set(this.upstreams.map(({ server }) => server.zone));
+    return this.evacuatedZone === undefined && present.size > 1 ? [...present] : [];
+  }
+
+  /** Evacuates a zone; the acknowledgement counts from the write on. */
+  evacuateZone(zone: string): void {
+    this.evacuatedZone = zone;
+    this.store.evacuateZone(zone);
+    this.acknowledgements.push({ kind: "zone-evacuated", name: zone, at: performance.now() });
+  }
+
+  /** Ends the evacuation of a zone. */
+  returnZone(zone: string): void {
+    this.acknowledgements.push({ kind: "zone-returned", name: zone, at: performance.now() });
+    this.evacuatedZone = undefined;
+    this.store.returnZone(zone);
+  }
+
   /** Writes the configuration and the upstreams again, after the store has lost the newest writes. */
   repeatWrites(): void {
     this.store.put(configurationKey, createConfiguration(this.version, this.keys));
+    zones.forEach((zone) => {
+      if (zone === this.evacuatedZone) {
+        this.store.evacuateZone(zone);
+      } else {
+        this.store.returnZone(zone);
+      }
+    });
     const present = this.upstreams.filter(({ id }) => !this.goneUpstreams.has(id));
     present.forEach((upstream) => {
       this.publishUpstream(upstream, upstream.isDraining ? "draining" : "ready");
--- a/packages/experiments/src/soak/SoakUpstream.ts
+++ b/packages/experiments/src/soak/SoakUpstream.ts
@@ -53,6 +53,7 @@
    * Creates an upstream that is not listening yet.
    * @param id - Id in the registry.
    * @param softwareVersion - Version of its software.
+   * @param zone - Availability zone that it publishes.
    * @param random - Random source for the duration of its work.
    * @param onRun - Receives the record of each run.
    * @param onRefusal - Receives the record of each refusal with a wish for a rest.
@@ -60,12 +61,14 @@
   static create(
     id: string,
     softwareVersion: string,
+    zone: string,
     random: Random,
     onRun: (run: RunRecord) => void,
     onRefusal: (refusal: RefusalRecord) => void,
   ): SoakUpstream {
     const upstream = new SoakUpstream(id, random, onRun, onRefusal);
     upstream.server.softwareVersion = softwareVersion;
+    upstream.server.zone = zone;
     return upstream;
   }
 
@@ -131,9 +134,10 @@
 
   private recordRun({ path, method, body, team, key, lastEventId }: ReceivedRequest): void {
     const id = getCallId(path);
-    const { softwareVersion } = this.server;
+    const { softwareVersion, zone } = this.server;
     const hasOwnBody = method === "POST" ? isRequestBody(id, body) : body === "";
-    const run = { id, upstream: this.id, softwareVersion, lastEventId, team, key, hasOwnBody };
+    const source = { upstream: this.id, zone, softwareVersion };
+    const run = { id, ...source, lastEventId, team, key, hasOwnBody };
     this.onRun({ ...run, startedAt: performance.now() });
   }
 
--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -7,6 +7,7 @@
 import type { RouterProcess } from "./RouterProcess.js";
 import { routerCutName, startName, storeName, type DisturbanceName } from "./schema.js";
 import type { SoakUpstream } from "./SoakUpstream.js";
+import { prepareEvacuation } from "./prepareEvacuation.js";
 import { startOnOccupiedAddress } from "./startOnOccupiedAddress.js";
 import { prepareCrash, prepareLeaving, prepareReplacement } from "./upstreamDepartures.js";
 import { upstreamModes, type UpstreamMode } from "./upstreamModes.js";
@@ -167,6 +168,7 @@
   { name: "key-revoked-unseen", isPlanned: false, prepare: prepareUnseenRevocation },
   { name: "upstream-crashed", isPlanned: false, prepare: prepareCrash },
   createRouterKind(startName, false, startOnOccupiedAddress),
+  { name: "zone-evacuated", isPlanned: true, prepare: prepareEvacuation },
 ];
 
 function createRouterKind(
--- a/packages/experiments/src/soak/findViolations.ts
+++ b/packages/experiments/src/soak/findViolations.ts
@@ -1,4 +1,5 @@
 import { getBody } from "./bodies.js";
+import { findEvacuationViolations } from "./findEvacuationViolations.js";
 import { findPartitionViolations, undisturbedMilliseconds } from "./findPartitionViolations.js";
 import { findStreamFault } from "./findStreamFault.js";
 import { getServedShare } from "./getServedShare.js";
@@ -59,6 +60,7 @@
     ...exitViolations,
     ...findRestViolations(evidence),
     ...findPartitionViolations(evidence),
+    ...findEvacuationViolations(evidence),
     ...findRecoveryViolations(evidence),
     ...findStartViolations(evidence),
   ];
--- a/packages/experiments/src/soak/schema.ts
+++ b/packages/experiments/src/soak/schema.ts
@@ -27,6 +27,7 @@
   "key-revoked-unseen",
   "upstream-crashed",
   startName,
+  "zone-evacuated",
 ] as const;
 
 export type DisturbanceName = (typeof disturbanceNames)[number];
@@ -96,6 +97,8 @@
 export interface RunRecord {
   readonly id: string;
   readonly upstream: string;
+  /** Availability zone of the upstream. */
+  readonly zone: string;
   /** Version of the upstream's software. */
   readonly softwareVersion: string;
   /** Last event that the caller has, when the run resumes a stream. */
@@ -129,7 +132,7 @@
 
 /** A change that the store has acknowledged. */
 export interface Acknowledgement {
-  readonly kind: "key-revoked" | "upstream-draining";
+  readonly kind: "key-revoked" | "upstream-draining" | "zone-evacuated" | "zone-returned";
   readonly name: string;
   readonly at: number;
 }
--- a/packages/experiments/tests/soak/findViolations.test.ts
+++ b/packages/experiments/tests/soak/findViolations.test.ts
@@ -32,7 +32,7 @@
 }
 
 function createRun(fields: Partial<Run> = {}): Run {
-  const software = { softwareVersion: "v1", lastEventId: undefined };
+  const software = { zone: "north", softwareVersion: "v1", lastEventId: undefined };
   const run = { id: "q-1", upstream: "u-1", team: "callaloo", key: undefined, startedAt: 10_010 };
   return { ...run, ...software, hasOwnBody: true, ...fields };
 }
@@ -54,6 +54,63 @@
   return findViolations(evidence).map(({ promise }) => promise);
 }
 
+/** Gets the broken promises of a run at an upstream of a zone that was evacuated at 1,000 and returned at 20,000. */
+function getEvacuationFaults(
+  startedAt: number,
+  part: Partial<Evidence> = {},
+  zone = "north",
+): string[] {
+  const acknowledgements = [
+    { kind: "zone-evacuated" as const, name: "north", at: 1_000 },
+    { kind: "zone-returned" as const, name: "north", at: 20_000 },
+  ];
+  const runs = [createRun({ startedAt, zone })];
+  return getBrokenPromises({ calls: [createCall()], runs, acknowledgements, ...part });
+}
+
+test("finds a request that reaches an evacuated zone later than 5 s after, until the zone returns", () => {
+  assert.equal(
+    [5_990, 6_010, 19_990, 20_010].map((startedAt) => getEvacuationFaults(startedAt)),
+    [[], ["evacuated-zones"], ["evacuated-zones"], []],
+  );
+  assert.equal(getEvacuationFaults(10_000, {}, "south"), []);
+});
+
+// Guards against a check that excuses a router for the rest of the run once it was disturbed.
+test("counts the 5 s from the end of a disturbance of the router or the store, not of another router", () => {
+  const getFaults = (disturbance: Partial<Disturbance>) =>
+    [8_900, 9_100].map((startedAt) =>
+      getEvacuationFaults(startedAt, {
+        disturbances: [{ ...kill, from: 2_000, until: 4_000, ...disturbance }],
+      }),
+    );
+  const late = ["evacuated-zones"];
+  assert.equal(
+    [{}, { target: "store" }, { target: "r-2" }, { isPlanned: true }, { until: Infinity }].map(
+      getFaults,
+    ),
+    [
+      [[], late],
+      [[], late],
+      [late, late],
+      [late, late],
+      [[], []],
+    ],
+  );
+});
+
+// Guards against blame for a router whose request a peer without contact sent on.
+test("counts from the end of the disturbance of any router while upstreams cannot be reached", () => {
+  const other = { ...kill, target: "r-2", from: 2_000, until: 4_000 };
+  const cut = { name: "upstream-cut", target: "u-2", isPlanned: false, from: 7_000, until: 8_000 };
+  assert.equal(
+    [8_900, 9_100].map((startedAt) =>
+      getEvacuationFaults(startedAt, { disturbances: [other, cut] }),
+    ),
+    [[], ["evacuated-zones"]],
+  );
+});
+
 test("finds nothing for complete responses with one run each", () => {
   const stream = createCall({ id: "q-2", kind: "stream", body: getStream("q-2", "u-1") });
   const runs = [createRun(), createRun({ id: "q-2" })];
--- a/packages/experiments/tests/soak/soak.test.ts
+++ b/packages/experiments/tests/soak/soak.test.ts
@@ -16,4 +16,10 @@
   });
 }
 
+// Guards against requests to an evacuated zone, also after a restoration of the store or a restart of a router.
+test("keeps every promise while zones are evacuated", async () => {
+  const kinds = "zone-evacuated,store-restored,kill,router-cut-from-store";
+  await runSoakOrThrow(["--seed", "41", "--seconds", "14", "--kinds", kinds]);
+});
+
 test.run();
--- a/packages/standins/src/registry/RegistryStore.ts
+++ b/packages/standins/src/registry/RegistryStore.ts
@@ -32,6 +32,7 @@
 }
 
 const itemsPerPage = 50;
+const evacuationPrefix = "op/evacuate/";
 
 /**
  * Stand-in for the platform's key-value store: range reads, watches, revisions, lost history, and
@@ -148,6 +149,16 @@
     this.remove(`servers/${id}`);
   }
 
+  /** Starts the evacuation of a zone. */
+  evacuateZone(zone: string): void {
+    this.put(`${evacuationPrefix}${zone}`, "1");
+  }
+
+  /** Ends the evacuation of a zone. */
+  returnZone(zone: string): void {
+    this.remove(`${evacuationPrefix}${zone}`);
+  }
+
   /** Discards the history, so that watches from an earlier revision get 410. */
   discardHistory(): void {
     this.revision += 1;
--- a/packages/standins/src/registry/ScriptedUpstream.ts
+++ b/packages/standins/src/registry/ScriptedUpstream.ts
@@ -37,6 +37,8 @@
   readonly received: ReceivedRequest[] = [];
   /** Version of its software, as it publishes it. */
   softwareVersion = "v1";
+  /** Availability zone that it publishes. */
+  zone = "north";
   private readonly server: Server;
 
   private constructor(
@@ -106,8 +108,8 @@
     sequence: number,
     address = this.address,
   ): Record<string, unknown> {
-    const identity = { service, address, zone: "north", version: this.softwareVersion };
-    return { ...identity, slots: 8, state, seq_no: sequence, born: 1 };
+    const { zone, softwareVersion: version } = this;
+    return { service, address, zone, version, slots: 8, state, seq_no: sequence, born: 1 };
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
