--- a/packages/daemon/src/ingress/AdmissionQueues.ts
+++ b/packages/daemon/src/ingress/AdmissionQueues.ts
@@ -155,7 +155,10 @@
       return { listener, refusal: this.createRefusal(service, action) };
     });
     this.measure(service);
-    calls.forEach(({ listener, refusal }) => listener?.(refusal));
+    const errors = calls.flatMap(({ listener, refusal }) => getErrors(() => listener?.(refusal)));
+    if (errors.length > 0) {
+      throw errors[0];
+    }
   }
 
   private createRefusal(service: string, action: QueueAction): Refusal | undefined {
@@ -210,3 +213,13 @@
     return times.length === 0 ? undefined : Math.min(...times);
   }
 }
+
+/** Calls a listener; one that fails keeps no other from being called. */
+function getErrors(call: () => void): readonly unknown[] {
+  try {
+    call();
+    return [];
+  } catch (error) {
+    return [error];
+  }
+}
--- a/packages/daemon/tests/ingress/AdmissionQueues.test.ts
+++ b/packages/daemon/tests/ingress/AdmissionQueues.test.ts
@@ -110,6 +110,34 @@
   );
 });
 
+// Guards against requests that left the queue and are never sent, because one before them could not be.
+test("a request whose sending fails keeps no other from being sent", (context) => {
+  for (let count = 0; count < slots; count += 1) {
+    add(context, String(count));
+  }
+  const failing = {
+    priority: 0,
+    team: "",
+    cost: 1,
+    bytes: 1,
+    arrivedAt: 0,
+    goalAt: 9,
+    sendBy: 900,
+  };
+  context.entry.startRequest(0);
+  context.queues.add(service, failing, () => {
+    throw new Error("cannot be sent");
+  });
+  add(context, "next");
+  for (let count = 0; count <= slots; count += 1) {
+    context.entry.finishRequest(false);
+  }
+  assert.throws(() => {
+    context.queues.tick();
+  }, /cannot be sent/);
+  assert.equal(context.results.slice(slots), ["next sent"]);
+});
+
 test("a request whose time is over is refused at the next tick", (context) => {
   for (let count = 0; count < slots; count += 1) {
     add(context, String(count));
--- a/packages/kernel/src/overload/CapacityShare.ts
+++ b/packages/kernel/src/overload/CapacityShare.ts
@@ -13,7 +13,8 @@
 
 /**
  * Part of the slots that requests of each priority may use; the last one holds for all that follow. Upstreams have
- * short queues ordered by priority, so that the most urgent may exceed the slots a little.
+ * short queues ordered by priority, so that the most urgent may exceed the slots a little. With 5 points more for the less urgent, 80% of
+ * the most urgent were served in their objective at four times the load, in place of 91% (loads.test.ts).
  */
 const usableRatios = [1.1, 0.95, 0.85];
 
