A reader that takes a peer's state tells its followers no changes

Cause: a router that loses the registry takes the state of a peer, which renews its lease. Its followers then got an empty list of changes with a fresh age, and took their old configuration for the newest.

Ruled out: an age of its own for the history, a second lease that could drift from the first; a longer exclusion of such readers, which leaves the first stale answer.

Change: the history of changes is cleared when a peer's state renews the lease, so that followers ask the registry itself.

--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -146,6 +146,8 @@
       return;
     }
     this.lease.renew(requestedAt, now, state.ageMilliseconds);
+    // The lease is newer than the changes from here on, which followers would take for complete.
+    this.history.clear();
     state.upstreams.forEach((upstream) => {
       this.addUpstream(upstream, now.monotonic);
     });
--- a/packages/daemon/tests/registry/FollowingRegistry.test.ts
+++ b/packages/daemon/tests/registry/FollowingRegistry.test.ts
@@ -156,6 +156,21 @@
   );
 });
 
+/**
+ * Failure: the reader is cut off from the store, and takes a peer's state. Guards against a follower that misses changes
+ * (404 on a route that was added, requests to an upstream that drains) because the reader's configuration looks fresh.
+ */
+test("a follower leaves a reader whose configuration a peer keeps fresh", async () => {
+  const scene = Scene.create();
+  await scene.play(2);
+  scene.isReaderCut = true;
+  scene.version = 3;
+  const now = { monotonic: scene.now, wall: scene.now };
+  scene.reader.handlePeerState({ version: 1, ageMilliseconds: 0, era: 1, upstreams: [] }, now);
+  const [first] = await scene.play(1);
+  assert.is(first?.[0], 3);
+});
+
 // Failure: the store is down. Guards against two daemons that keep their configurations fresh by each other.
 test("nobody's configuration is renewed while the store is down", async () => {
   const scene = Scene.create();
