The end of an idle connection is recognised by the error's code

Cause: `errors` of undici is not in the router's bundle, which holds the client alone, so the bundle could not be built ("No matching export").

Ruled out: adding all error classes to the bundle for one check.

Change: the code `UND_ERR_SOCKET` in place of the class. `node scripts/bundle.mjs` builds again.

--- a/packages/daemon/src/exchange/Connection.ts
+++ b/packages/daemon/src/exchange/Connection.ts
@@ -1,8 +1,10 @@
-import { Client, errors, type Dispatcher } from "undici";
+import { Client, type Dispatcher } from "undici";
 import { createConnector, type SocketState } from "./connect.js";
 
 /** Idle time after which a connection is closed, unless the upstream sends its own idle timeout. */
 const idleTimeoutMilliseconds = 1_000;
+/** Code of the HTTP client's error for a connection that the other side has ended. */
+const socketErrorCode = "UND_ERR_SOCKET";
 /** Refused requests after which a connection is not used again, so that their ids stay few. */
 const maxRefusedRequests = 100;
 /** Margin by which a connection is closed before the upstream's own idle timeout. */
@@ -41,7 +43,7 @@
       keepAliveTimeoutThreshold: idleMarginMilliseconds,
     });
     this.client.on("disconnect", (_, __, error) => {
-      const wasEndedByPeer = this.isOpen && error instanceof errors.SocketError;
+      const wasEndedByPeer = this.isOpen && error.code === socketErrorCode;
       this.isOpen = false;
       onClosed(this, wasEndedByPeer);
     });
