Evacuation: keep the registry's own set beside that of a peer

Cause: found in review, before it ran anywhere. A daemon that lost the registry right after a watch had told of an evacuation could take the fresher confirmed but older list of a peer, which ended the evacuation; the watch that followed went on from a position behind the key and never told it again.

Change: EvacuatedZones keeps what the responses of the registry add up to, and a peer's list stands in for it only until the registry responds again. A peer's list counts as of its request less the age that the peer states, also for the time after a restoration.

Ruled out: dropping the position after a peer's list, which costs a complete read for each short loss.

--- a/packages/daemon/src/registry/RegistryTask.ts
+++ b/packages/daemon/src/registry/RegistryTask.ts
@@ -153,7 +153,8 @@
       this.addUpstream(upstream, now.monotonic);
     });
     this.removeMissing(new Set(state.upstreams.map(({ id }) => id)));
-    this.evacuations.applyPeerZones(state.evacuatedZones, requestedAt.monotonic);
+    const asOf = requestedAt.monotonic - state.ageMilliseconds;
+    this.evacuations.applyPeerZones(state.evacuatedZones, asOf);
   }
 
   private applyTable(table: RouteTable): void {
--- a/packages/daemon/src/registry/ZoneEvacuations.ts
+++ b/packages/daemon/src/registry/ZoneEvacuations.ts
@@ -1,6 +1,7 @@
 import {
   isZoneName,
   type EvacuationChange,
+  type EvacuationSource,
   type RegistryChange,
   type RegistryUpdate,
   type UpstreamTable,
@@ -17,9 +18,6 @@
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
 
-/** Where this daemon learned of the evacuated zones. */
-export type EvacuationSource = "registry" | "peer";
-
 /** Applies the evacuations that the registry or a peer lists to the table of upstreams, and logs them. */
 export class ZoneEvacuations {
   private readonly refusedNames = new Set<string>();
@@ -45,7 +43,7 @@
     const read = this.readChanges(changes);
     const zones = read.map(({ zone }) => zone);
     const applied = isFullRead
-      ? upstreams.applyEvacuations({ zones, requestedAt })
+      ? upstreams.applyEvacuations({ zones, source: "registry", asOf: requestedAt })
       : upstreams.applyEvacuationChanges(read, requestedAt);
     this.record(applied, "registry");
   }
@@ -53,15 +51,15 @@
   /**
    * Applies the list of a peer; without a list the known zones are kept.
    * @param zones - Evacuated zones; undefined when the peer does not name them.
-   * @param requestedAt - When the peer was asked.
+   * @param asOf - Time as of which the peer knows them.
    */
-  applyPeerZones(zones: readonly string[] | undefined, requestedAt: number): void {
+  applyPeerZones(zones: readonly string[] | undefined, asOf: number): void {
     const { upstreams } = this.dependencies;
     if (zones === undefined) {
       upstreams.evacuations.recordUnknown();
     } else {
       const known = zones.filter(isZoneName);
-      this.record(upstreams.applyEvacuations({ zones: known, requestedAt }), "peer");
+      this.record(upstreams.applyEvacuations({ zones: known, source: "peer", asOf }), "peer");
     }
   }
 
--- a/packages/daemon/tests/registry/zoneEvacuation.test.ts
+++ b/packages/daemon/tests/registry/zoneEvacuation.test.ts
@@ -191,6 +191,22 @@
   ]);
 });
 
+// Guards against an evacuation that a peer's list ended for good: the watch that follows does not tell it again.
+test("a daemon that took the list of a peer goes by its own again once the registry responds", async () => {
+  const steps = [read(5, table, listed, evacuated("north")), fail(900), fail(900), read(900)];
+  const { zones, lines } = await run(steps, (task) => {
+    if (task.getAgeMilliseconds() > 1_500 && task.isUnreachable()) {
+      const state = { version: 1, ageMilliseconds: 10, upstreams: [upstream], evacuatedZones: [] };
+      task.handlePeerState(state, { monotonic: 1_600, wall: 1_600 });
+    }
+  });
+  assert.equal([zones.slice(0, 3), zones.at(-1)], [["north", "", ""], "north"]);
+  assert.equal(
+    lines.map((line) => line.split(" ")[1]),
+    ["zone.evacuated", "zone.returned", "zone.evacuated"],
+  );
+});
+
 // Guards against a peer whose list is older than what this daemon knows from the registry.
 test("an older list of a peer changes nothing", async () => {
   const { zones } = await run([read(5, table, evacuated("north")), fail(10)], (task) => {
--- a/packages/kernel/src/evacuations/EvacuatedZones.ts
+++ b/packages/kernel/src/evacuations/EvacuatedZones.ts
@@ -4,11 +4,15 @@
  */
 const restoredListMilliseconds = 4_000;
 
+/** Where a daemon learns of the evacuated zones. */
+export type EvacuationSource = "registry" | "peer";
+
 /** A complete list of the evacuated zones. */
 export interface ZoneList {
   readonly zones: readonly string[];
-  /** When the list was requested. */
-  readonly requestedAt: number;
+  readonly source: EvacuationSource;
+  /** Time up to which it covers all writes: that of its request, for a peer less the age of what the peer knows. */
+  readonly asOf: number;
 }
 
 /** A zone whose evacuation starts or ends. */
@@ -18,14 +22,18 @@
 }
 
 /**
- * The zones that operators have evacuated, as the registry lists them. A registry that was restored from an older copy
- * may lack an evacuation that it had acknowledged, so that its list ends one only after a time. Times are monotonic
- * milliseconds.
+ * The zones that operators have evacuated. The registry's own list follows from its responses only, since a watch
+ * continues from them and tells no change twice; the list of a peer takes its place until the registry responds again.
+ *
+ * A registry that was restored from an older copy may lack an evacuation that it had acknowledged, so that no list ends
+ * one before operators could repeat it. Times are monotonic milliseconds.
  */
 export class EvacuatedZones {
-  private readonly zones = new Set<string>();
-  /** Evacuated zones that the list of a restored registry lacks. */
-  private readonly unlisted = new Set<string>();
+  private registryZones: ReadonlySet<string> = new Set();
+  /** List of the peer that was asked after the last response of the registry. */
+  private peerZones: ReadonlySet<string> | undefined;
+  /** Evacuated zones that a list lacked during a restoration. */
+  private held: ReadonlySet<string> = new Set();
   private restorationEndsAt = -Infinity;
   private isCurrent = false;
 
@@ -40,12 +48,12 @@
 
   /** Checks whether a zone is evacuated. */
   isEvacuated(zone: string): boolean {
-    return this.zones.has(zone);
+    return (this.peerZones ?? this.registryZones).has(zone) || this.held.has(zone);
   }
 
   /** Gets the evacuated zones in alphabetical order. */
   getZones(): readonly string[] {
-    return [...this.zones].sort();
+    return [...new Set([...(this.peerZones ?? this.registryZones), ...this.held])].sort();
   }
 
   /**
@@ -70,56 +78,63 @@
   }
 
   /**
-   * Applies a complete list, which replaces the known zones. One that was requested during a restoration removes none.
+   * Applies a complete list, which replaces the known zones. During a restoration it ends no evacuation.
    * @param list - The list.
    * @returns Zones whose evacuation starts or ends.
    */
-  applyList({ zones, requestedAt }: ZoneList): readonly EvacuationChange[] {
-    const listed = new Set(zones);
-    const missing = this.getZones().filter((zone) => !listed.has(zone));
-    this.unlisted.clear();
-    missing.forEach((zone) => this.unlisted.add(zone));
-    const started = [...listed].filter((zone) => !this.zones.has(zone));
-    return [...this.applyChanges(started.map(toStart)), ...this.confirm(requestedAt)];
+  applyList({ zones, source, asOf }: ZoneList): readonly EvacuationChange[] {
+    const before = this.getZones();
+    if (source === "registry") {
+      this.registryZones = new Set(zones);
+      this.peerZones = undefined;
+    } else {
+      this.peerZones = new Set(zones);
+    }
+    return this.finish(before, new Set(), asOf);
   }
 
   /**
-   * Applies changes in the order in which they were written. They are newer than any restoration, so that they take
-   * effect at once.
-   * @param changes - Writes and removals of evacuations.
+   * Applies the changes that a watch of the registry tells, if any. A removal is newer than any restoration, so that it
+   * takes effect at once.
+   * @param changes - Writes and removals of evacuations, in their order.
+   * @param requestedAt - When the watch was requested.
    * @returns Zones whose evacuation starts or ends.
    */
-  applyChanges(changes: readonly EvacuationChange[]): readonly EvacuationChange[] {
-    const before = new Set(this.zones);
+  applyChanges(
+    changes: readonly EvacuationChange[],
+    requestedAt: number,
+  ): readonly EvacuationChange[] {
+    const before = this.getZones();
+    const zones = new Set(this.registryZones);
     for (const { zone, isEvacuated } of changes) {
-      this.unlisted.delete(zone);
       if (isEvacuated) {
-        this.zones.add(zone);
+        zones.add(zone);
       } else {
-        this.zones.delete(zone);
+        zones.delete(zone);
       }
     }
-    const zones = [...new Set(changes.map(({ zone }) => zone))];
-    return zones
-      .filter((zone) => before.has(zone) !== this.zones.has(zone))
-      .map((zone) => ({ zone, isEvacuated: this.zones.has(zone) }));
+    this.registryZones = zones;
+    this.peerZones = undefined;
+    return this.finish(before, new Set(changes.map(({ zone }) => zone)), requestedAt);
   }
 
-  /**
-   * Records a response that covers everything written before it was requested. It ends the evacuations that the list
-   * of a restored registry lacked, once the restoration is over. Without such a response they last.
-   * @param requestedAt - When it was requested.
-   * @returns Zones whose evacuation ends.
-   */
-  confirm(requestedAt: number): readonly EvacuationChange[] {
+  /** Holds what is missing during a restoration, unless it was changed since, and gets what differs from before. */
+  private finish(
+    before: readonly string[],
+    changed: ReadonlySet<string>,
+    asOf: number,
+  ): readonly EvacuationChange[] {
     this.isCurrent = true;
-    if (requestedAt < this.restorationEndsAt) {
-      return [];
-    }
-    return this.applyChanges([...this.unlisted].map((zone) => ({ zone, isEvacuated: false })));
+    const isRestored = asOf < this.restorationEndsAt;
+    this.held = new Set(isRestored ? before.filter((zone) => !changed.has(zone)) : []);
+    const known = new Set(before);
+    return [
+      ...this.getZones()
+        .filter((zone) => !known.has(zone))
+        .map((zone) => ({ zone, isEvacuated: true })),
+      ...before
+        .filter((zone) => !this.isEvacuated(zone))
+        .map((zone) => ({ zone, isEvacuated: false })),
+    ];
   }
 }
-
-function toStart(zone: string): EvacuationChange {
-  return { zone, isEvacuated: true };
-}
--- a/packages/kernel/src/upstreams/UpstreamTable.ts
+++ b/packages/kernel/src/upstreams/UpstreamTable.ts
@@ -184,17 +184,16 @@
   }
 
   /**
-   * Applies changes to the evacuated zones, up to the response that told of them.
+   * Applies the changes to the evacuated zones that a watch tells, if any.
    * @param changes - The changes, in the order in which they were written.
-   * @param requestedAt - When the response was requested.
+   * @param requestedAt - When the watch was requested.
    * @returns Zones whose evacuation starts or ends.
    */
   applyEvacuationChanges(
     changes: readonly EvacuationChange[],
     requestedAt: number,
   ): readonly EvacuationChange[] {
-    const applied = this.evacuations.applyChanges(changes);
-    return this.markEvacuated([...applied, ...this.evacuations.confirm(requestedAt)]);
+    return this.markEvacuated(this.evacuations.applyChanges(changes, requestedAt));
   }
 
   /**
