Upstreams that start or recover are paced by their answers, behind a setting

Cause: an upstream that has just returned gets its full part at once, however slowly it answers; a ramp of fixed length leaves sound ones idle.

A new kind of notice, `pace` (code 8, which earlier builds pass over). The pace is lifted when no other upstream can be used or the others hold over three quarters of their slots. Log lines upstream.paced and upstream.full-pace, gauge pistachioway_paced_upstreams. NoticeTraffic.ts and datagramCodec.test.ts know the new kind.

--- a/packages/daemon/src/fleet/datagramCodec.ts
+++ b/packages/daemon/src/fleet/datagramCodec.ts
@@ -60,6 +60,7 @@
   quarantine: 5,
   limit: 6,
   noLimit: 7,
+  pace: 8,
 } as const;
 
 const noticeSchemas = [
@@ -76,6 +77,10 @@
     .rest(z.unknown()),
   z.tuple([z.literal(noticeCodes.limit), text, z.number().min(0), age]).rest(z.unknown()),
   z.tuple([z.literal(noticeCodes.noLimit), text, age]).rest(z.unknown()),
+  /** Requests a second, 0 when unrestricted; 1 when it was reduced, else 0. */
+  z
+    .tuple([z.literal(noticeCodes.pace), text, z.number().min(0), z.int().min(0).max(1), age])
+    .rest(z.unknown()),
 ] as const;
 
 const datagramSchema = z
@@ -292,6 +297,10 @@
         ? [noticeCodes.noLimit, id, toAge(at, now)]
         : [noticeCodes.limit, id, perSecond, toAge(at, now)];
     }
+    case "pace": {
+      const { id, perSecond = 0, isReduced, at } = notice;
+      return [noticeCodes.pace, id, perSecond, isReduced ? 1 : 0, toAge(at, now)];
+    }
     case "loss": {
       const { content, upstream, request, at } = notice;
       return [noticeCodes.loss, content, upstream, request, toAge(at, now)];
@@ -319,6 +328,11 @@
     }
     case noticeCodes.noLimit:
       return { kind: "limit", id: encoded[1], perSecond: undefined, at: now - encoded[2] };
+    case noticeCodes.pace: {
+      const [, id, paced, reduced, paceAge] = encoded;
+      const perSecond = paced === 0 ? undefined : paced;
+      return { kind: "pace", id, perSecond, isReduced: reduced === 1, at: now - paceAge };
+    }
     case noticeCodes.loss: {
       const [, content, upstream, request, lossAge] = encoded;
       return { kind: "loss", content, upstream, request, at: now - lossAge };
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -2,6 +2,7 @@
   applyResponseHead,
   findPrefixHolder,
   isRepeatable,
+  judgeAnswer,
   type RequestApproval,
   type ResponseHead,
   type Upstream,
@@ -20,6 +21,7 @@
   readonly description: string;
   readonly upstream: Upstream;
   private readonly entry: UpstreamEntry;
+  private sentAt = -Infinity;
 
   private constructor(
     private readonly dependencies: ActiveRequestDependencies,
@@ -59,6 +61,7 @@
     const { record } = entry;
     const now = dependencies.getNow();
     const isEngine = dependencies.getService(record.service)?.engine !== undefined;
+    this.sentAt = now;
     entry.startRequest(now);
     entry.limit.takeSlot(now, dependencies.getLimitShare());
     entry.start.takeSlot(now);
@@ -86,6 +89,9 @@
   recordHead(head: ResponseHead, now: number): void {
     const { upstreams, onNotices } = this.dependencies;
     onNotices(applyResponseHead(upstreams, this.entry, head, now));
+    if (!head.isMisdirected) {
+      this.judge(head.meaning !== "final" || head.requestedRest !== undefined, now);
+    }
   }
 
   recordReceivedBytes(now: number): void {
@@ -116,6 +122,7 @@
   }
 
   recordFailure(now: number): void {
+    this.judge(true, now);
     this.entry.recordFailure(now, this.dependencies.upstreams.getMedianFailureRate(this.entry));
   }
 
@@ -135,6 +142,18 @@
     return { upstream, software, choice: this.choice.reason, load, via: "-" };
   }
 
+  /** Applies an answer to the pace of an upstream that has started. */
+  private judge(isRejected: boolean, now: number): void {
+    const { sentAt, dependencies, entry, request } = this;
+    const { goalMilliseconds } = request.approval.route;
+    const share = dependencies.getStartShare(request.service);
+    const answer = { sentAt, goalMilliseconds, isRejected };
+    const notice = judgeAnswer(dependencies.upstreams, entry, answer, now, share);
+    if (notice !== undefined) {
+      dependencies.addFleetNotice(notice);
+    }
+  }
+
   /** Gets the address of an engine that likely has more of the prompt cached than the chosen one. */
   private getKvCacheSourceAddress(now: number): string | undefined {
     const { dependencies, entry } = this;
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -95,6 +95,12 @@
     registers: [this.registry],
   });
 
+  readonly pacedUpstreams = new Gauge({
+    name: "pistachioway_paced_upstreams",
+    help: "Upstreams that have started or recovered and are sent more only as they answer in time.",
+    registers: [this.registry],
+  });
+
   readonly quarantines = new Counter({
     name: "pistachioway_quarantines_total",
     help: "Quarantines of contents of requests that started, and that a served request ended, by kind.",
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -268,6 +268,7 @@
       prefixes: this.prefixes,
       quarantine: this.quarantine,
       notices: this.notices,
+      getStartShare: (service) => this.starts.getShare(service),
       metrics: this.metrics,
       onStreamMessage: (message, sender) => {
         this.streams.receive(message, sender);
--- a/packages/daemon/src/router/UpstreamStarts.ts
+++ b/packages/daemon/src/router/UpstreamStarts.ts
@@ -17,9 +17,10 @@
   readonly record: (level: LogLevel, event: string, fields: Fields) => void;
 }
 
-/** Gets what this router may send to upstreams after their start, and logs which are cold. */
+/** Gets what this router may send to upstreams after their start, and logs which are cold or paced. */
 export class UpstreamStarts {
   private coldIds: ReadonlySet<string> = new Set();
+  private pacedIds: ReadonlySet<string> = new Set();
 
   private constructor(private readonly dependencies: UpstreamStartsDependencies) {}
 
@@ -35,7 +36,8 @@
   getShare(service: string): StartShare | undefined {
     const { registry, view, settings, startedAt, getClocks } = this.dependencies;
     const { coldStart } = registry.getTable()?.getService(service) ?? {};
-    const context = { view, startedAt, bounds: settings.coldStart };
+    const paced = settings.pacing.isEnabled ? this.getEntriesOf(service) : undefined;
+    const context = { view, startedAt, bounds: settings.coldStart, paced };
     return getStartShare(context, coldStart, getClocks());
   }
 
@@ -54,35 +56,55 @@
   }
 
   /**
-   * Logs which upstreams are cold and which no longer are; called a few times a second.
+   * Logs which upstreams are cold or paced and which no longer are; called a few times a second.
    * @param now - Monotonic time, in milliseconds.
    */
   check(now: number): void {
     const { metrics, record } = this.dependencies;
+    const { cold, paced } = this.getStarting(now);
+    const { coldIds, pacedIds } = this;
+    this.coldIds = cold;
+    this.pacedIds = paced;
+    for (const { record: upstream } of this.getEntries()) {
+      const { id, zone } = upstream;
+      const fields = { upstream: id, zone };
+      if (cold.has(id) !== coldIds.has(id)) {
+        record("info", cold.has(id) ? "upstream.cold" : "upstream.warm", fields);
+      }
+      if (paced.has(id) !== pacedIds.has(id)) {
+        record("info", paced.has(id) ? "upstream.paced" : "upstream.full-pace", fields);
+      }
+    }
+    metrics.coldUpstreams.set(cold.size);
+    metrics.pacedUpstreams.set(paced.size);
+  }
+
+  /** Gets the ids of the upstreams that are cold, and of those that are paced. */
+  private getStarting(now: number): Record<"cold" | "paced", ReadonlySet<string>> {
     const cold = new Set<string>();
-    for (const entry of this.getEntries()) {
-      const { id: upstream, zone } = entry.record;
-      const left = Math.round(this.getColdEnd(entry) - now);
-      if (left > 0) {
-        cold.add(upstream);
+    const paced = new Set<string>();
+    const shares = new Map<string, StartShare | undefined>();
+    for (const { record, start } of this.getEntries()) {
+      const { id, service } = record;
+      if (!shares.has(service)) {
+        shares.set(service, this.getShare(service));
       }
-      if (left > 0 && !this.coldIds.has(upstream)) {
-        record("info", "upstream.cold", { upstream, zone, left });
+      const share = shares.get(service);
+      if (share !== undefined && start.isCold(now, share)) {
+        cold.add(id);
       }
-      if (left <= 0 && this.coldIds.has(upstream)) {
-        record("info", "upstream.warm", { upstream, zone });
+      if (share !== undefined && start.isPaced(share)) {
+        paced.add(id);
       }
     }
-    this.coldIds = cold;
-    metrics.coldUpstreams.set(cold.size);
+    return { cold, paced };
   }
 
-  private getEntries(): readonly UpstreamEntry[] {
-    return this.dependencies.registry.upstreams.getEntries();
+  private getEntriesOf(service: string): readonly UpstreamEntry[] {
+    return this.getEntries().filter(({ record }) => record.service === service);
   }
 
-  private getColdEnd({ record, start }: UpstreamEntry): number {
-    const share = this.getShare(record.service);
-    return share === undefined ? -Infinity : start.getColdEnd(share);
+  private getEntries(): readonly UpstreamEntry[] {
+    return this.dependencies.registry.upstreams.getEntries();
   }
 }
--- a/packages/daemon/src/router/createFleetTask.ts
+++ b/packages/daemon/src/router/createFleetTask.ts
@@ -4,6 +4,7 @@
   type FleetNotice,
   type PrefixDirectory,
   type ContentQuarantine,
+  type StartShare,
   type UpstreamTable,
 } from "@pistachioway/kernel";
 import { FleetTask } from "../fleet/index.js";
@@ -23,6 +24,7 @@
   readonly prefixes: PrefixDirectory;
   readonly quarantine: ContentQuarantine;
   readonly notices: NoticeLog;
+  readonly getStartShare: (service: string) => StartShare | undefined;
   readonly metrics: RouterMetrics;
   readonly onStreamMessage: (message: StreamMessage, sender: string) => void;
   /** Reads the monotonic clock, in milliseconds. */
@@ -57,7 +59,8 @@
     }),
     getStandingNotices: (now) => quarantine.getStandingNotices(now),
     onNotices: (received: readonly FleetNotice[], sender) => {
-      const target = { upstreams: registry.upstreams, prefixes, quarantine };
+      const { getStartShare } = context;
+      const target = { upstreams: registry.upstreams, prefixes, quarantine, getStartShare };
       notices.record(applyFleetNotices(target, received, getNow()), sender);
     },
     onStreamMessage: context.onStreamMessage,
--- a/packages/daemon/src/router/getStartShare.ts
+++ b/packages/daemon/src/router/getStartShare.ts
@@ -1,4 +1,11 @@
-import type { ClockReading, FleetView, RoutedService, StartShare } from "@pistachioway/kernel";
+import {
+  getPaceBounds,
+  type ClockReading,
+  type FleetView,
+  type RoutedService,
+  type StartShare,
+  type UpstreamEntry,
+} from "@pistachioway/kernel";
 import { settlingMilliseconds } from "./getLimitShare.js";
 import type { RouterSettings } from "./settings.js";
 
@@ -8,24 +15,26 @@
   /** Monotonic time of the router's start, in milliseconds. */
   readonly startedAt: number;
   readonly bounds: RouterSettings["coldStart"];
+  /** Upstreams of the service, if those that start are paced by their answers. */
+  readonly paced?: readonly UpstreamEntry[] | undefined;
 }
 
 /** Without settings the rate must not be exceeded. */
 const strictBounds = { excess: 1, slack: 0 };
 
 /**
- * Gets what a router may use of the rates that upstreams of a service take after their start; undefined when the service
- * has none. Until the router can know how many routers there are, it counts each address at which one may run.
+ * Gets what a router may use of the rates that upstreams of a service take after their start; undefined when nothing
+ * bounds it. Until the router can know how many routers there are, it counts each address at which one may run.
  * @param context - What the router knows.
  * @param coldStart - How the upstreams of the service start.
  * @param now - Current time.
  */
 export function getStartShare(
-  { view, startedAt, bounds }: StartShareContext,
+  { view, startedAt, bounds, paced }: StartShareContext,
   coldStart: RoutedService["coldStart"],
   now: ClockReading,
 ): StartShare | undefined {
-  if (coldStart === undefined) {
+  if (coldStart === undefined && paced === undefined) {
     return undefined;
   }
   const isSettled = now.monotonic - startedAt >= settlingMilliseconds;
@@ -36,6 +45,9 @@
     position: view.getPeakPosition(),
     clockOffset: now.wall - now.monotonic,
     isSettled,
-    cold: { ...coldStart, ...(bounds ?? strictBounds) },
+    cold: coldStart && { ...coldStart, ...(bounds ?? strictBounds) },
+    pace:
+      paced &&
+      getPaceBounds(paced, daemons, coldStart?.requestsPerSecond ?? Infinity, now.monotonic),
   };
 }
--- a/packages/daemon/src/router/settings.ts
+++ b/packages/daemon/src/router/settings.ts
@@ -57,6 +57,12 @@
       slack: z.number().min(0).max(1_000),
     })
     .optional(),
+  pacing: z
+    .strictObject({
+      /** Whether upstreams that start or recover are sent more and more as they answer in time. */
+      isEnabled: z.boolean().default(false),
+    })
+    .prefault({}),
   limits: z
     .strictObject({
       /** Time allowed for a planned stop, in milliseconds. */
--- a/packages/daemon/tests/fleet/NoticeTraffic.ts
+++ b/packages/daemon/tests/fleet/NoticeTraffic.ts
@@ -165,6 +165,7 @@
     case "leaving":
     case "resting":
     case "limit":
+    case "pace":
       return `${notice.kind} ${notice.id}`;
     case "prefix":
       return `prefix ${String(notice.block)} ${String(notice.upstream)}`;
--- a/packages/daemon/tests/fleet/datagramCodec.test.ts
+++ b/packages/daemon/tests/fleet/datagramCodec.test.ts
@@ -45,6 +45,8 @@
     { kind: "loss", content: 1, upstream: 4_000_000_000, request: 3, at: 4_000 },
     { kind: "limit", id: "i-2", perSecond: 4.5, at: 4_000 },
     { kind: "limit", id: "i-1", perSecond: undefined, at: 4_500 },
+    { kind: "pace", id: "i-2", perSecond: 7.5, isReduced: true, at: 4_600 },
+    { kind: "pace", id: "i-1", perSecond: undefined, isReduced: false, at: 4_700 },
     { kind: "served", content: 1, at: 4_500 },
     { kind: "quarantine", content: 1, lostSince: 3_000, endsAt: 305_000, count: 2 },
   ],
--- a/packages/kernel/src/fleet/NoticeQueue.ts
+++ b/packages/kernel/src/fleet/NoticeQueue.ts
@@ -9,6 +9,7 @@
   leaving: "decision",
   resting: "decision",
   limit: "decision",
+  pace: "decision",
   loss: "decision",
   quarantine: "decision",
   // A loss must not be faster than what disproves it.
--- a/packages/kernel/src/fleet/messages.ts
+++ b/packages/kernel/src/fleet/messages.ts
@@ -46,6 +46,15 @@
       /** When it said so. */
       readonly at: number;
     }
+  /** The pace changed at which all daemons send to an upstream that has started; undefined when it is unrestricted. */
+  | {
+      readonly kind: "pace";
+      readonly id: string;
+      readonly perSecond: number | undefined;
+      /** Whether a rejection or a late first byte was the reason. */
+      readonly isReduced: boolean;
+      readonly at: number;
+    }
   /** A request with a content was lost when its upstream's connection ended. */
   | {
       readonly kind: "loss";
@@ -76,6 +85,7 @@
   "leaving",
   "resting",
   "limit",
+  "pace",
   "loss",
   "served",
   "quarantine",
--- a/packages/kernel/src/fleet/noticeBytes.ts
+++ b/packages/kernel/src/fleet/noticeBytes.ts
@@ -9,6 +9,7 @@
   leaving: upstreamNoticeBytes,
   resting: upstreamNoticeBytes,
   limit: upstreamNoticeBytes,
+  pace: upstreamNoticeBytes,
   loss: contentNoticeBytes,
   served: contentNoticeBytes,
   quarantine: contentNoticeBytes,
--- a/packages/kernel/src/fleet/noticeIdentity.ts
+++ b/packages/kernel/src/fleet/noticeIdentity.ts
@@ -16,7 +16,8 @@
     case "resting":
       return `resting ${notice.id}`;
     case "limit":
-      return `limit ${notice.id}`;
+    case "pace":
+      return `${notice.kind} ${notice.id}`;
     case "loss": {
       const { content, upstream, request } = notice;
       return `loss ${String(content)} ${String(upstream)} ${String(request)}`;
@@ -42,6 +43,10 @@
   if (notice.kind === "limit" && known.kind === "limit") {
     return notice.at > known.at && notice.perSecond !== known.perSecond;
   }
+  if (notice.kind === "pace" && known.kind === "pace") {
+    const isOther = notice.perSecond !== known.perSecond || notice.isReduced !== known.isReduced;
+    return notice.at > known.at && isOther;
+  }
   if (notice.kind === "resting" && known.kind === "resting") {
     return notice.endsAt > known.endsAt + minAdvanceMilliseconds;
   }
--- a/packages/kernel/src/forwarding/notices.ts
+++ b/packages/kernel/src/forwarding/notices.ts
@@ -1,6 +1,11 @@
 import type { FleetNotice } from "../fleet/index.js";
 import type { ContentQuarantine } from "../quarantine/index.js";
-import type { PrefixDirectory, UpstreamEntry, UpstreamTable } from "../upstreams/index.js";
+import type {
+  PrefixDirectory,
+  StartShare,
+  UpstreamEntry,
+  UpstreamTable,
+} from "../upstreams/index.js";
 import type { ResponseHead } from "./messages.js";
 
 /** What a daemon learned about an upstream from a response or from a peer. */
@@ -101,6 +106,8 @@
   readonly upstreams: UpstreamTable;
   readonly prefixes: PrefixDirectory;
   readonly quarantine: ContentQuarantine;
+  /** Gets what this daemon may send to upstreams of a service after their start; none is paced without it. */
+  readonly getStartShare?: (service: string) => StartShare | undefined;
 }
 
 /**
@@ -119,7 +126,7 @@
 }
 
 function applyFleetNotice(
-  { upstreams, prefixes, quarantine }: NoticeTarget,
+  { upstreams, prefixes, quarantine, getStartShare }: NoticeTarget,
   notice: FleetNotice,
   now: number,
 ): readonly UpstreamNotice[] {
@@ -140,6 +147,14 @@
       return upstreams.getEntry(notice.id)?.limit.update(notice.perSecond, notice.at) === true
         ? [{ kind: "limited", upstream: notice.id, perSecond: notice.perSecond }]
         : [];
+    case "pace": {
+      const entry = upstreams.getEntry(notice.id);
+      const share = entry && getStartShare?.(entry.record.service);
+      if (share !== undefined) {
+        entry?.start.applyPace(notice, share);
+      }
+      return [];
+    }
     case "loss":
     case "served":
     case "quarantine":
--- a/packages/kernel/src/upstreams/RateSlots.ts
+++ b/packages/kernel/src/upstreams/RateSlots.ts
@@ -1,4 +1,8 @@
-import { shortestSlotMilliseconds, longestSlotMilliseconds } from "./constants.js";
+import {
+  longestSlotMilliseconds,
+  shortestSlotMilliseconds,
+  unusedSlotLifetimeMilliseconds,
+} from "./constants.js";
 import type { StartShare } from "./StartShare.js";
 
 const millisecondsPerSecond = 1_000;
@@ -70,11 +74,15 @@
 }
 
 /**
- * Gets how long a slot stays open. Daemons that were idle may all send at one moment in their open slots and then in each
+ * Gets how long a slot stays open. Without a bound it is as long as for the limits that upstreams name: requests with a key
+ * go to few upstreams, and miss most shorter slots. With one, daemons that were idle may all send at one moment in their open slots and then in each
  * one that follows, so in a second up to the rate times one second plus the lifetime; half of what the bound allows above
  * the rate is left for positions that are not agreed on.
  */
 function getLifetime({ perSecond, mostInSecond }: SharedRate): number {
+  if (mostInSecond === Infinity) {
+    return unusedSlotLifetimeMilliseconds;
+  }
   const excess = (mostInSecond / perSecond - 1) * (millisecondsPerSecond / 2);
   return Math.min(longestSlotMilliseconds, Math.max(shortestSlotMilliseconds, excess));
 }
--- a/packages/kernel/src/upstreams/StartShare.ts
+++ b/packages/kernel/src/upstreams/StartShare.ts
@@ -1,4 +1,5 @@
 import type { LimitShare } from "./LimitShare.js";
+import type { PaceBounds } from "./UpstreamPace.js";
 
 /** What the upstreams of a service tolerate while they are cold, from all daemons together. */
 export interface ColdBound {
@@ -20,4 +21,6 @@
   readonly isSettled: boolean;
   /** Undefined for a service whose upstreams take their full load at once. */
   readonly cold: ColdBound | undefined;
+  /** Undefined when upstreams that start are not paced by their answers. */
+  readonly pace?: PaceBounds | undefined;
 }
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -3,6 +3,7 @@
   consecutiveFailureLimit,
   excessFailureRate,
   firstAvoidanceMilliseconds,
+  firstByteWeight,
   longestAvoidanceMilliseconds,
   outcomeWeight,
   recentlyAddedMilliseconds,
@@ -40,6 +41,7 @@
   private sentSinceReport = 0;
   private lastReceivedAt = -Infinity;
   private failureRate = 0;
+  private firstByteMilliseconds: number | undefined;
   private consecutiveFailures = 0;
   private avoidanceEndsAt = -Infinity;
   private avoidanceMilliseconds = firstAvoidanceMilliseconds;
@@ -145,6 +147,17 @@
     this.sentSinceReport = 0;
   }
 
+  /** Records the time from the sending of a request to the first byte of its answer. */
+  recordFirstByte(milliseconds: number): void {
+    const known = this.firstByteMilliseconds ?? milliseconds;
+    this.firstByteMilliseconds = known + (milliseconds - known) * firstByteWeight;
+  }
+
+  /** Gets the usual time to the first byte; undefined when the upstream has answered nothing yet. */
+  getFirstByteMilliseconds(): number | undefined {
+    return this.firstByteMilliseconds;
+  }
+
   /** Records a request that succeeded. */
   recordSuccess(): void {
     this.consecutiveFailures = 0;
@@ -180,6 +193,7 @@
       return;
     }
     this.avoidanceEndsAt = now + this.avoidanceMilliseconds;
+    this.start.recordAvoided(now);
     this.avoidanceMilliseconds = Math.min(
       this.avoidanceMilliseconds * 2,
       longestAvoidanceMilliseconds,
--- a/packages/kernel/src/upstreams/UpstreamTable.ts
+++ b/packages/kernel/src/upstreams/UpstreamTable.ts
@@ -1,4 +1,4 @@
-import { expiryGraceMilliseconds } from "./constants.js";
+import { expiryGraceMilliseconds, firstListMilliseconds } from "./constants.js";
 import { DepartedUpstreams, type UpstreamIncarnation } from "./DepartedUpstreams.js";
 import type { LimitShare } from "./LimitShare.js";
 import type { Upstream } from "./schema.js";
@@ -10,6 +10,8 @@
   private readonly entriesById = new Map<string, UpstreamEntry>();
   private readonly departed = DepartedUpstreams.create();
   private gracePeriodEndsAt = -Infinity;
+  /** When the first upstream was listed; undefined until then. */
+  private firstListedAt: number | undefined;
 
   /** Creates an empty table. */
   static create(): UpstreamTable {
@@ -36,11 +38,23 @@
    * @param entry - The upstream.
    */
   getMedianFailureRate(entry: UpstreamEntry): number {
-    const rates = this.getEntries()
-      .filter((each) => each.record.service === entry.record.service && each !== entry)
-      .map((each) => each.getFailureRate())
-      .sort((a, b) => a - b);
-    return rates[Math.floor(rates.length / 2)] ?? 0;
+    return getMedian(this.getOthers(entry).map((each) => each.getFailureRate()));
+  }
+
+  /**
+   * Gets the median of the usual times to the first byte of the other upstreams of an upstream's service; 0 without any.
+   * @param entry - The upstream.
+   */
+  getMedianFirstByte(entry: UpstreamEntry): number {
+    return getMedian(
+      this.getOthers(entry).flatMap((each) => each.getFirstByteMilliseconds() ?? []),
+    );
+  }
+
+  private getOthers(entry: UpstreamEntry): readonly UpstreamEntry[] {
+    return this.getEntries().filter(
+      (each) => each.record.service === entry.record.service && each !== entry,
+    );
   }
 
   /**
@@ -132,9 +146,10 @@
    * @param share - What this daemon may use of the rate that a cold upstream tolerates.
    */
   getEarliestStartSlot(service: string, now: number, share: StartShare): number | undefined {
+    const unpaced = { ...share, pace: undefined };
     const slots = this.getEntries()
       .filter((entry) => entry.record.service === service && entry.isInService())
-      .flatMap((entry) => entry.start.getNextSlot(now, share) ?? []);
+      .flatMap((entry) => entry.start.getNextSlot(now, unpaced) ?? []);
     return slots.length === 0 ? undefined : Math.min(...slots);
   }
 
@@ -205,7 +220,12 @@
     if (this.departed.hold(record, now)) {
       return;
     }
-    const entry = UpstreamEntry.create(record, now, this.entriesById.get(record.id)?.start);
+    const former = this.entriesById.get(record.id);
+    const entry = UpstreamEntry.create(record, now, former?.start);
+    this.firstListedAt ??= now;
+    if (former !== undefined || now - this.firstListedAt >= firstListMilliseconds) {
+      entry.start.recordStart(now);
+    }
     recordCold(entry, record, now);
     entry.isLeaving = this.departed.isLeaving(record);
     this.entriesById.set(record.id, entry);
@@ -225,6 +245,10 @@
   }
 }
 
+function getMedian(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+}
+
 /** Applies how long an upstream is still cold by a record that was not known before. */
 function recordCold(entry: UpstreamEntry, { coldMilliseconds }: Upstream, now: number): void {
   if (coldMilliseconds !== undefined) {
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -1,5 +1,5 @@
 import { getHash, getRendezvousScore } from "../hashing/index.js";
-import { loadAllowance, loadFactor } from "./constants.js";
+import { crowdedRatio, loadAllowance, loadFactor } from "./constants.js";
 import type { LimitShare } from "./LimitShare.js";
 import type { StartShare } from "./StartShare.js";
 import type { UpstreamEntry } from "./UpstreamEntry.js";
@@ -62,10 +62,7 @@
   entries: readonly UpstreamEntry[],
   requirements: UpstreamRequirements,
 ): UpstreamChoice | undefined {
-  const eligible = withoutColdIfUnsettled(
-    entries.filter((entry) => isEligible(entry, requirements)),
-    requirements,
-  );
+  const eligible = findEligible(entries, requirements);
   const path = chosenPaths.find((each) =>
     eligible.some((entry) => getPath(entry, requirements) === each),
   );
@@ -107,6 +104,29 @@
   return isOffered && isFree && isStarted && !excluded.has(record.id);
 }
 
+/**
+ * Upstreams are paced only while others have room: a pace is no reason to refuse a request, nor to let it wait behind others
+ * while an upstream that has started is idle.
+ */
+function findEligible(
+  entries: readonly UpstreamEntry[],
+  requirements: UpstreamRequirements,
+): readonly UpstreamEntry[] {
+  const { startShare } = requirements;
+  const eligible = entries.filter((entry) => isEligible(entry, requirements));
+  if (startShare?.pace === undefined || haveRoom(eligible, requirements.now)) {
+    return withoutColdIfUnsettled(eligible, requirements);
+  }
+  const unpaced = { ...requirements, startShare: { ...startShare, pace: undefined } };
+  return findEligible(entries, unpaced);
+}
+
+function haveRoom(entries: readonly UpstreamEntry[], now: number): boolean {
+  const load = entries.reduce((sum, entry) => sum + entry.getLoad(now), 0);
+  const slots = entries.reduce((sum, { record }) => sum + record.slots, 0);
+  return load < slots * crowdedRatio;
+}
+
 /** A daemon that does not know yet how many there are leaves cold upstreams to the others, if it can use other ones. */
 function withoutColdIfUnsettled(
   eligible: readonly UpstreamEntry[],
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -76,6 +76,24 @@
 /** Longest time for which an upstream may say that it is cold. */
 export const longestColdMilliseconds = 600_000;
 
+/** Factor by which the pace of an upstream that has started grows with an answer in time. */
+export const paceGrowthFactor = 2;
+/** The same once a request was rejected or late, as the pace that the upstream takes is then near. */
+export const paceGrowthAfterSetback = 1.5;
+/** Factor by which the pace changes with a request that was rejected or late. */
+export const paceReductionFactor = 0.5;
+/** Shortest time between two steps of growth, in which the rejections of other daemons are told of. */
+export const paceStepMilliseconds = 500;
+/** Lowest pace, as a part of the initial one. */
+export const lowestPaceRatio = 1 / 4;
+/** Weight of the newest time to the first byte in the average of an upstream. */
+export const firstByteWeight = 0.1;
+/** Time after the first upstreams were listed from which one that is added has just started. */
+export const firstListMilliseconds = 5_000;
+
+/** Part of the slots of a service that requests hold from which none of its upstreams is paced. */
+export const crowdedRatio = 0.75;
+
 /** Load limit of an upstream: the mean load of its service times this factor plus the allowance. */
 export const loadFactor = 1.4;
 /** Requests that an upstream may hold above the factor times the mean. */
--- a/packages/kernel/src/upstreams/index.ts
+++ b/packages/kernel/src/upstreams/index.ts
@@ -10,8 +10,11 @@
 export type { LimitShare } from "./LimitShare.js";
 export { PrefixDirectory } from "./PrefixDirectory.js";
 export { upstreamSchema, type Upstream } from "./schema.js";
+export { getPaceBounds } from "./getPaceBounds.js";
+export { judgeAnswer, type JudgedAnswer } from "./judgeAnswer.js";
 export { RateSlots, type SharedRate } from "./RateSlots.js";
 export type { ColdBound, StartShare } from "./StartShare.js";
+export { UpstreamPace, type PaceBounds, type PaceChange } from "./UpstreamPace.js";
 export { UpstreamStart } from "./UpstreamStart.js";
 export { UpstreamLimit } from "./UpstreamLimit.js";
 export { UpstreamTable } from "./UpstreamTable.js";
