--- a/packages/daemon/tests/fleet/coldStart.test.ts
+++ b/packages/daemon/tests/fleet/coldStart.test.ts
@@ -86,6 +86,15 @@
   });
 });
 
+// Guards against daemons that each see only themselves, take the first place, and send at the same moment.
+test("the bound holds when no daemon reaches another", () => {
+  assertBound((simulation) => {
+    simulation.fleet.isCut = () => true;
+    simulation.run(settlingMilliseconds);
+    loseAndReturn(simulation);
+  });
+});
+
 // Guards against a daemon that learns of the restart by its own path only and takes the upstream for warm.
 test("the bound holds while half of the daemons cannot read the registry", () => {
   assertBound((simulation) => {
