--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -3,6 +3,7 @@
   findPrefixHolder,
   getRequestWork,
   isRepeatable,
+  judgeAnswer,
   type PlacedWork,
   type RequestApproval,
   type RequestWork,
@@ -31,6 +32,7 @@
   private work: RequestWork | undefined;
   /** Undefined where the service is not placed by work, or its engines cannot fetch. */
   private reading: PromptReading | undefined;
+  private sentAt = -Infinity;
 
   private constructor(
     private readonly dependencies: ActiveRequestDependencies,
@@ -86,6 +88,7 @@
     const isEngine = dependencies.getService(record.service)?.engine !== undefined;
     this.work = this.getWork(this.choice, now);
     dependencies.workEstimator.startWork(entry, this.work, now);
+    this.sentAt = now;
     entry.startRequest(now);
     entry.limit.takeSlot(now, dependencies.getLimitShare());
     entry.start.takeSlot(now);
@@ -117,6 +120,9 @@
     if (this.work !== undefined && head.meaning === "final" && head.status < errorStatus) {
       workEstimator.recordFirstByte(this.entry, this.work, now);
     }
+    if (!head.isMisdirected) {
+      this.judge(head.meaning !== "final" || head.requestedRest !== undefined, now);
+    }
   }
 
   recordReceivedBytes(now: number): void {
@@ -152,6 +158,7 @@
   }
 
   recordFailure(now: number): void {
+    this.judge(true, now);
     this.entry.recordFailure(now, this.dependencies.upstreams.getMedianFailureRate(this.entry));
   }
 
@@ -193,6 +200,18 @@
     return getRequestWork(dependencies.prefixes, head, holders, now);
   }
 
+  /** Applies an answer to the pace of an upstream that has started. */
+  private judge(isRejected: boolean, now: number): void {
+    const { sentAt, dependencies, entry, request } = this;
+    const { goalMilliseconds } = request.approval.route;
+    const share = dependencies.getStartShare(request.service);
+    const answer = { sentAt, goalMilliseconds, isRejected };
+    const notice = judgeAnswer(dependencies.upstreams, entry, answer, now, share);
+    if (notice !== undefined) {
+      dependencies.addFleetNotice(notice);
+    }
+  }
+
   /** Gets the address of an engine that likely has more of the prompt cached than the chosen one. */
   private getKvCacheSourceAddress(now: number): string | undefined {
     const { dependencies, entry } = this;
