A source of a transfer is of the same service as the engine that fetches

Cause: the directory is keyed by blocks alone, and two services that name the same block and publish the same software version (or none) were taken for sources of each other.

Ruled out: the same check in findPrefixHolder, since services that are not work-aware are to be served as before.

Change: getSourceRank compares the service, too; the placement by work counts only holders of the request's service.

The suites of chooseUpstream, findPrefixSource, placementByWork, PrefixDirectory, PromptReading and workAwareTarget pass.

--- a/packages/daemon/src/ingress/chooseRequestUpstream.ts
+++ b/packages/daemon/src/ingress/chooseRequestUpstream.ts
@@ -63,6 +63,7 @@
   }
   const blockTokens = head.promptBlocks.reduce((sum, { tokens }) => sum + tokens, 0);
   const toPlace = {
+    service,
     sharedBlocks,
     sharedTokens: getSharedBlockTokens(head).reduce((sum, tokens) => sum + tokens, 0),
     promptTokens: head.tokens?.prompt ?? blockTokens,
--- a/packages/kernel/src/upstreams/WorkPlacement.ts
+++ b/packages/kernel/src/upstreams/WorkPlacement.ts
@@ -32,6 +32,7 @@
 
 /** A request whose work is placed. */
 export interface WorkToPlace {
+  readonly service: string;
   /** Hashes of the ids of the prompt blocks that other requests share, in order. */
   readonly sharedBlocks: readonly number[];
   /** Tokens of the shared blocks together. */
@@ -63,12 +64,13 @@
   request: WorkToPlace,
   estimate: WorkEstimate,
 ): WorkPlacement {
-  const { sharedBlocks, sharedTokens, promptTokens, outputTokens, goalMilliseconds, now } = request;
+  const { service, sharedBlocks, sharedTokens, promptTokens, outputTokens } = request;
+  const { goalMilliseconds, now } = request;
   const last = sharedBlocks.at(-1) ?? 0;
   const isHolder = (entry: UpstreamEntry): boolean => prefixes.isHeldBy(last, entry, now);
   const getRank: SourceRank = (entry) =>
     upstreams.getEntry(entry.record.id) === entry
-      ? getSourceRank(entry, entry.record.softwareVersion, now)
+      ? getSourceRank(entry, { service, softwareVersion: entry.record.softwareVersion }, now)
       : undefined;
   const holder = prefixes.getBestHolder(last, getRank, now);
   const getExpectedMilliseconds = (entry: UpstreamEntry): number | undefined => {
@@ -77,7 +79,9 @@
     const unreadTokens = isHeld || isFetched ? promptTokens - sharedTokens : promptTokens;
     const work = { promptTokens, unreadTokens: Math.max(0, unreadTokens), outputTokens };
     const milliseconds = estimate(entry, work, now);
-    return milliseconds && milliseconds + (isFetched ? transferMilliseconds : 0);
+    return milliseconds === undefined || !isFetched
+      ? milliseconds
+      : milliseconds + transferMilliseconds;
   };
   return {
     isPrefixHeld: holder !== undefined,
--- a/packages/kernel/src/upstreams/findPrefixSource.ts
+++ b/packages/kernel/src/upstreams/findPrefixSource.ts
@@ -62,7 +62,7 @@
   }
   const getRank: SourceRank = (entry) =>
     entry !== chosen && upstreams.getEntry(entry.record.id) === entry
-      ? getSourceRank(entry, chosen.record.softwareVersion, now)
+      ? getSourceRank(entry, chosen.record, now)
       : undefined;
   const holder = prefixes.getBestHolder(last, getRank, now);
   if (holder !== undefined) {
--- a/packages/kernel/src/upstreams/getSourceRank.ts
+++ b/packages/kernel/src/upstreams/getSourceRank.ts
@@ -1,3 +1,4 @@
+import type { Upstream } from "./schema.js";
 import type { UpstreamEntry } from "./UpstreamEntry.js";
 
 const impairedRank = 1;
@@ -5,18 +6,20 @@
 
 /**
  * Ranks an engine as the source of a KV cache transfer: 0 is the best, undefined one that cannot be connected to or whose
- * software caches other data.
+ * model or software caches other data.
  * @param entry - The engine.
- * @param softwareVersion - Version of the engine that fetches.
+ * @param fetcher - The engine that fetches.
  * @param now - Monotonic time.
  */
 export function getSourceRank(
   entry: UpstreamEntry,
-  softwareVersion: string,
+  { service, softwareVersion }: Pick<Upstream, "service" | "softwareVersion">,
   now: number,
 ): number | undefined {
   const path = entry.path.getState();
-  if (entry.record.softwareVersion !== softwareVersion || path === "closed") {
+  const isCompatible =
+    entry.record.service === service && entry.record.softwareVersion === softwareVersion;
+  if (!isCompatible || path === "closed") {
     return undefined;
   }
   if (path === "doubted") {
--- a/packages/kernel/tests/upstreams/findPrefixSource.test.ts
+++ b/packages/kernel/tests/upstreams/findPrefixSource.test.ts
@@ -82,9 +82,15 @@
   assert.equal([returned.restartedAt, chosen.restartedAt], [now, -Infinity]);
 });
 
-test("finds no engine of another software version", () => {
+test("finds no engine of another software version or another service", () => {
   const { state, engines } = create();
   const [, holder, reader, preferred] = engines;
+  state.upstreams.addUpstream(
+    createUpstream({ id: "e-other", service: "other", softwareVersion: "v2" }),
+    0,
+  );
+  const other = state.upstreams.getEntry("e-other") as UpstreamEntry;
+  state.prefixes.addHolder([team, chat], other, 39_000);
   state.upstreams.addUpstream(createUpstream({ id: "e-new", softwareVersion: "v2" }), 0);
   const chosen = state.upstreams.getEntry("e-new") as UpstreamEntry;
   state.prefixes.addHolder([team, chat], holder, 39_000);
