The work of a request is estimated by the source that it is fetched from

Cause: the branches of the estimator and of the placement looked for a holder each in its own way, so that a request which was sent to fetch from an impaired holder counted as one that reads everything. The estimator also looked for a holder for each request of each service.

Ruled out: taking the source from `PromptReading`, which begins after the work is estimated and marks the prompt as being read.

Change: `findPrefixSource` for both in work-aware services; no look-up and no estimate elsewhere. The tests of the work-aware target name the joined dependencies; what they check is unchanged.

--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -1,6 +1,7 @@
 import {
   applyResponseHead,
   findPrefixHolder,
+  findPrefixSource,
   getRequestWork,
   isRepeatable,
   judgeAnswer,
@@ -13,7 +14,12 @@
   type UpstreamEntry,
 } from "@pistachioway/kernel";
 import { Exchange, type ExchangeListener } from "../exchange/index.js";
-import { getSharedBlocks, getStickyKey, type AcceptedRequest } from "./AcceptedRequest.js";
+import {
+  getSharedBlocks,
+  getSharedBlockTokens,
+  getStickyKey,
+  type AcceptedRequest,
+} from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AttemptTarget, TargetReport } from "./AttemptTarget.js";
 import { chooseRequestUpstream } from "./chooseRequestUpstream.js";
@@ -86,8 +92,10 @@
     const { record } = entry;
     const now = dependencies.getNow();
     const isEngine = dependencies.getService(record.service)?.engine !== undefined;
-    this.work = this.getWork(this.choice, now);
-    dependencies.workEstimator.startWork(entry, this.work, now);
+    if (isEngine) {
+      this.work = this.getWork(this.choice, now);
+      dependencies.workEstimator.startWork(entry, this.work, now);
+    }
     this.sentAt = now;
     entry.startRequest(now);
     entry.limit.takeSlot(now, dependencies.getLimitShare());
@@ -194,8 +202,13 @@
     const { head, service } = request;
     const sharedBlocks = getSharedBlocks(head);
     const canFetch = dependencies.getService(service)?.engine?.canFetch === true;
-    const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, now };
-    const source = canFetch ? findPrefixHolder(dependencies, lookup, entry, preferred) : undefined;
+    const isWorkAware = dependencies.workEstimator.isWorkAware(service);
+    const sharedBlockTokens = getSharedBlockTokens(head);
+    const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, sharedBlockTokens, now };
+    const source =
+      canFetch && isWorkAware
+        ? findPrefixSource(dependencies, lookup, entry, preferred).entry
+        : undefined;
     const holders = source === undefined ? [entry] : [entry, source];
     return getRequestWork(dependencies.prefixes, head, holders, now);
   }
--- a/packages/daemon/tests/ingress/workAwareTarget.test.ts
+++ b/packages/daemon/tests/ingress/workAwareTarget.test.ts
@@ -78,7 +78,11 @@
     },
     prefixes: PrefixDirectory.create(),
     metrics: RouterMetrics.create(),
-    work: {
+    workEstimator: {
+      startWork: () => undefined,
+      recordFirstByte: () => undefined,
+      endWork: () => undefined,
+      recordReport: () => undefined,
       isWorkAware: () => isWorkAware,
       getExpectedMilliseconds: ({ record }: UpstreamEntry, work: RequestWork) => {
         works.push(work);
@@ -88,6 +92,7 @@
     zone: "north",
     getNow: () => 1_000,
     getLimitShare: () => ({ part: 1, position: 0 }),
+    getStartShare: () => ({ part: 1, position: 0, clockOffset: 0, isSettled: true }),
     getDaemonCount: () => 1,
     getService: () => ({ maxConnections: 64, engine: { canFetch: true } }),
     onNotices: () => undefined,
