--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -92,7 +92,7 @@
     const { record } = entry;
     const now = dependencies.getNow();
     const isEngine = dependencies.getService(record.service)?.engine !== undefined;
-    if (isEngine) {
+    if (isEngine || dependencies.workEstimator.isWorkAware(record.service)) {
       this.work = this.getWork(this.choice, now);
       dependencies.workEstimator.startWork(entry, this.work, now);
     }
