Slots and rates of an evacuated zone do not count

Cause: the branches of the admission and of the pace asked whether an upstream is in service, before evacuations existed. The slots of an evacuated zone seemed free, its upstreams' slots after a start seemed to be the next free ones.

Change: they ask whether it is offered.

--- a/packages/kernel/src/overload/ServiceCapacity.ts
+++ b/packages/kernel/src/overload/ServiceCapacity.ts
@@ -32,7 +32,7 @@
   now: number,
 ): readonly UpstreamEntry[] {
   const offered = entries.filter(
-    (entry) => entry.record.service === service && entry.isInService() && !entry.isResting(now),
+    (entry) => entry.record.service === service && entry.isOffered() && !entry.isResting(now),
   );
   const preferred = offered.filter((entry) => !entry.isAvoided(now));
   return preferred.length > 0
--- a/packages/kernel/src/upstreams/UpstreamTable.ts
+++ b/packages/kernel/src/upstreams/UpstreamTable.ts
@@ -163,7 +163,7 @@
   getEarliestStartSlot(service: string, now: number, share: StartShare): number | undefined {
     const unpaced = { ...share, pace: undefined };
     const slots = this.getEntries()
-      .filter((entry) => entry.record.service === service && entry.isInService())
+      .filter((entry) => entry.record.service === service && entry.isOffered())
       .flatMap((entry) => entry.start.getNextSlot(now, unpaced) ?? []);
     return slots.length === 0 ? undefined : Math.min(...slots);
   }
--- a/packages/kernel/src/upstreams/getPaceBounds.ts
+++ b/packages/kernel/src/upstreams/getPaceBounds.ts
@@ -21,7 +21,7 @@
   coldPerSecond: number,
   now: number,
 ): PaceBounds {
-  const offered = entries.filter((entry) => entry.isInService());
+  const offered = entries.filter((entry) => entry.isOffered());
   const total = offered.reduce((sum, { start }) => sum + start.getSentPerSecond(now), 0);
   const usual = (total * daemons) / Math.max(1, offered.length);
   const initialPerSecond = Math.min(
--- a/packages/kernel/tests/overload/AdmissionQueue.test.ts
+++ b/packages/kernel/tests/overload/AdmissionQueue.test.ts
@@ -237,6 +237,16 @@
   assert.equal(counts, [3, 2, 2]);
 });
 
+// Guards against an evacuated zone whose slots seem free, so that the others get the requests of all.
+test("upstreams of an evacuated zone do not count", () => {
+  const table = createTable(3);
+  const [first] = table.getEntries();
+  if (first !== undefined) {
+    first.isEvacuated = true;
+  }
+  assert.is(getUsableUpstreams(table.getEntries(), "engine", 100).length, 2);
+});
+
 test("slots that return count over time, those that are lost at once", () => {
   const share = CapacityShare.create();
   const limits = [300, 200, 300, 300, 300].map((slots, index) => {
