An upstream that says that it is warm is not paced

Cause: recordCold began the pace whenever the stated cold time was over, also for a stated time of 0. An upstream that sends Cold-Ms: 0 in its responses was paced from the beginning at each of them and never reached full pace.

Change: a stated time of 0 ends the cold time and begins no pace.

--- a/packages/kernel/src/upstreams/UpstreamStart.ts
+++ b/packages/kernel/src/upstreams/UpstreamStart.ts
@@ -29,12 +29,12 @@
 
   /**
    * Applies how long the upstream is still cold, by its record or a response. A value that is older than it seems ends too
-   * late, never too early.
-   * @param milliseconds - Remaining time.
+   * late, never too early. One that says that it is warm has not started again.
+   * @param milliseconds - Remaining time; 0 when it is warm.
    * @param now - Current time.
    */
   recordCold(milliseconds: number, now: number): void {
-    if (now >= this.statedEndsAt) {
+    if (milliseconds > 0 && now >= this.statedEndsAt) {
       this.pace.begin(now);
     }
     this.statedEndsAt = now + Math.min(milliseconds, longestColdMilliseconds);
--- a/packages/kernel/tests/upstreams/UpstreamStart.test.ts
+++ b/packages/kernel/tests/upstreams/UpstreamStart.test.ts
@@ -188,4 +188,14 @@
   );
 });
 
+// Guards against an upstream that states in each response that it is warm, and is paced from the beginning each time.
+test("an upstream that says that it is warm is not paced", () => {
+  const [entry] = add({});
+  const paced = { ...share, pace: { initialPerSecond: 4, fullPerSecond: 8 } };
+  entry.start.recordCold(0, 1_000);
+  const isPacedWhileWarm = entry.start.isPaced(paced);
+  entry.start.recordCold(900, 2_000);
+  assert.equal([isPacedWhileWarm, entry.start.isPaced(paced)], [false, true]);
+});
+
 test.run();
