A slow attempt is compared with an upstream that the next one may use

Cause: the comparison of a slow attempt with the next one excluded only its own upstream and used the software version of forwarded requests only. Where the next upstream had been tried before, or a resumed stream had to go on at another version, the attempt was cancelled for it, and the request failed when no other upstream was left.

Change: the target of an attempt knows the upstreams tried so far and the required version, as its successor will.

--- a/packages/daemon/src/ingress/TargetChooser.ts
+++ b/packages/daemon/src/ingress/TargetChooser.ts
@@ -62,7 +62,8 @@
       return { kind: "refusal", refusal: this.createUnreachedRefusal(last) };
     }
     this.triedUpstreamIds.add(choice.entry.record.id);
-    return { kind: "target", target: UpstreamTarget.create(dependencies, request, choice) };
+    const target = UpstreamTarget.create(dependencies, request, choice, constraints);
+    return { kind: "target", target };
   }
 
   /** A request that must not run twice is lost on a path that hangs; it is not sent before the path has proven itself. */
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -22,7 +22,7 @@
 } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AttemptTarget, TargetReport } from "./AttemptTarget.js";
-import { chooseRequestUpstream } from "./chooseRequestUpstream.js";
+import { chooseRequestUpstream, type AttemptConstraints } from "./chooseRequestUpstream.js";
 import { PromptReading } from "./PromptReading.js";
 
 const maxPriority = 9;
@@ -44,6 +44,7 @@
     private readonly dependencies: ActiveRequestDependencies,
     private readonly request: AcceptedRequest,
     private readonly choice: UpstreamChoice,
+    private readonly constraints: AttemptConstraints,
   ) {
     this.entry = choice.entry;
     this.upstream = choice.entry.record;
@@ -55,13 +56,15 @@
    * @param dependencies - Dependencies of the request's processing.
    * @param request - Request to send.
    * @param choice - The upstream that was chosen for it.
+   * @param constraints - What the next attempt must not or may only use, by the attempts so far.
    */
   static create(
     dependencies: ActiveRequestDependencies,
     request: AcceptedRequest,
     choice: UpstreamChoice,
+    constraints: AttemptConstraints,
   ): UpstreamTarget {
-    return new UpstreamTarget(dependencies, request, choice);
+    return new UpstreamTarget(dependencies, request, choice, constraints);
   }
 
   getSoftwareVersion(): string {
@@ -189,10 +192,9 @@
 
   /** Gets the upstream that the request would be sent to after this one, and its work there. */
   private getNext(now: number): PlacedWork | undefined {
-    const { dependencies, request, upstream } = this;
-    const excluded = new Set([...(request.forwarded?.triedUpstreams ?? []), upstream.id]);
-    const constraints = { excluded, softwareVersion: request.forwarded?.softwareVersion };
-    const choice = chooseRequestUpstream(dependencies, request, constraints);
+    const { dependencies, request, upstream, constraints } = this;
+    const excluded = new Set([...constraints.excluded, upstream.id]);
+    const choice = chooseRequestUpstream(dependencies, request, { ...constraints, excluded });
     return choice && { entry: choice.entry, work: this.getWork(choice, now) };
   }
 
--- a/packages/daemon/tests/ingress/workAwareTarget.test.ts
+++ b/packages/daemon/tests/ingress/workAwareTarget.test.ts
@@ -4,6 +4,7 @@
   PrefixDirectory,
   UpstreamTable,
   type ForwardingOptions,
+  type PlacedWork,
   type RequestWork,
   type UpstreamChoice,
   type UpstreamEntry,
@@ -65,6 +66,7 @@
   const sent: (string | undefined)[] = [];
   const works: RequestWork[] = [];
   const told: unknown[] = [];
+  const compared: (string | undefined)[] = [];
   const times = new Map<string, number>();
   const dependencies = {
     upstreams,
@@ -84,6 +86,10 @@
       endWork: () => undefined,
       recordReport: () => undefined,
       isWorkAware: () => isWorkAware,
+      isRepeatSooner: (_current: unknown, next: PlacedWork | undefined) => {
+        compared.push(next?.entry.record.id);
+        return false;
+      },
       getExpectedMilliseconds: ({ record }: UpstreamEntry, work: RequestWork) => {
         works.push(work);
         return times.get(record.id);
@@ -100,7 +106,7 @@
       told.push(notice);
     },
   } as unknown as Dependencies;
-  return { address, dependencies, sent, works, told, times };
+  return { address, dependencies, sent, works, told, times, compared };
 }
 
 const request = {
@@ -140,7 +146,7 @@
   dependencies: Dependencies,
   choice: UpstreamChoice,
 ): Promise<readonly string[]> {
-  const target = UpstreamTarget.create(dependencies, request, choice);
+  const target = UpstreamTarget.create(dependencies, request, choice, noConstraints);
   const describe = (): string => {
     const { prefixes } = dependencies;
     const isHeld = prefixes.isHeldBy(document, choice.entry, 1_000);
@@ -215,4 +221,29 @@
   assert.is(sent.at(-1), address);
 });
 
+// Guards against an attempt that is given up for an engine to which the request cannot be sent: it would fail then.
+test("a slow attempt is compared with an engine that the next one may use", (context) => {
+  const { dependencies, compared } = create(context, true);
+  const choice = chooseOrThrow(dependencies);
+  const ids = ["e-1", "e-2", "e-3"];
+  const others = ids.filter((id) => id !== choice.entry.record.id);
+  const [tried = "", left] = others;
+  for (const constraints of [
+    { excluded: new Set([tried]), softwareVersion: undefined },
+    { excluded: new Set(others), softwareVersion: undefined },
+    { excluded: new Set<string>(), softwareVersion: "v2" },
+  ]) {
+    const target = UpstreamTarget.create(dependencies, request, choice, constraints);
+    target.send(undefined, {
+      onHead: () => undefined,
+      onData: () => undefined,
+      onEnd: () => undefined,
+      onFailure: () => undefined,
+    });
+    target.isRepeatSooner(1_000);
+    target.finish(false);
+  }
+  assert.equal(compared, [left, undefined, undefined]);
+});
+
 test.run();
