A request is added without the failure of another that waited

Cause: the queues threw what the listener of any request threw. A request that arrived when the sending of another one failed was answered as failed, although it was sent or waited, and its caller's leaving was not noticed. After the end of an attempt the error came out of a microtask, where nothing catches it: it ended the process.

Change: what the listener of another request throws is logged (request.send-failed), as failed checks of requests are; only the request that is being added throws its own error. The failed request ends at its deadline, as before.

--- a/packages/daemon/src/ingress/AdmissionQueues.ts
+++ b/packages/daemon/src/ingress/AdmissionQueues.ts
@@ -24,6 +24,8 @@
   readonly getNow: () => number;
   /** Gets a random number in [0, 1), for the spread of returning callers. */
   readonly getRandom: () => number;
+  /** Called with what a listener throws, unless its request is being added. */
+  readonly onFailed: (error: unknown) => void;
 }
 
 /** Receives what becomes of a request: it may be sent, or is refused. It is called once, unless the request is removed. */
@@ -35,6 +37,12 @@
   isAdvancing: boolean;
 }
 
+/** What the listener of a request threw. */
+interface ListenerFailure {
+  readonly request: QueuedRequest;
+  readonly error: unknown;
+}
+
 /** Bodies of requests that wait: a quarter of the memory for bodies, as the rest serves requests in flight. */
 const maxWaitingBytes = 16_777_216;
 const emptyWork = { promptTokens: 0, unreadTokens: 0, outputTokens: 0 };
@@ -64,7 +72,7 @@
   }
 
   /**
-   * Adds a request, which may be sent or refused before this returns.
+   * Adds a request, which may be sent or refused before this returns. Throws what its own listener throws.
    * @param service - Its service.
    * @param request - The request.
    * @param listener - Receives what becomes of it.
@@ -72,7 +80,12 @@
   add(service: string, request: QueuedRequest, listener: AdmissionListener): void {
     const serviceQueue = this.getQueue(service);
     serviceQueue.listeners.set(request, listener);
-    this.apply(service, serviceQueue.queue.add(request, this.getView(service)));
+    const failures = this.apply(service, serviceQueue.queue.add(request, this.getView(service)));
+    this.report(failures.filter((failure) => failure.request !== request));
+    const own = failures.find((failure) => failure.request === request);
+    if (own !== undefined) {
+      throw own.error;
+    }
   }
 
   /**
@@ -136,7 +149,7 @@
   }
 
   private advance(service: string): void {
-    this.apply(service, this.getQueue(service).queue.advance(this.getView(service)));
+    this.report(this.apply(service, this.getQueue(service).queue.advance(this.getView(service))));
   }
 
   private getView(service: string) {
@@ -146,19 +159,32 @@
     return { capacity: getServiceCapacity(usable, now), fleet: getFleet(), now };
   }
 
-  private apply(service: string, actions: readonly QueueAction[]): void {
+  /** Calls the listeners of requests; one that fails keeps no other from being called. */
+  private apply(service: string, actions: readonly QueueAction[]): readonly ListenerFailure[] {
     const { listeners } = this.getQueue(service);
     // A listener may add or remove requests, so that each is called once the queue is consistent.
     const calls = actions.map((action) => {
-      const listener = listeners.get(action.request);
-      listeners.delete(action.request);
-      return { listener, refusal: this.createRefusal(service, action) };
+      const { request } = action;
+      const listener = listeners.get(request);
+      listeners.delete(request);
+      return { request, listener, refusal: this.createRefusal(service, action) };
     });
     this.measure(service);
-    const errors = calls.flatMap(({ listener, refusal }) => getErrors(() => listener?.(refusal)));
-    if (errors.length > 0) {
-      throw errors[0];
+    const failures: ListenerFailure[] = [];
+    for (const { request, listener, refusal } of calls) {
+      try {
+        listener?.(refusal);
+      } catch (error) {
+        failures.push({ request, error });
+      }
     }
+    return failures;
+  }
+
+  private report(failures: readonly ListenerFailure[]): void {
+    failures.forEach(({ error }) => {
+      this.dependencies.onFailed(error);
+    });
   }
 
   private createRefusal(service: string, action: QueueAction): Refusal | undefined {
@@ -213,13 +239,3 @@
     return times.length === 0 ? undefined : Math.min(...times);
   }
 }
-
-/** Calls a listener; one that fails keeps no other from being called. */
-function getErrors(call: () => void): readonly unknown[] {
-  try {
-    call();
-    return [];
-  } catch (error) {
-    return [error];
-  }
-}
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -150,6 +150,10 @@
       view,
       getNow,
       getRandom: Math.random,
+      onFailed: (error) => {
+        const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+        record("error", "request.send-failed", { detail });
+      },
     });
     this.starts = UpstreamStarts.create({
       registry,
