A request whose key is revoked while it waits is not sent

Cause: a request was checked against the configuration when it arrived and could then wait for room until 30 ms before its deadline. A key that was revoked, or a configuration that grew too old meanwhile, did not keep it from being sent.

Change: a request that has waited is checked once more before it is sent, by the configuration then in force, and refused as on arrival; it earns no retries then. One that does not wait is not checked again.

--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -5,6 +5,9 @@
   MemoryBudget,
   PrefixDirectory,
   ContentQuarantine,
+  RequestApproval,
+  RequestIdentity,
+  RequestRefusal,
   RoutedService,
   StartShare,
   UpstreamNotice,
@@ -70,6 +73,8 @@
   readonly getLimitShare: () => LimitShare;
   /** Gets what this daemon may send to upstreams of a service after their start; undefined when nothing bounds it. */
   readonly getStartShare: (service: string) => StartShare | undefined;
+  /** Decides whether a request may be served under the configuration in force. */
+  readonly checkRequest: (identity: RequestIdentity) => RequestApproval | RequestRefusal;
   /** Gets the version of the configuration in force. */
   readonly getVersion: () => number;
   /** Gets the time since that version was last known to be the newest. */
--- a/packages/daemon/src/ingress/RequestAdmission.ts
+++ b/packages/daemon/src/ingress/RequestAdmission.ts
@@ -2,6 +2,7 @@
 import type { AcceptedRequest } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AdmissionListener } from "./AdmissionQueues.js";
+import type { Refusal } from "./refusals.js";
 import type { StreamOrigin } from "./StreamOrigin.js";
 
 /** Time before the deadline in which a request cannot be served any more. */
@@ -106,8 +107,9 @@
     const { dependencies, request } = this;
     this.waitStartedAt = dependencies.getNow();
     this.queued = createQueuedRequest(request);
-    dependencies.admission.add(request.service, this.queued, (refusal) => {
+    dependencies.admission.add(request.service, this.queued, (unsent) => {
       this.endWait();
+      const refusal = unsent ?? this.createLateRefusal();
       if (refusal === undefined) {
         this.addToRetryBudget();
       }
@@ -115,6 +117,23 @@
     });
   }
 
+  /** Refuses a request whose key was revoked, or whose configuration grew too old, while it waited. */
+  private createLateRefusal(): Refusal | undefined {
+    if (this.waitedMilliseconds === 0) {
+      return undefined;
+    }
+    const { head, path } = this.request;
+    const identity = { authority: head.authority, path, key: head.key };
+    const decision = this.dependencies.checkRequest(identity);
+    return decision.kind === "pass"
+      ? undefined
+      : {
+          name: decision.reason,
+          detail: `${head.authority}${path} after its wait`,
+          retryAfterSeconds: undefined,
+        };
+  }
+
   /** A request that is refused instead of waiting earns no retries, since it brings the upstreams no work. */
   private addToRetryBudget(): void {
     const { retryBudgets, getNow } = this.dependencies;
--- a/packages/daemon/src/router/createRequestDependencies.ts
+++ b/packages/daemon/src/router/createRequestDependencies.ts
@@ -1,8 +1,9 @@
-import type {
-  ContentQuarantine,
-  HeaderCodec,
-  MemoryBudget,
-  PrefixDirectory,
+import {
+  checkRequest,
+  type ContentQuarantine,
+  type HeaderCodec,
+  type MemoryBudget,
+  type PrefixDirectory,
 } from "@pistachioway/kernel";
 import type { ConnectionPool, ReachabilityTask } from "../exchange/index.js";
 import type { FleetTask } from "../fleet/index.js";
@@ -17,6 +18,7 @@
 import type { RegistryTask } from "../registry/index.js";
 import type { StreamDirectory } from "../streams/index.js";
 import { readMonotonicClock } from "./clocks.js";
+import { getFreshnessBounds } from "./getFreshnessBounds.js";
 import { getLimitShare } from "./getLimitShare.js";
 import type { NoticeLog } from "./NoticeLog.js";
 import type { RouterSettings } from "./settings.js";
@@ -55,6 +57,7 @@
   const { settings, registry, fleet, notices, startedAt } = context;
   const { upstreams } = registry;
   const { view } = fleet;
+  const bounds = getFreshnessBounds(settings);
   return {
     upstreams,
     pool: context.pool,
@@ -84,6 +87,8 @@
     getLimitShare: () => getLimitShare(view, startedAt, readMonotonicClock()),
     getStartShare: (service) => context.starts.getShare(service),
     getDaemonCount: () => view.getPeakDaemonCount(),
+    checkRequest: (identity) =>
+      checkRequest(registry.getTable(), registry.getAgeMilliseconds(), identity, bounds),
     getVersion: () => registry.getTable()?.version ?? -1,
     getAgeMilliseconds: () => registry.getAgeMilliseconds(),
     record: context.record,
