The work estimator has one name

Cause: the dependency was workEstimator in the request's processing and work in the admission queues, where work elsewhere names the work of a request.

Change: workEstimator everywhere. AdmissionQueues.test passes.

--- a/packages/daemon/src/ingress/AdmissionQueues.ts
+++ b/packages/daemon/src/ingress/AdmissionQueues.ts
@@ -16,7 +16,7 @@
 /** What the admission queues of a daemon depend on. */
 export interface AdmissionQueuesDependencies {
   readonly upstreams: UpstreamTable;
-  readonly work: Pick<WorkEstimator, "isWorkAware" | "getExpectedMilliseconds">;
+  readonly workEstimator: Pick<WorkEstimator, "isWorkAware" | "getExpectedMilliseconds">;
   readonly metrics: Pick<RouterMetrics, "waitingRequests" | "queueRefusals">;
   /** Gets the daemons that share the upstreams. */
   readonly getFleet: () => FleetSize;
@@ -60,7 +60,7 @@
 
   /** Checks whether the requests of a service pass a queue. */
   isUsedFor(service: string): boolean {
-    return this.dependencies.work.isWorkAware(service);
+    return this.dependencies.workEstimator.isWorkAware(service);
   }
 
   /**
@@ -206,9 +206,9 @@
   }
 
   private getQueuedMilliseconds(service: string, now: number): number | undefined {
-    const { upstreams, work } = this.dependencies;
+    const { upstreams, workEstimator } = this.dependencies;
     const times = getUsableUpstreams(upstreams.getEntries(), service, now).flatMap(
-      (entry) => work.getExpectedMilliseconds(entry, emptyWork, now) ?? [],
+      (entry) => workEstimator.getExpectedMilliseconds(entry, emptyWork, now) ?? [],
     );
     return times.length === 0 ? undefined : Math.min(...times);
   }
--- a/packages/daemon/src/ingress/chooseRequestUpstream.ts
+++ b/packages/daemon/src/ingress/chooseRequestUpstream.ts
@@ -59,9 +59,9 @@
   dependencies: ActiveRequestDependencies,
   { approval, head, service }: AcceptedRequest,
 ): WorkPlacement | undefined {
-  const { workEstimator: work } = dependencies;
+  const { workEstimator } = dependencies;
   const canFetch = dependencies.getService(service)?.engine?.canFetch === true;
-  if (!work.isWorkAware(service) || !approval.route.isSticky || !canFetch) {
+  if (!workEstimator.isWorkAware(service) || !approval.route.isSticky || !canFetch) {
     return undefined;
   }
   const sharedBlocks = getSharedBlocks(head);
@@ -78,7 +78,7 @@
     goalMilliseconds: approval.route.goalMilliseconds,
     now: dependencies.getNow(),
   };
-  return createWorkPlacement(dependencies, toPlace, (entry, requestWork, now) =>
-    work.getExpectedMilliseconds(entry, requestWork, now),
+  return createWorkPlacement(dependencies, toPlace, (entry, work, now) =>
+    workEstimator.getExpectedMilliseconds(entry, work, now),
   );
 }
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -145,7 +145,7 @@
     });
     this.admission = createAdmissionQueues({
       upstreams,
-      work: this.reachability.workEstimator,
+      workEstimator: this.reachability.workEstimator,
       metrics: this.metrics,
       view,
       getNow,
--- a/packages/daemon/tests/ingress/AdmissionQueues.test.ts
+++ b/packages/daemon/tests/ingress/AdmissionQueues.test.ts
@@ -34,7 +34,10 @@
   context.metrics = RouterMetrics.create();
   context.queues = AdmissionQueues.create({
     upstreams,
-    work: { isWorkAware: (name) => name === service, getExpectedMilliseconds: () => undefined },
+    workEstimator: {
+      isWorkAware: (name) => name === service,
+      getExpectedMilliseconds: () => undefined,
+    },
     metrics: context.metrics,
     getFleet: () => ({ daemons: 1, heard: 1 }),
     getNow: () => context.now,
