findPrefixSource is split

Cause: one function of 45 lines listed nine kinds of sources.

Change: known sources and the choice between the next engine and a shorter prefix are functions of their own, in the same order. findPrefixSource and placementByWork tests pass.

--- a/packages/kernel/src/upstreams/findPrefixSource.ts
+++ b/packages/kernel/src/upstreams/findPrefixSource.ts
@@ -64,29 +64,54 @@
     entry !== chosen && upstreams.getEntry(entry.record.id) === entry
       ? getSourceRank(entry, chosen.record, now)
       : undefined;
-  const holder = prefixes.getBestHolder(last, getRank, now);
-  if (holder !== undefined) {
-    return { kind: getRank(holder) === 0 ? "holder" : "impaired", entry: holder };
-  }
-  if (prefixes.isReadBy(last, chosen)) {
-    return { kind: "reading", entry: undefined };
-  }
-  const reader = prefixes.getBestReader(last, getRank);
-  if (reader !== undefined) {
-    return { kind: "pending", entry: reader };
+  const known = findKnownSource(prefixes, last, chosen, getRank, now);
+  if (known !== undefined) {
+    return known;
   }
+  const entries = upstreams.getEntries();
   const former =
     preferred !== undefined && getRank(preferred) !== undefined
       ? preferred
-      : guessFormerHolder(upstreams.getEntries(), lookup, chosen, getRank);
+      : guessFormerHolder(entries, lookup, chosen, getRank);
   if (former !== undefined) {
     return { kind: "former", entry: former };
   }
-  const shorter = findShorterHolder(prefixes, sharedBlocks.slice(0, -1), chosen, getRank, now);
   const next =
     sharedBlocks.length < 2 || prefixes.isKnown(last)
       ? undefined
-      : findNext(upstreams.getEntries(), lookup, chosen, getRank);
+      : findNext(entries, lookup, chosen, getRank);
+  return chooseNextOrShorter(prefixes, lookup, chosen, next, getRank);
+}
+
+/** Finds an engine that holds or reads all shared blocks; undefined when none is known. */
+function findKnownSource(
+  prefixes: PrefixDirectory,
+  lastBlock: number,
+  chosen: UpstreamEntry,
+  getRank: SourceRank,
+  now: number,
+): PrefixSource | undefined {
+  const holder = prefixes.getBestHolder(lastBlock, getRank, now);
+  if (holder !== undefined) {
+    return { kind: getRank(holder) === 0 ? "holder" : "impaired", entry: holder };
+  }
+  if (prefixes.isReadBy(lastBlock, chosen)) {
+    return { kind: "reading", entry: undefined };
+  }
+  const reader = prefixes.getBestReader(lastBlock, getRank);
+  return reader && { kind: "pending", entry: reader };
+}
+
+/** Chooses between asking the next engine in the order and a known holder of a shorter prefix, where no other is known. */
+function chooseNextOrShorter(
+  prefixes: PrefixDirectory,
+  lookup: SourceLookup,
+  chosen: UpstreamEntry,
+  next: UpstreamEntry | undefined,
+  getRank: SourceRank,
+): PrefixSource {
+  const shorterBlocks = lookup.sharedBlocks.slice(0, -1);
+  const shorter = findShorterHolder(prefixes, shorterBlocks, chosen, getRank, lookup.now);
   if (next !== undefined && isWorthAsking(prefixes, lookup, next, shorter)) {
     return { kind: "next", entry: next };
   }
