Names and comments of the admission queue, of slots and of starts

Cause: isRoomy, isAmple, lent, left and yields named the same things differently or did not say what they hold; getMilliseconds did not say of what; the constants of the queue had no comment; some comments ran beyond the line or began in mid-thought.

Change: hasFreeSlots, borrowed, waiting, mustYield, getRunMilliseconds; comments with the reason. AdmissionQueue and loads tests pass.

--- a/packages/experiments/src/soak/schema.ts
+++ b/packages/experiments/src/soak/schema.ts
@@ -74,7 +74,10 @@
  */
 export type CallKind = "read" | "act" | "late" | "stream" | "once";
 
-/** A call as seen by its caller; each has an id of its own, also where it uses a request id again. Instants are milliseconds of one monotonic clock. */
+/**
+ * A call as seen by its caller; each has an id of its own, also where it uses a request id again. Instants are
+ * milliseconds of one monotonic clock.
+ */
 export interface CallRecord {
   readonly id: string;
   readonly kind: CallKind;
--- a/packages/kernel/src/overload/AdmissionQueue.ts
+++ b/packages/kernel/src/overload/AdmissionQueue.ts
@@ -10,13 +10,13 @@
   /** Gets the size of bodies that may still be kept while their requests wait, in this queue and others. */
   readonly getFreeBytes: () => number;
   /**
-   * Gets the time to the first byte at the best upstream of a request with nothing to read, so that of the reading that
-   * is queued everywhere; undefined when it cannot be estimated.
+   * Gets the shortest time to the first byte, over the usable upstreams, of a request without unread tokens: the time
+   * that prompts queued at every upstream take. Undefined when it cannot be estimated.
    */
   readonly getQueuedMilliseconds: (now: number) => number | undefined;
 }
 
-/** What the decisions at one instant go by. */
+/** What is known at the instant of a decision. */
 export interface AdmissionView {
   readonly capacity: ServiceCapacity;
   readonly fleet: FleetSize;
@@ -24,11 +24,12 @@
   readonly now: number;
 }
 
+/** Bounds of the length of a queue, whatever the daemon's limit is. */
 const minWaitingRequests = 8;
 const maxWaitingRequests = 256;
-/** Requests that wait at most for each that may be in flight. */
+/** Longest queue for each request that may be in flight: the last one then waits for about eight run times. */
 const waitingRatio = 8;
-const mostUrgent = 0;
+const mostUrgentPriority = 0;
 /** Part of the tightest objective of more urgent requests that the reading queued before them may take. */
 const maxReadingRatio = 0.5;
 
@@ -114,8 +115,8 @@
     if (this.share.isAmple()) {
       return sent;
     }
-    const left = ordered.filter((request) => this.queue.has(request));
-    return [...sent, ...this.refuseLeft(left, now)];
+    const waiting = ordered.filter((request) => this.queue.has(request));
+    return [...sent, ...this.refuseWaiting(waiting, now)];
   }
 
   private sendWaiting(
@@ -133,7 +134,7 @@
       }
       const isInTime = request.sendBy > now;
       const mustSend = isAmple && (!isInTime || this.isFull());
-      if (mustSend || (isInTime && !this.yields(request, queuedMilliseconds, now))) {
+      if (mustSend || (isInTime && !this.mustYield(request, queuedMilliseconds, now))) {
         this.queue.take(request);
         actions.push({ kind: "send", request });
       }
@@ -141,25 +142,28 @@
     return actions;
   }
 
-  /** A less urgent request yields while reading is queued that makes more urgent ones late, until its own objective. */
-  private yields({ priority, goalAt }: QueuedRequest, queued: number, now: number): boolean {
+  /**
+   * Checks whether a request has to wait although slots are free, since the prompts queued at every upstream would make
+   * more urgent requests late. It has to no longer once its own objective has passed.
+   */
+  private mustYield({ priority, goalAt }: QueuedRequest, queued: number, now: number): boolean {
     const goal = this.rates.getUrgentGoal(priority, now);
     return goal !== undefined && now < goalAt && queued > goal * maxReadingRatio;
   }
 
   private isFull(): boolean {
-    const limit = Math.floor(this.share.getLimit(mostUrgent) * waitingRatio);
+    const limit = Math.floor(this.share.getLimit(mostUrgentPriority) * waitingRatio);
     const maxCount = Math.min(maxWaitingRequests, Math.max(minWaitingRequests, limit));
     return this.queue.getCount() > maxCount || this.options.getFreeBytes() < 0;
   }
 
-  /** Refuses what would begin too late and, from the end of the order, what exceeds the bounds. */
-  private refuseLeft(left: readonly QueuedRequest[], now: number): readonly QueueAction[] {
+  /** Refuses requests that would begin too late and, from the end of the order, those that exceed the queue's bounds. */
+  private refuseWaiting(waiting: readonly QueuedRequest[], now: number): readonly QueueAction[] {
     const actions: QueueAction[] = [];
     const kept: { readonly request: QueuedRequest; readonly turnAt: number }[] = [];
     let workAhead = 0;
-    for (const request of left) {
-      const work = workAhead + this.rates.getMilliseconds(request.priority);
+    for (const request of waiting) {
+      const work = workAhead + this.rates.getRunMilliseconds(request.priority);
       const turnAt = this.getTurnAt(request, work, now);
       if (request.sendBy <= now || turnAt > request.sendBy) {
         actions.push(this.refuse(request, "tooLate", turnAt, now));
@@ -175,8 +179,11 @@
   }
 
   /**
-   * Gets when the work up to and including a request has begun. One that is late for its objective waits for those of its
-   * own priority, too, that arrive after it.
+   * Gets when a request is expected to have a slot. Arrivals of more urgent priorities go before it; before one that is
+   * late for its objective, arrivals of its own priority go, too.
+   * @param request - The request.
+   * @param work - Milliseconds that the requests ahead and this one run, summed over all slots.
+   * @param now - Monotonic time.
    */
   private getTurnAt(request: QueuedRequest, work: number, now: number): number {
     const { priority } = request;
@@ -199,7 +206,7 @@
       this.refusals.set(priority, account);
     }
     const requestMilliseconds =
-      this.rates.getMilliseconds(priority) / this.share.getLimit(priority);
+      this.rates.getRunMilliseconds(priority) / this.share.getLimit(priority);
     return {
       kind: "refuse",
       request,
--- a/packages/kernel/src/overload/CapacityShare.ts
+++ b/packages/kernel/src/overload/CapacityShare.ts
@@ -13,8 +13,8 @@
 
 /**
  * Part of the slots that requests of each priority may use; the last one holds for all that follow. Upstreams have
- * short queues ordered by priority, so that the most urgent may exceed the slots a little. With 5 points more for the less urgent, 80% of
- * the most urgent were served in their objective at four times the load, in place of 91% (loads.test.ts).
+ * short queues ordered by priority, so that the most urgent may exceed the slots a little. With 1.0 and 0.9 for the less
+ * urgent, 80% of the most urgent were served in their objective at four times the load, in place of 91% (loads.test.ts).
  */
 const usableRatios = [1.1, 0.95, 0.85];
 
@@ -24,10 +24,10 @@
 /** Time in which the slots that count rise from none to all, so that what waits does not come at once. */
 const rampMilliseconds = 3_000;
 
-/** Even parts of the free slots that a daemon may borrow at once: its part of the callers may be as uneven. */
+/** Even parts of the free slots that a daemon may borrow at once, as it may have three times the callers of another. */
 const borrowedParts = 3;
 
-/** Number of upstreams whose recent reports stand for all of them. */
+/** Upstreams with recent reports from which on these reports stand for all upstreams. */
 const minReports = 2;
 
 /** The requests that one daemon may have in flight at the upstreams of a service. */
@@ -41,7 +41,8 @@
   private taken = 0;
   private running = 0;
   private daemons = 1;
-  private isRoomy = true;
+  /** Whether much is free, or there are no slots to wait for. */
+  private hasFreeSlots = true;
 
   private constructor() {
     // Created through the static method.
@@ -65,7 +66,7 @@
     this.daemons = Math.max(1, fleet.daemons);
     this.running = capacity.running;
     this.taken = Math.max(1, getTaken(capacity, fleet));
-    this.isRoomy =
+    this.hasFreeSlots =
       capacity.slots === 0 || (capacity.waiting === 0 && this.taken < capacity.slots * ampleRatio);
     if (now - this.baselineAt >= baselinePeriodMilliseconds) {
       this.baselineAt = now;
@@ -76,7 +77,7 @@
 
   /** Checks whether everything may be sent: much is free, or there is nothing to wait for. */
   isAmple(): boolean {
-    return this.isRoomy;
+    return this.hasFreeSlots;
   }
 
   /**
@@ -90,8 +91,8 @@
     const scaledBaseline = this.baselineRunning * (usable / this.baselineTaken);
     const scaledRunning = this.running * (usable / this.taken);
     const free = Math.max(0, usable - this.taken);
-    const lent = free === 0 ? 0 : this.baselineRunning + (borrowedParts * free) / this.daemons;
-    return Math.max(1, evenPart, Math.min(scaledBaseline, scaledRunning), lent);
+    const borrowed = free === 0 ? 0 : this.baselineRunning + (borrowedParts * free) / this.daemons;
+    return Math.max(1, evenPart, Math.min(scaledBaseline, scaledRunning), borrowed);
   }
 
   private getRampedSlots(slots: number, now: number): number {
--- a/packages/kernel/src/overload/ServiceRates.ts
+++ b/packages/kernel/src/overload/ServiceRates.ts
@@ -5,12 +5,15 @@
 /** Part of the capacity that a priority is expected to get however much more urgent requests arrive. */
 const minRemainingRatio = 0.1;
 
-/** Mean deviations above the mean time to the first byte that most requests do not exceed. */
-const deviations = 2;
+/**
+ * Mean deviations above the mean time to the first byte that most requests do not exceed. By the mean alone, half of the
+ * requests that are sent last miss their objective.
+ */
+const allowedDeviations = 2;
 
 interface PriorityRates {
   /** Mean time from sending to the end; undefined before the first end. */
-  milliseconds: number | undefined;
+  runMilliseconds: number | undefined;
   /** Mean time from sending to the first byte; 0 before the first. */
   firstByteMilliseconds: number;
   /** Mean deviation from that time. */
@@ -25,7 +28,8 @@
 /** How long requests of each priority run, and how often they arrive, at one daemon. */
 export class ServiceRates {
   private readonly priorities = new Map<number, PriorityRates>();
-  private anyMilliseconds: number | undefined;
+  /** Mean time from sending to the end over all priorities; undefined before the first end. */
+  private overallMilliseconds: number | undefined;
 
   private constructor() {
     // Created through the static method.
@@ -60,8 +64,8 @@
    */
   addEnd(priority: number, milliseconds: number, now: number): void {
     const rates = this.getRates(priority, now);
-    rates.milliseconds = smooth(rates.milliseconds, milliseconds);
-    this.anyMilliseconds = smooth(this.anyMilliseconds, milliseconds);
+    rates.runMilliseconds = smooth(rates.runMilliseconds, milliseconds);
+    this.overallMilliseconds = smooth(this.overallMilliseconds, milliseconds);
   }
 
   /**
@@ -85,15 +89,15 @@
     const rates = this.priorities.get(priority);
     return rates === undefined
       ? 0
-      : rates.firstByteMilliseconds + deviations * rates.firstByteDeviation;
+      : rates.firstByteMilliseconds + allowedDeviations * rates.firstByteDeviation;
   }
 
   /**
    * Gets the mean time that a request of a priority runs, or that of all when it has none; 0 when none is known.
    * @param priority - The priority.
    */
-  getMilliseconds(priority: number): number {
-    return this.priorities.get(priority)?.milliseconds ?? this.anyMilliseconds ?? 0;
+  getRunMilliseconds(priority: number): number {
+    return this.priorities.get(priority)?.runMilliseconds ?? this.overallMilliseconds ?? 0;
   }
 
   /**
@@ -107,7 +111,7 @@
     for (const [each, rates] of this.priorities) {
       if (each < priority) {
         const perMillisecond = getArrivals(rates, now) / arrivalMemoryMilliseconds;
-        used += (perMillisecond * this.getMilliseconds(each)) / limit;
+        used += (perMillisecond * this.getRunMilliseconds(each)) / limit;
       }
     }
     return Math.max(minRemainingRatio, 1 - used);
@@ -131,7 +135,7 @@
     let rates = this.priorities.get(priority);
     if (rates === undefined) {
       rates = {
-        milliseconds: undefined,
+        runMilliseconds: undefined,
         firstByteMilliseconds: 0,
         firstByteDeviation: 0,
         arrivals: 0,
--- a/packages/kernel/src/upstreams/RateSlots.ts
+++ b/packages/kernel/src/upstreams/RateSlots.ts
@@ -74,10 +74,12 @@
 }
 
 /**
- * Gets how long a slot stays open. Without a bound it is as long as for the limits that upstreams name: requests with a key
- * go to few upstreams, and miss most shorter slots. With one, daemons that were idle may all send at one moment in their open slots and then in each
- * one that follows, so in a second up to the rate times one second plus the lifetime; half of what the bound allows above
- * the rate is left for positions that are not agreed on.
+ * Gets how long a slot stays open.
+ *
+ * Without a bound it is as long as for the limits that upstreams name: requests with a key go to few upstreams, and miss
+ * most shorter slots. With a bound, daemons that were idle may all send at one moment in their open slots and then in
+ * each one that follows, so in a second up to the rate times one second plus the lifetime. Half of what the bound allows
+ * above the rate is left for positions that are not agreed on.
  */
 function getLifetime({ perSecond, mostInSecond }: SharedRate): number {
   if (mostInSecond === Infinity) {
--- a/packages/kernel/src/upstreams/UpstreamStart.ts
+++ b/packages/kernel/src/upstreams/UpstreamStart.ts
@@ -5,9 +5,9 @@
 import { UpstreamPace, type PaceChange } from "./UpstreamPace.js";
 
 /**
- * What a daemon sends to an upstream that started or recovered a short while ago: at most its share of the rate that a cold
- * upstream tolerates, and of the pace that is found from answers. Kept over the incarnations of the upstream, so that a restart gives no further slot. Times are monotonic
- * milliseconds.
+ * What a daemon sends to an upstream that started or recovered a short while ago: at most its share of the rate that a
+ * cold upstream tolerates, and of the pace that is found from answers. It is kept over the incarnations of the upstream,
+ * so that a restart gives no further slot. Times are monotonic milliseconds.
  */
 export class UpstreamStart {
   /** End of the time for which the upstream said that it is cold. */
