Source lookup of a request in one place; judgeAnswer is applyAnswerToPace

Cause: the lookup of a prompt's source and the status from which answers tell nothing of reading stood in PromptReading and in UpstreamTarget. judgeAnswer did not say that it changes the pace of the upstream.

Change: getSourceLookup builds it; one firstErrorStatus; UpstreamTarget.canFetch. No behaviour changes. UpstreamPace, PromptReading, workAwareTarget and slowStart tests pass.

--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -4,6 +4,7 @@
   type RequestContent,
   type RequestHead,
   type RequestApproval,
+  type SourceLookup,
 } from "@pistachioway/kernel";
 
 /** What a peer told about a request that it forwarded, because it reaches no upstream of the service. */
@@ -83,6 +84,24 @@
   return getSharedPromptBlocks(head).map(({ tokens }) => tokens);
 }
 
+/**
+ * Gets what the source of the shared part of a request's prompt is found by.
+ * @param request - The request.
+ * @param now - Monotonic time in milliseconds.
+ */
+export function getSourceLookup(
+  { head, service }: Pick<AcceptedRequest, "head" | "service">,
+  now: number,
+): SourceLookup {
+  return {
+    service,
+    stickyKey: getStickyKey(head),
+    sharedBlocks: getSharedBlocks(head),
+    sharedBlockTokens: getSharedBlockTokens(head),
+    now,
+  };
+}
+
 function getSharedPromptBlocks({ promptBlocks }: RequestHead): readonly PromptBlock[] {
   return promptBlocks.length > 1 ? promptBlocks.slice(0, -1) : promptBlocks;
 }
--- a/packages/daemon/src/ingress/PromptReading.ts
+++ b/packages/daemon/src/ingress/PromptReading.ts
@@ -4,15 +4,11 @@
   type ResponseHead,
   type UpstreamChoice,
 } from "@pistachioway/kernel";
-import {
-  getSharedBlocks,
-  getSharedBlockTokens,
-  getStickyKey,
-  type AcceptedRequest,
-} from "./AcceptedRequest.js";
+import { getSourceLookup, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 
-const firstErrorStatus = 400;
+/** Lowest status of an answer that does not show that the prompt was read. */
+export const firstErrorStatus = 400;
 
 /** State of a daemon that the reading of prompts changes. */
 export type PromptReadingState = Pick<
@@ -44,13 +40,12 @@
    */
   static start(
     state: PromptReadingState,
-    { head, service }: Pick<AcceptedRequest, "head" | "service">,
+    request: Pick<AcceptedRequest, "head" | "service">,
     choice: UpstreamChoice,
     now: number,
   ): PromptReading {
-    const sharedBlocks = getSharedBlocks(head);
-    const sharedBlockTokens = getSharedBlockTokens(head);
-    const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, sharedBlockTokens, now };
+    const lookup = getSourceLookup(request, now);
+    const { sharedBlocks } = lookup;
     const source = findPrefixSource(state, lookup, choice.entry, choice.preferred);
     state.metrics.promptSources.inc({ source: source.kind });
     state.prefixes.startReading(sharedBlocks, choice.entry);
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -1,10 +1,10 @@
 import {
+  applyAnswerToPace,
   applyResponseHead,
   findPrefixHolder,
   findPrefixSource,
   getRequestWork,
   isRepeatable,
-  judgeAnswer,
   type PlacedWork,
   type RequestApproval,
   type RequestWork,
@@ -16,18 +16,16 @@
 import { Exchange, type ExchangeListener } from "../exchange/index.js";
 import {
   getSharedBlocks,
-  getSharedBlockTokens,
+  getSourceLookup,
   getStickyKey,
   type AcceptedRequest,
 } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AttemptTarget, TargetReport } from "./AttemptTarget.js";
 import { chooseRequestUpstream } from "./chooseRequestUpstream.js";
-import { PromptReading } from "./PromptReading.js";
+import { firstErrorStatus, PromptReading } from "./PromptReading.js";
 
 const maxPriority = 9;
-/** Answers from this status on tell nothing of how long work takes. */
-const errorStatus = 400;
 
 /** An upstream to which this daemon sends a request directly. */
 export class UpstreamTarget implements AttemptTarget {
@@ -125,11 +123,11 @@
     const { upstreams, workEstimator, onNotices } = this.dependencies;
     this.reading?.recordHead(head, now);
     onNotices(applyResponseHead(upstreams, this.entry, head, now, workEstimator));
-    if (this.work !== undefined && head.meaning === "final" && head.status < errorStatus) {
+    if (this.work !== undefined && head.meaning === "final" && head.status < firstErrorStatus) {
       workEstimator.recordFirstByte(this.entry, this.work, now);
     }
     if (!head.isMisdirected) {
-      this.judge(head.meaning !== "final" || head.requestedRest !== undefined, now);
+      this.applyToPace(head.meaning !== "final" || head.requestedRest !== undefined, now);
     }
   }
 
@@ -166,7 +164,7 @@
   }
 
   recordFailure(now: number): void {
-    this.judge(true, now);
+    this.applyToPace(true, now);
     this.entry.recordFailure(now, this.dependencies.upstreams.getMedianFailureRate(this.entry));
   }
 
@@ -199,27 +197,27 @@
   /** Gets the work of the request at an upstream, which may fetch what another one has cached. */
   private getWork({ entry, preferred }: UpstreamChoice, now: number): RequestWork {
     const { dependencies, request } = this;
-    const { head, service } = request;
-    const sharedBlocks = getSharedBlocks(head);
-    const canFetch = dependencies.getService(service)?.engine?.canFetch === true;
-    const isWorkAware = dependencies.workEstimator.isWorkAware(service);
-    const sharedBlockTokens = getSharedBlockTokens(head);
-    const lookup = { service, stickyKey: getStickyKey(head), sharedBlocks, sharedBlockTokens, now };
-    const source =
-      canFetch && isWorkAware
-        ? findPrefixSource(dependencies, lookup, entry, preferred).entry
-        : undefined;
+    const isFetchPlanned =
+      dependencies.workEstimator.isWorkAware(request.service) && this.canFetch();
+    const source = isFetchPlanned
+      ? findPrefixSource(dependencies, getSourceLookup(request, now), entry, preferred).entry
+      : undefined;
     const holders = source === undefined ? [entry] : [entry, source];
-    return getRequestWork(dependencies.prefixes, head, holders, now);
+    return getRequestWork(dependencies.prefixes, request.head, holders, now);
+  }
+
+  /** Checks whether the engines of the service can fetch cached blocks from one another. */
+  private canFetch(): boolean {
+    return this.dependencies.getService(this.request.service)?.engine?.canFetch === true;
   }
 
-  /** Applies an answer to the pace of an upstream that has started. */
-  private judge(isRejected: boolean, now: number): void {
+  /** Applies an answer to the pace of the upstream, if it has started or recovered a short while ago. */
+  private applyToPace(isRejected: boolean, now: number): void {
     const { sentAt, dependencies, entry, request } = this;
     const { goalMilliseconds } = request.approval.route;
     const share = dependencies.getStartShare(request.service);
     const answer = { sentAt, goalMilliseconds, isRejected };
-    const notice = judgeAnswer(dependencies.upstreams, entry, answer, now, share);
+    const notice = applyAnswerToPace(dependencies.upstreams, entry, answer, now, share);
     if (notice !== undefined) {
       dependencies.addFleetNotice(notice);
     }
@@ -230,7 +228,7 @@
     const { dependencies, entry } = this;
     const { head, service } = this.request;
     const sharedBlocks = getSharedBlocks(head);
-    if (sharedBlocks.length === 0 || dependencies.getService(service)?.engine?.canFetch !== true) {
+    if (sharedBlocks.length === 0 || !this.canFetch()) {
       return undefined;
     }
     if (dependencies.workEstimator.isWorkAware(service)) {
--- a/packages/daemon/tests/fleet/SlowStartModel.ts
+++ b/packages/daemon/tests/fleet/SlowStartModel.ts
@@ -1,8 +1,8 @@
 import {
+  applyAnswerToPace,
   applyFleetNotices,
   chooseUpstream,
   getPaceBounds,
-  judgeAnswer,
   PrefixDirectory,
   RateSlots,
   UpstreamTable,
@@ -242,7 +242,7 @@
     }
     const share = this.getShare(daemon, table);
     const answer = { sentAt, goalMilliseconds, isRejected };
-    const notice = judgeAnswer(table, entry, answer, now, share);
+    const notice = applyAnswerToPace(table, entry, answer, now, share);
     if (notice !== undefined && this.isTold) {
       this.fleet.members[daemon]?.gossip.addNotice(notice, now);
     }
--- a/packages/kernel/src/upstreams/judgeAnswer.ts
+++ b/packages/kernel/src/upstreams/applyAnswerToPace.ts
@@ -4,11 +4,11 @@
 import type { UpstreamEntry } from "./UpstreamEntry.js";
 import type { UpstreamTable } from "./UpstreamTable.js";
 
-/** Multiple of the usual time of the other upstreams up to which a first byte is in time. */
+/** Multiple of the median time to the first byte of the other upstreams up to which a first byte is in time. */
 const lateRatio = 2;
 
 /** How an upstream answered a request. */
-export interface JudgedAnswer {
+export interface UpstreamAnswer {
   /** When the request was sent. */
   readonly sentAt: number;
   /** Time to the first byte within which the route is to be answered. */
@@ -27,10 +27,10 @@
  * @param share - What this daemon may send to upstreams after their start; undefined when nothing bounds it.
  * @returns What the other daemons are to be told.
  */
-export function judgeAnswer(
+export function applyAnswerToPace(
   upstreams: UpstreamTable,
   entry: UpstreamEntry,
-  { sentAt, goalMilliseconds, isRejected }: JudgedAnswer,
+  { sentAt, goalMilliseconds, isRejected }: UpstreamAnswer,
   now: number,
   share: StartShare | undefined,
 ): FleetNotice | undefined {
--- a/packages/kernel/src/upstreams/index.ts
+++ b/packages/kernel/src/upstreams/index.ts
@@ -12,13 +12,13 @@
   type PrefixSourceKind,
   type SourceLookup,
 } from "./findPrefixSource.js";
+export { applyAnswerToPace, type UpstreamAnswer } from "./applyAnswerToPace.js";
 export { createWorkPlacement, type WorkPlacement, type WorkToPlace } from "./WorkPlacement.js";
 export { findPrefixHolder, type PrefixLookup, type PrefixLookupState } from "./findPrefixHolder.js";
 export type { LimitShare } from "./LimitShare.js";
 export { PrefixDirectory } from "./PrefixDirectory.js";
 export { upstreamSchema, type Upstream } from "./schema.js";
 export { getPaceBounds } from "./getPaceBounds.js";
-export { judgeAnswer, type JudgedAnswer } from "./judgeAnswer.js";
 export { RateSlots, type SharedRate } from "./RateSlots.js";
 export type { ColdBound, StartShare } from "./StartShare.js";
 export { UpstreamPace, type PaceBounds, type PaceChange } from "./UpstreamPace.js";
--- a/packages/kernel/tests/upstreams/UpstreamPace.test.ts
+++ b/packages/kernel/tests/upstreams/UpstreamPace.test.ts
@@ -1,6 +1,6 @@
 import {
+  applyAnswerToPace,
   getPaceBounds,
-  judgeAnswer,
   UpstreamPace,
   type PaceChange,
   type StartShare,
@@ -137,7 +137,7 @@
     pace: bounds,
   };
   const answer = { sentAt: 10, goalMilliseconds: 800, isRejected };
-  return judgeAnswer(table, entry, answer, 10 + milliseconds, share);
+  return applyAnswerToPace(table, entry, answer, 10 + milliseconds, share);
 }
 
 test("a first byte is late when it is later than the objective and than twice that of the others", () => {
