One rule for the prompt blocks that requests share

Cause: the rule stood in the daemon's AcceptedRequest and in the kernel's getRequestWork.

Change: getSharedPromptBlocks of the kernel, used by both. Tests of work, PromptReading, workAwareTarget and streams pass.

--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -1,6 +1,6 @@
 import {
   getHash,
-  type PromptBlock,
+  getSharedPromptBlocks,
   type RequestContent,
   type RequestHead,
   type RequestApproval,
@@ -102,10 +102,6 @@
   };
 }
 
-function getSharedPromptBlocks({ promptBlocks }: RequestHead): readonly PromptBlock[] {
-  return promptBlocks.length > 1 ? promptBlocks.slice(0, -1) : promptBlocks;
-}
-
 /**
  * Gets the hashes of the ids of the prompt blocks that other requests may share, in order.
  * @param head - Head of the request.
--- a/packages/kernel/src/forwarding/index.ts
+++ b/packages/kernel/src/forwarding/index.ts
@@ -17,6 +17,7 @@
 export { getAnswerMeaning, type AnswerMeaning, type AnswerStatement } from "./getAnswerMeaning.js";
 export { isAllowedByNewer, type ApprovedRequest } from "./isAllowedByNewer.js";
 export { getRetryAfterSeconds } from "./getRetryAfterSeconds.js";
+export { getSharedPromptBlocks } from "./getSharedPromptBlocks.js";
 export {
   applyFleetNotices,
   applyResponseHead,
--- a/packages/kernel/src/work/getRequestWork.ts
+++ b/packages/kernel/src/work/getRequestWork.ts
@@ -1,4 +1,4 @@
-import type { RequestHead } from "../forwarding/index.js";
+import { getSharedPromptBlocks, type RequestHead } from "../forwarding/index.js";
 import { getHash } from "../hashing/index.js";
 import type { PrefixDirectory, UpstreamEntry } from "../upstreams/index.js";
 import type { RequestWork } from "./RequestWork.js";
@@ -15,16 +15,16 @@
  */
 export function getRequestWork(
   prefixes: PrefixDirectory,
-  { promptBlocks, tokens }: RequestPrompt,
+  prompt: RequestPrompt,
   holders: readonly UpstreamEntry[],
   now: number,
 ): RequestWork {
-  // The last of several blocks is not shared with other requests, so that no engine has it cached.
-  const shared = promptBlocks.length > 1 ? promptBlocks.slice(0, -1) : promptBlocks;
-  const heldCount = shared.findLastIndex(({ id }) =>
+  const { promptBlocks, tokens } = prompt;
+  const shared = getSharedPromptBlocks(prompt);
+  const lastHeldIndex = shared.findLastIndex(({ id }) =>
     holders.some((entry) => prefixes.isHeldBy(getHash(id), entry, now)),
   );
-  const cachedTokens = sumTokens(shared.slice(0, heldCount + 1));
+  const cachedTokens = sumTokens(shared.slice(0, lastHeldIndex + 1));
   const promptTokens = tokens?.prompt ?? sumTokens(promptBlocks);
   return {
     promptTokens,
