--- a/packages/cli/src/commands/RouterCheck.ts
+++ b/packages/cli/src/commands/RouterCheck.ts
@@ -26,7 +26,9 @@
   readonly changes: readonly ConfigurationChange[];
 }
 
-type ForceReport = Pick<CheckReport, "versionInForce" | "changes">;
+type VersionComparison = Pick<CheckReport, "versionInForce" | "changes">;
+
+const noComparison: VersionComparison = { versionInForce: null, changes: [] };
 
 /** Validates a configuration before it is published, with the decoder that the routers use. */
 export class RouterCheck extends BaseCommand {
@@ -55,8 +57,7 @@
     }
     if (routing === undefined) {
       this.log(`${file}: refused`);
-      const nothing = { warnings: [], versionInForce: null, changes: [] };
-      return { file, isReadable: false, version: null, faults, ...nothing };
+      return { file, isReadable: false, version: null, faults, warnings: [], ...noComparison };
     }
     const warnings = getRoutingWarnings(routing);
     this.logFindings(
@@ -87,9 +88,9 @@
     file: string,
     routing: Routing,
     daemon: string | undefined,
-  ): Promise<ForceReport> {
+  ): Promise<VersionComparison> {
     if (daemon === undefined) {
-      return { versionInForce: null, changes: [] };
+      return noComparison;
     }
     const query = await queryDaemons([daemon], (client) => client.getRouting());
     const inForce = query.responses[0]?.value;
@@ -98,7 +99,7 @@
       query.failures.forEach(({ message }) => {
         this.logToStderr(`error: ${toPrintable(message)}`);
       });
-      return { versionInForce: null, changes: [] };
+      return noComparison;
     }
     if (routing.version <= inForce.version) {
       this.raiseExitCode(exitCodes.findings);
