Reasons and names of constants for pace, slots and expected work; retained zones

Cause: some constants had no reason although the design notes have one, or a comment that needed the one before it; held and finish in EvacuatedZones, unknownQueue in the estimator said too little.

Change: comments with reason and unit; retainedZones, completeUpdate, assumedQueuedRequests. Tests of evacuations, upstreams, work, slowStart and coldStart pass.

--- a/packages/kernel/src/evacuations/EvacuatedZones.ts
+++ b/packages/kernel/src/evacuations/EvacuatedZones.ts
@@ -32,8 +32,8 @@
   private registryZones: ReadonlySet<string> = new Set();
   /** List of the peer that was asked after the last response of the registry. */
   private peerZones: ReadonlySet<string> | undefined;
-  /** Evacuated zones that a list lacked during a restoration. */
-  private held: ReadonlySet<string> = new Set();
+  /** Zones that stay evacuated although a list lacked them, since the list is from the time of a restoration. */
+  private retainedZones: ReadonlySet<string> = new Set();
   private restorationEndsAt = -Infinity;
   private isCurrent = false;
 
@@ -48,12 +48,12 @@
 
   /** Checks whether a zone is evacuated. */
   isEvacuated(zone: string): boolean {
-    return (this.peerZones ?? this.registryZones).has(zone) || this.held.has(zone);
+    return (this.peerZones ?? this.registryZones).has(zone) || this.retainedZones.has(zone);
   }
 
   /** Gets the evacuated zones in alphabetical order. */
   getZones(): readonly string[] {
-    return [...new Set([...(this.peerZones ?? this.registryZones), ...this.held])].sort();
+    return [...new Set([...(this.peerZones ?? this.registryZones), ...this.retainedZones])].sort();
   }
 
   /**
@@ -90,7 +90,7 @@
     } else {
       this.peerZones = new Set(zones);
     }
-    return this.finish(before, new Set(), asOf);
+    return this.completeUpdate(before, new Set(), asOf);
   }
 
   /**
@@ -115,18 +115,21 @@
     }
     this.registryZones = zones;
     this.peerZones = undefined;
-    return this.finish(before, new Set(changes.map(({ zone }) => zone)), requestedAt);
+    return this.completeUpdate(before, new Set(changes.map(({ zone }) => zone)), requestedAt);
   }
 
-  /** Holds what is missing during a restoration, unless it was changed since, and gets what differs from before. */
-  private finish(
+  /**
+   * Retains zones that are missing during a restoration, except those that a watch has just changed.
+   * @returns Zones whose evacuation starts or ends.
+   */
+  private completeUpdate(
     before: readonly string[],
     changed: ReadonlySet<string>,
     asOf: number,
   ): readonly EvacuationChange[] {
     this.isCurrent = true;
     const isRestored = asOf < this.restorationEndsAt;
-    this.held = new Set(isRestored ? before.filter((zone) => !changed.has(zone)) : []);
+    this.retainedZones = new Set(isRestored ? before.filter((zone) => !changed.has(zone)) : []);
     const known = new Set(before);
     return [
       ...this.getZones()
--- a/packages/kernel/src/upstreams/UpstreamStart.ts
+++ b/packages/kernel/src/upstreams/UpstreamStart.ts
@@ -28,8 +28,8 @@
   }
 
   /**
-   * Applies how long the upstream is still cold, by its record or a response. A value that is older than it seems ends too
-   * late, never too early.
+   * Applies how long the upstream is still cold, by its record or a response. A value that took
+   * long to arrive makes the upstream count as cold for too long, never too briefly.
    * @param milliseconds - Remaining time.
    * @param now - Current time.
    */
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -71,9 +71,12 @@
 /** Rate at which all daemons together ask an upstream that takes no requests whether that still holds. */
 export const lowestLimitPerSecond = 0.1;
 
-/** Bounds of the time for which a slot of a rate that all daemons share stays open without a request. */
+/** Shortest time for which a slot stays open without a request, also where a bound leaves no room for more. */
 export const shortestSlotMilliseconds = 50;
-/** Daemons that were idle send in all open slots at once: after 200 ms, a fifth of a second's requests too many. */
+/**
+ * Longest time for which a slot stays open without a request under a bound. Daemons that were idle send in all open slots
+ * at once: with 200 ms, that adds a fifth of a second's requests.
+ */
 export const longestSlotMilliseconds = 200;
 
 /** Longest time for which an upstream may say that it is cold. */
@@ -83,18 +86,21 @@
 export const paceGrowthFactor = 2;
 /** The same once a request was rejected or late, as the pace that the upstream takes is then near. */
 export const paceGrowthAfterSetback = 1.5;
-/** Factor by which the pace changes with a request that was rejected or late. */
+/** Factor that the pace is multiplied by when a request was rejected or late. */
 export const paceReductionFactor = 0.5;
 /** Shortest time between two steps of growth, in which the rejections of other daemons are told of. */
 export const paceStepMilliseconds = 500;
-/** Lowest pace, as a part of the initial one. */
+/**
+ * Lowest pace, as a part of the initial one. From a sixteenth, an upstream that had become sound again got less than one
+ * request a second for seconds (docs/design/slow-start.md).
+ */
 export const lowestPaceRatio = 1 / 4;
 /** Weight of the newest time to the first byte in the average of an upstream. */
 export const firstByteWeight = 0.1;
-/** Time after the first upstreams were listed from which one that is added has just started. */
+/** Time after this daemon first listed upstreams; one that is added later has just started, rather than been unknown. */
 export const firstListMilliseconds = 5_000;
 
-/** Part of the slots of a service that requests hold from which none of its upstreams is paced. */
+/** Used part of the slots of the upstreams that may be sent to at which those that have started are no longer paced. */
 export const crowdedRatio = 0.75;
 
 /** Load limit of an upstream: the mean load of its service times this factor plus the allowance. */
@@ -108,7 +114,7 @@
 export const comparedHolders = 4;
 /** An expected time above this multiple of the best one is much later. */
 export const laterFactor = 2;
-/** It is so only if the difference is above this part of the route's latency objective, too. */
+/** The same time is much later only if it also exceeds the best one by this part of the route's latency objective. */
 export const laterGoalRatio = 0.15;
 /** Time of a KV cache transfer: about 3 ms for 10,000 tokens, with an allowance for longer prompts. */
 export const transferMilliseconds = 8;
--- a/packages/kernel/src/upstreams/getPaceBounds.ts
+++ b/packages/kernel/src/upstreams/getPaceBounds.ts
@@ -1,11 +1,14 @@
 import type { UpstreamEntry } from "./UpstreamEntry.js";
 import type { PaceBounds } from "./UpstreamPace.js";
 
-/** Pace of an upstream that starts, as a part of what the others get on average. */
+/**
+ * Initial pace, as a part of what an upstream of the service gets on average. From half of it, callers at a busy service
+ * were late twice as often (docs/design/slow-start.md).
+ */
 const initialRatio = 1;
-/** Pace from which the upstream is unrestricted, as a multiple of the same. */
+/** Pace from which the upstream is unrestricted, as a multiple of that average. */
 const fullRatio = 2;
-/** Pace of an upstream that starts while there are next to no requests. */
+/** Lowest initial pace, for a service that gets next to no requests. */
 const lowestInitialPerSecond = 1;
 
 /**
--- a/packages/kernel/src/work/WorkEstimator.ts
+++ b/packages/kernel/src/work/WorkEstimator.ts
@@ -2,11 +2,11 @@
 import type { UpstreamEntry } from "../upstreams/index.js";
 import {
   assumedMillisecondsPerToken,
+  assumedQueuedRequests,
   firstFixedMilliseconds,
   longestExpectedMilliseconds,
   silenceRatio,
   steadySlowdownRatio,
-  unknownQueue,
   unknownRepeatMilliseconds,
   unknownSilenceRatio,
 } from "./constants.js";
@@ -194,7 +194,7 @@
     if (now + arrival > deadline) {
       return false;
     }
-    // Of what is overdue by some time, the same time is expected again.
+    // A request that is overdue by some time is expected to take that time once more.
     const expected = (request.expectedMilliseconds ?? expectedNext) + late;
     return isLost || (!next.entry.isAvoided(now) && arrival < Math.abs(expected - waited));
   }
@@ -227,7 +227,7 @@
 function getSilenceAllowance(service: ServiceWork, upstream: UpstreamWork, now: number): number {
   const estimate = service.speed.getEstimate() ?? assumedReading;
   const meanTokens = service.getMeanTokens();
-  const queued = unknownQueue * meanTokens * estimate.millisecondsPerToken;
+  const queued = assumedQueuedRequests * meanTokens * estimate.millisecondsPerToken;
   const late = Math.max(queued, service.getLateMilliseconds(upstream, now));
   return upstream.getHeldMilliseconds(estimate, meanTokens, now) + late;
 }
--- a/packages/kernel/src/work/constants.ts
+++ b/packages/kernel/src/work/constants.ts
@@ -1,4 +1,7 @@
-/** Largest time that is expected, and longest silence of an upstream, so that a wrong estimate hides no dead one for long. */
+/**
+ * Upper bound of expected times and of the bound of silence. An upstream that does not answer is found within this time
+ * even if the estimate is wrong.
+ */
 export const longestExpectedMilliseconds = 5_000;
 
 /** Time for which a reported slowdown is used; it changes by turns of about that length. */
@@ -22,7 +25,7 @@
 export const sampleQuantile = 0.25;
 /** Milliseconds per token below which a prompt was cached although this daemon did not know: 200 tokens a millisecond. */
 export const shortestMillisecondsPerToken = 0.005;
-/** Change of the reported slowdown during a prompt at which its time tells nothing. */
+/** Factor by which the reported slowdown may change while a prompt is read for its time to be used as a sample. */
 export const steadySlowdownRatio = 1.25;
 /** Fixed part of the time to the first byte until it is known. */
 export const firstFixedMilliseconds = 30;
@@ -39,10 +42,10 @@
 /** Reading speed by which the bound of silence is set until one is known: that of a slow engine. */
 export const assumedMillisecondsPerToken = 0.05;
 /**
- * Requests of other daemons that may be read before a request and are not known, each with the mean unread tokens of this
- * daemon's own. In a cold start, 300 prompts for 42 engines make queues of this length.
+ * Requests of other daemons that are assumed to be read before a request, since this daemon does not know of them; each
+ * counts with the mean unread tokens of its own requests. In a cold start, 300 prompts for 42 engines make queues of this length.
  */
-export const unknownQueue = 4;
+export const assumedQueuedRequests = 4;
 /** Time for which the lateness of a first byte tells of other requests of the service. */
 export const latenessLifetimeMilliseconds = 1_000;
 /**
