--- a/packages/kernel/src/upstreams/UpstreamStart.ts
+++ b/packages/kernel/src/upstreams/UpstreamStart.ts
@@ -5,9 +5,9 @@
 import { UpstreamPace, type PaceChange } from "./UpstreamPace.js";
 
 /**
- * What a daemon sends to an upstream that started or recovered a short while ago: at most its share of the rate that a cold
- * upstream tolerates, and of the pace that is found from answers. Kept over the incarnations of the upstream, so that a restart gives no further slot. Times are monotonic
- * milliseconds.
+ * What a daemon sends to an upstream that started or recovered a short while ago: at most its share of the rate that a
+ * cold upstream tolerates, and of the pace that is found from answers. It is kept over the incarnations of the upstream,
+ * so that a restart gives no further slot. Times are monotonic milliseconds.
  */
 export class UpstreamStart {
   /** End of the time for which the upstream said that it is cold. */
@@ -28,8 +28,9 @@
   }
 
   /**
-   * Applies how long the upstream is still cold, by its record or a response. A value that is older than it seems ends too
-   * late, never too early. One that says that it is warm has not started again.
+   * Applies how long the upstream is still cold, by its record or a response. A value that took
+   * long to arrive makes the upstream count as cold for too long, never too briefly.
+   * An upstream that says that it is warm has not started again.
    * @param milliseconds - Remaining time; 0 when it is warm.
    * @param now - Current time.
    */
