Services with engines can be made work-aware by a setting

Ruled out: taking each service with engines for work-aware, which would change the deployments before; a service with a cold start, which says nothing of its prompts.

Hosts that tell no slowdown count as usual.

--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -361,6 +361,14 @@
     this.ingress.setLimits(table.limits);
     this.metrics.configurationVersion.set(table.version);
     const { routes, services, teams } = table.getRouting();
+    if (this.dependencies.settings.work.isEnabled) {
+      const { workEstimator } = this.reachability;
+      services
+        .filter(({ engine }) => engine !== undefined)
+        .forEach(({ name }) => {
+          workEstimator.enable(name);
+        });
+    }
     this.record("info", "configuration.in-force", {
       version: table.version,
       routes: routes.length,
--- a/packages/daemon/src/router/settings.ts
+++ b/packages/daemon/src/router/settings.ts
@@ -64,6 +64,15 @@
       slack: z.number().min(0).max(1_000),
     })
     .optional(),
+  work: z
+    .strictObject({
+      /**
+       * Whether each service with engines is placed and judged by the work of its requests. Otherwise only services whose
+       * upstreams report the slowdown of their hosts are.
+       */
+      isEnabled: z.boolean().default(false),
+    })
+    .prefault({}),
   pacing: z
     .strictObject({
       /** Whether upstreams that start or recover are sent more and more as they answer in time. */
--- a/packages/kernel/src/work/WorkEstimator.ts
+++ b/packages/kernel/src/work/WorkEstimator.ts
@@ -45,7 +45,15 @@
   }
 
   /**
-   * Checks whether the upstreams of a service tell how long work takes on their hosts.
+   * Makes a service work-aware whether its upstreams tell their slowdown or not; without it, hosts count as usual.
+   * @param service - Name of the service.
+   */
+  enable(service: string): void {
+    this.getService(service).isWorkAware = true;
+  }
+
+  /**
+   * Checks whether the upstreams of a service tell how long work takes on their hosts, or the service was enabled.
    * @param service - Name of the service.
    */
   isWorkAware(service: string): boolean {
--- a/packages/kernel/tests/work/WorkEstimator.test.ts
+++ b/packages/kernel/tests/work/WorkEstimator.test.ts
@@ -59,6 +59,20 @@
   assert.is(estimator.isWorkAware("other"), false);
 });
 
+test("a service that is enabled is work-aware, and estimated, without a reported slowdown", () => {
+  const estimator = WorkEstimator.create();
+  const [entry] = getEntries(1);
+  if (entry === undefined) {
+    throw new Error("the table is empty");
+  }
+  estimator.enable("engine");
+  [0, 1_000, 2_000, 3_000].forEach((sentAt) => {
+    serve(estimator, entry, 10_000, [sentAt, 130], undefined);
+  });
+  const expected = estimator.getExpectedMilliseconds(entry, createWork(20_000), 9_000) ?? 0;
+  assert.equal([estimator.isWorkAware("engine"), expected > 200 && expected < 300], [true, true]);
+});
+
 test("a response head brings the report to the estimator", () => {
   const table = createTable(1);
   const [entry] = table.getEntries();
