While upstreams are evacuated or cold, the load limit counts all upstreams of the service

Cause: the choice bounds the load of an upstream by 1.4 times the mean of the candidates and 2 requests. With a third of the engines evacuated that mean is half again that of the service, of which an upstream may hold twice and 3 requests.

Ruled out: a lower factor at all times, which spills prompts from their engines on every deployment.

Change: while upstreams of the service are evacuated or cold, the limit is at most 1.7 times the mean over all of them and 2 requests.

--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -1,5 +1,5 @@
 import { getHash, getRendezvousScore } from "../hashing/index.js";
-import { crowdedRatio, loadAllowance, loadFactor } from "./constants.js";
+import { crowdedRatio, loadAllowance, loadFactor, reducedLoadFactor } from "./constants.js";
 import type { LimitShare } from "./LimitShare.js";
 import type { StartShare } from "./StartShare.js";
 import type { UpstreamEntry } from "./UpstreamEntry.js";
@@ -76,7 +76,12 @@
   const choice =
     requirements.stickyKey === undefined
       ? chooseLeastLoaded(candidates, requirements)
-      : chooseByKey(candidates, requirements.stickyKey, requirements);
+      : chooseByKey(
+          candidates,
+          requirements.stickyKey,
+          getLoadLimit(entries, candidates, requirements),
+          requirements,
+        );
   return choice && path && { ...choice, path };
 }
 
@@ -165,9 +170,37 @@
 /** Added to the load per slot of an upstream in another zone. */
 const otherZonePenalty = 0.45;
 
+/**
+ * Gets the requests from which on an upstream takes no more. While upstreams are evacuated or cold, those that remain share
+ * their load, but the bound on the load of one counts all upstreams of the service.
+ */
+function getLoadLimit(
+  entries: readonly UpstreamEntry[],
+  candidates: readonly UpstreamEntry[],
+  { service, startShare, now }: UpstreamRequirements,
+): number {
+  const limit = getMeanLoad(candidates, now) * loadFactor + loadAllowance;
+  const members = entries.filter(
+    (entry) => entry.record.service === service && entry.isInService(),
+  );
+  const isReduced = members.some(
+    ({ isEvacuated, start }) =>
+      isEvacuated || (startShare !== undefined && start.isCold(now, startShare)),
+  );
+  return isReduced
+    ? Math.min(limit, getMeanLoad(members, now) * reducedLoadFactor + loadAllowance)
+    : limit;
+}
+
+function getMeanLoad(entries: readonly UpstreamEntry[], now: number): number {
+  const total = entries.reduce((sum, entry) => sum + entry.getLoad(now), 0);
+  return total / Math.max(1, entries.length);
+}
+
 function chooseByKey(
   candidates: readonly UpstreamEntry[],
   key: string,
+  limit: number,
   { placement, now }: UpstreamRequirements,
 ): ChosenEntry | undefined {
   const ordered = orderByKey(candidates, key);
@@ -175,8 +208,6 @@
   if (preferred === undefined) {
     return undefined;
   }
-  const total = candidates.reduce((sum, entry) => sum + entry.getLoad(now), 0);
-  const limit = (total / candidates.length) * loadFactor + loadAllowance;
   const isBelowLimit = (entry: UpstreamEntry): boolean => entry.getLoad(now) < limit;
   const belowLimit = ordered.find(isBelowLimit) ?? preferred;
   const placed = placement && placeByWork(ordered, belowLimit, isBelowLimit, placement);
--- a/packages/kernel/src/upstreams/constants.ts
+++ b/packages/kernel/src/upstreams/constants.ts
@@ -105,6 +105,11 @@
 
 /** Load limit of an upstream: the mean load of its service times this factor plus the allowance. */
 export const loadFactor = 1.4;
+/**
+ * The same over all upstreams of the service while some are evacuated or cold. An upstream may hold twice that mean; the rest
+ * is for requests of peers that are not known yet.
+ */
+export const reducedLoadFactor = 1.7;
 /** Requests that an upstream may hold above the factor times the mean. */
 export const loadAllowance = 2;
 
--- a/packages/kernel/tests/evacuations/evacuatedUpstreams.test.ts
+++ b/packages/kernel/tests/evacuations/evacuatedUpstreams.test.ts
@@ -132,4 +132,27 @@
   assert.equal([entry?.running, entry?.isInService()], [1, true]);
 });
 
+// Guards against upstreams above the bound on load, which counts the evacuated ones that take nothing (LIMIT).
+test("lower the load limit of the upstreams that remain", () => {
+  const table = createTable(4, ["north", "south"]);
+  evacuate(table);
+  const first = choose(table)?.entry;
+  const remaining = table.getEntries().filter((entry) => entry.isOffered());
+  remaining.forEach((entry) => {
+    entry.running = entry === first ? 10 : 4;
+  });
+  const reasons = [choose(table)?.reason];
+  table.applyEvacuationChanges([{ zone: "north", isEvacuated: false }], 10);
+  table.getEntries().forEach((entry) => {
+    entry.running = entry === first ? 10 : 7;
+  });
+  reasons.push(choose(table, { excluded: getIds(table, "north") })?.reason);
+  assert.equal(reasons, ["spilled", "first"]);
+});
+
+function getIds(table: UpstreamTable, zone: string): ReadonlySet<string> {
+  const entries = table.getEntries().filter(({ record }) => record.zone === zone);
+  return new Set(entries.map(({ record }) => record.id));
+}
+
 test.run();
