Router: tasks and request dependencies are created by methods; one rule for a request's priority

Change: createPeriodicTasks and createRequestDependencies are private methods beside createFleetTask; getRequestPriority. No order of creation changes. Tests of router (Router, admission, stop, forwarding, rateLimit, coldStart, zoneEvacuation, repeatedRequest), ingress and the CLI's router commands: 19 of 19 files pass.

--- a/packages/daemon/src/ingress/AcceptedRequest.ts
+++ b/packages/daemon/src/ingress/AcceptedRequest.ts
@@ -59,6 +59,14 @@
   return forwarded?.lastEventId ?? head.lastEventId;
 }
 
+/**
+ * Gets the priority of a request, from 0, the most urgent: that of its team, else that of its route.
+ * @param approval - Approval of the request.
+ */
+export function getRequestPriority({ team, route }: RequestApproval): number {
+  return team?.priority ?? route.priority;
+}
+
 /**
  * Gets the id of the last prompt block that the requests of a chat share: the one before the
  * request's own block, or the only block.
--- a/packages/daemon/src/ingress/RequestAdmission.ts
+++ b/packages/daemon/src/ingress/RequestAdmission.ts
@@ -1,10 +1,10 @@
 import type { QueuedRequest, ResponseHead } from "@pistachioway/kernel";
-import type { AcceptedRequest } from "./AcceptedRequest.js";
+import { getRequestPriority, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { AdmissionListener } from "./AdmissionQueues.js";
 import type { StreamOrigin } from "./StreamOrigin.js";
 
-/** Time before the deadline in which a request cannot be served any more. */
+/** Time before its deadline in which a request is not sent any more, since no answer would come in time. */
 const minServiceMilliseconds = 30;
 
 /** The wait of one request for its first attempt, and what its attempts tell the queue of its service. */
@@ -141,7 +141,7 @@
 }: AcceptedRequest): QueuedRequest {
   const { team, route } = approval;
   return {
-    priority: team?.priority ?? route.priority,
+    priority: getRequestPriority(approval),
     team: team?.name ?? "",
     cost: Math.max(1, (head.tokens?.prompt ?? 0) + (head.tokens?.maxOutput ?? 0)),
     bytes: body.length,
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -15,6 +15,7 @@
 } from "@pistachioway/kernel";
 import { Exchange, type ExchangeListener } from "../exchange/index.js";
 import {
+  getRequestPriority,
   getSharedBlocks,
   getSourceLookup,
   getStickyKey,
@@ -25,6 +26,7 @@
 import { chooseRequestUpstream } from "./chooseRequestUpstream.js";
 import { firstErrorStatus, PromptReading } from "./PromptReading.js";
 
+/** Highest priority value that upstreams tell apart. */
 const maxPriority = 9;
 
 /** An upstream to which this daemon sends a request directly. */
@@ -102,7 +104,7 @@
       upstream: record,
       team: approval.team,
       remainingMilliseconds: request.deadline - now,
-      priority: isEngine ? getPriority(approval) : undefined,
+      priority: isEngine ? getSentPriority(approval) : undefined,
       lastEventId,
       kvCacheSourceAddress: isEngine ? this.getKvCacheSourceAddress(now) : undefined,
       bodyBytes: body.length,
@@ -245,6 +247,6 @@
   }
 }
 
-function getPriority({ route, team }: RequestApproval): number {
-  return Math.min(maxPriority, team?.priority ?? route.priority);
+function getSentPriority(approval: RequestApproval): number {
+  return Math.min(maxPriority, getRequestPriority(approval));
 }
--- a/packages/daemon/src/ingress/createUpstreamRefusal.ts
+++ b/packages/daemon/src/ingress/createUpstreamRefusal.ts
@@ -1,11 +1,11 @@
 import { getRetryAfterSeconds } from "@pistachioway/kernel";
-import type { AcceptedRequest } from "./AcceptedRequest.js";
+import { getRequestPriority, type AcceptedRequest } from "./AcceptedRequest.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import type { Refusal } from "./refusals.js";
 
 /**
- * Creates the refusal of a request that no upstream takes now; one that rests or is at its limit may
- * take it later.
+ * Creates the refusal of a request that no upstream takes now; one that rests, is cold or is at its limit may take it
+ * later.
  * @param dependencies - Dependencies of the request's processing.
  * @param request - Request that no upstream takes now.
  * @param softwareVersion - Only version whose upstreams may take it; undefined for any.
@@ -24,17 +24,17 @@
     const detail = `no upstream of service "${service}" has software version "${softwareVersion}"`;
     return { name: "stream-version-gone", detail, retryAfterSeconds: undefined };
   }
-  const slotAt = upstreams.getEarliestLimitSlot(service, now, getLimitShare()) ?? Infinity;
+  const limitSlotAt = upstreams.getEarliestLimitSlot(service, now, getLimitShare()) ?? Infinity;
   const restEndsAt = upstreams.getEarliestRestEnd(service, now) ?? Infinity;
   const startShare = getStartShare(service);
   const coldSlotAt =
     (startShare && upstreams.getEarliestStartSlot(service, now, startShare)) ?? Infinity;
-  const availableAt = Math.min(slotAt, restEndsAt, coldSlotAt);
+  const availableAt = Math.min(limitSlotAt, restEndsAt, coldSlotAt);
   if (availableAt === Infinity) {
     const detail = `no upstream of service "${service}" can be used`;
     return { name: "no-upstream", detail, retryAfterSeconds: undefined };
   }
-  const priority = approval.team?.priority ?? approval.route.priority;
+  const priority = getRequestPriority(approval);
   const retryAfterSeconds = getRetryAfterSeconds(availableAt, now, priority, getRandom());
   if (coldSlotAt === availableAt) {
     return {
@@ -43,7 +43,7 @@
       retryAfterSeconds,
     };
   }
-  return slotAt < restEndsAt
+  return limitSlotAt < restEndsAt
     ? {
         name: "upstreams-limited",
         detail: `the upstreams of service "${service}" are at the limits that they named`,
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -160,27 +160,8 @@
       getClocks: readClocks,
       record,
     });
-    this.periodicTasks = createPeriodicTasks({
-      starts: this.starts,
-      reachability: this.reachability,
-      admission: this.admission,
-      requestTicks: this.ticks,
-      registry,
-      view,
-      streams: this.streams,
-      peerStates: this.peerStates,
-      memory: this.memory,
-      pacer: pool.pacer,
-      lag: this.tickLag,
-      watch: this.tasks,
-      record,
-    });
-    const { settings, codec } = dependencies;
-    const { fleet, reachability, admission, starts, streams, notices, startedAt } = this;
-    const { prefixes, quarantine, memory, ticks, metrics } = this;
-    const tasks = { registry, fleet, reachability, admission, starts, streams, notices, pool };
-    const state = { prefixes, quarantine, memory, ticks, metrics, startedAt, record };
-    this.requestDependencies = createRequestDependencies({ settings, codec, ...tasks, ...state });
+    this.periodicTasks = this.createPeriodicTasks();
+    this.requestDependencies = this.createRequestDependencies();
     this.forwarding = this.createForwarding();
     this.ingress = this.createIngress();
     this.servers = OperationsServers.create(this.createPages(), ({ message }) => {
@@ -298,6 +279,33 @@
     });
   }
 
+  private createPeriodicTasks(): PeriodicTasks {
+    return createPeriodicTasks({
+      starts: this.starts,
+      reachability: this.reachability,
+      admission: this.admission,
+      requestTicks: this.ticks,
+      registry: this.registryTask,
+      view: this.fleet.view,
+      streams: this.streams,
+      peerStates: this.peerStates,
+      memory: this.memory,
+      pacer: this.pool.pacer,
+      lag: this.tickLag,
+      watch: this.tasks,
+      record: this.record,
+    });
+  }
+
+  private createRequestDependencies(): ActiveRequestDependencies {
+    const { settings, codec } = this.dependencies;
+    const { registryTask: registry, fleet, reachability, admission, starts, streams, pool } = this;
+    const { prefixes, quarantine, memory, ticks, metrics, notices, startedAt, record } = this;
+    const tasks = { registry, fleet, reachability, admission, starts, streams, pool };
+    const state = { prefixes, quarantine, memory, ticks, metrics, notices, startedAt, record };
+    return createRequestDependencies({ settings, codec, ...tasks, ...state });
+  }
+
   private createPages(): RouterPages {
     return RouterPages.create({
       settings: this.dependencies.settings,
