Eligibility of upstreams and slow attempts: names and comments

Cause: isOffered in chooseUpstream meant more than UpstreamEntry.isOffered, and isStarted an open slot; two methods of SlowAttemptMonitor read as if they were the same.

Change: takesRequests, isBelowLimits, isStartSlotOpen; comments tell the two apart.

--- a/packages/daemon/src/ingress/SlowAttemptMonitor.ts
+++ b/packages/daemon/src/ingress/SlowAttemptMonitor.ts
@@ -65,7 +65,7 @@
   }
 
   /**
-   * Records a failure of a target that has sent nothing for the stall timeout.
+   * Records a failure of a target that has sent nothing for the stall timeout, or longer if its work explains that.
    * @param attempt - Attempt at the target; undefined when none is under way.
    */
   recordFailureIfUnresponsive(attempt: Attempt | undefined): void {
@@ -80,7 +80,8 @@
   }
 
   /**
-   * Records a failure of a target whose work does not explain that it has sent nothing.
+   * Records a failure of a target that a slow attempt is repeated elsewhere from, unless its work explains that it has
+   * sent nothing. Where no work is known, each such attempt is a failure.
    * @param attempt - Slow attempt at the target.
    */
   recordFailureIfSilent({ target, lastReceivedAt }: Attempt): void {
@@ -107,10 +108,11 @@
     const isLate =
       waitedMilliseconds >
       (target.isAvoided(now) ? Math.min(avoidedTimeoutMilliseconds, limit) : limit);
-    const isUnexplained = (): boolean =>
-      head === undefined
-        ? target.isRepeatSooner(now)
-        : waitedMilliseconds > target.getSilenceLimit(now);
-    return isLate && isUnexplained();
+    if (!isLate) {
+      return false;
+    }
+    return head === undefined
+      ? target.isRepeatSooner(now)
+      : waitedMilliseconds > target.getSilenceLimit(now);
   }
 }
--- a/packages/kernel/src/upstreams/UpstreamEntry.ts
+++ b/packages/kernel/src/upstreams/UpstreamEntry.ts
@@ -31,7 +31,7 @@
   readonly hash: number;
   /** The limit that it names on requests of all daemons. */
   readonly limit: UpstreamLimit;
-  /** What it takes after its start. */
+  /** Bounds on what this daemon sends to it after it started or recovered. */
   readonly start: UpstreamStart;
   /** Requests that this daemon has in flight at the upstream. */
   running = 0;
@@ -74,7 +74,7 @@
    * Creates an entry without history.
    * @param record - Record that the upstream published.
    * @param now - Monotonic time.
-   * @param start - What an earlier incarnation takes after its start, if one was known.
+   * @param start - Bounds that were kept for an earlier incarnation, if one was known.
    */
   static create(record: Upstream, now: number, start?: UpstreamStart): UpstreamEntry {
     return new UpstreamEntry(record, now, start);
--- a/packages/kernel/src/upstreams/chooseUpstream.ts
+++ b/packages/kernel/src/upstreams/chooseUpstream.ts
@@ -102,15 +102,15 @@
   const fits =
     record.service === service &&
     (softwareVersion === undefined || record.softwareVersion === softwareVersion);
-  const isOffered = fits && entry.isOffered() && !entry.isResting(now);
-  const isFree = running < maxRunning && entry.limit.isOpen(now, limitShare);
-  const isStarted = startShare === undefined || entry.start.isOpen(now, startShare);
-  return isOffered && isFree && isStarted && !excluded.has(record.id);
+  const takesRequests = entry.isOffered() && !entry.isResting(now);
+  const isBelowLimits = running < maxRunning && entry.limit.isOpen(now, limitShare);
+  const isStartSlotOpen = startShare === undefined || entry.start.isOpen(now, startShare);
+  return fits && takesRequests && isBelowLimits && isStartSlotOpen && !excluded.has(record.id);
 }
 
 /**
- * Upstreams are paced only while others have room: a pace is no reason to refuse a request, nor to let it wait behind others
- * while an upstream that has started is idle.
+ * Finds the upstreams that may be sent a request now. Those that have started are paced only while the others have room:
+ * a pace is no reason to refuse a request, nor to let it wait behind others while an upstream that has started is idle.
  */
 function findEligible(
   entries: readonly UpstreamEntry[],
@@ -125,6 +125,7 @@
   return findEligible(entries, unpaced);
 }
 
+/** Checks whether upstreams hold so few requests that pacing others costs no waiting. */
 function haveRoom(entries: readonly UpstreamEntry[], now: number): boolean {
   const load = entries.reduce((sum, entry) => sum + entry.getLoad(now), 0);
   const slots = entries.reduce((sum, { record }) => sum + record.slots, 0);
