--- /dev/null
+++ b/review/9/case.mjs
@@ -0,0 +1,94 @@
+/** A machine stands still while an engine crashes and is back: cut off streams look complete to their callers. */
+import { setTimeout as delay } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { hasTrouble, run } from "../kit-2/case.mjs";
+import { readEvents, send } from "../kit-2/client.mjs";
+import { createRoute, createService, limits } from "../kit-2/config.mjs";
+import { Engines } from "../kit-2/engines.mjs";
+import { RouterFleet } from "../kit-2/routers.mjs";
+import { Store } from "../kit-2/store.mjs";
+
+const hosts = ["127.0.66.1", "127.0.66.2"];
+const key = "n2ctnfzs989anu6wsjnb";
+const streamCount = 20;
+const events = 40;
+const gapMs = 150;
+/** For how long a machine stands still and for how long an engine is down: the default of `node_freeze`, and the site's. */
+const frozenMs = 5_000;
+const downMs = 2_000;
+const leadMs = 500;
+
+const configuration = {
+  version: 7,
+  route_list: [
+    createRoute("briefing", "/stream/briefing/", "streaming", "llm", {
+      timeout_ms: 12_000,
+      goal_ms: 1_000,
+      gap_goal_ms: 300,
+      sticky: true,
+      resumable: true,
+      max_attempts: 2,
+    }),
+  ],
+  services: [createService("llm", { max_conns: 370 })],
+  limits,
+  tenants: [{ name: "hule930", api_keys: [key], priority: 1 }],
+};
+
+await run(fileURLToPath(new URL(".", import.meta.url)), async (each) => {
+  const store = each.add(new Store());
+  await store.start();
+  store.put("op/config", configuration);
+  const engines = each.add(new Engines(store));
+  const options = { service: "llm", events, gapMs, isUnframed: true };
+  const crashing = await engines.start({ id: "i-crashes", ...options });
+  await engines.start({ id: "i-stays", ...options });
+  const fleet = each.add(new RouterFleet(each.folder, store.address, hosts));
+  await fleet.start();
+  await delay(3_500);
+  const streams = [...Array(streamCount).keys()].map(async (index) => {
+    await delay(index * 20);
+    const address = `${hosts[index % hosts.length]}:${String(fleet.ports.front)}`;
+    const headers = { Model: "m", Tokens: "100,280", "Prompt-Prefix": `a${String(index)}:100` };
+    return send({ address, path: "/stream/briefing/1", key, deadlineMs: 12_000, headers });
+  });
+  await delay(1_500);
+  if (hasTrouble) {
+    const frozen = fleet.get(hosts[0]);
+    each.record("machine front-1 stands still: SIGSTOP");
+    frozen.child.kill("SIGSTOP");
+    await delay(leadMs);
+    each.record("engine i-crashes crashes: SIGKILL");
+    engines.kill(crashing);
+    store.remove("servers/i-crashes");
+    await delay(downMs);
+    const port = Number(crashing.address.split(":")[1]);
+    await engines.start({ ...options, id: "i-crashes-again", port });
+    each.record("the engine is back at its address, as a new incarnation with a new id");
+    await delay(frozenMs - leadMs - downMs);
+    frozen.child.kill("SIGCONT");
+    each.record("machine front-1 goes on: SIGCONT");
+  }
+  const results = await Promise.all(streams);
+  const engineById = new Map();
+  engines.getRuns().forEach(({ request, engine }) => {
+    engineById.set(request, [...(engineById.get(request) ?? []), engine]);
+  });
+  let shortCount = 0;
+  for (const { id, address, status, end, text } of results) {
+    const { numbers } = readEvents(text);
+    const isShort = status === 200 && end === "complete" && numbers.length < events;
+    shortCount += isShort ? 1 : 0;
+    const at = (engineById.get(id) ?? ["-"]).join(", then ");
+    const seen = `${String(status)} ${end}, ${String(numbers.length)} events of ${String(events)}`;
+    each.record(`${id} by ${address} at ${at}: ${seen}`);
+  }
+  for (const { engine, request, event, number, how } of engines.lines) {
+    if (event === "ran" || event === "ended") {
+      each.record(`engine ${engine}: ${event} ${request} ${how ?? ""} ${String(number ?? "")}`);
+    }
+  }
+  each.recordLogs(/stalled|unframed|attempt\.lost/);
+  each.record(`${String(shortCount)} streams ended as complete before their last event`);
+  return shortCount > 0;
+});
--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/kit-2/engine.mjs
+++ b/review/kit-2/engine.mjs
@@ -1,13 +1,21 @@
 /**
  * An engine in a process of its own, as PROTOCOL.md describes it. Its options come as JSON in the first argument:
- * id, host, version, workMs, events, gapMs, isUnframed, spoilEvery. It prints one JSON line for its address and for each request.
+ * id, host, port, version, workMs, events, gapMs, isUnframed, spoilEvery. It prints one JSON line for its address and for each request.
  */
 import { Buffer } from "node:buffer";
 import { createServer } from "node:http";
 import { clearInterval, setInterval } from "node:timers";
 
 const options = JSON.parse(process.argv[2] ?? "{}");
-const { id, host = "127.0.0.1", version = "v1", workMs = 40, events = 50, gapMs = 200 } = options;
+const {
+  id,
+  host = "127.0.0.1",
+  port: wantedPort = 0,
+  version = "v1",
+  workMs = 40,
+  events = 50,
+  gapMs = 200,
+} = options;
 const { isUnframed = false, spoilEvery = Infinity } = options;
 const born = Date.now();
 let running = 0;
@@ -122,7 +130,7 @@
 }
 
 const server = createServer({ keepAliveTimeout: 20_000 }, serve);
-server.listen(0, host, () => {
+server.listen(wantedPort, host, () => {
   const { port } = server.address();
   print({ event: "listening", address: `${host}:${String(port)}`, born });
 });
