Review case 9: one disruption in place of two

Cause: as before, isStillServing takes whatever accepts a connection at an engine's address for the engine whose answer has ended (ORDER, MIXED); shown now by engines that crash behind a cut and start again (kind node_cut, servers reborn). Ruled out: an entry that leaves (case 7; here the engine is listed as ready all the while) and the framing of the caller's stream; TROUBLE=0 holds.

--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,10 +1,11 @@
-/** A machine stands still while an engine crashes and is back: cut off streams look complete to their callers. */
+/** Engines crash behind a cut and start again: streams that the crash cut off look complete to their callers. */
 import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { hasTrouble, run } from "../kit-2/case.mjs";
 import { readEvents, send } from "../kit-2/client.mjs";
 import { createRoute, createService, limits } from "../kit-2/config.mjs";
 import { Engines } from "../kit-2/engines.mjs";
+import { Link } from "../kit-2/link.mjs";
 import { RouterFleet } from "../kit-2/routers.mjs";
 import { Store } from "../kit-2/store.mjs";
 
@@ -13,21 +14,22 @@
 const streamCount = 20;
 const events = 40;
 const gapMs = 150;
-/** For how long a machine stands still and for how long an engine is down: the default of `node_freeze`, and the site's. */
-const frozenMs = 5_000;
-const downMs = 2_000;
-const leadMs = 500;
+/** When, after the cut began, the engine crashes, is back, and the cut heals. */
+const crashAtMs = 200;
+const backAtMs = 2_200;
+const healAtMs = 3_000;
+/** When the entry of the engine that crashed is removed: after three intervals of silence. */
+const lapsedAtMs = 3_800;
 
 const configuration = {
   version: 7,
   route_list: [
-    createRoute("briefing", "/stream/briefing/", "streaming", "llm", {
+    createRoute("answer", "/stream/answer/", "streaming", "llm", {
       timeout_ms: 12_000,
       goal_ms: 1_000,
       gap_goal_ms: 300,
       sticky: true,
-      resumable: true,
-      max_attempts: 2,
+      resumable: false,
     }),
   ],
   services: [createService("llm", { max_conns: 370 })],
@@ -42,6 +44,10 @@
   const engines = each.add(new Engines(store));
   const options = { service: "llm", events, gapMs, isUnframed: true };
   const crashing = await engines.start({ id: "i-crashes", ...options });
+  const link = each.add(new Link(crashing.address));
+  await link.start();
+  crashing.address = link.address;
+  engines.write(crashing);
   await engines.start({ id: "i-stays", ...options });
   const fleet = each.add(new RouterFleet(each.folder, store.address, hosts));
   await fleet.start();
@@ -50,24 +56,30 @@
     await delay(index * 20);
     const address = `${hosts[index % hosts.length]}:${String(fleet.ports.front)}`;
     const headers = { Model: "m", Tokens: "100,280", "Prompt-Prefix": `a${String(index)}:100` };
-    return send({ address, path: "/stream/briefing/1", key, deadlineMs: 12_000, headers });
+    return send({ address, path: "/stream/answer/1", key, deadlineMs: 12_000, headers });
   });
   await delay(1_500);
   if (hasTrouble) {
-    const frozen = fleet.get(hosts[0]);
-    each.record("machine front-1 stands still: SIGSTOP");
-    frozen.child.kill("SIGSTOP");
-    await delay(leadMs);
-    each.record("engine i-crashes crashes: SIGKILL");
+    const cutAt = Date.now();
+    const at = async (milliseconds) => {
+      await delay(Math.max(0, cutAt + milliseconds - Date.now()));
+    };
+    each.record(
+      "engine i-crashes is cut off from all machines: channels hang, new ones are refused",
+    );
+    link.cut();
+    await at(crashAtMs);
+    each.record("engine i-crashes crashes behind the cut: SIGKILL");
     engines.kill(crashing);
+    await at(backAtMs);
+    const port = Number(link.target.split(":")[1]);
+    const back = await engines.start({ ...options, id: "i-back", port }, { address: link.address });
+    each.record(`an engine is back at its address, as a new incarnation with the id ${back.id}`);
+    await at(healAtMs);
+    await link.heal();
+    each.record("the cut heals");
+    await at(lapsedAtMs);
     store.remove("servers/i-crashes");
-    await delay(downMs);
-    const port = Number(crashing.address.split(":")[1]);
-    await engines.start({ ...options, id: "i-crashes-again", port });
-    each.record("the engine is back at its address, as a new incarnation with a new id");
-    await delay(frozenMs - leadMs - downMs);
-    frozen.child.kill("SIGCONT");
-    each.record("machine front-1 goes on: SIGCONT");
   }
   const results = await Promise.all(streams);
   const engineById = new Map();
