Ends of answers that name none are vouched for by the process that began them

Cause: the check of the end opened a connection and asked nothing, so that whatever accepted vouched for the answer. Ruled out: a reset read as an end in order (wasReset tells them apart; the sockets end in order here), and a late reading as the only cause (the tests fail without a standstill too).

Change: while such an answer comes, one more connection to its process is kept, one for all such answers of the upstream (ProcessWatch). At the end the process is asked for its health there; what remains in doubt goes to the crash. The same for the services of the product's own interface (AnswerEnd). The log line answer.unframed-end and its metric name the evidence.

--- a/packages/daemon/src/exchange/Exchange.ts
+++ b/packages/daemon/src/exchange/Exchange.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "undici";
 import type { Connection } from "./Connection.js";
 import type { ConnectionPool } from "./ConnectionPool.js";
+import { ReadPauses } from "./ReadPauses.js";
 import type { ReadTurn } from "./ReadTurn.js";
 import { allowsBody } from "./allowsBody.js";
 import { describeAnswer } from "./describeAnswer.js";
@@ -68,6 +69,7 @@
   /** Whether the connection has ended and all its bytes were read. */
   private isAtEnd = false;
   private readonly turn: ReadTurn;
+  private readonly pauses = ReadPauses.create(() => performance.now());
 
   private constructor(
     private readonly pool: ConnectionPool,
@@ -111,6 +113,11 @@
     return exchange;
   }
 
+  /** Gets the earliest monotonic instant at which the connection may have ended, if its end is read now. */
+  getEarliestEnd(): number {
+    return this.pauses.getEarliestEnd();
+  }
+
   /** Checks whether the request may have reached the upstream. */
   mayHaveRun(): boolean {
     return this.wasSent;
@@ -208,12 +215,14 @@
 
   private stopReading(): void {
     if (!this.isAtEnd) {
+      this.pauses.recordPause();
       this.controller?.pause();
     }
   }
 
   private readOn(): void {
     if (!this.isPaused && !this.isWaiting) {
+      this.pauses.recordResume();
       this.controller?.resume();
     }
   }
--- a/packages/daemon/src/exchange/ReachabilityTask.ts
+++ b/packages/daemon/src/exchange/ReachabilityTask.ts
@@ -6,8 +6,11 @@
   WorkEstimator,
 } from "@pistachioway/kernel";
 import type { Fields, LogLevel } from "../log/line.js";
-import { canConnect, isStillServing } from "./connect.js";
+import { canConnect } from "./connect.js";
 import type { ConnectionPool } from "./ConnectionPool.js";
+import type { EndEvidence } from "./EndEvidence.js";
+import type { HealthRequest } from "./LivenessConnection.js";
+import { ProcessWatches, type ProcessWatchUse } from "./ProcessWatches.js";
 
 /** After a longer pause of this process, missing responses do not show that an upstream is down. */
 const maxPauseMilliseconds = 250;
@@ -25,6 +28,7 @@
   /** Learns how long upstreams take for their work, by which their silence is judged. */
   readonly workEstimator = WorkEstimator.create();
   private readonly reach: UpstreamReach;
+  private readonly processes = ProcessWatches.create();
   private checkedAt: number;
 
   private constructor(private readonly dependencies: ReachabilityDependencies) {
@@ -65,18 +69,29 @@
   }
 
   /**
-   * Checks whether an upstream goes on serving although one of its connections has ended.
+   * Watches the process of an upstream while it sends an answer whose end only it can vouch for.
    * @param entry - The upstream.
+   * @param request - How it is asked for its health.
    */
-  async isStillServing(entry: UpstreamEntry): Promise<boolean> {
-    const isReached = await isStillServing(entry.record.address);
-    const now = this.dependencies.getNow();
-    if (isReached) {
-      this.reach.recordConnected(entry, now);
-    } else {
+  watchProcess({ record }: UpstreamEntry, request: HealthRequest): ProcessWatchUse {
+    return this.processes.use({
+      address: record.address,
+      request,
+      getNow: this.dependencies.getNow,
+    });
+  }
+
+  /**
+   * Records what a check of an upstream's process has found out.
+   * @param entry - The upstream.
+   * @param evidence - What was found out.
+   */
+  recordEvidence(entry: UpstreamEntry, evidence: EndEvidence): void {
+    if (evidence === "unreachable") {
       this.recordConnectFailure(entry);
+    } else if (evidence === "answered") {
+      this.reach.recordConnected(entry, this.dependencies.getNow());
     }
-    return isReached;
   }
 
   private runCheck(now: number): void {
--- a/packages/daemon/src/exchange/connect.ts
+++ b/packages/daemon/src/exchange/connect.ts
@@ -1,12 +1,9 @@
 import { connect as openSocket, type Socket } from "node:net";
-import { setTimeout as delay } from "node:timers/promises";
 import type { buildConnector } from "undici";
 import { wasReset } from "./wasReset.js";
 
 /** Time to connect to an upstream in the region; a host that is down never responds. */
 const connectTimeoutMilliseconds = 250;
-/** Longest time in which all sockets of a process that has crashed end. */
-const crashMilliseconds = 50;
 const keepAliveDelayMilliseconds = 1_000;
 
 /** State of the socket of one connection; the HTTP client may open another one in its place. */
@@ -55,8 +52,11 @@
   };
 }
 
-/** Ends a socket that is not connected in time. What came while this process stood still is taken before. */
-function limitConnectTime(socket: Socket): void {
+/**
+ * Ends a socket that is not connected in time. What came while this process stood still is taken before.
+ * @param socket - Socket that is being connected.
+ */
+export function limitConnectTime(socket: Socket): void {
   const timer = setTimeout(() => {
     setImmediate(() => {
       if (socket.connecting) {
@@ -105,14 +105,3 @@
   socket.destroy();
   return isConnected;
 }
-
-/**
- * Checks whether the process at an address goes on although one of its connections has ended. A process that has crashed may
- * accept connections for a moment, as its system ends one socket after the other. A second try follows the first one, as
- * a full queue of the upstream may drop it.
- * @param address - IPv4 address and port.
- */
-export async function isStillServing(address: string): Promise<boolean> {
-  await delay(crashMilliseconds);
-  return (await canConnect(address)) || (await canConnect(address));
-}
--- a/packages/daemon/src/forwarding/PeerTarget.ts
+++ b/packages/daemon/src/forwarding/PeerTarget.ts
@@ -1,6 +1,11 @@
 import { getAnswerMeaning, type MemberState, type ResponseHead } from "@pistachioway/kernel";
 import type { IncomingHttpHeaders } from "node:http";
-import { Exchange, type ConnectionPool, type ExchangeListener } from "../exchange/index.js";
+import {
+  Exchange,
+  type ConnectionPool,
+  type EndEvidence,
+  type ExchangeListener,
+} from "../exchange/index.js";
 import type { AcceptedRequest, AttemptTarget, TargetReport } from "../ingress/index.js";
 import {
   decodeForwardedResponse,
@@ -107,9 +112,13 @@
     this.options.onFinish();
   }
 
+  watchProcess(): void {
+    // The peer watches the process of the upstream.
+  }
+
   /** What a peer passes on has a length or chunks; the peer has checked the end of the upstream's answer. */
-  isStillServing(): Promise<boolean> {
-    return Promise.resolve(true);
+  checkProcess(): Promise<EndEvidence> {
+    return Promise.resolve("peer");
   }
 
   recordSuccess(): void {
--- a/packages/daemon/src/ingress/ActiveRequest.ts
+++ b/packages/daemon/src/ingress/ActiveRequest.ts
@@ -175,9 +175,7 @@
       return;
     }
     const now = this.dependencies.getNow();
-    attempt.head = head;
-    attempt.recordReceivedBytes(now);
-    attempt.target.recordHead(head, now);
+    attempt.recordHead(head, now);
     this.admission.recordHead(head);
     this.targets.addTriedUpstream(attempt.target.getReport(now).upstream);
     if (head.meaning === "refusal") {
@@ -233,7 +231,8 @@
 
   /** Handles an answer whose end may not be its own: as complete only if nothing shows that a part is missing. */
   private async checkEnd(attempt: Attempt, head: ResponseHead): Promise<void> {
-    const failure = await findEndFailure(attempt, this.report);
+    const earliestArrival = this.dependencies.getEarliestArrival();
+    const failure = await findEndFailure(attempt, earliestArrival, this.report);
     if (this.attempt !== attempt) {
       return;
     }
--- a/packages/daemon/src/ingress/ActiveRequestDependencies.ts
+++ b/packages/daemon/src/ingress/ActiveRequestDependencies.ts
@@ -60,6 +60,8 @@
   readonly zone: string;
   /** Reads the monotonic clock, in milliseconds. */
   readonly getNow: () => number;
+  /** Gets the earliest instant at which something may have come that this process reads only now, as it stood still. */
+  readonly getEarliestArrival: () => number;
   /** Gets a random number in [0, 1), for the spread of returning callers. */
   readonly getRandom: () => number;
   /** Receives what a response told about its upstream. */
--- a/packages/daemon/src/ingress/ActiveRequestReport.ts
+++ b/packages/daemon/src/ingress/ActiveRequestReport.ts
@@ -1,4 +1,5 @@
 import type { AttemptEnd } from "@pistachioway/kernel";
+import { isCompleteBy, type EndEvidence } from "../exchange/index.js";
 import type { ActiveRequestDependencies } from "./ActiveRequestDependencies.js";
 import { toHex } from "../log/toHex.js";
 import type { AnswerBound, AnswerFault } from "./AnswerBody.js";
@@ -125,14 +126,16 @@
    * @param attempt - The attempt.
    * @param isEnd - Whether it was taken for the end of the answer.
    */
-  recordUnframedEnd({ target }: Attempt, isEnd: boolean): void {
+  recordUnframedEnd({ target }: Attempt, evidence: EndEvidence): void {
     const { getNow, metrics, record } = this.dependencies;
+    const isEnd = isCompleteBy(evidence);
     const end = isEnd ? "complete" : "crash";
-    metrics.unframedAnswers.inc({ end });
+    metrics.unframedAnswers.inc({ end, evidence });
     record(isEnd ? "debug" : "info", "answer.unframed-end", {
       request: this.request.head.id,
       upstream: target.getReport(getNow()).upstream,
       end,
+      evidence,
     });
   }
 
--- a/packages/daemon/src/ingress/Attempt.ts
+++ b/packages/daemon/src/ingress/Attempt.ts
@@ -1,5 +1,10 @@
 import { isEventStream, type ResponseHead } from "@pistachioway/kernel";
-import { allowsBody, type Exchange, type ExchangeListener } from "../exchange/index.js";
+import {
+  allowsBody,
+  type EndEvidence,
+  type Exchange,
+  type ExchangeListener,
+} from "../exchange/index.js";
 import type { AttemptTarget } from "./AttemptTarget.js";
 import { EventBoundary } from "./EventBoundary.js";
 
@@ -11,6 +16,8 @@
   lastReceivedAt = 0;
   /** When the first byte of the body was received; monotonic milliseconds. */
   firstBodyByteAt: number | undefined;
+  /** When the response head was received; monotonic milliseconds. */
+  private headAt = Infinity;
   private isStreaming = false;
   /** Whether the request asks for the rest of a stream, which may have no events left. */
   private isContinuation = false;
@@ -48,6 +55,30 @@
     return this.exchange?.mayHaveRun() ?? false;
   }
 
+  /**
+   * Records the response head.
+   * @param head - The head.
+   * @param now - Time of its arrival.
+   */
+  recordHead(head: ResponseHead, now: number): void {
+    this.head = head;
+    this.headAt = now;
+    this.recordReceivedBytes(now);
+    this.target.recordHead(head, now);
+    if (head.meaning === "final" && this.endsWithConnection()) {
+      this.target.watchProcess();
+    }
+  }
+
+  /**
+   * Finds out whether the process that sent the answer goes on after the end of its connection.
+   * @param earliestArrival - Earliest instant at which something may have come that this process reads now.
+   */
+  checkProcess(earliestArrival: number): Promise<EndEvidence> {
+    const earliestEnd = Math.min(earliestArrival, this.exchange?.getEarliestEnd() ?? -Infinity);
+    return this.target.checkProcess({ startedAt: this.headAt, earliestEnd });
+  }
+
   /** Records that bytes of the response were received. */
   recordReceivedBytes(now: number): void {
     this.lastReceivedAt = now;
--- a/packages/daemon/src/ingress/AttemptTarget.ts
+++ b/packages/daemon/src/ingress/AttemptTarget.ts
@@ -1,5 +1,5 @@
 import type { ResponseHead, Upstream } from "@pistachioway/kernel";
-import type { Exchange, ExchangeListener } from "../exchange/index.js";
+import type { AnswerTimes, EndEvidence, Exchange, ExchangeListener } from "../exchange/index.js";
 
 /** What log lines tell of the target of a request's last attempt. */
 export interface TargetReport {
@@ -53,11 +53,13 @@
   readonly startStream: () => void;
   /** Records the end of the attempt; `hadStream` when its response had started as a stream. */
   readonly finish: (hadStream: boolean) => void;
+  /** Starts to watch the process that sends the answer, as only the end of its connection marks the end of the answer. */
+  readonly watchProcess: () => void;
   /**
-   * Checks whether the end of the connection may be the end of the answer: only while its sender still accepts
-   * connections, since those of a process that has crashed end in the same way.
+   * Finds out whether the process that began the answer goes on after the end of the connection, since the connections
+   * of one that has crashed end in the same way.
    */
-  readonly isStillServing: () => Promise<boolean>;
+  readonly checkProcess: (times: AnswerTimes) => Promise<EndEvidence>;
   readonly recordSuccess: () => void;
   readonly recordFailure: (now: number) => void;
   /** Records that the request was not sent, for want of a connection or otherwise. */
--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -13,7 +13,13 @@
   type UpstreamChoice,
   type UpstreamEntry,
 } from "@pistachioway/kernel";
-import { Exchange, type ExchangeListener } from "../exchange/index.js";
+import {
+  Exchange,
+  type AnswerTimes,
+  type EndEvidence,
+  type ExchangeListener,
+  type ProcessWatchUse,
+} from "../exchange/index.js";
 import {
   getRequestPriority,
   getSharedBlocks,
@@ -28,6 +34,10 @@
 
 /** Highest priority value that upstreams tell apart. */
 const maxPriority = 9;
+/** Where upstreams are asked for their health if their service names no path; any answer will do. */
+const defaultHealthPath = "/";
+/** Time that an upstream may let a question for its health wait. */
+const healthTimeoutMilliseconds = 500;
 
 /** An upstream to which this daemon sends a request directly. */
 export class UpstreamTarget implements AttemptTarget {
@@ -39,6 +49,8 @@
   /** Undefined where the service is not placed by work, or its engines cannot fetch. */
   private reading: PromptReading | undefined;
   private sentAt = -Infinity;
+  /** Watch of the upstream's process, while only that can vouch for the end of the answer. */
+  private process: ProcessWatchUse | undefined;
 
   private constructor(
     private readonly dependencies: ActiveRequestDependencies,
@@ -150,18 +162,31 @@
       workEstimator.endWork(this.entry, this.work, getNow());
     }
     this.reading?.end();
+    this.process?.release();
     this.entry.finishRequest(hadStream);
   }
 
-  /**
-   * An upstream that leaves may stop accepting connections before its last answers, so that only a request that can be sent
-   * again is taken for broken off.
-   */
-  isStillServing(): Promise<boolean> {
-    if (!this.entry.isInService() && !isRepeatable(this.request.approval.route)) {
-      return Promise.resolve(true);
+  watchProcess(): void {
+    const { dependencies, entry } = this;
+    const path = dependencies.getService(entry.record.service)?.healthPath ?? defaultHealthPath;
+    const headers = dependencies.codec.writeHealthRequest(healthTimeoutMilliseconds);
+    this.process = dependencies.reachability.watchProcess(entry, { path, headers });
+  }
+
+  async checkProcess(times: AnswerTimes): Promise<EndEvidence> {
+    const { dependencies, entry, process } = this;
+    if (!entry.isInService() && !isRepeatable(this.request.approval.route)) {
+      return "answered";
     }
-    return this.dependencies.reachability.isStillServing(this.entry);
+    if (process === undefined || entry.restartedAt >= times.startedAt) {
+      return "replaced";
+    }
+    const evidence = await process.watch.check(times, (headers) => {
+      const id = dependencies.codec.readUpstreamId(headers);
+      return id === undefined || id === entry.record.id;
+    });
+    dependencies.reachability.recordEvidence(entry, evidence);
+    return evidence;
   }
 
   recordSuccess(): void {
--- a/packages/daemon/src/metrics/RouterMetrics.ts
+++ b/packages/daemon/src/metrics/RouterMetrics.ts
@@ -58,8 +58,8 @@
 
   readonly unframedAnswers = new Counter({
     name: "pistachioway_unframed_answers_total",
-    help: "Answers without length or chunks whose connection ended, by what that was taken for.",
-    labelNames: ["end"],
+    help: "Answers without length or chunks whose connection ended, by what that was taken for and why.",
+    labelNames: ["end", "evidence"],
     registers: [this.registry],
   });
 
--- a/packages/daemon/src/router/Router.ts
+++ b/packages/daemon/src/router/Router.ts
@@ -305,7 +305,8 @@
     const { settings, codec } = this.dependencies;
     const { registryTask: registry, fleet, reachability, admission, starts, streams, pool } = this;
     const { prefixes, quarantine, memory, ticks, metrics, notices, startedAt, record } = this;
-    const tasks = { registry, fleet, reachability, admission, starts, streams, pool };
+    const { tickLag: lag } = this;
+    const tasks = { registry, fleet, reachability, admission, starts, streams, pool, lag };
     const state = { prefixes, quarantine, memory, ticks, metrics, notices, startedAt, record };
     return createRequestDependencies({ settings, codec, ...tasks, ...state });
   }
--- a/packages/daemon/src/router/createRequestDependencies.ts
+++ b/packages/daemon/src/router/createRequestDependencies.ts
@@ -23,6 +23,7 @@
 import type { NoticeLog } from "./NoticeLog.js";
 import type { RouterSettings } from "./settings.js";
 import { tellFleet } from "./tellFleet.js";
+import type { TickLag } from "./TickLag.js";
 import type { UpstreamStarts } from "./UpstreamStarts.js";
 
 /** Tasks and state of a router that its requests use. */
@@ -41,6 +42,7 @@
   readonly quarantine: ContentQuarantine;
   readonly memory: MemoryBudget;
   readonly ticks: TickListeners;
+  readonly lag: TickLag;
   readonly metrics: RouterMetrics;
   /** Monotonic time of the router's start, in milliseconds. */
   readonly startedAt: number;
@@ -75,6 +77,7 @@
     ticks: context.ticks,
     zone: settings.process.zone,
     getNow: readMonotonicClock,
+    getEarliestArrival: () => context.lag.getEarliest(readMonotonicClock()),
     getRandom: Math.random,
     onNotices: (learned) => {
       notices.record(learned, "response");
--- a/packages/daemon/src/services/ServiceClient.ts
+++ b/packages/daemon/src/services/ServiceClient.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from "undici";
 import { Problem } from "../errors/index.js";
 import type { HostDirectory, HostSender } from "../kernel/index.js";
-import { hasMatchingDigest, readWholeBody, type AttemptFailure } from "../upstreams/index.js";
+import { hasMatchingDigest, type AttemptFailure } from "../upstreams/index.js";
 import type { CallerQuarantine } from "../quarantine/index.js";
 import { getCallContent } from "./getCallContent.js";
 import { getEndToEndHeaders } from "./headers.js";
@@ -168,9 +168,8 @@
     if (response.kind === "failure") {
       return response;
     }
-    const body = await readWholeBody(response, maxResponseBytes);
-    const isWhole = body !== undefined && (await response.isComplete());
-    if (!isWhole || !hasMatchingDigest(response.headers, body)) {
+    const body = await response.readBody(maxResponseBytes);
+    if (body === undefined || !hasMatchingDigest(response.headers, body)) {
       const detail = "the answer was cut off or mixed with another";
       return { kind: "failure", class: "lost", detail, isLeaving: false };
     }
--- a/packages/daemon/src/upstreams/AnswerEnd.ts
+++ b/packages/daemon/src/upstreams/AnswerEnd.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { allowsBody, isStillServing } from "../exchange/index.js";
+import { allowsBody, isCompleteBy, type ProcessWatchUse } from "../exchange/index.js";
 import type { Connections } from "./Connections.js";
+import { readWholeBody, type UnreadBody } from "./readWholeBody.js";
 
 /** What decides whether something else than the end of the connection marks the end of an answer. */
 export interface AnswerHead {
@@ -9,7 +10,10 @@
   readonly headers: IncomingHttpHeaders;
 }
 
-/** The end of an answer, which the end of a connection is only while its host goes on serving. */
+/** Where hosts are asked for their health; any answer will do. */
+const healthRequest = { path: "/health", headers: [] };
+
+/** The end of an answer, which the end of a connection is only while the process that began it goes on. */
 export class AnswerEnd {
   private readonly breaks: number;
 
@@ -30,16 +34,38 @@
   }
 
   /**
-   * Checks, once a body has ended, whether the answer is complete. Without a length and chunks it is while its host accepts
-   * connections and none of those to it has been reset meanwhile.
-   * @param head - Head of the answer.
+   * Reads a body to its end. Returns undefined when it is interrupted, too large, or may lack its last part.
+   * @param head - Head of the answer, which has just been received.
+   * @param body - Its body.
+   * @param maxBytes - Size of the largest body to accept.
    */
-  async isComplete(head: AnswerHead): Promise<boolean> {
+  async readBody(
+    head: AnswerHead,
+    body: UnreadBody,
+    maxBytes: number,
+  ): Promise<Buffer | undefined> {
     if (isFramed(head)) {
-      return true;
+      return readWholeBody(body, maxBytes);
+    }
+    const { address } = this;
+    const startedAt = performance.now();
+    const getNow = (): number => performance.now();
+    const use = this.connections.processes.use({ address, request: healthRequest, getNow });
+    try {
+      const content = await readWholeBody(body, maxBytes);
+      return content !== undefined && (await this.isComplete(use, startedAt)) ? content : undefined;
+    } finally {
+      use.release();
+    }
+  }
+
+  /** Checks whether none of the host's connections was reset meanwhile, and the process that began the answer goes on. */
+  private async isComplete({ watch }: ProcessWatchUse, startedAt: number): Promise<boolean> {
+    if (this.connections.getBreaks(this.address) !== this.breaks) {
+      return false;
     }
-    const wasBroken = this.connections.getBreaks(this.address) !== this.breaks;
-    return !wasBroken && (await isStillServing(this.address));
+    const times = { startedAt, earliestEnd: performance.now() };
+    return isCompleteBy(await watch.check(times, () => true));
   }
 }
 
--- a/packages/daemon/src/upstreams/Connections.ts
+++ b/packages/daemon/src/upstreams/Connections.ts
@@ -1,7 +1,7 @@
 import { MemoryBudget } from "@pistachioway/kernel";
 import type { Socket } from "node:net";
 import { buildConnector, Pool } from "undici";
-import { wasReset } from "../exchange/index.js";
+import { ProcessWatches, wasReset } from "../exchange/index.js";
 
 const connectionsPerHost = 512;
 const connectTimeoutMilliseconds = 1_000;
@@ -13,6 +13,8 @@
 export class Connections {
   /** Memory that bodies are kept in until they are complete. */
   readonly memory = MemoryBudget.create(maxKeptBytes);
+  /** Watches of the hosts' processes, while they send answers whose end only these can vouch for. */
+  readonly processes = ProcessWatches.create();
   private readonly poolsByAddress = new Map<string, Pool>();
   /** Number of connections to each address that were reset or have failed. */
   private readonly breaksByAddress = new Map<string, number>();
--- a/packages/daemon/src/upstreams/sendAttempt.ts
+++ b/packages/daemon/src/upstreams/sendAttempt.ts
@@ -36,8 +36,11 @@
   readonly body: Readable;
   /** Memory that bodies are kept in until they are complete. */
   readonly memory: MemoryBudget;
-  /** Checks, once the body has ended, whether that is the end of the answer. */
-  readonly isComplete: () => Promise<boolean>;
+  /**
+   * Reads the body to the end of the answer. Returns undefined when it is interrupted, too large, or may lack its last part.
+   * @param maxBytes - Size of the largest body to accept.
+   */
+  readonly readBody: (maxBytes: number) => Promise<Buffer | undefined>;
 }
 
 /** An attempt that got no response. */
@@ -108,10 +111,11 @@
     return toUnprovenFailure(request, response);
   }
   const { statusCode: status, headers, body } = response;
-  return {
-    ...{ kind: "answer", status, headers, body, memory: connections.memory },
-    isComplete: () => end.isComplete({ method: request.method, status, headers }),
-  };
+  const { memory } = connections;
+  const head = { method: request.method, status, headers };
+  const readBody = (maxBytes: number): Promise<Buffer | undefined> =>
+    end.readBody(head, { body, memory }, maxBytes);
+  return { kind: "answer", status, headers, body, memory, readBody };
 }
 
 async function toRefusal(
--- a/packages/daemon/tests/exchange/stalledUpstreamWorker.ts
+++ b/packages/daemon/tests/exchange/stalledUpstreamWorker.ts
@@ -1,12 +1,13 @@
-import { createServer, type AddressInfo } from "node:net";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { parentPort, workerData } from "node:worker_threads";
 import type { StalledUpstreamData } from "./StalledUpstream.js";
 
 const { state, port } = workerData as StalledUpstreamData;
 const stalled = 1;
 
-const server = createServer((socket) => {
-  socket.on("error", () => undefined);
+const server = createServer((_request, response) => {
+  response.end();
 });
 server.listen({ port, host: "127.0.0.1", backlog: 1 }, () => {
   parentPort?.postMessage((server.address() as AddressInfo).port);
--- a/packages/daemon/tests/upstreams/RawUpstream.ts
+++ b/packages/daemon/tests/upstreams/RawUpstream.ts
@@ -17,6 +17,8 @@
 export type RawMoment = "after head" | "after body";
 
 const headEnd = "\r\n\r\n";
+const healthRequestStart = "GET /health ";
+const healthAnswer = `HTTP/1.1 200 OK\r\nContent-Length: 0${headEnd}`;
 
 /** An upstream on a plain socket, which counts the requests that arrive and writes any bytes. */
 export class RawUpstream {
@@ -69,6 +71,11 @@
       for (let end = unread.indexOf(headEnd); end >= 0; end = unread.indexOf(headEnd)) {
         const length = end + headEnd.length + getBodyLength(unread);
         const isBodyComplete = unread.length >= length;
+        if (unread.startsWith(healthRequestStart)) {
+          unread = unread.slice(length);
+          socket.write(healthAnswer);
+          continue;
+        }
         if (!hasHead) {
           hasHead = true;
           this.received.push(getAttemptId(unread));
--- a/packages/kernel/src/forwarding/messages.ts
+++ b/packages/kernel/src/forwarding/messages.ts
@@ -117,4 +117,16 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
     sentId: string,
   ) => ResponseHead;
+  /**
+   * Gets the headers of a question for the health of an upstream, as alternating names and values.
+   * @param remainingMilliseconds - Time for which the answer is waited for.
+   */
+  readonly writeHealthRequest: (remainingMilliseconds: number) => string[];
+  /**
+   * Reads the id of the upstream that gave a health answer; undefined when the answer does not name one.
+   * @param headers - Headers by their names in lower case.
+   */
+  readonly readUpstreamId: (
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ) => string | undefined;
 }
--- a/packages/kernel/src/routing/schema.ts
+++ b/packages/kernel/src/routing/schema.ts
@@ -54,6 +54,8 @@
   name: z.string().min(1),
   /** Connections that one upstream accepts from all callers together. */
   maxConnections: z.int().positive(),
+  /** Path on which its upstreams answer for their health. */
+  healthPath: z.string().optional(),
   engine: engineTraitsSchema.optional(),
   coldStart: coldStartSchema.optional(),
 });
--- a/packages/standins/src/registry/ScriptedUpstream.ts
+++ b/packages/standins/src/registry/ScriptedUpstream.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { Server as NetServer } from "node:net";
+import { Server as NetServer, type AddressInfo } from "node:net";
 
 /** A request received by the upstream. */
 export interface ReceivedRequest {
@@ -32,6 +32,9 @@
  */
 export type HeadScript = (head: ReceivedHead, response: ServerResponse) => number | undefined;
 
+/** Path on which an upstream answers for its health, as the published configuration names it. */
+export const healthPath = "/healthz";
+
 /** Stand-in for an upstream: records each request and responds by a script. */
 export class ScriptedUpstream {
   readonly received: ReceivedRequest[] = [];
@@ -39,7 +42,11 @@
   softwareVersion = "v1";
   /** Availability zone that it publishes. */
   zone = "north";
+  /** Number of questions for its health. */
+  healthRequests = 0;
   private readonly server: Server;
+  /** Id that it names in its health answers, if that is another one than it registered under. */
+  private instance: string | undefined;
 
   private constructor(
     readonly id: string,
@@ -94,6 +101,17 @@
     await new Promise((resolve) => this.server.close(resolve));
   }
 
+  /**
+   * Ends its process as a crash does, and starts another one that listens on the same port at once.
+   * @param id - Id of the other process; the same by default.
+   */
+  async crashAndRestart(id = this.id): Promise<void> {
+    const { port } = this.server.address() as AddressInfo;
+    await this.close();
+    this.instance = id;
+    await new Promise<void>((resolve) => this.server.listen(port, "127.0.0.1", resolve));
+  }
+
   setScript(script: Script): void {
     this.script = script;
   }
@@ -113,6 +131,10 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
+    if (request.url === healthPath) {
+      this.answerHealth(request, response);
+      return;
+    }
     const head = {
       id: String(request.headers["request-id"]),
       method: request.method ?? "",
@@ -130,6 +152,14 @@
     }
   }
 
+  /** Says that the upstream is well, and which one it is. */
+  private answerHealth(request: IncomingMessage, response: ServerResponse): void {
+    this.healthRequests += 1;
+    request.resume();
+    response.writeHead(200, { instance: this.instance ?? this.id, "content-length": 0 });
+    response.end();
+  }
+
   private readBody(request: IncomingMessage, response: ServerResponse, head: ReceivedHead): void {
     const chunks: Buffer[] = [];
     let isAbandoned = false;
