Upstreams that leave are asked as well whether their process goes on

Cause: an exception of decision 0019. For an upstream out of service and a request that may run once, no check was made at all, since such an upstream may close its listener before its last answers. Ruled out: another process at the address (there was none), and the removal of the entry (it came 1 s later).

Change: the exception is gone; the connection that is opened with the head of such an answer serves where the listener closes later.

--- a/packages/daemon/src/ingress/UpstreamTarget.ts
+++ b/packages/daemon/src/ingress/UpstreamTarget.ts
@@ -4,7 +4,6 @@
   findPrefixHolder,
   findPrefixSource,
   getRequestWork,
-  isRepeatable,
   type PlacedWork,
   type RequestApproval,
   type RequestWork,
@@ -175,9 +174,6 @@
 
   async checkProcess(times: AnswerTimes): Promise<EndEvidence> {
     const { dependencies, entry, process } = this;
-    if (!entry.isInService() && !isRepeatable(this.request.approval.route)) {
-      return "answered";
-    }
     if (process === undefined || entry.restartedAt >= times.startedAt) {
       return "replaced";
     }
--- a/packages/daemon/tests/router/replacedProcesses.test.ts
+++ b/packages/daemon/tests/router/replacedProcesses.test.ts
@@ -1,10 +1,11 @@
-import { respondWith, type Script } from "@pistachioway/standins";
+import { announceLeaving, respondWith, type Script } from "@pistachioway/standins";
 import { setTimeout as delay } from "node:timers/promises";
 import * as assert from "uvu/assert";
 import { createStreamSuite } from "./createStreamSuite.js";
 import { streamFramed } from "./framedStreams.js";
 import { firstThen, setScripts, type Context } from "./scripts.js";
 import { standStill } from "./standStill.js";
+import { waitFor } from "./RouterFixture.js";
 import { readStream } from "./StreamCaller.js";
 
 const test = createStreamSuite("answers that name no end and whose upstream's process ends");
@@ -14,10 +15,15 @@
 const pausedAfter = 5;
 const runMilliseconds = 100;
 const standstillMilliseconds = 500;
+const drainingFields = "service=records zone=north software=v1 state=draining";
 
 /** What becomes of the process that has begun an answer. */
 type Fate = (context: Context, port: number) => Promise<void>;
 
+async function crash({ upstreams }: Context, port: number): Promise<void> {
+  await upstreams.find(({ address }) => address.endsWith(`:${String(port)}`))?.close();
+}
+
 function restart(id?: string): Fate {
   return async ({ upstreams }, port) => {
     const upstream = upstreams.find(({ address }) => address.endsWith(`:${String(port)}`));
@@ -99,4 +105,29 @@
   });
 }
 
+// Guards against a part of an answer that looks complete, as its upstream had announced that it leaves (ORDER, MIXED).
+test("do not look complete when it has announced that it leaves, and crashes", async (context) => {
+  const begin = (script: Script): Script => announceLeaving(beginThen(context, script, crash));
+  setScripts(context, begin(beginStream));
+  const { callersPort: port } = context.fixture;
+  const { ids, isComplete } = await readStream({ port, path: "/once/1", id: "q-1" });
+  assert.equal([ids, isComplete], mended.once);
+});
+
+test("do not look complete when its entry says that it leaves, and it crashes", async (context) => {
+  const { fixture, upstreams } = context;
+  const hasLine = (text: string): boolean => fixture.logLines.some((line) => line.includes(text));
+  await waitFor(() => hasLine("configuration.in-force version=2"));
+  const leaveAndCrash: Fate = async (_context, port) => {
+    upstreams.forEach((upstream) => {
+      fixture.store.publishUpstream(upstream, "draining", 2);
+    });
+    await waitFor(() => upstreams.every(({ id }) => hasLine(`${id} ${drainingFields}`)));
+    await crash(context, port);
+  };
+  setScripts(context, beginThen(context, beginWhole, leaveAndCrash));
+  const { status } = await fixture.call("/act/1", { method: "POST", body: "x" });
+  assert.is(status, 502);
+});
+
 test.run();
--- a/packages/daemon/tests/router/streamFraming.test.ts
+++ b/packages/daemon/tests/router/streamFraming.test.ts
@@ -143,11 +143,16 @@
 );
 
 /** Streams whole answers without length and chunks, while its upstream leaves and accepts no further connections. */
-function leaveBeforeEnd({ upstreams }: Context): Script {
+function leaveBeforeEnd({ upstreams }: Context, delayMilliseconds: number): Script {
   const stream = streamFramed({ framing: "neither", lastEvent, eventMilliseconds: 5 });
   return announceLeaving((request, response) => {
     const address = `127.0.0.1:${String(response.socket?.localPort)}`;
-    upstreams.find((upstream) => upstream.address === address)?.stopListening();
+    const upstream = upstreams.find((each) => each.address === address);
+    if (delayMilliseconds === 0) {
+      upstream?.stopListening();
+    } else {
+      setTimeout(() => upstream?.stopListening(), delayMilliseconds);
+    }
     stream(request, response);
   });
 }
@@ -155,17 +160,32 @@
 // Guards against whole answers of upstreams that stop in order being thrown away (LOST).
 for (const route of ["stream", "once"] as const) {
   ended(
-    `of /${route} are whole when an upstream that leaves stops to listen first`,
+    `of /${route} are whole when an upstream that leaves stops to listen before it ends them`,
     async (context) => {
-      setScripts(
-        context,
-        firstThen(leaveBeforeEnd(context), streamFramed({ framing: "chunks", lastEvent })),
-      );
+      const leave = leaveBeforeEnd(context, listenerEndMilliseconds);
+      setScripts(context, firstThen(leave, streamFramed({ framing: "chunks", lastEvent })));
       assert.equal(await callStream(context, route), whole);
     },
   );
 }
 
+// Guards against an end that nothing vouches for being taken for that of the stream: a crash would look the same (ORDER).
+for (const [route, isComplete] of [
+  ["stream", true],
+  ["once", false],
+] as const) {
+  const outcome = isComplete ? "go on elsewhere" : "are broken off";
+  ended(
+    `of /${route} ${outcome} when an upstream stops to listen before it begins them`,
+    async (context) => {
+      const leave = leaveBeforeEnd(context, 0);
+      setScripts(context, firstThen(leave, streamFramed({ framing: "chunks", lastEvent })));
+      const seen = await callStream(context, route);
+      assert.equal([seen.ids, seen.isComplete], [wholeIds, isComplete]);
+    },
+  );
+}
+
 /** Runs a request and ends its upstream's process after a part of the answer, which has neither a length nor chunks. */
 function crashAfterPart(context: Context, part: string): Script {
   return ({ id }, response) => {
