Exceptions of bundled libraries cost no standstill

Cause: an assertion of the HTTP client without a message; Node.js reads the program and parses it from that line on for one, and the lines of the bundle had up to 338,000 characters. Ruled out: the log, and the client's parser: the built sources read the same bytes at once.

Change: the bundle has an assertion function of its own with a fixed message, and lines of about 500 characters.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -44,6 +44,7 @@
       ],
     },
   },
+  { files: ["**/*.cjs"], languageOptions: { globals: { module: "writable" } } },
   {
     files: ["**/*.mjs", "**/*.js"],
     languageOptions: {
--- a/packages/daemon/tests/router/ProcessContext.ts
+++ b/packages/daemon/tests/router/ProcessContext.ts
@@ -1,6 +1,6 @@
 import { RegistryStore, ScriptedUpstream } from "@pistachioway/standins";
 import { readResponse, type RawResponse } from "./RouterFixture.js";
-import { RouterProcess } from "./RouterProcess.js";
+import { RouterProcess, type LaunchOptions } from "./RouterProcess.js";
 
 /** Time-out of all routes, and of the callers' requests. */
 export const processTimeoutMilliseconds = 5_000;
@@ -13,21 +13,17 @@
 }
 
 /** What differs between the tests that use a process. */
-export interface ProcessOptions {
+export interface ProcessOptions extends LaunchOptions {
   /** Upstreams that listen. */
   readonly upstreamCount: number;
   /** Upstreams of these that are listed when the router starts. */
   readonly listedCount: number;
-  /** Options of the runtime. */
-  readonly nodeOptions?: readonly string[];
-  /** Addresses of daemons that may run; none by default. */
-  readonly seeds?: readonly string[];
 }
 
 /** Starts store, upstreams and router of a test. */
 export async function setUpProcess(
   context: ProcessContext,
-  { upstreamCount, listedCount, nodeOptions, seeds }: ProcessOptions,
+  { upstreamCount, listedCount, ...launchOptions }: ProcessOptions,
 ): Promise<void> {
   context.store = RegistryStore.create();
   context.upstreams = Array.from({ length: upstreamCount }, (_, index) =>
@@ -38,7 +34,7 @@
   context.upstreams.slice(0, listedCount).forEach((upstream) => {
     context.store.publishUpstream(upstream);
   });
-  context.router = await RouterProcess.start(context.store, listedCount, nodeOptions, seeds);
+  context.router = await RouterProcess.start(context.store, listedCount, launchOptions);
 }
 
 /** Ends what `setUpProcess` has started. */
--- a/packages/daemon/tests/router/RouterProcess.ts
+++ b/packages/daemon/tests/router/RouterProcess.ts
@@ -11,7 +11,9 @@
 import { getFreePorts } from "./getFreePorts.js";
 import { waitFor } from "./RouterFixture.js";
 
-const main = fileURLToPath(new URL("routerMain.js", import.meta.resolve("@pistachioway/daemon")));
+const builtProgram = fileURLToPath(
+  new URL("routerMain.js", import.meta.resolve("@pistachioway/daemon")),
+);
 /** Longest time in which a machine loads the program; beyond it the program hangs. */
 const loadTimeoutMilliseconds = 60_000;
 const loadCheckMilliseconds = 20;
@@ -33,6 +35,8 @@
   /** Addresses of daemons that may run; none by default. */
   readonly seeds?: readonly string[];
   readonly nodeOptions?: readonly string[];
+  /** Path of the program; the built sources by default. */
+  readonly program?: string;
 }
 
 /** A router in a process of its own. */
@@ -56,17 +60,15 @@
    * the machine needs; what the router does itself must end in time.
    * @param store - Store that publishes them.
    * @param upstreamCount - Number of upstreams that the store publishes.
-   * @param nodeOptions - Options of the runtime.
-   * @param seeds - Addresses of daemons that may run.
+   * @param options - Seeds of the fleet, program and options of the runtime.
    */
   static async start(
     { address }: RegistryStore,
     upstreamCount: number,
-    nodeOptions: readonly string[] = [],
-    seeds: readonly string[] = [],
+    options: LaunchOptions = {},
   ): Promise<RouterProcess> {
     const addresses = await chooseAddresses("127.0.0.1");
-    const router = await RouterProcess.launch(addresses, address, { nodeOptions, seeds });
+    const router = await RouterProcess.launch(addresses, address, options);
     const isReady = (): boolean =>
       router.getLines("configuration.in-force").length > 0 &&
       router.getLines("upstream.changed").length >= upstreamCount;
@@ -86,17 +88,17 @@
    * Starts a router, and does not wait for anything that it does.
    * @param addresses - Addresses of its listeners.
    * @param registry - Address of the store.
-   * @param options - Seeds of the fleet, and options of the runtime.
+   * @param options - Seeds of the fleet, program and options of the runtime.
    */
   static async launch(
     addresses: RouterAddresses,
     registry: string,
-    { seeds = [], nodeOptions = [] }: LaunchOptions = {},
+    { seeds = [], nodeOptions = [], program = builtProgram }: LaunchOptions = {},
   ): Promise<RouterProcess> {
     const folder = await mkdtemp(join(tmpdir(), "pistachioway-stop-"));
     const file = join(folder, "router.toml");
     await writeFile(file, createSettings(addresses, registry, seeds));
-    const child = spawn(process.execPath, [...nodeOptions, main, "--settings", file], {
+    const child = spawn(process.execPath, [...nodeOptions, program, "--settings", file], {
       stdio: ["ignore", "pipe", 2],
     });
     return new RouterProcess(child, addresses, folder);
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,11 +24,15 @@
   conditions: ["source"],
   alias: {
     undici: "./scripts/undici-client.mjs",
+    assert: "./scripts/assert.cjs",
+    "node:assert": "./scripts/assert.cjs",
     // Without the native addon, which the bundle could not contain.
     msgpackr: "./node_modules/msgpackr/index.js",
   },
   minifySyntax: true,
   minifyWhitespace: true,
+  // Node.js shows and parses whole lines of the source for some errors.
+  lineLimit: 500,
   legalComments: "none",
   banner: {
     js: 'import { createRequire as createBundleRequire } from "node:module"; const require = createBundleRequire(import.meta.url);',
