Large configurations are decoded and kept once

Cause: RegistryHistory bounded the number of updates it keeps for peers, and each had every configuration of a watch whole, some 290 together.

--- a/packages/kernel/tests/registry/RegistryHistory.test.ts
+++ b/packages/kernel/tests/registry/RegistryHistory.test.ts
@@ -52,4 +52,39 @@
   assert.equal([getIds(history, 66), getIds(history, 67)?.length], [undefined, 33]);
 });
 
+function createRouting(version: number): RegistryChange {
+  const limits = {
+    ...{ headerBytes: 1, bodyBytes: 1 },
+    ...{ headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+  };
+  return { kind: "routing", routing: { version, routes: [], services: [], limits }, faults: [] };
+}
+
+// Guards against configurations that are kept once for each change of them, and end the process (LOST).
+test("keeps the newest configuration only, and all other changes", () => {
+  const history = RegistryHistory.create();
+  const invalid: RegistryChange = { kind: "routingInvalid", detail: "no version" };
+  history.add(1, { changes: [createRouting(1), createChange("e-1"), invalid], position: 2 });
+  history.add(2, { changes: [createChange("e-2"), createRouting(2)], position: 3 });
+  history.add(3, { changes: [invalid], position: 4 });
+  assert.equal(history.getSince(1), {
+    changes: [createChange("e-1"), createChange("e-2"), createRouting(2), invalid],
+    position: 4,
+  });
+});
+
+// Guards against entries whose size is not bounded by their number (LOST).
+test("keeps a bounded number of bytes", () => {
+  const history = RegistryHistory.create();
+  const bytes = 1_000_000;
+  for (let position = 1; position <= 10; position += 1) {
+    const change = createChange("x".repeat(bytes));
+    history.add(position, { changes: [change], position: position + 1 });
+  }
+  assert.equal([history.getSince(6), history.getSince(7)?.changes.length], [undefined, 4]);
+  const whole = { changes: [createChange("x".repeat(5 * bytes))], position: 12 };
+  history.add(11, whole);
+  assert.equal([history.getSince(11), history.getKeptBytes()], [undefined, 0]);
+});
+
 test.run();
