Answers with a status that no answer has are lost

Callers of acts and streams got the statuses 600 and 999 as answers, also through a peer; 000 to 199 were never passed on.

Cause: the HTTP client takes any three digits from 100 on for a status, and nothing behind it looked. Change: getAnswerMeaning, the one place that decides what an answer is for upstreams, peers and the product's own services, takes others than 200 to 599 for bytes of no request.

--- a/packages/daemon/tests/router/bundledFaults.test.ts
+++ b/packages/daemon/tests/router/bundledFaults.test.ts
@@ -31,6 +31,8 @@
   "HTTP/1.1 001 OK",
   "HTTP/1.1 099 OK",
   "HTTP/1.1 101 Switching Protocols",
+  "HTTP/1.1 600 OK",
+  "HTTP/1.1 999 OK",
   "HTTP/1.1 20 OK",
   "HTTP/1.1 2000 OK",
   "HTTP/1.1 2x0 OK",
--- a/packages/daemon/tests/router/createPeerStreamSuite.ts
+++ b/packages/daemon/tests/router/createPeerStreamSuite.ts
@@ -10,6 +10,7 @@
 }
 
 const timeoutMilliseconds = 5_000;
+const maxBodyBytes = 8_388_608;
 
 /**
  * Creates a suite whose tests send streams through a peer.
@@ -23,7 +24,7 @@
     context.fleet = await LinkedFleet.create({ routers: 3, upstreams: 2, createScript });
     const [router] = context.fleet.routers;
     assert.ok(router);
-    router.store.publishConfiguration({ version: 2, timeoutMilliseconds });
+    router.store.publishConfiguration({ version: 2, timeoutMilliseconds, maxBodyBytes });
     context.fleet.setLinks(0, "closed");
     await router.call("/read/1", { id: "q-first" });
     await waitFor(() => router.logLines.some((line) => line.includes("service.unreached")));
--- a/packages/kernel/src/forwarding/getAnswerMeaning.ts
+++ b/packages/kernel/src/forwarding/getAnswerMeaning.ts
@@ -14,7 +14,7 @@
  * - `final`: it is the answer to the request.
  * - `refusal`: the request was not run and will not be.
  * - `unproven`: it contradicts itself, or its status promises what it does not state. The request may have run.
- * - `foreign`: it does not name the request. The request may have run.
+ * - `foreign`: it does not name the request, or its status is none that an answer has. The request may have run.
  */
 export type AnswerMeaning = "final" | "refusal" | "unproven" | "foreign";
 
@@ -22,6 +22,8 @@
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const firstSuccessStatus = 200;
 const firstRedirectStatus = 300;
+/** Statuses from this one on are none of HTTP. */
+const firstUnknownStatus = 600;
 
 /**
  * Gets what an answer means. This is the only place that decides which answers prove that a request was not run.
@@ -31,7 +33,7 @@
  */
 export function getAnswerMeaning(statement: AnswerStatement): AnswerMeaning {
   const { status, notRunStatements, answeredId, sentId } = statement;
-  if (sentId === "" || answeredId !== sentId) {
+  if (sentId === "" || answeredId !== sentId || !isFinalStatus(status)) {
     return "foreign";
   }
   if (notRunStatuses.has(status)) {
@@ -41,6 +43,10 @@
   return isSuccess && notRunStatements.length > 0 ? "unproven" : "final";
 }
 
+function isFinalStatus(status: number): boolean {
+  return Number.isInteger(status) && status >= firstSuccessStatus && status < firstUnknownStatus;
+}
+
 function isOneStatement([text, ...others]: readonly string[]): boolean {
   return text !== undefined && text !== "" && others.length === 0;
 }
--- a/packages/kernel/tests/forwarding/getAnswerMeaning.test.ts
+++ b/packages/kernel/tests/forwarding/getAnswerMeaning.test.ts
@@ -66,6 +66,18 @@
   ]);
 });
 
+// Guards against bytes that are no answer being passed on as one (MIXED).
+test("believes no answer whose status is none of a final answer", () => {
+  const odd = [-20, 0, 1, 99, 100, 101, 199, 200.5, 600, 999, 2_000, NaN];
+  const meanings = odd.map((status) =>
+    getAnswerMeaning({ status, notRunStatements: ["1"], answeredId: "q-1", sentId: "q-1" }),
+  );
+  assert.equal(
+    meanings,
+    odd.map(() => "foreign"),
+  );
+});
+
 // Guards against an answer to another request, or to none, being believed (REFUSED, TWICE, MIXED).
 for (const id of ["foreign", "none", "none sent"]) {
   for (const statement of Object.keys(statements)) {
--- a/packages/standins/src/registry/ScriptedUpstream.ts
+++ b/packages/standins/src/registry/ScriptedUpstream.ts
@@ -51,7 +51,7 @@
   private constructor(
     readonly id: string,
     private script: Script,
-    private readonly headScript: HeadScript | undefined,
+    private headScript: HeadScript | undefined,
   ) {
     this.server = createServer((request, response) => {
       this.receive(request, response);
@@ -112,6 +112,10 @@
     await new Promise<void>((resolve) => this.server.listen(port, "127.0.0.1", resolve));
   }
 
+  setHeadScript(headScript: HeadScript): void {
+    this.headScript = headScript;
+  }
+
   setScript(script: Script): void {
     this.script = script;
   }
--- a/packages/standins/src/registry/configuration.ts
+++ b/packages/standins/src/registry/configuration.ts
@@ -20,6 +20,8 @@
   readonly timeoutMilliseconds?: number;
   /** Routes in place of the one of each kind. */
   readonly routes?: readonly PublishedRoute[];
+  /** Size of the largest body of a request. */
+  readonly maxBodyBytes?: number;
 }
 
 /** Name of the service of every route and upstream. */
@@ -72,7 +74,7 @@
     services: [{ name: publishedService, health_path: "/healthz", max_conns: 100 }],
     limits: {
       max_header_bytes: 16_384,
-      max_body_bytes: 65_536,
+      max_body_bytes: options.maxBodyBytes ?? 65_536,
       header_timeout_ms: 3_000,
       idle_timeout_ms: 15_000,
     },
