Soak: a process that is back at its address at once

The soak knew upstreams that crash and stay away only. upstream-restarted: the process ends between two bytes of its answers and another one is at its address under its id.

--- a/packages/experiments/src/soak/SoakUpstream.ts
+++ b/packages/experiments/src/soak/SoakUpstream.ts
@@ -28,6 +28,8 @@
   mode: UpstreamMode = "well";
   /** Whether the upstream is being replaced. */
   isDraining = false;
+  /** Whether its process has just been started again. */
+  isRestarting = false;
   /** Whether its responses announce that it leaves. */
   isLeaving = false;
   readonly server: ScriptedUpstream;
--- a/packages/experiments/src/soak/disturbances.ts
+++ b/packages/experiments/src/soak/disturbances.ts
@@ -9,7 +9,12 @@
 import type { SoakUpstream } from "./SoakUpstream.js";
 import { prepareEvacuation } from "./prepareEvacuation.js";
 import { startOnOccupiedAddress } from "./startOnOccupiedAddress.js";
-import { prepareCrash, prepareLeaving, prepareReplacement } from "./upstreamDepartures.js";
+import {
+  prepareCrash,
+  prepareLeaving,
+  prepareReplacement,
+  prepareRestart,
+} from "./upstreamDepartures.js";
 import { upstreamModes, type UpstreamMode } from "./upstreamModes.js";
 
 /** A kind of disturbance. */
@@ -169,6 +174,7 @@
   { name: "upstream-crashed", isPlanned: false, prepare: prepareCrash },
   createRouterKind(startName, false, startOnOccupiedAddress),
   { name: "zone-evacuated", isPlanned: true, prepare: prepareEvacuation },
+  { name: "upstream-restarted", isPlanned: false, prepare: prepareRestart },
 ];
 
 function createRouterKind(
--- a/packages/experiments/src/soak/schema.ts
+++ b/packages/experiments/src/soak/schema.ts
@@ -28,6 +28,7 @@
   "upstream-crashed",
   startName,
   "zone-evacuated",
+  "upstream-restarted",
 ] as const;
 
 export type DisturbanceName = (typeof disturbanceNames)[number];
--- a/packages/experiments/src/soak/upstreamDepartures.ts
+++ b/packages/experiments/src/soak/upstreamDepartures.ts
@@ -10,12 +10,14 @@
 const lingerMilliseconds = 2_500;
 /** Time for which the entry of an upstream that has crashed stays in the registry. */
 const staleEntryMilliseconds = 1_500;
+/** Time until a process that was started again counts as undisturbed. */
+const restartMilliseconds = 500;
 const minUpstreams = 2;
 
 /** Picks an upstream that may go; undefined when too few are left, or when the one that was picked is going already. */
 function pickReplaceable({ installation, random }: DisturbanceContext): SoakUpstream | undefined {
   const upstream = pick(installation.upstreams, random);
-  const isGoing = upstream.isDraining || upstream.isLeaving;
+  const isGoing = upstream.isDraining || upstream.isLeaving || upstream.isRestarting;
   return installation.upstreams.length <= minUpstreams || isGoing ? undefined : upstream;
 }
 
@@ -49,6 +51,22 @@
   });
 }
 
+/** The process of an upstream ends between two bytes of its answers, and another one is at once at its address under its id. */
+export function prepareRestart(context: DisturbanceContext): PreparedDisturbance | undefined {
+  const upstream = pickReplaceable(context);
+  if (upstream === undefined) {
+    return undefined;
+  }
+  upstream.isRestarting = true;
+  return { target: upstream.id, run: () => restart(upstream) };
+}
+
+async function restart(upstream: SoakUpstream): Promise<void> {
+  await upstream.server.crashAndRestart();
+  await delay(restartMilliseconds);
+  upstream.isRestarting = false;
+}
+
 /** Drains an upstream, adds a new one, and removes and closes the drained one later. */
 export function prepareReplacement(context: DisturbanceContext): PreparedDisturbance | undefined {
   return prepareDraining(context, async (installation, upstream) => {
