--- a/packages/daemon/tests/exchange/ProcessWatch.test.ts
+++ b/packages/daemon/tests/exchange/ProcessWatch.test.ts
@@ -15,7 +15,7 @@
 /** Within the first try, which ends after 250 ms. */
 const stallMilliseconds = 200;
 /** Three tries of 250 ms, and a margin for a busy machine. */
-const longestMilliseconds = 1_750;
+const longestMilliseconds = 1_500;
 /** Time in which a connection is opened and an answer comes. */
 const settlingMilliseconds = 50;
 
