--- a/review/kit-3/case.mjs
+++ b/review/kit-3/case.mjs
@@ -21,13 +21,15 @@
   return { write, startedAt };
 }
 
-/** Starts a fleet of routers on loopback addresses with the same ports. */
-export async function startFleet(count, store, options = {}) {
+/** Starts a fleet of routers on loopback addresses with the same ports; each may have a link of its own to the store. */
+export async function startFleet(count, store, options = {}, getStore = () => store.address) {
   const hosts = Array.from({ length: count }, (_, index) => `127.0.0.${String(index + 1)}`);
   const ports = await findPorts(hosts);
   const seeds = hosts.slice(0, 3).map((host) => `${host}:${String(ports.operations)}`);
-  const create = (host) => new Router({ host, ports, store: store.address, seeds, ...options });
-  const routers = hosts.map(create);
+  const routers = [];
+  for (const host of hosts) {
+    routers.push(new Router({ host, ports, store: await getStore(host), seeds, ...options }));
+  }
   routers.forEach((router) => router.start());
   return routers;
 }
--- a/review/kit-3/engine.mjs
+++ b/review/kit-3/engine.mjs
@@ -5,6 +5,7 @@
 
 export class Engine {
   runs = [];
+  arrivals = [];
   running = new Set();
   waiting = [];
   isUp = false;
@@ -69,6 +70,8 @@
       this.refuse(request, response, 421, { Instance: this.id });
       return;
     }
+    const { method, url, headers } = request;
+    this.arrivals.push({ at: Date.now(), request: headers["request-id"], method, url });
     let bytes = 0;
     request.on("data", (chunk) => (bytes += chunk.length));
     request.on("end", () => this.accept(request, response, bytes));
