--- a/review/kit-3/engine.mjs
+++ b/review/kit-3/engine.mjs
@@ -119,7 +119,8 @@
     response.once("close", () => finish("left"));
     run.timer = setTimeout(() => {
       finish("done");
-      response.writeHead(200, { ...this.headers(request), "Response-Stamp": stamp });
+      const name = this.getStampName?.(record) ?? "Response-Stamp";
+      response.writeHead(200, { ...this.headers(request), [name]: stamp });
       response.end(`answer to ${record.request}`.padEnd(800, "."));
     }, this.work(request));
   }
