--- a/review/kit-3/client.mjs
+++ b/review/kit-3/client.mjs
@@ -30,9 +30,10 @@
   const sentAt = Date.now();
   return new Promise((resolve) => {
     let timer;
-    const seen = { id, path, sentAt, status: 0, end: "", body: "" };
+    const seen = { id, path, sentAt, status: 0, end: "", body: "", isKeptChannel: false };
     const finish = (end) => {
       clearTimeout(timer);
+      seen.isKeptChannel = request.reusedSocket;
       resolve(Object.assign(seen, { end, milliseconds: Date.now() - sentAt }));
     };
     const request = send({ host, port, path, method, headers, agent }, (answer) => {
--- a/review/kit-3/engine.mjs
+++ b/review/kit-3/engine.mjs
@@ -58,7 +58,7 @@
       this.sockets.add(socket);
       socket.once("close", () => this.sockets.delete(socket));
     }
-    if (request.url === "/healthz") {
+    if (request.url === "/healthz" && this.waitsForHealth !== true) {
       request.resume();
       response.writeHead(200, { Instance: this.id, ...this.more() });
       response.end();
@@ -71,6 +71,11 @@
       return;
     }
     const { method, url, headers } = request;
+    if (url === "/healthz") {
+      request.resume();
+      this.accept(request, response, 0);
+      return;
+    }
     this.arrivals.push({ at: Date.now(), request: headers["request-id"], method, url });
     let bytes = 0;
     request.on("data", (chunk) => (bytes += chunk.length));
@@ -103,6 +108,10 @@
   }
 
   run({ request, response, bytes }) {
+    if (request.url === "/healthz") {
+      this.answerHealth(response);
+      return;
+    }
     const { method, url, headers } = request;
     const record = { engine: this.id, at: Date.now(), request: headers["request-id"], method, url };
     Object.assign(record, { bytes, tenant: headers.tenant, end: "running" });
@@ -117,6 +126,10 @@
       }
     };
     response.once("close", () => finish("left"));
+    if (this.events !== undefined) {
+      this.stream(request, response, run, finish);
+      return;
+    }
     run.timer = setTimeout(() => {
       finish("done");
       const name = this.getStampName?.(record) ?? "Response-Stamp";
@@ -125,6 +138,44 @@
     }, this.work(request));
   }
 
+  /** Answers for its health when a slot is free, as for any other request. */
+  answerHealth(response) {
+    const run = { record: {} };
+    this.running.add(run);
+    setTimeout(() => {
+      this.running.delete(run);
+      response.writeHead(200, { Instance: this.id, ...this.more() });
+      response.end();
+      this.advance();
+    }, 1);
+  }
+
+  /** Writes events, `events` of them, each after `eventMilliseconds`; some answers end with their channel. */
+  stream(request, response, run, finish) {
+    const { record } = run;
+    record.isUnframed = this.isUnframed?.() === true;
+    const headers = { ...this.headers(request), "Response-Stamp": stamp };
+    headers["Content-Type"] = "text/event-stream";
+    if (record.isUnframed) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+      headers.Connection = "close";
+    }
+    response.writeHead(200, headers);
+    let count = 0;
+    const write = () => {
+      count += 1;
+      response.write(`id: ${String(count)}\ndata: token ${String(count)}\n\n`);
+      if (count < this.events) {
+        run.timer = setTimeout(write, this.eventMilliseconds);
+        return;
+      }
+      response.end();
+      finish("done");
+    };
+    run.timer = setTimeout(write, this.eventMilliseconds);
+  }
+
   close() {
     this.isUp = false;
     this.server.close();
