--- a/review/11/main.mjs
+++ b/review/11/main.mjs
@@ -17,7 +17,7 @@
 
 const engineCount = 3;
 const slots = 12;
-const queue = 48;
+const queue = 36;
 /** A stream of the sheet: 24 events of 12 tokens, some 40 ms each in a batch. */
 const events = 24;
 const eventMilliseconds = 40;
@@ -54,8 +54,8 @@
     ...{ timeout_ms: deadline, goal_ms: 603, gap_goal_ms: 400, max_attempts: 1 },
     ...{ sticky: true, resumable: false },
   });
-  const engine = { slots, kv_capacity: 317_944, moves: true };
-  store.put("op/config", config(1, [answer], [service("llm", { max_conns: 470, engine })]));
+  const engine = { slots, kv_capacity: 317_178, moves: true };
+  store.put("op/config", config(1, [answer], [service("llm", { max_conns: 540, engine })]));
   routers = await startFleet(3, store);
   return areReady(routers);
 }
--- a/review/kit-3/case.mjs
+++ b/review/kit-3/case.mjs
@@ -4,6 +4,16 @@
 import { fileURLToPath } from "node:url";
 import { findPorts, Router } from "./router.mjs";
 
+/** A case that cannot run ends with 2, whatever stopped it; what it started ends with it. */
+function endUnrun(error) {
+  console.log(`could not run: ${String(error)}`);
+  process.exit(2);
+}
+process.on("uncaughtException", endUnrun);
+process.on("unhandledRejection", endUnrun);
+process.once("SIGTERM", () => endUnrun("SIGTERM"));
+process.once("SIGINT", () => endUnrun("SIGINT"));
+
 export const isTroubled = process.env.TROUBLE !== "0";
 
 export function pause(milliseconds) {
--- a/review/kit-3/router.mjs
+++ b/review/kit-3/router.mjs
@@ -7,9 +7,15 @@
 import { fileURLToPath } from "node:url";
 
 const root = fileURLToPath(new URL("../..", import.meta.url));
-const [, command] = /^run = "([^"]+)"/m.exec(
-  readFileSync(join(root, "deploy/system.toml"), "utf8"),
-);
+/** Processes that were started and have not ended. */
+const running = new Set();
+process.once("exit", () => running.forEach((child) => child.kill("SIGKILL")));
+
+/** Gets the command of the deploy file. */
+function getCommand() {
+  const text = readFileSync(join(root, "deploy/system.toml"), "utf8");
+  return /^run = "([^"]+)"/m.exec(text)[1];
+}
 
 /** Finds a port that is free on every address given. */
 export async function findPort(hosts) {
@@ -72,15 +78,18 @@
   start() {
     const file = join(this.folder, "router.toml");
     writeFileSync(file, this.settings());
-    const [program, ...words] = command.split(" ");
+    const [program, ...words] = getCommand().split(" ");
     const env = { PATH: process.env.PATH, HOME: process.env.HOME, PISTACHIOWAY_BOOT: file };
     this.process = spawn(program, words, { cwd: root, env, stdio: ["ignore", "pipe", "pipe"] });
     const child = this.process;
+    running.add(child);
+    child.once("error", (error) => this.lines.push(String(error)));
     const read = (text) => this.lines.push(...String(text).split("\n").filter(Boolean));
     child.stdout.on("data", read);
     child.stderr.on("data", read);
     this.ended = new Promise((resolve) => {
       child.once("exit", (code, signal) => {
+        running.delete(child);
         this.ends.push({ code, signal });
         resolve();
       });
